membership, coordination, peers: gossip, coordinator records and acknowledged frames

Cause: the thin path took every listed host for live, let the first node in rendezvous order coordinate without a record, and lost messages on a connection that had gone silent. Change: SWIM-style gossip with relayed evidence, coordinator records by compare-and-swap with tenure, extension, provisional roles and hand-over, a guard against pauses at the start of every event, datagrams, and TCP frames that are acknowledged, sent again on a fresh connection or reported as unreachable.

--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -4,6 +4,9 @@
 
 from savoryhill.errors import SavoryhillError
 
+# A leaving node hands its groups over; the messages need an acknowledgement.
+FLUSH_TIMEOUT_S = 2.0
+
 
 def demo():
     """Start a whole deployment in one process, use it and check the results."""
@@ -30,11 +33,13 @@
     from savoryhill.node.process import drain, start_node, stop_node
     from savoryhill.node.settings import load_settings
     from savoryhill.observability.logs import configure_logs
+    from savoryhill.peers.transport import flush
 
     configure_logs()
     running = start_node(load_settings(settings))
     gevent.signal_handler(signal.SIGTERM, drain, running)
     running.stopped.wait()
+    flush(running.transport, timeout_s=FLUSH_TIMEOUT_S)
     stop_node(running)
 
 
--- a/src/savoryhill/core/coordination/__init__.py
+++ b/src/savoryhill/core/coordination/__init__.py
@@ -1,3 +1,5 @@
 """Which node coordinates which endpoint group."""
 
-HANDLERS: dict = {}
+from savoryhill.core.coordination.handlers import HANDLERS
+
+__all__ = ["HANDLERS"]
--- /dev/null
+++ b/src/savoryhill/core/coordination/handlers.py
@@ -0,0 +1,252 @@
+"""Apply events to the coordinator records and roles."""
+
+from savoryhill.core.coordination.records import (
+    RECORD_PREFIX,
+    decode_record,
+    drop_role,
+    learn_record,
+)
+from savoryhill.core.coordination.state import NEVER, CoordinatorRecord, Role
+from savoryhill.core.coordination.takeover import (
+    accepts_hand_over,
+    announce,
+    hand_over_all,
+    hand_over_misplaced,
+    is_own_identity,
+    review_wanted,
+    start_takeovers,
+)
+from savoryhill.core.coordination.tenure import (
+    TENURE_S,
+    confirm_roles,
+    expire_roles,
+    first_cold_wait_starts_at,
+    review_provisional,
+    watch_service,
+)
+from savoryhill.core.effects import KeyValueRange, record
+from savoryhill.core.events import (
+    DrainRequested,
+    KeyValueAnswered,
+    ProcessResumed,
+    Ticked,
+)
+from savoryhill.core.messages import CoordinatorChanged, HandOver
+from savoryhill.core.state import next_id
+
+READ_INTERVAL_S = 1.0
+REVIEW_INTERVAL_S = 0.25
+
+
+def _on_tick(state, event):
+    if state.active is None:
+        return
+    coordination = state.coordination
+    if event.at >= coordination.review_due_at:
+        coordination.review_due_at = event.at + REVIEW_INTERVAL_S
+        watch_service(state)
+        review_wanted(state)
+        confirm_roles(state)
+        yield from _announce_provisional(state, review_provisional(state))
+        yield from hand_over_misplaced(state)
+    yield from expire_roles(state)
+    concerned = coordination.roles_by_group or coordination.wanted_groups
+    if event.at >= coordination.read_due_at and (
+        concerned or not coordination.has_read
+    ):
+        coordination.read_due_at = event.at + READ_INTERVAL_S
+        yield _read(state)
+    elif not concerned:
+        coordination.failing_since = None
+
+
+def _announce_provisional(state, effects):
+    before = set(state.coordination.roles_by_group)
+    yield from effects
+    for group, role in state.coordination.roles_by_group.items():
+        if role.provisional and group not in before:
+            learn_record(
+                state,
+                group=group,
+                holder=state.node,
+                fence=role.fence,
+                provisional=True,
+            )
+            yield from announce(
+                state,
+                group=group,
+                holder=state.node,
+                fence=role.fence,
+                provisional=True,
+            )
+
+
+def _read(state):
+    call_id = next_id(state, "coordination-read")
+    coordination = state.coordination
+    coordination.reads.add(call_id)
+    if coordination.failing_since is None:
+        coordination.failing_since = state.now
+    return KeyValueRange(call_id=call_id, key=RECORD_PREFIX, prefix=True)
+
+
+def _on_key_value_answered(state, event):
+    coordination = state.coordination
+    if event.call_id in coordination.reads:
+        coordination.reads.discard(event.call_id)
+        if event.status == "ok":
+            yield from _on_records_read(state, event)
+        return
+    takeover = coordination.takeovers_by_call.pop(event.call_id, None)
+    if takeover is None:
+        return
+    if event.status == "ok":
+        yield from _gain(
+            state,
+            group=takeover.group,
+            fence=takeover.fence,
+            identity=takeover.identity,
+            started_at=event.started_at,
+            is_first=takeover.is_first,
+        )
+    else:
+        # A lost answer is settled by reading the record's identity back.
+        coordination.read_due_at = min(coordination.read_due_at, event.at)
+
+
+def _on_records_read(state, event):
+    coordination = state.coordination
+    if event.started_at < coordination.resumed_at:
+        return
+    coordination.has_read = True
+    coordination.failing_since = None
+    rows_by_group = {}
+    for row in event.rows:
+        known = decode_record(row.value, row.mod_revision)
+        if known is not None:
+            rows_by_group[row.key.removeprefix(RECORD_PREFIX)] = known
+    for group, role in tuple(coordination.roles_by_group.items()):
+        if role.provisional:
+            yield from drop_role(state, group, "key-value service is back")
+    for group, row in rows_by_group.items():
+        yield from _apply_row(state, group, row, event.started_at)
+    for group, role in tuple(coordination.roles_by_group.items()):
+        if group not in rows_by_group and role.gained_at < event.started_at:
+            yield from drop_role(state, group, "record is missing")
+    if state.active is not None:
+        review_wanted(state)
+        yield from start_takeovers(state, rows_by_group)
+
+
+def _apply_row(state, group, row, started_at):
+    coordination = state.coordination
+    known = coordination.records_by_group.get(group)
+    if known is not None and row.fence < known.fence:
+        # The read is older than what gossip or an own write has told.
+        return
+    if known is None or row.fence > known.fence or not known.identity:
+        coordination.records_by_group[group] = row
+    role = coordination.roles_by_group.get(group)
+    if role is not None and role.identity == row.identity:
+        role.tenure_ends_at = max(role.tenure_ends_at, started_at + TENURE_S)
+        role.extended = False
+        return
+    if role is not None:
+        yield from drop_role(state, group, f"record is held by {row.holder}")
+    if is_own_identity(state, row.identity):
+        yield from _gain(
+            state,
+            group=group,
+            fence=row.fence,
+            identity=row.identity,
+            started_at=started_at,
+            is_first=False,
+        )
+
+
+def _gain(state, *, group, fence, identity, started_at, is_first):
+    """Hold a group whose record shows an own takeover, as of ``started_at``."""
+    coordination = state.coordination
+    known = coordination.records_by_group.get(group)
+    superseded = known is not None and known.fence > fence
+    too_old = state.now >= started_at + TENURE_S or started_at < coordination.resumed_at
+    if superseded or too_old or state.membership.leaving:
+        return
+    coordination.handed_over_fences_by_group.pop(group, None)
+    coordination.records_by_group[group] = CoordinatorRecord(
+        holder=state.node, fence=fence, identity=identity
+    )
+    coordination.roles_by_group[group] = Role(
+        fence=fence,
+        identity=identity,
+        tenure_ends_at=started_at + TENURE_S,
+        gained_at=state.now,
+        took_over_at=(
+            NEVER if is_first else first_cold_wait_starts_at(state, state.now)
+        ),
+        confirmed=is_first,
+    )
+    yield record("coordination.took_over", group=group, fence=fence)
+    yield from announce(
+        state, group=group, holder=state.node, fence=fence, provisional=False
+    )
+
+
+def _on_coordinator_changed(state, event):
+    message = event.message
+    if message.holder == state.node:
+        return
+    is_new = learn_record(
+        state,
+        group=message.group,
+        holder=message.holder,
+        fence=message.fence,
+        provisional=message.provisional,
+    )
+    if is_new:
+        yield from announce(
+            state,
+            group=message.group,
+            holder=message.holder,
+            fence=message.fence,
+            provisional=message.provisional,
+        )
+
+
+def _on_hand_over(state, event):
+    message = event.message
+    if not accepts_hand_over(state, message.group):
+        return
+    coordination = state.coordination
+    coordination.handed_over_fences_by_group[message.group] = message.fence
+    coordination.read_due_at = min(coordination.read_due_at, event.at)
+    review_wanted(state)
+
+
+def _on_process_resumed(state, event):
+    """Drop all roles; others may hold them by now, which a new read tells."""
+    coordination = state.coordination
+    for group in tuple(coordination.roles_by_group):
+        yield from drop_role(state, group, "process was paused")
+    coordination.resumed_at = event.at
+    coordination.reads.clear()
+    coordination.takeovers_by_call.clear()
+    coordination.due_at_by_group.clear()
+    coordination.failing_since = None
+    coordination.has_read = False
+    coordination.read_due_at = event.at
+    coordination.review_due_at = event.at
+
+
+def _on_drain_requested(state, event):
+    yield from hand_over_all(state)
+
+
+HANDLERS = {
+    ProcessResumed: _on_process_resumed,
+    Ticked: _on_tick,
+    KeyValueAnswered: _on_key_value_answered,
+    CoordinatorChanged: _on_coordinator_changed,
+    HandOver: _on_hand_over,
+    DrainRequested: _on_drain_requested,
+}
--- /dev/null
+++ b/src/savoryhill/core/coordination/takeover.py
@@ -0,0 +1,192 @@
+"""Take groups over by compare-and-swap and hand them over."""
+
+from savoryhill.core.coordination.records import (
+    encode_record,
+    identity_prefix,
+    key_of,
+)
+from savoryhill.core.coordination.state import Takeover
+from savoryhill.core.coordination.view import candidate_of
+from savoryhill.core.effects import (
+    Compare,
+    KeyValueTransaction,
+    SendDatagram,
+    SendPeer,
+    record,
+)
+from savoryhill.core.membership.view import in_region, is_serving, live_nodes, lost_many
+from savoryhill.core.messages import CoordinatorChanged, HandOver
+from savoryhill.core.state import next_id
+
+# Takeovers that one node starts after one read of the records.
+MAX_TAKEOVERS_PER_READ = 8
+MAX_TAKEOVERS_PER_READ_AFTER_MASS_LOSS = 2
+MASS_LOSS_JITTER_S = 3.0
+ANNOUNCE_FANOUT = 4
+# A holder that is not the candidate for this long hands the group over. Nodes that
+# restart in turn must not move groups several times.
+MISPLACED_FOR_S = 60.0
+HAND_OVER_INTERVAL_S = 5.0
+HAND_OVER_WAIT_S = 3.0
+
+
+def wants(state, group):
+    """Tell whether this node should hold a group that it does not hold."""
+    coordination = state.coordination
+    if state.membership.leaving:
+        return False
+    role = coordination.roles_by_group.get(group)
+    if role is not None and not role.provisional:
+        return False
+    known = coordination.records_by_group.get(group)
+    if known is not None:
+        if coordination.handed_over_fences_by_group.get(group, -1) >= known.fence:
+            return True
+        if known.holder == state.node:
+            # The record is of an earlier process or of a role given up.
+            return True
+        if known.holder and is_serving(state, known.holder):
+            return False
+    return candidate_of(state, group) == state.node
+
+
+def review_wanted(state):
+    """Determine the groups that this node wants, and when it may take them."""
+    coordination = state.coordination
+    coordination.wanted_groups = tuple(
+        group.id
+        for group in state.active.groups
+        if group.region == state.region and wants(state, group.id)
+    )
+    due_at_by_group = coordination.due_at_by_group
+    for group in set(due_at_by_group).difference(coordination.wanted_groups):
+        del due_at_by_group[group]
+    for group in coordination.wanted_groups:
+        if group not in due_at_by_group:
+            jitter_s = MASS_LOSS_JITTER_S if lost_many(state) else 0.0
+            due_at_by_group[group] = state.now + state.random.uniform(0, jitter_s)
+
+
+def start_takeovers(state, rows_by_group):
+    """Write the records of wanted groups, based on what a read has shown.
+
+    Parameters
+    ----------
+    state : NodeState
+        The node's state.
+    rows_by_group : dict of str to CoordinatorRecord
+        The records as just read.
+
+    Yields
+    ------
+    Effect
+        One transaction for each takeover.
+    """
+    coordination = state.coordination
+    limit = MAX_TAKEOVERS_PER_READ
+    if lost_many(state):
+        limit = MAX_TAKEOVERS_PER_READ_AFTER_MASS_LOSS
+    pending = {takeover.group for takeover in coordination.takeovers_by_call.values()}
+    for group in coordination.wanted_groups:
+        if limit <= 0:
+            return
+        due_at = coordination.due_at_by_group.get(group, state.now)
+        if group in pending or state.now < due_at or not wants(state, group):
+            continue
+        limit -= 1
+        yield _take_over(state, group, rows_by_group.get(group))
+
+
+def _take_over(state, group, row):
+    known = state.coordination.records_by_group.get(group)
+    fence = max(
+        row.fence if row is not None else 0, known.fence if known is not None else 0
+    )
+    takeover = Takeover(
+        group=group,
+        identity=next_id(state, "takeover"),
+        fence=fence + 1,
+        is_first=fence == 0,
+    )
+    call_id = next_id(state, "coordination-write")
+    state.coordination.takeovers_by_call[call_id] = takeover
+    value = encode_record(
+        holder=state.node, fence=takeover.fence, identity=takeover.identity
+    )
+    return KeyValueTransaction(
+        call_id=call_id,
+        compares=(
+            Compare(
+                key=key_of(group),
+                mod_revision=row.mod_revision if row is not None else 0,
+            ),
+        ),
+        puts=((key_of(group), value),),
+    )
+
+
+def is_own_identity(state, identity):
+    """Tell whether this process wrote a record."""
+    return identity.startswith(identity_prefix(state))
+
+
+def announce(state, *, group, holder, fence, provisional):
+    """Tell a few random nodes of a new coordinator."""
+    others = [node for node in live_nodes(state) if node not in (state.node, holder)]
+    chosen = state.random.sample(others, min(ANNOUNCE_FANOUT, len(others)))
+    for node in chosen:
+        yield SendDatagram(
+            to=node,
+            message=CoordinatorChanged(
+                group=group, holder=holder, fence=fence, provisional=provisional
+            ),
+        )
+
+
+def _hand_over(state, group, role):
+    target = candidate_of(state, group, without=state.node)
+    if target is None:
+        return
+    yield record("coordination.handed_over", group=group, to=target, fence=role.fence)
+    yield SendPeer(to=target, message=HandOver(group=group, fence=role.fence))
+
+
+def hand_over_all(state):
+    """Give up every role because this node is leaving."""
+    roles_by_group = state.coordination.roles_by_group
+    for group, role in tuple(roles_by_group.items()):
+        del roles_by_group[group]
+        if not role.provisional:
+            yield from _hand_over(state, group, role)
+
+
+def hand_over_misplaced(state):
+    """Hand over one group that another node should hold."""
+    coordination = state.coordination
+    for group, role in coordination.roles_by_group.items():
+        if role.provisional or role.extended:
+            continue
+        if candidate_of(state, group) == state.node:
+            role.misplaced_since = None
+        elif role.misplaced_since is None:
+            role.misplaced_since = state.now
+    if state.now < coordination.hand_over_due_at:
+        return
+    for group, role in coordination.roles_by_group.items():
+        since = role.misplaced_since
+        if since is not None and state.now - since >= MISPLACED_FOR_S:
+            coordination.hand_over_due_at = state.now + HAND_OVER_INTERVAL_S
+            role.misplaced_since = None
+            role.handed_over_until = state.now + HAND_OVER_WAIT_S
+            yield from _hand_over(state, group, role)
+            return
+
+
+def accepts_hand_over(state, group):
+    """Tell whether this node may take a group that its holder gives up."""
+    known = state.active is not None and group in state.active.groups_by_id
+    return (
+        known
+        and not state.membership.leaving
+        and in_region(state, state.node, state.active.groups_by_id[group].region)
+    )
--- a/src/savoryhill/core/coordination/view.py
+++ b/src/savoryhill/core/coordination/view.py
@@ -1,8 +1,15 @@
 """Questions that other subjects ask of the coordination."""
 
+from functools import lru_cache
 from hashlib import blake2b
 
-from savoryhill.core.membership.view import live_nodes
+from savoryhill.core.membership.view import in_region, is_serving, live_nodes
+
+
+# One weight for each pair of group and node: 75 groups times 340 nodes, and shards.
+@lru_cache(maxsize=65_536)
+def _weight(key, node):
+    return blake2b(f"{key}\0{node}".encode(), digest_size=8).digest()
 
 
 def rendezvous_order(key, nodes):
@@ -20,23 +27,92 @@
     list of str
         All candidates; removing one leaves the order of the others.
     """
+    return sorted(nodes, key=lambda node: _weight(key, node), reverse=True)
+
 
-    def weight(node):
-        return blake2b(f"{key}\0{node}".encode(), digest_size=8).digest()
+def candidate_of(state, group, *, without=None):
+    """Return the live node of the region that should coordinate a group, or None.
+
+    Parameters
+    ----------
+    state : NodeState
+        The node's state.
+    group : str
+        The group.
+    without : str, optional
+        A node that is left out.
 
-    return sorted(nodes, key=weight, reverse=True)
+    Returns
+    -------
+    str or None
+        The first live node in rendezvous order.
+    """
+    nodes = [
+        node
+        for node in live_nodes(state)
+        if node != without
+        and in_region(state, node, state.region)
+        and (node != state.node or is_serving(state, node))
+    ]
+    return max(nodes, key=lambda node: _weight(group, node), default=None)
 
 
 def holder_of(state, group):
-    """Return the node that coordinates a group, or None if none is known."""
+    """Return the node that coordinates a group, or None if that is not sure.
+
+    A provisional coordinator counts while the holder of the record is not there.
+    Whoever gets None asks again after a second.
+    """
+    if group in state.coordination.roles_by_group:
+        return state.node
     record = state.coordination.records_by_group.get(group)
-    if record is not None:
-        return record.holder
-    ordered = rendezvous_order(group, live_nodes(state))
-    return ordered[0] if ordered else None
+    if record is None:
+        return None
+    for node in (record.holder, record.provisional_holder):
+        if node and node != state.node and is_serving(state, node):
+            return node
+    return None
 
 
 def fence_of(state, group):
-    """Return the fencing number of a group, 0 if none is known."""
+    """Return the highest fencing number known of a group, 0 if none is."""
     record = state.coordination.records_by_group.get(group)
     return record.fence if record is not None else 0
+
+
+def may_grant(state, group):
+    """Tell whether this node coordinates a group now and its tenure runs.
+
+    True for a provisional coordinator as well; `is_provisional` tells what it
+    must not grant.
+    """
+    role = state.coordination.roles_by_group.get(group)
+    return (
+        role is not None
+        and state.now < role.tenure_ends_at
+        and state.now >= role.handed_over_until
+    )
+
+
+def took_over_at(state, group):
+    """Return the time from which a new holder counts its wait for cold endpoints.
+
+    Returns
+    -------
+    float
+        Seconds of the runtime clock. The present time while it is not confirmed
+        that the previous holder has stopped; minus infinity if this node does not
+        hold the group or if the group had no holder before.
+    """
+    role = state.coordination.roles_by_group.get(group)
+    if role is None:
+        return float("-inf")
+    if not role.confirmed:
+        return state.now
+    return role.took_over_at
+
+
+def is_provisional(state, group):
+    """Tell whether this node coordinates a group without holding its record."""
+    role = state.coordination.roles_by_group.get(group)
+    return role is not None and role.provisional
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -21,6 +21,17 @@
     """The periodic timer of the runtime fired."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProcessResumed(Event):
+    """The process was paused for ``gap_s``; applied before any other event.
+
+    Whatever the node held before may have passed to another one: every subject
+    drops its roles and unused permits.
+    """
+
+    gap_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PeerReceived(Event):
     """An authenticated message arrived from another node."""
--- a/src/savoryhill/core/membership/gossip.py
+++ b/src/savoryhill/core/membership/gossip.py
@@ -1,17 +1,314 @@
-"""Keep the list of members."""
+"""Probe members, suspect those that do not answer, and spread what is known."""
 
-from savoryhill.core.events import HostsListed
-from savoryhill.core.membership.state import Member
+from savoryhill.core.effects import SendDatagram, record
+from savoryhill.core.events import (
+    ConfigurationRead,
+    DrainRequested,
+    HostsListed,
+    KeyValueAnswered,
+    ProcessResumed,
+    Ticked,
+)
+from savoryhill.core.membership.hearing import (
+    KEY_VALUE_FRESH_S,
+    merge_heard,
+    note_heard,
+    pack_heard,
+    reaches_key_value,
+)
+from savoryhill.core.membership.seeds import on_hosts_listed
+from savoryhill.core.membership.state import NEVER, Probe, RelayedProbe
+from savoryhill.core.membership.summaries import merge_summaries, refresh_summaries
+from savoryhill.core.membership.updates import (
+    choose_content,
+    merge_update,
+    own_incarnation,
+    remove_member,
+    set_status,
+)
+from savoryhill.core.membership.view import (
+    key_value_reached_at_by_others,
+    live_nodes,
+)
+from savoryhill.core.messages import Ack, Ping, PingRequest
 
+PROBE_INTERVAL_S = 1.0
+# Three times the longest round trip between zones leaves room for a busy node.
+PROBE_TIMEOUT_S = 0.3
+N_INDIRECT_PROBES = 3
+SUSPICION_S = 4.0
+# Members that are gone are still probed now and then: both sides of a healed
+# partition would otherwise never hear of each other again.
+REJOIN_INTERVAL_S = 2.0
+# While nobody reaches the key-value service, decisions rest on evidence alone: it
+# is exchanged twice as often.
+OUTAGE_EXCHANGE_INTERVAL_S = 0.5
+FORGET_AFTER_S = 600.0
+FORGET_INTERVAL_S = 10.0
+RELAY_KEPT_S = 2.0
 
-def _on_hosts_listed(state, event):
-    members = state.membership.members_by_node
-    for node, address in event.addresses_by_node.items():
-        if node not in members:
-            members[node] = Member(node=node, address=address)
-        members[node].address = address
-        members[node].status = "leaving" if node in event.leaving else "live"
-    return ()
 
+def _piggyback(state, receiver):
+    heard = pack_heard(state)
+    updates, groups = choose_content(state, receiver, len(heard))
+    active = state.active
+    return {
+        "config_revision": active.revision if active is not None else 0,
+        "config_confirmed_age_s": max(
+            0.0, state.now - state.configuration.confirmed_at
+        ),
+        "key_value_reached": reaches_key_value(state),
+        "updates": updates,
+        "groups": groups,
+        "heard": heard,
+    }
 
-HANDLERS = {HostsListed: _on_hosts_listed}
+
+def _new_number(state):
+    state.membership.n_probes += 1
+    return state.membership.n_probes
+
+
+def _ping(state, target, number, origin):
+    return SendDatagram(
+        to=target,
+        message=Ping(
+            probe=number, target=target, origin=origin, **_piggyback(state, target)
+        ),
+    )
+
+
+def _next_target(state):
+    """Return the next member of a shuffled round, so that each is probed soon."""
+    membership = state.membership
+    members = membership.members_by_node
+    for _ in range(2):
+        while membership.probe_order:
+            node = membership.probe_order.pop()
+            if node in members and members[node].status != "gone":
+                return node
+        order = [node for node, each in members.items() if each.status != "gone"]
+        state.random.shuffle(order)
+        membership.probe_order = order
+    return None
+
+
+def _ask_others(state, probe):
+    """Ask a few other nodes to probe a member that does not answer."""
+    helpers = [
+        node
+        for node, member in state.membership.members_by_node.items()
+        if member.status in ("live", "leaving")
+        and node not in (probe.target, state.node)
+    ]
+    chosen = state.random.sample(helpers, min(N_INDIRECT_PROBES, len(helpers)))
+    for node in chosen:
+        yield SendDatagram(
+            to=node, message=PingRequest(probe=probe.number, target=probe.target)
+        )
+
+
+def _end_probe(state):
+    """Suspect the probed member: neither it nor any helper answered."""
+    membership = state.membership
+    probe, membership.probe = membership.probe, None
+    member = membership.members_by_node.get(probe.target)
+    if member is None or member.status in ("suspected", "gone"):
+        return
+    yield from set_status(state, member, "suspected")
+    membership.own_suspicions[member.node] = state.now
+
+
+def _on_tick(state, event):
+    membership = state.membership
+    now = event.at
+    probe = membership.probe
+    waited_s = now - probe.sent_at if probe is not None else 0.0
+    if waited_s >= PROBE_TIMEOUT_S and not probe.indirect:
+        probe.indirect = True
+        yield from _ask_others(state, probe)
+    if now >= membership.probe_due_at:
+        if membership.probe is not None:
+            yield from _end_probe(state)
+        if membership.probe_due_at == NEVER:
+            # Nodes that start together must not probe in step.
+            membership.probe_due_at = now + state.random.uniform(0, PROBE_INTERVAL_S)
+            return
+        membership.probe_due_at = now + PROBE_INTERVAL_S
+        yield from _start_probes(state)
+    yield from _expire_suspicions(state)
+    if now >= membership.exchange_due_at:
+        membership.exchange_due_at = now + OUTAGE_EXCHANGE_INTERVAL_S
+        yield from _exchange_evidence(state)
+    if now >= membership.forget_due_at:
+        membership.forget_due_at = now + FORGET_INTERVAL_S
+        _forget(state)
+
+
+def _start_probes(state):
+    membership = state.membership
+    refresh_summaries(state)
+    target = _next_target(state)
+    if target is not None:
+        number = _new_number(state)
+        membership.probe = Probe(number=number, target=target, sent_at=state.now)
+        yield _ping(state, target, number, state.node)
+    # A suspected member has to learn of the suspicion to refute it.
+    for node in membership.own_suspicions:
+        if node != target:
+            yield _ping(state, node, _new_number(state), state.node)
+    if state.now >= membership.rejoin_due_at:
+        membership.rejoin_due_at = state.now + REJOIN_INTERVAL_S
+        gone = [
+            node
+            for node, member in membership.members_by_node.items()
+            if member.status == "gone" and not member.left
+        ]
+        if gone:
+            yield _ping(
+                state, state.random.choice(gone), _new_number(state), state.node
+            )
+
+
+def _exchange_evidence(state):
+    reached_at = max(
+        state.membership.key_value_reached_at, key_value_reached_at_by_others(state)
+    )
+    if state.now - reached_at <= KEY_VALUE_FRESH_S:
+        return
+    others = [node for node in live_nodes(state) if node != state.node]
+    for node in state.random.sample(others, min(1, len(others))):
+        yield _ping(state, node, _new_number(state), state.node)
+
+
+def _expire_suspicions(state):
+    membership = state.membership
+    for node in tuple(membership.suspected):
+        member = membership.members_by_node[node]
+        if state.now - member.changed_at >= SUSPICION_S:
+            yield from set_status(state, member, "gone")
+
+
+def _forget(state):
+    membership = state.membership
+    for node, member in tuple(membership.members_by_node.items()):
+        silent_s = state.now - max(member.changed_at, member.heard_at)
+        if member.status == "gone" and not member.listed and silent_s >= FORGET_AFTER_S:
+            remove_member(state, node)
+    relayed = membership.relayed_by_number
+    for number, relay in tuple(relayed.items()):
+        if state.now - relay.sent_at > RELAY_KEPT_S:
+            del relayed[number]
+
+
+def _receive(state, event):
+    """Take over what a Ping or an Ack carries."""
+    message = event.message
+    for update in message.updates:
+        yield from merge_update(state, update)
+    note_heard(state, event.sender, at=event.at)
+    merge_heard(state, message.heard, at=event.at)
+    merge_summaries(state, message.groups)
+
+
+def _on_ping(state, event):
+    yield from _receive(state, event)
+    message = event.message
+    if message.target == state.node:
+        yield SendDatagram(
+            to=event.sender,
+            message=Ack(
+                probe=message.probe,
+                target=state.node,
+                **_piggyback(state, event.sender),
+            ),
+        )
+
+
+def _on_ack(state, event):
+    yield from _receive(state, event)
+    membership = state.membership
+    message = event.message
+    relay = membership.relayed_by_number.pop(message.probe, None)
+    if relay is not None and event.sender == message.target:
+        yield SendDatagram(
+            to=relay.origin,
+            message=Ack(
+                probe=relay.origin_probe,
+                target=message.target,
+                **_piggyback(state, relay.origin),
+            ),
+        )
+        return
+    probe = membership.probe
+    if probe is not None and (probe.number, probe.target) == (
+        message.probe,
+        message.target,
+    ):
+        membership.probe = None
+
+
+def _on_ping_request(state, event):
+    message = event.message
+    if message.target not in state.membership.members_by_node:
+        return
+    number = _new_number(state)
+    state.membership.relayed_by_number[number] = RelayedProbe(
+        origin=event.sender, origin_probe=message.probe, sent_at=event.at
+    )
+    yield _ping(state, message.target, number, event.sender)
+
+
+def _on_process_resumed(state, event):
+    """Restart every wait: silence during the own pause says nothing of others."""
+    membership = state.membership
+    membership.probe = None
+    membership.probe_due_at = event.at
+    membership.relayed_by_number.clear()
+    membership.own_suspicions.clear()
+    for node in membership.suspected:
+        membership.members_by_node[node].changed_at = event.at
+    yield record("process.resumed", gap_s=round(event.gap_s, 3))
+
+
+def _on_drain_requested(state, event):
+    membership = state.membership
+    if membership.leaving:
+        return
+    membership.own_incarnation = own_incarnation(state) + 1
+    membership.leaving = True
+    others = [
+        node
+        for node, member in membership.members_by_node.items()
+        if member.status == "live" and node != state.node
+    ]
+    chosen = state.random.sample(others, min(N_INDIRECT_PROBES, len(others)))
+    for node in chosen:
+        yield _ping(state, node, _new_number(state), state.node)
+
+
+def _on_key_value_answered(state, event):
+    if event.status in ("ok", "conflict"):
+        membership = state.membership
+        membership.key_value_reached_at = max(
+            membership.key_value_reached_at, event.started_at
+        )
+
+
+def _on_configuration_read(state, event):
+    if event.source == "key-value":
+        membership = state.membership
+        membership.key_value_reached_at = max(membership.key_value_reached_at, event.at)
+
+
+HANDLERS = {
+    ProcessResumed: _on_process_resumed,
+    Ticked: _on_tick,
+    Ping: _on_ping,
+    Ack: _on_ack,
+    PingRequest: _on_ping_request,
+    HostsListed: on_hosts_listed,
+    DrainRequested: _on_drain_requested,
+    KeyValueAnswered: _on_key_value_answered,
+    ConfigurationRead: _on_configuration_read,
+}
--- /dev/null
+++ b/src/savoryhill/core/membership/summaries.py
@@ -0,0 +1,72 @@
+"""Spread the summaries of groups; routing offers those of the own groups."""
+
+import dataclasses
+from functools import cache
+from importlib import import_module
+from importlib.util import find_spec
+
+from savoryhill.core.coordination.records import learn_record, own_records
+from savoryhill.core.membership.view import is_serving
+from savoryhill.core.messages import GroupSummary
+
+_ROUTING_MODULE = "savoryhill.core.routing.summaries"
+
+
+@cache
+def _offered_summaries():
+    """Return routing's function of the state, imported late to avoid a cycle."""
+    if find_spec(_ROUTING_MODULE) is None:
+        return lambda state: ()
+    return import_module(_ROUTING_MODULE).own_summaries
+
+
+def refresh_summaries(state):
+    """Replace the summaries of the groups that this node coordinates."""
+    known = state.membership.summaries_by_group
+    roles = own_records(state)
+    for group in [group for group, each in known.items() if each.holder == state.node]:
+        if group not in roles:
+            del known[group]
+    offered_by_group = {each.group: each for each in _offered_summaries()(state)}
+    for group, (fence, provisional) in roles.items():
+        previous = known.get(group)
+        summary = offered_by_group.get(group) or GroupSummary(
+            group=group,
+            holder=state.node,
+            fence=fence,
+            predicted_wait_s=0.0,
+            free_slots=0,
+            version=previous.version + 1 if previous is not None else 1,
+        )
+        known[group] = dataclasses.replace(
+            summary, holder=state.node, fence=fence, provisional=provisional
+        )
+
+
+def _is_newer(state, summary, known):
+    if known is None or summary.fence != known.fence:
+        return known is None or summary.fence > known.fence
+    if summary.holder == known.holder:
+        return summary.version > known.version
+    # Of two holders of one fence one is provisional. It counts only as long as the
+    # other one is not there.
+    if known.provisional and not summary.provisional:
+        return is_serving(state, summary.holder)
+    return not is_serving(state, known.holder)
+
+
+def merge_summaries(state, groups):
+    """Keep the newest summary of each group and learn the holders from them."""
+    known = state.membership.summaries_by_group
+    for summary in groups:
+        if summary.holder == state.node:
+            continue
+        learn_record(
+            state,
+            group=summary.group,
+            holder=summary.holder,
+            fence=summary.fence,
+            provisional=summary.provisional,
+        )
+        if _is_newer(state, summary, known.get(summary.group)):
+            known[summary.group] = summary
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -177,11 +177,15 @@
     predicted_wait_s: float
     free_slots: int
     version: int
+    provisional: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ping(Message):
-    """A membership probe; ``target`` differs from the receiver if relayed."""
+    """A membership probe; ``origin`` differs from the sender if relayed.
+
+    ``heard`` is described in `savoryhill.core.membership.hearing`.
+    """
 
     probe: int
     target: str
@@ -191,6 +195,7 @@
     key_value_reached: bool = True
     updates: tuple[MemberUpdate, ...] = ()
     groups: tuple[GroupSummary, ...] = ()
+    heard: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -204,6 +209,7 @@
     key_value_reached: bool = True
     updates: tuple[MemberUpdate, ...] = ()
     groups: tuple[GroupSummary, ...] = ()
+    heard: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -212,3 +218,21 @@
 
     probe: int
     target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandOver(Message):
+    """The holder of a group has stopped granting; the receiver may take over."""
+
+    group: str
+    fence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CoordinatorChanged(Message):
+    """A group has a new coordinator; passed on once by each node it is new to."""
+
+    group: str
+    holder: str
+    fence: int
+    provisional: bool = False
--- a/src/savoryhill/core/reducer.py
+++ b/src/savoryhill/core/reducer.py
@@ -6,6 +6,7 @@
 from savoryhill.core import requests as entry
 from savoryhill.core.effects import Emit, SendPeer
 from savoryhill.core.events import PeerReceived
+from savoryhill.core.pauses import resumed_after_pause
 
 _SUBJECTS = (configuration, membership, coordination, journal, routing, entry)
 
@@ -39,7 +40,8 @@
         What the drivers must carry out, in order.
     """
     effects = []
-    pending = deque((event,))
+    pending = deque(resumed_after_pause(state, event))
+    pending.append(event)
     while pending:
         current = pending.popleft()
         state.now = current.at
--- a/src/savoryhill/node/drivers/peers.py
+++ b/src/savoryhill/node/drivers/peers.py
@@ -15,7 +15,17 @@
     def send_peer(effect):
         peers.send(node.transport, effect.to, effect.message)
 
-    return {effects.SendPeer: send_peer}
+    def send_datagram(effect):
+        peers.send_datagram(node.transport, effect.to, effect.message)
+
+    return {effects.SendPeer: send_peer, effects.SendDatagram: send_datagram}
+
+
+def on_peer_unreachable(node, name, message):
+    """Tell the core of a message that could not be delivered."""
+    log_event("peer.unreachable", peer=name, message=type(message).__name__)
+    at = node.runtime.clock.monotonic()
+    submit(node.runtime, events.PeerUnreachable(at=at, node=name, message=message))
 
 
 def on_peer_message(node, sender, message):
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -8,10 +8,11 @@
 
 from savoryhill.clock import Clock, system_clock
 from savoryhill.core.events import DrainRequested
+from savoryhill.core.membership.seeds import add_seed
 from savoryhill.core.state import new_state
 from savoryhill.httpapp import serve
 from savoryhill.node.drivers import make_drivers
-from savoryhill.node.drivers.peers import on_peer_message
+from savoryhill.node.drivers.peers import on_peer_message, on_peer_unreachable
 from savoryhill.node.front import front_application
 from savoryhill.node.readers import (
     re_read_configuration,
@@ -77,6 +78,9 @@
         incarnation=incarnation,
         seed=incarnation,
     )
+    state.now = clock.monotonic()
+    for seed, address in settings.seeds.items():
+        add_seed(state, seed, address)
     node = Node(
         settings=settings,
         clock=clock,
@@ -89,7 +93,7 @@
         key=settings.cluster_key.encode(),
         address_of=lambda name: _address_of(state, name),
         on_message=lambda sender, message: on_peer_message(node, sender, message),
-        on_unreachable=lambda name, message: None,
+        on_unreachable=lambda name, message: on_peer_unreachable(node, name, message),
     )
     node.runtime.drivers_by_effect = make_drivers(node)
     peers.listen(node.transport, settings.peer_listen)
--- a/src/savoryhill/node/settings.py
+++ b/src/savoryhill/node/settings.py
@@ -1,6 +1,6 @@
 """Settings of a node process, read from YAML."""
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, field, fields
 
 import yaml
 
@@ -9,7 +9,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeSettings:
-    """Where a node runs and whom it talks to; addresses are ``ip:port``."""
+    """Where a node runs and whom it talks to; addresses are ``ip:port``.
+
+    ``seeds`` maps names of other nodes to their peer addresses; a node that cannot
+    read the host list finds the others through them.
+    """
 
     node: str
     zone: str
@@ -21,6 +25,7 @@
     hosts: str
     cluster_key: str
     tick_s: float = 0.05
+    seeds: dict = field(default_factory=dict)
 
 
 def load_settings(path):
@@ -55,16 +60,18 @@
 def check_settings(values, *, place):
     """Check settings given as a mapping; see `load_settings`."""
     findings = []
-    known = {field.name: field for field in fields(NodeSettings)}
+    known = {each.name: each for each in fields(NodeSettings)}
     findings += [f"unknown setting {name!r}" for name in values if name not in known]
-    for name, field in known.items():
+    for name, known_field in known.items():
         if name not in values:
-            if field.default is field.default_factory:
+            if known_field.default is known_field.default_factory:
                 findings.append(f"missing setting {name!r}")
             continue
-        expected = (int, float) if field.type is float else field.type
+        expected = (int, float) if known_field.type is float else known_field.type
         if not isinstance(values[name], expected):
-            findings.append(f"{name}: {values[name]!r} is not a {field.type.__name__}")
+            findings.append(
+                f"{name}: {values[name]!r} is not a {known_field.type.__name__}"
+            )
     cluster_key = values.get("cluster_key")
     if isinstance(cluster_key, str) and not 16 <= len(cluster_key.encode()) <= 64:
         findings.append("cluster_key: expected 16 to 64 bytes")
--- a/src/savoryhill/peers/auth.py
+++ b/src/savoryhill/peers/auth.py
@@ -2,6 +2,7 @@
 
 import hmac
 from dataclasses import dataclass, field
+from functools import cache
 from hashlib import blake2b
 
 from savoryhill.errors import PeerError
@@ -10,11 +11,18 @@
 REPLAY_WINDOW = 1024
 
 
-def _tag(key, data):
-    return blake2b(data, key=key, digest_size=TAG_BYTES).digest()
+@cache
+def _person(context):
+    return blake2b(context, digest_size=16).digest() if context else b""
 
 
-def seal(key, data):
+def _tag(key, data, context):
+    return blake2b(
+        data, key=key, digest_size=TAG_BYTES, person=_person(context)
+    ).digest()
+
+
+def seal(key, data, context=b""):
     """Prefix data with a keyed digest.
 
     Parameters
@@ -23,16 +31,18 @@
         The shared key of the deployment, at most 64 bytes.
     data : bytes
         What to authenticate.
+    context : bytes
+        Channel and receiver: data sealed for one is not accepted in another.
 
     Returns
     -------
     bytes
         Digest and data.
     """
-    return _tag(key, data) + data
+    return _tag(key, data, context) + data
 
 
-def unseal(key, sealed):
+def unseal(key, sealed, context=b""):
     """Check the digest of sealed data.
 
     Parameters
@@ -41,6 +51,8 @@
         The shared key of the deployment.
     sealed : bytes
         What `seal` returned.
+    context : bytes
+        Channel and receiver as given to `seal`.
 
     Returns
     -------
@@ -53,7 +65,7 @@
         If the data is too short or the digest does not match.
     """
     tag, data = sealed[:TAG_BYTES], sealed[TAG_BYTES:]
-    if len(tag) < TAG_BYTES or not hmac.compare_digest(tag, _tag(key, data)):
+    if len(tag) < TAG_BYTES or not hmac.compare_digest(tag, _tag(key, data, context)):
         raise PeerError(f"frame of {len(sealed)} bytes failed authentication")
     return data
 
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -37,6 +37,8 @@
     messages.Ping,
     messages.Ack,
     messages.PingRequest,
+    messages.HandOver,
+    messages.CoordinatorChanged,
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _ITEM_TYPES_BY_FIELD = {
@@ -149,8 +151,8 @@
     Raises
     ------
     PeerError
-        If the header is truncated, or the protocol version or the message type
-        is unknown.
+        If the header is truncated or its sender unreadable, or the protocol version
+        or the message type is unknown.
     """
     if len(data) < _HEADER.size:
         raise PeerError(f"message of {len(data)} bytes is truncated")
@@ -160,12 +162,18 @@
     if number >= len(MESSAGE_TYPES):
         raise PeerError(f"unknown message type {number}")
     start = _HEADER.size + n_sender
+    if len(data) <= start:
+        raise PeerError(f"message of {len(data)} bytes is truncated")
+    try:
+        sender = data[_HEADER.size : start].decode()
+    except UnicodeDecodeError as error:
+        raise PeerError(f"sender's name is not UTF-8: {error}") from error
     message_type = MESSAGE_TYPES[number]
     reader = getattr(_schema(), message_type.__name__).from_bytes_packed(
         data[start:], traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
     )
     return Envelope(
-        sender=data[_HEADER.size : start].decode(),
+        sender=sender,
         incarnation=incarnation,
         sequence=sequence,
         message=_build(message_type, reader),
--- /dev/null
+++ b/src/savoryhill/peers/connections.py
@@ -0,0 +1,238 @@
+"""Sending side of the TCP connections between nodes.
+
+Every frame stays in flight until the receiver acknowledges it. When a connection
+breaks or is silent, it is closed for good and the frames in flight are sent again on
+a fresh one, with their sequence numbers, so that the receiver drops those that it
+has seen. If the fresh one fails as well, the messages are reported as unreachable.
+"""
+
+import os
+import time
+from collections import deque
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from savoryhill.core.messages import Message
+from savoryhill.errors import PeerError
+from savoryhill.peers.auth import REPLAY_WINDOW, seal, unseal
+from savoryhill.peers.codec import Envelope, encode
+from savoryhill.peers.frames import (
+    pack_control,
+    pack_frame,
+    read_frame,
+    reply_context,
+    tcp_context,
+    unpack_control,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_DEADLINE_S = 3.0
+# Heartbeats on idle connections to all coordinators would exceed the share of
+# control traffic at 340 nodes.
+IDLE_CLOSE_S = 10.0
+MAX_QUEUED_MESSAGES = 4096
+# Frames sent again must lie within the receiver's replay window.
+MAX_IN_FLIGHT = REPLAY_WINDOW // 2
+MAX_IN_FLIGHT_BYTES = 16 * 1024 * 1024
+MAX_SENDS_PER_FRAME = 3
+
+
+@dataclass(kw_only=True)
+class Outgoing:
+    """A frame that waits for its acknowledgement."""
+
+    sequence: int
+    frame: bytes
+    message: Message
+    n_sends: int = 0
+
+
+@dataclass(kw_only=True)
+class Connection:
+    """One TCP connection to a peer."""
+
+    number: int
+    sock: socket.socket
+    heard_at: float
+    wrote_at: float
+    heard: bool = False
+    dead: bool = False
+
+
+@dataclass(kw_only=True)
+class Peer:
+    """Everything on its way to one node."""
+
+    node: str
+    sequence: int = 0
+    n_silent: int = 0
+    n_in_flight_bytes: int = 0
+    queued: deque[Message] = field(default_factory=deque)
+    in_flight: deque[Outgoing] = field(default_factory=deque)
+    wake: Event = field(default_factory=Event)
+    greenlet: gevent.Greenlet | None = None
+
+
+def send(transport, node, message):
+    """Queue a message; see `savoryhill.peers.transport.send`."""
+    peer = transport.peers_by_node.get(node)
+    if peer is None:
+        peer = transport.peers_by_node[node] = Peer(node=node)
+        peer.greenlet = gevent.spawn(_serve_peer, transport, peer)
+    if len(peer.queued) >= MAX_QUEUED_MESSAGES:
+        transport.n_dropped_by_reason["queue_full"] += 1
+        transport.on_unreachable(node, message)
+        return
+    peer.queued.append(message)
+    peer.wake.set()
+
+
+def _serve_peer(transport, peer):
+    while True:
+        if not peer.queued and not peer.in_flight:
+            peer.wake.wait()
+            peer.wake.clear()
+            continue
+        try:
+            connection = _connect(transport, peer)
+        except (OSError, PeerError):
+            _report_unreachable(transport, peer)
+            continue
+        reader = gevent.spawn(_read_replies, transport, peer, connection)
+        try:
+            _run_connection(transport, peer, connection)
+        except OSError:
+            pass
+        finally:
+            connection.dead = True
+            reader.kill(block=False)
+            connection.sock.close()
+        peer.n_silent = 0 if connection.heard else peer.n_silent + 1
+        # One silent connection says nothing of the peer, a fresh one does.
+        if peer.n_silent >= 2:
+            _report_unreachable(transport, peer)
+
+
+def _report_unreachable(transport, peer):
+    peer.n_silent = 0
+    messages = [outgoing.message for outgoing in peer.in_flight]
+    messages += peer.queued
+    peer.in_flight.clear()
+    peer.n_in_flight_bytes = 0
+    peer.queued.clear()
+    for message in messages:
+        transport.on_unreachable(peer.node, message)
+
+
+def _connect(transport, peer):
+    address = transport.address_of(peer.node)
+    if address is None:
+        raise PeerError(f"no address is known for node {peer.node!r}")
+    host, port = address.rsplit(":", 1)
+    sock = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
+    sock.settimeout(HEARTBEAT_DEADLINE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    now = time.monotonic()
+    number = int.from_bytes(os.urandom(8), "big")
+    connection = Connection(number=number, sock=sock, heard_at=now, wrote_at=now)
+    try:
+        # Nothing has been sent on this connection that could be acknowledged.
+        _send_heartbeat(transport, peer, connection, sequence=0)
+    except OSError:
+        sock.close()
+        raise
+    return connection
+
+
+def _write(connection, data):
+    connection.sock.sendall(data)
+    connection.wrote_at = time.monotonic()
+
+
+def _send_heartbeat(transport, peer, connection, *, sequence):
+    content = pack_control(connection.number, sequence)
+    sealed = seal(transport.key, content, tcp_context(peer.node))
+    _write(connection, pack_frame(sealed))
+
+
+def _next_outgoing(transport, peer):
+    message = peer.queued.popleft()
+    peer.sequence += 1
+    envelope = Envelope(
+        sender=transport.node,
+        incarnation=transport.incarnation,
+        sequence=peer.sequence,
+        message=message,
+    )
+    sealed = seal(transport.key, encode(envelope), tcp_context(peer.node))
+    outgoing = Outgoing(
+        sequence=peer.sequence, frame=pack_frame(sealed), message=message
+    )
+    peer.in_flight.append(outgoing)
+    peer.n_in_flight_bytes += len(outgoing.frame)
+    return outgoing
+
+
+def _send_again(transport, peer, connection):
+    for outgoing in tuple(peer.in_flight):
+        if outgoing.n_sends >= MAX_SENDS_PER_FRAME:
+            peer.in_flight.remove(outgoing)
+            peer.n_in_flight_bytes -= len(outgoing.frame)
+            transport.on_unreachable(peer.node, outgoing.message)
+            continue
+        outgoing.n_sends += 1
+        _write(connection, outgoing.frame)
+
+
+def _run_connection(transport, peer, connection):
+    """Send until the connection dies or has been idle for long."""
+    _send_again(transport, peer, connection)
+    used_at = time.monotonic()
+    while not connection.dead:
+        while (
+            peer.queued
+            and not connection.dead
+            and len(peer.in_flight) < MAX_IN_FLIGHT
+            and peer.n_in_flight_bytes < MAX_IN_FLIGHT_BYTES
+        ):
+            outgoing = _next_outgoing(transport, peer)
+            outgoing.n_sends = 1
+            _write(connection, outgoing.frame)
+            transport.n_sent_by_channel["tcp"] += 1
+            used_at = time.monotonic()
+        now = time.monotonic()
+        if now - connection.heard_at > HEARTBEAT_DEADLINE_S:
+            return
+        if now - connection.wrote_at >= HEARTBEAT_INTERVAL_S:
+            _send_heartbeat(transport, peer, connection, sequence=peer.sequence)
+        if not peer.in_flight and now - used_at > IDLE_CLOSE_S:
+            return
+        peer.wake.wait(timeout=HEARTBEAT_INTERVAL_S / 2)
+        peer.wake.clear()
+
+
+def _read_replies(transport, peer, connection):
+    context = reply_context(str(connection.number))
+    try:
+        while True:
+            sealed = read_frame(connection.sock)
+            if sealed is None:
+                break
+            control = unpack_control(unseal(transport.key, sealed, context))
+            if control is None or control[0] != connection.number:
+                raise PeerError("unexpected reply on a connection")
+            connection.heard = True
+            connection.heard_at = time.monotonic()
+            while peer.in_flight and peer.in_flight[0].sequence <= control[1]:
+                peer.n_in_flight_bytes -= len(peer.in_flight.popleft().frame)
+            peer.wake.set()
+    except PeerError:
+        transport.n_dropped_by_reason["unauthenticated"] += 1
+    except OSError:
+        pass
+    connection.dead = True
+    peer.wake.set()
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -104,6 +104,7 @@
   predictedWaitS @3 :Float32;
   freeSlots @4 :Int64;
   version @5 :Int64;
+  provisional @6 :Bool;
 }
 
 struct Ping {
@@ -115,6 +116,7 @@
   keyValueReached @5 :Bool;
   updates @6 :List(MemberUpdate);
   groups @7 :List(GroupSummary);
+  heard @8 :Data;
 }
 
 struct Ack {
@@ -125,9 +127,22 @@
   keyValueReached @4 :Bool;
   updates @5 :List(MemberUpdate);
   groups @6 :List(GroupSummary);
+  heard @7 :Data;
 }
 
 struct PingRequest {
   probe @0 :Int64;
   target @1 :Text;
 }
+
+struct HandOver {
+  group @0 :Text;
+  fence @1 :Int64;
+}
+
+struct CoordinatorChanged {
+  group @0 :Text;
+  holder @1 :Text;
+  fence @2 :Int64;
+  provisional @3 :Bool;
+}
