--- a/src/savoryhill/core/coordination/handlers.py
+++ b/src/savoryhill/core/coordination/handlers.py
@@ -12,7 +12,6 @@
     announce,
     hand_over_all,
     hand_over_misplaced,
-    is_own_identity,
     review_wanted,
     start_takeovers,
 )
@@ -20,9 +19,8 @@
     TENURE_S,
     confirm_roles,
     expire_roles,
-    first_cold_wait_starts_at,
     review_provisional,
-    watch_service,
+    watch_majority,
 )
 from savoryhill.core.effects import KeyValueRange, record
 from savoryhill.core.events import (
@@ -35,6 +33,11 @@
 from savoryhill.core.state import next_id
 
 READ_INTERVAL_S = 1.0
+# Nodes without a role read now and then: a write that takes effect after its time
+# limit makes a node holder that no longer asks. At 340 nodes these are 11 reads a
+# second.
+SLOW_READ_INTERVAL_S = 30.0
+UNSETTLED_FOR_S = 10.0
 REVIEW_INTERVAL_S = 0.25
 
 
@@ -44,20 +47,33 @@
     coordination = state.coordination
     if event.at >= coordination.review_due_at:
         coordination.review_due_at = event.at + REVIEW_INTERVAL_S
-        watch_service(state)
+        watch_majority(state)
         review_wanted(state)
         confirm_roles(state)
         yield from _announce_provisional(state, review_provisional(state))
         yield from hand_over_misplaced(state)
     yield from expire_roles(state)
-    concerned = coordination.roles_by_group or coordination.wanted_groups
-    if event.at >= coordination.read_due_at and (
-        concerned or not coordination.has_read
-    ):
-        coordination.read_due_at = event.at + READ_INTERVAL_S
-        yield _read(state)
-    elif not concerned:
+    yield from _read_if_due(state)
+
+
+def _read_if_due(state):
+    coordination = state.coordination
+    unsettled = coordination.unsettled_by_identity
+    for identity, started_at in tuple(unsettled.items()):
+        if state.now - started_at > UNSETTLED_FOR_S:
+            del unsettled[identity]
+    concerned = (
+        coordination.roles_by_group
+        or coordination.wanted_groups
+        or unsettled
+        or not coordination.has_read
+    )
+    if not concerned:
         coordination.failing_since = None
+    slow_due_at = coordination.read_due_at + SLOW_READ_INTERVAL_S - READ_INTERVAL_S
+    if state.now >= (coordination.read_due_at if concerned else slow_due_at):
+        coordination.read_due_at = state.now + READ_INTERVAL_S
+        yield _read(state)
 
 
 def _announce_provisional(state, effects):
@@ -108,6 +124,7 @@
             identity=takeover.identity,
             started_at=event.started_at,
             is_first=takeover.is_first,
+            is_prompt=takeover.is_prompt,
         )
     else:
         # A lost answer is settled by reading the record's identity back.
@@ -120,6 +137,7 @@
         return
     coordination.has_read = True
     coordination.failing_since = None
+    coordination.renewed_at = max(coordination.renewed_at, event.started_at)
     rows_by_group = {}
     for row in event.rows:
         known = decode_record(row.value, row.mod_revision)
@@ -131,7 +149,7 @@
     for group, row in rows_by_group.items():
         yield from _apply_row(state, group, row, event.started_at)
     for group, role in tuple(coordination.roles_by_group.items()):
-        if group not in rows_by_group and role.gained_at < event.started_at:
+        if group not in rows_by_group and role.held_since < event.started_at:
             yield from drop_role(state, group, "record is missing")
     if state.active is not None:
         review_wanted(state)
@@ -145,6 +163,10 @@
         # The read is older than what gossip or an own write has told.
         return
     if known is None or row.fence > known.fence or not known.identity:
+        if known is not None and row.fence > known.fence:
+            row.changed_at = state.now
+        elif known is not None:
+            row.changed_at = known.changed_at
         coordination.records_by_group[group] = row
     role = coordination.roles_by_group.get(group)
     if role is not None and role.identity == row.identity:
@@ -153,7 +175,8 @@
         return
     if role is not None:
         yield from drop_role(state, group, f"record is held by {row.holder}")
-    if is_own_identity(state, row.identity):
+    if row.identity in coordination.unsettled_by_identity:
+        # The answer to the write was lost.
         yield from _gain(
             state,
             group=group,
@@ -161,12 +184,18 @@
             identity=row.identity,
             started_at=started_at,
             is_first=False,
+            is_prompt=False,
         )
 
 
-def _gain(state, *, group, fence, identity, started_at, is_first):
-    """Hold a group whose record shows an own takeover, as of ``started_at``."""
+def _gain(state, *, group, fence, identity, started_at, is_first, is_prompt):
+    """Hold a group whose record shows an own takeover, as of ``started_at``.
+
+    A takeover is gained once at most: whoever has given up a role takes the group
+    over again under a higher fence.
+    """
     coordination = state.coordination
+    coordination.unsettled_by_identity.pop(identity, None)
     known = coordination.records_by_group.get(group)
     superseded = known is not None and known.fence > fence
     too_old = state.now >= started_at + TENURE_S or started_at < coordination.resumed_at
@@ -180,11 +209,11 @@
         fence=fence,
         identity=identity,
         tenure_ends_at=started_at + TENURE_S,
+        held_since=state.now,
         gained_at=state.now,
-        took_over_at=(
-            NEVER if is_first else first_cold_wait_starts_at(state, state.now)
-        ),
+        took_over_at=NEVER if is_first else state.now,
         confirmed=is_first,
+        is_prompt=is_prompt,
     )
     yield record("coordination.took_over", group=group, fence=fence)
     yield from announce(
@@ -231,6 +260,7 @@
     coordination.resumed_at = event.at
     coordination.reads.clear()
     coordination.takeovers_by_call.clear()
+    coordination.unsettled_by_identity.clear()
     coordination.due_at_by_group.clear()
     coordination.failing_since = None
     coordination.has_read = False
--- a/src/savoryhill/core/coordination/records.py
+++ b/src/savoryhill/core/coordination/records.py
@@ -2,7 +2,7 @@
 
 import json
 
-from savoryhill.core.coordination.state import CoordinatorRecord
+from savoryhill.core.coordination.state import NEVER, CoordinatorRecord
 from savoryhill.core.effects import record
 
 RECORD_PREFIX = "/coordinator/"
@@ -33,11 +33,6 @@
         return None
 
 
-def identity_prefix(state):
-    """Return what the identities of this process's takeovers start with."""
-    return f"takeover:{state.node}:{state.incarnation}:"
-
-
 def own_records(state):
     """Return fence and provisional flag of each group that this node coordinates."""
     return {
@@ -76,6 +71,7 @@
             holder="" if provisional else holder,
             fence=fence,
             provisional_holder=holder if provisional else "",
+            changed_at=state.now if known is not None and not provisional else NEVER,
         )
         role = coordination.roles_by_group.get(group)
         if role is not None and role.fence < fence:
--- a/src/savoryhill/core/coordination/state.py
+++ b/src/savoryhill/core/coordination/state.py
@@ -11,6 +11,7 @@
 
     ``identity`` names the takeover that wrote it and ``mod_revision`` its revision
     in the key-value service; both are unset if the record is known by gossip only.
+    ``changed_at`` is the time at which this node saw it replace an earlier record.
     """
 
     holder: str
@@ -18,25 +19,29 @@
     provisional_holder: str = ""
     identity: str = ""
     mod_revision: int = 0
+    changed_at: float = NEVER
 
 
 @dataclass(kw_only=True)
 class Role:
     """A group that this node coordinates.
 
-    ``confirmed`` tells that a majority was heard of since the takeover: until
-    then the previous holder may extend its tenure on the other side of a
-    partition.
+    ``gained_at`` is the time since which this node holds the group in contact with
+    a majority. Until ``confirmed``, the previous holder may still extend its
+    tenure, possibly on the other side of a partition. ``is_prompt`` tells that the
+    previous holder is known to be unable to do so.
     """
 
     fence: int
     identity: str
     tenure_ends_at: float
+    held_since: float
     gained_at: float
     took_over_at: float
     provisional: bool = False
     extended: bool = False
     confirmed: bool = False
+    is_prompt: bool = False
     handed_over_until: float = NEVER
     misplaced_since: float | None = None
 
@@ -49,6 +54,7 @@
     identity: str
     fence: int
     is_first: bool
+    is_prompt: bool
 
 
 @dataclass(kw_only=True)
@@ -56,14 +62,17 @@
     """Known coordinator records and the groups that this node coordinates.
 
     ``failing_since`` is the time at which the first read without an answer was
-    sent, None while reads are answered. ``gap_at`` is the last time at which
-    neither this node nor, as far as it knows, another one reached the service.
+    sent, None while reads are answered. ``unsettled_by_identity`` holds the start of
+    each takeover whose outcome is not known yet, ``renewed_at`` the start of the
+    last read that was answered, and ``isolated_at`` the last time at which this node
+    heard only a minority.
     """
 
     records_by_group: dict[str, CoordinatorRecord] = field(default_factory=dict)
     roles_by_group: dict[str, Role] = field(default_factory=dict)
     wanted_groups: tuple[str, ...] = ()
     takeovers_by_call: dict[str, Takeover] = field(default_factory=dict)
+    unsettled_by_identity: dict[str, float] = field(default_factory=dict)
     due_at_by_group: dict[str, float] = field(default_factory=dict)
     handed_over_fences_by_group: dict[str, int] = field(default_factory=dict)
     reads: set[str] = field(default_factory=set)
@@ -73,4 +82,5 @@
     has_read: bool = False
     resumed_at: float = NEVER
     failing_since: float | None = None
-    gap_at: float = NEVER
+    renewed_at: float = NEVER
+    isolated_at: float = NEVER
--- a/src/savoryhill/core/coordination/takeover.py
+++ b/src/savoryhill/core/coordination/takeover.py
@@ -2,10 +2,10 @@
 
 from savoryhill.core.coordination.records import (
     encode_record,
-    identity_prefix,
     key_of,
 )
 from savoryhill.core.coordination.state import Takeover
+from savoryhill.core.coordination.tenure import cannot_extend, is_in_contact
 from savoryhill.core.coordination.view import candidate_of
 from savoryhill.core.effects import (
     Compare,
@@ -23,6 +23,10 @@
 MAX_TAKEOVERS_PER_READ_AFTER_MASS_LOSS = 2
 MASS_LOSS_JITTER_S = 3.0
 ANNOUNCE_FANOUT = 4
+# Whoever has just written a record runs, even if gossip does not reach it. Without
+# this, two nodes of which one hears only in one direction took a group from each
+# other twice a second.
+RECENT_TAKEOVER_S = 10.0
 # A holder that is not the candidate for this long hands the group over. Nodes that
 # restart in turn must not move groups several times.
 MISPLACED_FOR_S = 60.0
@@ -43,8 +47,11 @@
         if coordination.handed_over_fences_by_group.get(group, -1) >= known.fence:
             return True
         if known.holder == state.node:
-            # The record is of an earlier process or of a role given up.
+            # The record is of an earlier process or of a role given up. Work that
+            # was granted under its fence may be unknown, so it is raised.
             return True
+        if state.now - known.changed_at < RECENT_TAKEOVER_S:
+            return False
         if known.holder and is_serving(state, known.holder):
             return False
     return candidate_of(state, group) == state.node
@@ -97,6 +104,16 @@
         yield _take_over(state, group, rows_by_group.get(group))
 
 
+def _is_prompt(state, group, record):
+    """Tell whether the previous holder has stopped or cannot extend its tenure."""
+    if record is None or record.holder == state.node:
+        return True
+    handed_over = state.coordination.handed_over_fences_by_group.get(group, -1)
+    if handed_over >= record.fence:
+        return True
+    return is_in_contact(state) and cannot_extend(state, record.holder)
+
+
 def _take_over(state, group, row):
     known = state.coordination.records_by_group.get(group)
     fence = max(
@@ -107,9 +124,11 @@
         identity=next_id(state, "takeover"),
         fence=fence + 1,
         is_first=fence == 0,
+        is_prompt=_is_prompt(state, group, row or known),
     )
     call_id = next_id(state, "coordination-write")
     state.coordination.takeovers_by_call[call_id] = takeover
+    state.coordination.unsettled_by_identity[takeover.identity] = state.now
     value = encode_record(
         holder=state.node, fence=takeover.fence, identity=takeover.identity
     )
@@ -125,11 +144,6 @@
     )
 
 
-def is_own_identity(state, identity):
-    """Tell whether this process wrote a record."""
-    return identity.startswith(identity_prefix(state))
-
-
 def announce(state, *, group, holder, fence, provisional):
     """Tell a few random nodes of a new coordinator."""
     others = [node for node in live_nodes(state) if node not in (state.node, holder)]
--- a/src/savoryhill/core/coordination/tenure.py
+++ b/src/savoryhill/core/coordination/tenure.py
@@ -3,11 +3,12 @@
 from savoryhill.core.coordination.records import drop_role
 from savoryhill.core.coordination.state import Role
 from savoryhill.core.effects import record
-from savoryhill.core.membership.hearing import HEARD_WINDOW_S, KEY_VALUE_FRESH_S
+from savoryhill.core.membership.hearing import heard_window_s
 from savoryhill.core.membership.view import (
     heard_majority,
     is_serving,
     key_value_reached_at_by_others,
+    known_nodes,
 )
 
 TENURE_S = 3.0
@@ -21,6 +22,8 @@
 # the time before the outage: ages are rounded to tenths of a second.
 REACHED_TOLERANCE_S = 0.3
 REFUTED_RECENTLY_S = 5.0
+# A holder reads every second; evidence of its success is rounded and relayed.
+READING_S = 2.0
 
 
 def is_failing(state):
@@ -42,31 +45,65 @@
     return heard_majority(state)
 
 
-def watch_service(state):
-    """Remember when neither this node nor another one reached the service."""
-    reached_at = max(
-        state.membership.key_value_reached_at, key_value_reached_at_by_others(state)
-    )
-    if state.now - reached_at > KEY_VALUE_FRESH_S:
-        state.coordination.gap_at = state.now
+def is_in_contact(state, since=None):
+    """Tell whether a majority was heard since a time and this node was heard.
+
+    ``since`` is one window of evidence ago if not given.
+    """
+    if since is None:
+        since = state.now - heard_window_s(state)
+    alone = len(known_nodes(state)) == 1
+    was_heard = alone or state.membership.heard_by_others_at >= since
+    return was_heard and heard_majority(state, since=since)
 
 
-def first_cold_wait_starts_at(state, now):
-    """Return the time from which a new holder counts its wait for cold endpoints.
+def cannot_extend(state, node):
+    """Tell whether a silent holder is known to be unable to extend its tenure.
 
-    After an outage the previous holder may have extended its tenure until it
-    hears that the service is back, which takes up to the window of evidence.
+    It reached the service when it was last heard, and since then its evidence of a
+    majority has become too old.
     """
-    if now - state.coordination.gap_at <= HEARD_WINDOW_S:
-        return now + HEARD_WINDOW_S - TENURE_S
-    return now
+    member = state.membership.members_by_node.get(node)
+    return (
+        member is not None
+        and member.status == "gone"
+        and state.now - member.heard_at >= heard_window_s(state)
+        and member.heard_at - member.key_value_at <= READING_S
+    )
 
 
 def confirm_roles(state):
-    """Confirm the roles since whose takeover a majority was heard of."""
+    """Confirm that the previous holders of new roles have stopped.
+
+    A previous holder without the service hears of the takeover within a window of
+    evidence while both are in contact with a majority. If it is cut off before
+    that, it extends its tenure for another window. The time counts again after a
+    loss of contact.
+    """
+    window_s = heard_window_s(state)
+    in_contact = None
     for role in state.coordination.roles_by_group.values():
-        if not role.confirmed and not role.provisional:
-            role.confirmed = heard_majority(state, since=role.gained_at)
+        if role.confirmed or role.provisional:
+            continue
+        if in_contact is None:
+            in_contact = is_in_contact(state)
+        needed_s = 0.0 if role.is_prompt else window_s
+        if not in_contact:
+            role.gained_at = state.now
+        elif is_in_contact(state, role.gained_at + needed_s):
+            role.confirmed = True
+            extra_s = 0.0 if role.is_prompt else 2 * window_s - TENURE_S
+            role.took_over_at = role.gained_at + extra_s
+
+
+def watch_majority(state):
+    """Remember when this node heard only a minority.
+
+    Others may have taken its groups over since, so that it must read the records
+    before it extends a tenure again.
+    """
+    if not heard_majority(state):
+        state.coordination.isolated_at = state.now
 
 
 def expire_roles(state):
@@ -78,7 +115,9 @@
             continue
         if down is None:
             recently = state.now - state.membership.refuted_at < REFUTED_RECENTLY_S
-            down = service_is_down(state) and not recently
+            coordination = state.coordination
+            was_isolated = coordination.isolated_at >= coordination.renewed_at
+            down = service_is_down(state) and not (recently or was_isolated)
         if down and state.now < role.tenure_ends_at:
             role.tenure_ends_at = state.now + EXTENSION_S
             if not role.extended:
@@ -111,6 +150,7 @@
                 fence=known.fence,
                 identity="",
                 tenure_ends_at=state.now,
+                held_since=state.now,
                 gained_at=state.now,
                 took_over_at=state.now,
                 provisional=True,
--- a/src/savoryhill/core/membership/gossip.py
+++ b/src/savoryhill/core/membership/gossip.py
@@ -49,7 +49,7 @@
 
 
 def _piggyback(state, receiver):
-    heard = pack_heard(state)
+    heard = pack_heard(state, receiver)
     updates, groups = choose_content(state, receiver, len(heard))
     active = state.active
     return {
--- a/src/savoryhill/core/membership/hearing.py
+++ b/src/savoryhill/core/membership/hearing.py
@@ -10,10 +10,12 @@
 from functools import cache
 from hashlib import blake2b
 
-# Evidence older than this counts for nothing. It has to cover the time that
-# evidence needs to spread over the largest fleet, and stay below the wait of a new
-# coordinator for cold endpoints plus the time before a silent node is gone.
-HEARD_WINDOW_S = 6.0
+# Evidence older than the window counts for nothing. A holder that is cut off extends
+# its tenure for at most one window, so the window is the tenure in a small fleet and
+# grows only with the time that evidence needs to spread: 6.1 s at 340 nodes.
+HEARD_WINDOW_S = 3.0
+SMALL_FLEET_NODES = 9
+HEARD_WINDOW_S_PER_DOUBLING = 0.6
 MAX_HEARD_ENTRIES = 120
 KEY_VALUE_FRESH_S = 3.0
 _HASH_BYTES = 2
@@ -28,6 +30,13 @@
     return blake2b(node.encode(), digest_size=_HASH_BYTES).digest()
 
 
+def heard_window_s(state):
+    """Return the age in seconds up to which evidence counts."""
+    n_nodes = len(state.membership.members_by_node) + 1
+    doublings = math.log2(max(1.0, n_nodes / SMALL_FLEET_NODES))
+    return HEARD_WINDOW_S + HEARD_WINDOW_S_PER_DOUBLING * doublings
+
+
 def add_hash(state, node):
     """Make a node known to relayed evidence.
 
@@ -66,30 +75,45 @@
     )
 
 
-def pack_heard(state):
-    """Encode this node's own entry and the freshest evidence of others."""
+def pack_heard(state, receiver):
+    """Encode the entries of this node and the receiver and the freshest others.
+
+    The receiver's entry tells it that its own messages arrive.
+    """
     now = state.now
     membership = state.membership
+    window_s = heard_window_s(state)
     fresh = [
         (now - member.heard_at, member.node, now - member.key_value_at)
         for member in membership.members_by_node.values()
-        if now - member.heard_at <= HEARD_WINDOW_S
+        if now - member.heard_at <= window_s and member.node != receiver
     ]
-    if len(fresh) >= MAX_HEARD_ENTRIES:
+    if len(fresh) > MAX_HEARD_ENTRIES - 2:
         fresh.sort()
-        del fresh[MAX_HEARD_ENTRIES - 1 :]
+        del fresh[MAX_HEARD_ENTRIES - 2 :]
     parts = [_entry(state.node, 0.0, now - membership.key_value_reached_at)]
+    member = membership.members_by_node.get(receiver)
+    if member is not None:
+        parts.append(_entry(receiver, now - member.heard_at, now - member.key_value_at))
     parts += [_entry(node, age_s, success_s) for age_s, node, success_s in fresh]
     return b"".join(parts)
 
 
 def merge_heard(state, heard, *, at):
     """Take over relayed evidence that is newer than the node's own."""
-    nodes_by_hash = state.membership.nodes_by_hash
+    membership = state.membership
+    nodes_by_hash = membership.nodes_by_hash
+    own_hash = hash_of(state.node)
     for start in range(0, len(heard) - _ENTRY_BYTES + 1, _ENTRY_BYTES):
-        node = nodes_by_hash.get(heard[start : start + _HASH_BYTES])
+        code = heard[start : start + _HASH_BYTES]
+        age, success_age = heard[start + _HASH_BYTES : start + _ENTRY_BYTES]
+        if code == own_hash:
+            membership.heard_by_others_at = max(
+                membership.heard_by_others_at, at - age / 10
+            )
+            continue
+        node = nodes_by_hash.get(code)
         if not node:
             continue
-        age, success_age = heard[start + _HASH_BYTES : start + _ENTRY_BYTES]
         reached_at = at - success_age / 10 if success_age != _NO_TENTHS else -1e9
         note_heard(state, node, at=at - age / 10, key_value_at=reached_at)
--- a/src/savoryhill/core/membership/state.py
+++ b/src/savoryhill/core/membership/state.py
@@ -58,6 +58,7 @@
     ``own_incarnation`` starts at the process's incarnation and rises with each
     refutation. ``n_sent_by_node`` counts how often the newest update of a member
     was sent; ``lost_at`` holds the times at which members became suspected.
+    ``heard_by_others_at`` is the newest time at which another node heard this one.
     """
 
     members_by_node: dict[str, Member] = field(default_factory=dict)
@@ -80,4 +81,5 @@
     summary_rotation: list[str] = field(default_factory=list)
     key_value_reached_at: float = NEVER
     refuted_at: float = NEVER
+    heard_by_others_at: float = NEVER
     lost_at: deque[float] = field(default_factory=lambda: deque(maxlen=1024))
--- a/src/savoryhill/core/membership/view.py
+++ b/src/savoryhill/core/membership/view.py
@@ -1,6 +1,6 @@
 """Questions that other subjects ask of the membership."""
 
-from savoryhill.core.membership.hearing import HEARD_WINDOW_S
+from savoryhill.core.membership.hearing import heard_window_s
 from savoryhill.core.membership.state import NEVER
 
 MASS_LOSS_WINDOW_S = 5.0
@@ -86,8 +86,8 @@
     state : NodeState
         The node's state.
     since : float, optional
-        Count evidence from this time on; if not given, evidence of the last
-        `HEARD_WINDOW_S` seconds.
+        Count evidence from this time on; if not given, evidence within
+        `heard_window_s`.
 
     Returns
     -------
@@ -95,7 +95,7 @@
         Whether it is a majority, this node included.
     """
     if since is None:
-        since = state.now - HEARD_WINDOW_S
+        since = state.now - heard_window_s(state)
     members = state.membership.members_by_node
     n_known, n_heard = 0, 0
     for node in known_nodes(state):
