config: spread by watchers and peers, isolation rule, checked answers, store

Cause: the thin version wrote a bare configuration without history, author or checks, let every node read the whole value, never fetched again when a fetch was lost, and never judged a node as isolated. Change: the core reads a small head key every 2 s on watchers only, watches it, fetches content from the service or the announcing peer, repairs by gossip, and judges confirmed, service down or cut off. Answers are checked with lines and paths. Revisions are applied by compare-and-swap and merged by path. Endpoint groups keep their members.

--- a/src/savoryhill/config/questionnaire.py
+++ b/src/savoryhill/config/questionnaire.py
@@ -1,119 +1,28 @@
-"""The operators' answers and the configuration generated from them."""
+"""Read the operators' answers and generate the configuration from them."""
 
-from collections import defaultdict
-from math import ceil
+import typing
 
 import yaml
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ValidationError
 
 from savoryhill.config import model
-from savoryhill.errors import ConfigurationError
+from savoryhill.config.answers import Questionnaire
+from savoryhill.config.checks import cross_findings
+from savoryhill.config.findings import (
+    Finding,
+    QuestionnaireError,
+    index_lines,
+    line_of,
+    path_text,
+    suggestion,
+)
+from savoryhill.config.grouping import divide
 
-MAX_GROUP_SIZE = 8
-
-
-class _Answers(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class ZoneAnswers(_Answers):
-    """Answers on one availability zone."""
-
-    region: str
-    withdrawn: bool = False
-
-
-class HardwareAnswers(_Answers):
-    """Answers on one hardware kind."""
-
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
-    memory_tokens: int
-    slots: int
-    cold_slots: int = 1
-
-
-class EndpointAnswers(_Answers):
-    """Answers on one endpoint."""
-
-    address: str
-    zone: str
-    hardware: str
-    leaving: bool = False
-
-
-class ModelAnswers(_Answers):
-    """Answers on one model."""
-
-    version: str
-    endpoints: dict[str, EndpointAnswers]
-    checks_fencing: bool = False
-    checks_incarnation: bool = False
-
-
-class CallAnswers(_Answers):
-    """Answers on one call of a service."""
-
-    method: str
-    path: str
-    idempotent: bool
-    kind: str
-    lookup_path: str = ""
-
-
-class ServiceAnswers(_Answers):
-    """Answers on one plain service."""
-
-    calls: list[CallAnswers]
-    endpoints: dict[str, EndpointAnswers]
-    not_run_statuses: list[int] = [429]
-
-
-class WorkspaceAnswers(_Answers):
-    """Answers on one workspace."""
-
-    key_hashes: list[str]
-    weight: float = 1.0
-    max_outstanding_tokens: int = 0
-
-
-class KindAnswers(_Answers):
-    """Answers on one kind of request."""
-
-    deadline_s: float
-    answered_weight: float = 1.0
-    priority: int = 0
-
-
-class PolicyAnswers(_Answers):
-    """What the deployment weighs more."""
-
-    prefer: str = "short_slowdown"
-    short_prompt_tokens: int = 4_000
-
-
-class JournalAnswers(_Answers):
-    """How long answers of non-idempotent calls are kept."""
-
-    n_shards: int = 8
-    retention_s: float = 86_400.0
-
-
-class Questionnaire(_Answers):
-    """All answers of a deployment."""
-
-    zones: dict[str, ZoneAnswers]
-    hardware: dict[str, HardwareAnswers]
-    models: dict[str, ModelAnswers] = {}
-    services: dict[str, ServiceAnswers] = {}
-    workspaces: dict[str, WorkspaceAnswers]
-    kinds: dict[str, KindAnswers]
-    policy: PolicyAnswers = PolicyAnswers()
-    journal: JournalAnswers = JournalAnswers()
+__all__ = ["Questionnaire", "generate", "load_questionnaire", "parse_answers"]
 
 
 def load_questionnaire(text, *, place):
-    """Read answers from YAML.
+    """Read answers from YAML and check them.
 
     Parameters
     ----------
@@ -129,22 +38,90 @@
 
     Raises
     ------
-    ConfigurationError
-        Naming all findings with their paths.
+    QuestionnaireError
+        With all findings, each with its line and path.
     """
+    values, lines_by_path, findings = parse_answers(text, place=place)
     try:
-        return Questionnaire.model_validate(yaml.safe_load(text))
-    except yaml.YAMLError as error:
-        raise ConfigurationError(f"{place}: {error}") from error
+        answers = Questionnaire.model_validate(values)
     except ValidationError as error:
-        findings = [
-            f"{place}: {'.'.join(map(str, finding['loc']))}: {finding['msg']}"
-            for finding in error.errors()
-        ]
-        raise ConfigurationError("\n".join(findings)) from error
+        problems = [_explain(each) for each in error.errors()]
+    else:
+        problems = cross_findings(answers)
+    findings += [
+        Finding(
+            place=place,
+            line=line_of(lines_by_path, path),
+            path=path_text(path),
+            message=message,
+        )
+        for path, message in problems
+    ]
+    if findings:
+        raise QuestionnaireError(sorted(findings, key=lambda each: each.line))
+    return answers
 
 
-def generate(answers, *, revision, author=""):
+def parse_answers(text, *, place):
+    """Parse a YAML document of answers without checking their values.
+
+    Returns
+    -------
+    tuple of (dict, dict of tuple to int, list of Finding)
+        The values, the line of each path, and a finding for each repeated key.
+
+    Raises
+    ------
+    QuestionnaireError
+        If the text is not a YAML mapping.
+    """
+    try:
+        lines_by_path, repeated = index_lines(text)
+        values = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        problem = getattr(error, "problem", None) or str(error)
+        line = mark.line + 1 if mark is not None else 1
+        finding = Finding(place=place, line=line, path="", message=f"YAML: {problem}")
+        raise QuestionnaireError([finding]) from error
+    if not isinstance(values, dict):
+        finding = Finding(place=place, line=1, path="", message="expected a mapping")
+        raise QuestionnaireError([finding])
+    findings = [
+        Finding(
+            place=place, line=line, path=path_text(path), message="key occurs twice"
+        )
+        for path, line in repeated
+    ]
+    return values, lines_by_path, findings
+
+
+def _explain(problem):
+    """Return path and message of a validation problem."""
+    path = tuple(each for each in problem["loc"] if each != "[key]")
+    if problem["type"] == "extra_forbidden":
+        known = _fields_at(path[:-1])
+        return path, f"unknown answer{suggestion(path[-1], known)}"
+    if problem["type"] == "missing":
+        return path, "missing answer"
+    message = problem["msg"].removeprefix("Value error, ")
+    if "input" in problem and isinstance(problem["input"], str | int | float):
+        message += f" (got {problem['input']!r})"
+    return path, message
+
+
+def _fields_at(path):
+    """Return the names of the answers that are known at a path."""
+    kind = Questionnaire
+    for step in path:
+        if isinstance(kind, type) and issubclass(kind, BaseModel):
+            kind = kind.model_fields[step].annotation
+        else:
+            kind = typing.get_args(kind)[-1]
+    return kind.model_fields
+
+
+def generate(answers, *, revision, author="", previous=None):
     """Generate the configuration from answers.
 
     Parameters
@@ -155,6 +132,8 @@
         Revision of the new configuration.
     author : str
         Who applies it.
+    previous : Configuration, optional
+        The configuration in force, whose endpoint groups are kept.
 
     Returns
     -------
@@ -166,7 +145,12 @@
     groups = [
         group
         for name, endpoints in targets
-        for group in _divide(name, endpoints, answers.zones)
+        for group in divide(
+            name,
+            endpoints,
+            answers.zones,
+            previous=previous.groups if previous is not None else (),
+        )
     ]
     group_ids_by_endpoint = {
         endpoint: group.id for group in groups for endpoint in group.endpoints
@@ -208,7 +192,7 @@
                 name=name,
                 key_hashes=tuple(each.key_hashes),
                 weight=each.weight,
-                max_outstanding_tokens=each.max_outstanding_tokens,
+                max_outstanding_tokens=each.max_outstanding_tokens or 0,
             )
             for name, each in answers.workspaces.items()
         ),
@@ -223,25 +207,3 @@
         target_type(name=name, **each.model_dump())
         for name, each in answers_by_name.items()
     )
-
-
-def _divide(target, endpoints, zones):
-    """Divide the endpoints of a target into groups spread over zones."""
-    ids_by_region = defaultdict(lambda: defaultdict(list))
-    for endpoint_id, each in sorted(endpoints.items()):
-        ids_by_region[zones[each.zone].region][each.zone].append(endpoint_id)
-    for region, ids_by_zone in sorted(ids_by_region.items()):
-        ordered = sorted(
-            (rank, zone, endpoint_id)
-            for zone, ids in ids_by_zone.items()
-            for rank, endpoint_id in enumerate(ids)
-        )
-        n_groups = ceil(len(ordered) / MAX_GROUP_SIZE)
-        for number in range(n_groups):
-            members = tuple(each[2] for each in ordered[number::n_groups])
-            yield model.Group(
-                id=f"{target}/{region}/{number}",
-                target=target,
-                region=region,
-                endpoints=members,
-            )
--- /dev/null
+++ b/src/savoryhill/config/store.py
@@ -0,0 +1,188 @@
+"""Read and write revisions of the configuration in the key-value service."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial
+
+from savoryhill.config.records import (
+    CURRENT_KEY,
+    HEAD_KEY,
+    Record,
+    decode_record,
+    encode_head,
+    encode_record,
+    history_key,
+    joined_content,
+    parts_prefix,
+    split_parts,
+    unpack,
+)
+from savoryhill.core.effects import Compare
+from savoryhill.platform.key_value import connect_key_value, read_range, transact
+
+# 200 revisions of 100 kB are 20 MB in the service, and 2 hours at 2,600 changes a day.
+N_HISTORY = 200
+
+
+@dataclass(frozen=True, kw_only=True)
+class Store:
+    """Access to the key-value service.
+
+    ``read`` takes a key and ``prefix``, ``write`` takes ``compares``, ``puts`` and
+    ``deletes``, like the functions of `savoryhill.platform.key_value`.
+    """
+
+    read: Callable
+    write: Callable
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stored:
+    """A revision with its contents; ``mod_revision`` is that of its key."""
+
+    record: Record
+    answers: str
+    configuration: bytes
+    mod_revision: int
+
+
+def connect_store(address):
+    """Return the store in the key-value service at ``ip:port``."""
+    client = connect_key_value(address)
+    return Store(read=partial(read_range, client), write=partial(transact, client))
+
+
+def read_current(store):
+    """Read the accepted revision, or None before the first one.
+
+    Raises
+    ------
+    ConfigurationError
+        If the stored record is damaged.
+    PlatformError
+        If the service did not answer.
+    """
+    return _read(store, CURRENT_KEY)
+
+
+def read_revision(store, revision):
+    """Read one revision, or None if it is not kept any more."""
+    current = read_current(store)
+    if current is not None and current.record.revision == revision:
+        return current
+    return _read(store, history_key(revision))
+
+
+def _read(store, key):
+    rows = store.read(key).rows
+    if not rows:
+        return None
+    record = decode_record(rows[0].value)
+    parts = ()
+    if record.n_parts:
+        prefix = parts_prefix(record.revision, record.attempt)
+        parts = [row.value for row in store.read(prefix, prefix=True).rows]
+    answers, configuration = unpack(joined_content(record, parts))
+    return Stored(
+        record=record,
+        answers=answers,
+        configuration=configuration,
+        mod_revision=rows[0].mod_revision,
+    )
+
+
+def list_revisions(store, *, n_last):
+    """Read the records of the last revisions, the newest first.
+
+    Parameters
+    ----------
+    store : Store
+        The store.
+    n_last : int
+        How many revisions at most.
+
+    Returns
+    -------
+    list of Record
+        Without their contents.
+    """
+    rows = store.read(CURRENT_KEY).rows
+    if not rows:
+        return []
+    records = [decode_record(rows[0].value)]
+    newest = records[0].revision
+    for revision in range(newest - 1, max(0, newest - n_last), -1):
+        rows = store.read(history_key(revision)).rows
+        if rows:
+            records.append(decode_record(rows[0].value))
+    return [replace(record, content=b"") for record in records]
+
+
+def keep_in_history(store, current):
+    """Copy the accepted revision to the history before it is replaced.
+
+    The copy is the same whoever makes it, so a lost answer or a race is harmless.
+    It is separate from the switch because both together may exceed the size of a
+    transaction.
+    """
+    record = current.record
+    if record.n_parts == 0:
+        rows = store.read(CURRENT_KEY).rows
+        if not rows or rows[0].mod_revision != current.mod_revision:
+            return
+        value = rows[0].value
+    else:
+        value = encode_record(record)
+    key = history_key(record.revision)
+    store.write(compares=(Compare(key=key, mod_revision=0),), puts=((key, value),))
+
+
+def switch(store, record, *, mod_revision):
+    """Make a revision the accepted one if nobody else did.
+
+    Parameters
+    ----------
+    store : Store
+        The store.
+    record : Record
+        The new revision with its content.
+    mod_revision : int
+        That of the current key when it was read, 0 if it did not exist.
+
+    Returns
+    -------
+    bool
+        False if another write came first.
+
+    Raises
+    ------
+    PlatformUnreachableError
+        If nothing was written.
+    OutcomeUnknownError
+        If the answer was lost; `Record.attempt` tells who won.
+    """
+    parts = split_parts(record)
+    # Parts come before the switch, so that whoever sees the switch finds all of them.
+    for key, value in parts:
+        store.write(compares=(), puts=((key, value),))
+    if parts:
+        record = replace(record, content=b"", n_parts=len(parts))
+    expired = record.revision - N_HISTORY
+    deletes = (history_key(expired),) if expired > 0 else ()
+    answer = store.write(
+        compares=(Compare(key=CURRENT_KEY, mod_revision=mod_revision),),
+        puts=((CURRENT_KEY, encode_record(record)), (HEAD_KEY, encode_head(record))),
+        deletes=deletes,
+    )
+    if not answer.succeeded and parts:
+        store.write(compares=(), puts=(), deletes=tuple(key for key, _ in parts))
+    return answer.succeeded
+
+
+def delete_expired_parts(store, revision):
+    """Delete the parts of the revision that just left the history."""
+    expired = revision - N_HISTORY
+    if expired > 0:
+        rows = store.read(parts_prefix(expired), prefix=True).rows
+        if rows:
+            store.write(compares=(), deletes=tuple(row.key for row in rows))
--- a/src/savoryhill/core/configuration/__init__.py
+++ b/src/savoryhill/core/configuration/__init__.py
@@ -1,5 +1,5 @@
 """Which configuration revision is in force on this node, and how it spreads."""
 
-from savoryhill.core.configuration.spread import HANDLERS
+from savoryhill.core.configuration.handlers import HANDLERS
 
 __all__ = ["HANDLERS"]
--- /dev/null
+++ b/src/savoryhill/core/configuration/isolation.py
@@ -0,0 +1,65 @@
+"""The isolation rule: what a node may do that cannot confirm its configuration.
+
+A change is accepted by the key-value service alone. A node that read it within
+`CONFIRMED_S`, directly or through peers, cannot have missed an older change. If
+nobody confirms the node although it hears from a majority, the service is down for
+all and no change can be accepted. Otherwise a change may have been accepted on the
+other side, so the node must not start new work.
+"""
+
+from enum import StrEnum
+
+# The bound for new work in a withdrawn zone is 3 s.
+CONFIRMED_S = 3.0
+
+
+class Standing(StrEnum):
+    """How a node stands towards the accepted configuration."""
+
+    CONFIRMED = "confirmed"
+    SERVICE_DOWN = "service_down"
+    CUT_OFF = "cut_off"
+
+
+def judge(*, confirmed_age_s, n_heard, n_known):
+    """Judge how a node stands.
+
+    Parameters
+    ----------
+    confirmed_age_s : float
+        Seconds since the service's content was known to be what is in force here.
+    n_heard, n_known : int
+        Nodes that answered just now, and nodes asked; both include this node.
+
+    Returns
+    -------
+    Standing
+        The node's standing.
+    """
+    if confirmed_age_s < CONFIRMED_S:
+        return Standing.CONFIRMED
+    if 2 * n_heard > n_known:
+        return Standing.SERVICE_DOWN
+    return Standing.CUT_OFF
+
+
+def may_start(standing, *, idempotent):
+    """Tell whether a node may start new work.
+
+    Parameters
+    ----------
+    standing : Standing
+        The node's standing.
+    idempotent : bool
+        Whether the work may run twice. Work that may not needs the journal, which
+        is in the key-value service as well.
+
+    Returns
+    -------
+    bool
+        False if the request must be refused as not run. Running streams finish in
+        every standing.
+    """
+    if standing is Standing.CONFIRMED:
+        return True
+    return standing is Standing.SERVICE_DOWN and idempotent
--- a/src/savoryhill/core/effects.py
+++ b/src/savoryhill/core/effects.py
@@ -117,10 +117,14 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class FetchConfiguration(Effect):
-    """Ask a node for its configuration."""
+class WatchConfiguration(Effect):
+    """Open the watch of the configuration anew, or close it.
 
-    node: str
+    ``from_revision`` is the first revision of the key-value service to report.
+    """
+
+    watch: bool
+    from_revision: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -68,6 +68,21 @@
 
     configuration: Configuration
     source: str
+    content: bytes = field(default=b"", repr=False)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationHeadSeen(Event):
+    """The watch of the configuration delivered a new head."""
+
+    value: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationWatchEnded(Event):
+    """The watch of the configuration broke or ended."""
+
+    detail: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -156,6 +156,22 @@
     content: bytes = field(repr=False)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigCheck(Message):
+    """Ask a node which revision it has in force and how recently confirmed."""
+
+    check: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigStatus(Message):
+    """The answer to a `ConfigCheck`; the age is in seconds."""
+
+    check: int
+    revision: int
+    confirmed_age_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MemberUpdate:
     """What a node believes of a member; ``status`` as in the membership page."""
--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -1,19 +1,20 @@
 """Start stand-ins and nodes in one process, over loopback TCP."""
 
+import uuid
 from dataclasses import dataclass, field
 from hashlib import sha256
 
 import gevent
+import yaml
 from gevent import socket
 
-from savoryhill.config.model import dump_configuration
-from savoryhill.config.questionnaire import Questionnaire, generate
-from savoryhill.core.effects import Compare
+from savoryhill.config import apply as config_apply
+from savoryhill.config.questionnaire import Questionnaire
+from savoryhill.config.store import connect_store
+from savoryhill.errors import ConfigurationError
 from savoryhill.httpapp import serve
 from savoryhill.node.process import Node, start_node, stop_node
-from savoryhill.node.readers import CONFIGURATION_KEY
 from savoryhill.node.settings import NodeSettings
-from savoryhill.platform.key_value import connect_key_value, transact
 from savoryhill.standins.engine import EngineState, engine_application, run_engine
 from savoryhill.standins.platform import PlatformState, platform_application
 from savoryhill.standins.service import ServiceState, service_application
@@ -213,14 +214,32 @@
 
 
 def apply_answers(deployment, answers, *, revision):
-    """Write a configuration to the platform stand-in."""
-    client = connect_key_value(deployment.platform_address)
-    _, mod_revision = deployment.platform.rows_by_key.get(
-        CONFIGURATION_KEY.encode(), (b"", 0)
-    )
-    configuration = generate(answers, revision=revision, author="demo")
-    transact(
-        client,
-        compares=(Compare(key=CONFIGURATION_KEY, mod_revision=mod_revision),),
-        puts=((CONFIGURATION_KEY, dump_configuration(configuration)),),
+    """Apply answers through the key-value service.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment to change.
+    answers : Questionnaire
+        The new answers.
+    revision : int
+        The revision they become; the one before is in force.
+
+    Raises
+    ------
+    ConfigurationError
+        If another revision is in force or the answers have findings.
+    """
+    accepted = config_apply.apply_answers(
+        connect_store(deployment.platform_address),
+        yaml.safe_dump(answers.model_dump(exclude_defaults=True), sort_keys=False),
+        place="demo",
+        author="demo",
+        attempt=uuid.uuid4().hex,
+        taken_from=revision - 1,
     )
+    if accepted.revision != revision:
+        raise ConfigurationError(
+            f"the change became revision {accepted.revision}, not {revision}"
+        )
+    return accepted
--- a/src/savoryhill/node/drivers/__init__.py
+++ b/src/savoryhill/node/drivers/__init__.py
@@ -4,6 +4,7 @@
 from savoryhill.node.drivers.attempts import make_attempt_drivers
 from savoryhill.node.drivers.peers import make_peer_drivers
 from savoryhill.node.drivers.platform import make_platform_drivers
+from savoryhill.node.readers import make_configuration_drivers
 from savoryhill.observability.logs import log_event
 
 __all__ = ["make_drivers"]
@@ -37,6 +38,7 @@
         **make_platform_drivers(node),
         **make_peer_drivers(node),
         **make_attempt_drivers(node),
+        **make_configuration_drivers(node),
         effects.ConfigurationInForce: lambda effect: None,
         effects.Record: write_record,
         effects.Observe: observe,
--- a/src/savoryhill/node/drivers/peers.py
+++ b/src/savoryhill/node/drivers/peers.py
@@ -28,7 +28,10 @@
             log_event("configuration.undecodable", sender=sender, detail=str(error))
             return
         event = events.ConfigurationRead(
-            at=at, configuration=configuration, source=sender
+            at=at,
+            configuration=configuration,
+            source=sender,
+            content=message.content,
         )
     else:
         event = events.PeerReceived(at=at, sender=sender, message=message)
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -13,11 +13,7 @@
 from savoryhill.node.drivers import make_drivers
 from savoryhill.node.drivers.peers import on_peer_message
 from savoryhill.node.front import front_application
-from savoryhill.node.readers import (
-    re_read_configuration,
-    read_hosts_forever,
-    watch_configuration,
-)
+from savoryhill.node.readers import read_hosts_forever
 from savoryhill.node.relay import Relay
 from savoryhill.node.runtime import Runtime, run_ticks, submit
 from savoryhill.node.settings import NodeSettings
@@ -97,8 +93,6 @@
     node.servers.append(server)
     node.greenlets += [
         gevent.spawn(read_hosts_forever, node),
-        gevent.spawn(watch_configuration, node),
-        gevent.spawn(re_read_configuration, node),
         gevent.spawn(run_ticks, node.runtime, settings.tick_s),
     ]
     log_event("node.started", node=settings.node, zone=settings.zone)
--- a/src/savoryhill/node/readers.py
+++ b/src/savoryhill/node/readers.py
@@ -1,15 +1,22 @@
 """Read what the platform offers and turn it into events."""
 
-from savoryhill.config.model import load_configuration
-from savoryhill.core.events import ConfigurationRead, HostsListed
-from savoryhill.errors import ConfigurationError, PlatformError
+import gevent
+
+from savoryhill.config.records import HEAD_KEY
+from savoryhill.core.effects import WatchConfiguration
+from savoryhill.core.events import (
+    ConfigurationHeadSeen,
+    ConfigurationWatchEnded,
+    HostsListed,
+)
+from savoryhill.errors import PlatformError
 from savoryhill.node.runtime import submit
 from savoryhill.observability.logs import log_event
 from savoryhill.platform.hosts import read_hosts
-from savoryhill.platform.key_value import read_range, watch
+from savoryhill.platform.key_value import watch
 
-CONFIGURATION_KEY = "/config/current"
-RE_READ_S = 2.0
+# A watch that is silent this long is opened again, in case nothing ever changes.
+WATCH_TIMEOUT_S = 60.0
 HOSTS_INTERVAL_S = 2.0
 
 
@@ -31,41 +38,37 @@
         node.clock.sleep(HOSTS_INTERVAL_S)
 
 
-def _offer(node, row):
-    try:
-        configuration = load_configuration(row.value)
-    except ConfigurationError as error:
-        log_event("configuration.undecodable", detail=str(error))
-        return
-    submit(
-        node.runtime,
-        ConfigurationRead(
-            at=node.clock.monotonic(),
-            configuration=configuration,
-            source="key-value",
-        ),
-    )
+def make_configuration_drivers(node):
+    """Build the driver of the configuration's watch."""
+    watching = []
 
+    def watch_configuration(effect):
+        # A silent watch cannot be revived, so its connection is given up.
+        gevent.killall(watching, block=False)
+        watching.clear()
+        if effect.watch:
+            watching.append(gevent.spawn(_watch_head, node, effect.from_revision))
+            node.greenlets.append(watching[0])
+            node.greenlets[:] = [each for each in node.greenlets if not each.dead]
 
-def re_read_configuration(node):
-    """Read the configuration slowly, in case the watch is silent."""
-    while True:
-        try:
-            for row in read_range(node.key_value, CONFIGURATION_KEY).rows:
-                _offer(node, row)
-        except PlatformError as error:
-            log_event("configuration.unreadable", detail=str(error))
-        node.clock.sleep(RE_READ_S)
+    return {WatchConfiguration: watch_configuration}
 
 
-def watch_configuration(node):
-    """Watch the configuration key; a broken watch is opened again."""
-    while True:
-        try:
-            rows = watch(
-                node.key_value, CONFIGURATION_KEY, start_revision=0, timeout_s=60.0
-            )
-            for row in rows:
-                _offer(node, row)
-        except PlatformError:
-            node.clock.sleep(RE_READ_S)
+def _watch_head(node, from_revision):
+    detail = "the service ended the watch"
+    try:
+        rows = watch(
+            node.key_value,
+            HEAD_KEY,
+            start_revision=from_revision,
+            timeout_s=WATCH_TIMEOUT_S,
+        )
+        for row in rows:
+            at = node.clock.monotonic()
+            submit(node.runtime, ConfigurationHeadSeen(at=at, value=row.value))
+    except PlatformError as error:
+        detail = str(error)
+    submit(
+        node.runtime,
+        ConfigurationWatchEnded(at=node.clock.monotonic(), detail=detail),
+    )
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -37,6 +37,8 @@
     messages.Ping,
     messages.Ack,
     messages.PingRequest,
+    messages.ConfigCheck,
+    messages.ConfigStatus,
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _ITEM_TYPES_BY_FIELD = {
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -131,3 +131,13 @@
   probe @0 :Int64;
   target @1 :Text;
 }
+
+struct ConfigCheck {
+  check @0 :Int64;
+}
+
+struct ConfigStatus {
+  check @0 :Int64;
+  revision @1 :Int64;
+  confirmedAgeS @2 :Float64;
+}
