config: check answers with lines, keep endpoint groups, add the command line

Cause: findings had no line and hid contradictions; one new engine moved most endpoints to another group; operators had no command. Change: value and cross checks report together with line, path and suggestion; generation keeps the groups in force; savoryhill questionnaire new, check, diff, apply, show, history; apply pushes the value to nodes as a peer message from an operator name that holds the reply address; samples of both deployments. Ruled out: dealing all endpoints anew, and rendezvous hashing with a capacity of 8.

--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from savoryhill.cli import questionnaire
 from savoryhill.errors import SavoryhillError
 
 
@@ -38,7 +39,7 @@
     stop_node(running)
 
 
-COMMANDS = {"demo": demo, "node": node}
+COMMANDS = {"demo": demo, "node": node, "questionnaire": questionnaire.COMMANDS}
 
 
 def main():
--- /dev/null
+++ b/src/savoryhill/cli/questionnaire.py
@@ -0,0 +1,357 @@
+"""Commands of ``savoryhill questionnaire``.
+
+Exit codes: 0 done, 1 findings or a conflict, 2 wrong usage, or something did not
+answer.
+"""
+
+import getpass
+import json
+import sys
+import time
+import uuid
+from dataclasses import asdict
+from pathlib import Path
+
+import yaml
+
+from savoryhill.config.apply import ConflictError, apply_answers, plain_answers
+from savoryhill.config.findings import QuestionnaireError, findings_as_data
+from savoryhill.config.merge import compare
+from savoryhill.config.questionnaire import load_questionnaire
+from savoryhill.config.store import (
+    connect_store,
+    list_revisions,
+    read_current,
+    read_revision,
+)
+from savoryhill.errors import PlatformError, SettingsError
+
+SAMPLES = Path(__file__).parent.parent / "config" / "samples"
+EXIT_FINDINGS = 1
+EXIT_UNREACHABLE = 2
+
+
+def _print(result, lines, output):
+    if output == "json":
+        print(json.dumps(result, indent=2, default=str))
+    else:
+        print("\n".join(lines))
+
+
+def _guarded(command, output):
+    """Run a command, print what it returns and exit with its code."""
+    if output not in ("text", "json"):
+        raise SettingsError(f"--output is 'text' or 'json', not {output!r}")
+    try:
+        result, lines, code = command()
+    except QuestionnaireError as error:
+        findings = findings_as_data(error.findings)
+        result = {"findings": findings}
+        lines, code = [*map(str, error.findings)], EXIT_FINDINGS
+    except ConflictError as error:
+        conflicts = [asdict(each) for each in error.conflicts]
+        result = {"conflict": str(error), "conflicts": conflicts}
+        lines, code = [f"conflict: {error}"], EXIT_FINDINGS
+    except (PlatformError, OSError) as error:
+        result, lines, code = {"error": str(error)}, [str(error)], EXIT_UNREACHABLE
+    _print(result, lines, output)
+    if code:
+        sys.exit(code)
+
+
+def _settings(path):
+    """Read what the commands need; a node's settings file has it as well."""
+    if path is None:
+        raise SettingsError("--settings FILE is needed to reach the deployment")
+    try:
+        values = yaml.safe_load(Path(path).read_text())
+    except (OSError, yaml.YAMLError) as error:
+        raise SettingsError(f"cannot read settings from {path}: {error}") from error
+    needed = ("key_value", "hosts", "cluster_key")
+    known = values if isinstance(values, dict) else {}
+    missing = [name for name in needed if not isinstance(known.get(name), str)]
+    if missing:
+        raise SettingsError(f"{path}: missing settings {', '.join(missing)}")
+    return known
+
+
+def _read(file):
+    return Path(str(file)).read_text()
+
+
+def _shown(value):
+    return "-" if value is None else json.dumps(value, default=str)
+
+
+def _change_lines(changes):
+    return [
+        f"{'.'.join(each.path)}: {_shown(each.before)} -> {_shown(each.after)}"
+        for each in changes
+    ]
+
+
+def new(file, *, deployment="retail"):
+    """Write a commented sample questionnaire to start from.
+
+    Parameters
+    ----------
+    file : str
+        Where to write it; an existing file is left alone.
+    deployment : str
+        ``retail`` or ``licensing``.
+    """
+    samples = {path.stem: path for path in SAMPLES.glob("*.yaml")}
+    if deployment not in samples:
+        known = ", ".join(sorted(samples))
+        raise SettingsError(f"no sample {deployment!r}; there are {known}")
+    try:
+        with open(str(file), "x") as target:
+            target.write(samples[deployment].read_text())
+    except OSError as error:
+        raise SettingsError(f"cannot write {file}: {error}") from error
+    print(f"wrote {file}; change the answers, then run: questionnaire check {file}")
+
+
+def check(file, *, output="text"):
+    """Check answers without reaching the deployment; print all findings.
+
+    Parameters
+    ----------
+    file : str
+        The questionnaire.
+    output : str
+        ``text`` or ``json``.
+    """
+
+    def run():
+        load_questionnaire(_read(file), place=str(file))
+        return {"findings": []}, [f"{file}: no findings"], 0
+
+    _guarded(run, output)
+
+
+def diff(file, *, settings=None, output="text"):
+    """Show how answers differ from the accepted revision.
+
+    Parameters
+    ----------
+    file : str
+        The questionnaire.
+    settings : str
+        YAML file with key_value, hosts and cluster_key.
+    output : str
+        ``text`` or ``json``.
+    """
+
+    def run():
+        text = _read(file)
+        answers = load_questionnaire(text, place=str(file))
+        current = read_current(connect_store(_settings(settings)["key_value"]))
+        accepted = plain_answers(current.answers) if current is not None else {}
+        revision = current.record.revision if current is not None else 0
+        changes = tuple(compare(accepted, plain_answers(text)))
+        result = {
+            "revision": revision,
+            "taken_from": answers.taken_from,
+            "changes": [asdict(change) for change in changes],
+        }
+        lines = _change_lines(changes) or [f"no difference from revision {revision}"]
+        if answers.taken_from != revision:
+            lines.append(
+                f"the file was taken from revision {answers.taken_from}, and revision "
+                f"{revision} is accepted: apply merges both"
+            )
+        return result, lines, 0
+
+    _guarded(run, output)
+
+
+def apply(
+    file=None,
+    *,
+    settings=None,
+    author=None,
+    note="",
+    content_of=None,
+    timeout_s=10.0,
+    output="text",
+):
+    """Apply answers, push them to the nodes and wait until they are in force.
+
+    Parameters
+    ----------
+    file : str
+        The questionnaire; it names the revision it was taken from.
+    settings : str
+        YAML file with key_value, hosts and cluster_key.
+    author : str
+        Who applies it; the user's login name if not given.
+    note : str
+        Why, for the history.
+    content_of : int
+        Apply the answers of this earlier revision again, instead of a file.
+    timeout_s : float
+        How long to wait for the nodes.
+    output : str
+        ``text`` or ``json``.
+    """
+
+    def run():
+        known = _settings(settings)
+        store = connect_store(known["key_value"])
+        text, place, taken_from = _answers_to_apply(store, file, content_of)
+        accepted = apply_answers(
+            store,
+            text,
+            place=place,
+            author=str(author or getpass.getuser()),
+            attempt=uuid.uuid4().hex,
+            note=str(note),
+            taken_from=taken_from,
+            now_s=time.time(),
+        )
+        return _push(accepted, known, float(timeout_s))
+
+    _guarded(run, output)
+
+
+def _answers_to_apply(store, file, content_of):
+    if (file is None) == (content_of is None):
+        raise SettingsError("give either a file or --content_of REVISION")
+    if file is not None:
+        return _read(file), str(file), None
+    earlier, current = read_revision(store, int(content_of)), read_current(store)
+    if earlier is None:
+        raise ConflictError(f"revision {content_of} is not in the history")
+    return earlier.answers, f"revision {content_of}", current.record.revision
+
+
+def _push(accepted, known, timeout_s):
+    # Imported late because the other commands need no connections to nodes.
+    from savoryhill.config.push import push_until_in_force
+
+    result = {
+        "revision": accepted.revision,
+        "accepted": True,
+        "changed": accepted.changed,
+        "merged_with": list(accepted.merged_with),
+        "changes": [asdict(change) for change in accepted.changes],
+    }
+    lines = _change_lines(accepted.changes)
+    verb = "accepted" if accepted.changed else "already accepted"
+    lines.append(f"revision {accepted.revision} is {verb}")
+    if accepted.merged_with:
+        merged = ", ".join(map(str, accepted.merged_with))
+        lines.append(f"merged with the changes of revisions {merged}")
+    try:
+        report = push_until_in_force(
+            revision=accepted.revision,
+            content=accepted.configuration,
+            hosts=known["hosts"],
+            cluster_key=known["cluster_key"],
+            limit_s=timeout_s,
+            listen_ip=known.get("listen_ip"),
+        )
+    except PlatformError as error:
+        result["error"] = str(error)
+        lines.append(f"the nodes are not known: {error}")
+        return result, lines, EXIT_UNREACHABLE
+    result["in_force_s_by_node"] = report.in_force_s_by_node
+    result["not_confirmed"] = list(report.not_confirmed)
+    lines += [
+        f"in force on {node} after {seconds:.2f} s"
+        for node, seconds in sorted(report.in_force_s_by_node.items())
+    ]
+    lines += [
+        f"NOT confirmed by {node} within {timeout_s:g} s"
+        for node in report.not_confirmed
+    ]
+    return result, lines, EXIT_UNREACHABLE if report.not_confirmed else 0
+
+
+def show(*, settings=None, revision=None, generated=False, output="text"):
+    """Print the answers of the accepted or of an earlier revision.
+
+    Parameters
+    ----------
+    settings : str
+        YAML file with key_value, hosts and cluster_key.
+    revision : int
+        An earlier revision.
+    generated : bool
+        Print the generated configuration instead.
+    output : str
+        ``text`` or ``json``.
+    """
+
+    def run():
+        store = connect_store(_settings(settings)["key_value"])
+        found = (
+            read_current(store)
+            if revision is None
+            else read_revision(store, int(revision))
+        )
+        if found is None:
+            raise ConflictError(f"revision {revision or 'accepted'} does not exist")
+        configuration = json.loads(found.configuration)
+        result = {
+            "revision": found.record.revision,
+            "author": found.record.author,
+            "answers": found.answers,
+            "configuration": configuration,
+        }
+        text = json.dumps(configuration, indent=2) if generated else found.answers
+        return result, [text.rstrip("\n")], 0
+
+    _guarded(run, output)
+
+
+def history(*, settings=None, last=20, output="text"):
+    """List the last revisions with author, time and note.
+
+    Parameters
+    ----------
+    settings : str
+        YAML file with key_value, hosts and cluster_key.
+    last : int
+        How many revisions.
+    output : str
+        ``text`` or ``json``.
+    """
+
+    def run():
+        store = connect_store(_settings(settings)["key_value"])
+        records = list_revisions(store, n_last=int(last))
+        rows = [
+            {
+                "revision": each.revision,
+                "author": each.author,
+                "applied_at_s": each.applied_at_s,
+                "taken_from": each.taken_from,
+                "digest": each.digest,
+                "note": each.note,
+            }
+            for each in records
+        ]
+        lines = [
+            f"{row['revision']:>6}  {_time_text(row['applied_at_s'])}  "
+            f"{row['author']:<16} {row['note']}"
+            for row in rows
+        ]
+        return {"revisions": rows}, lines or ["no revision yet"], 0
+
+    _guarded(run, output)
+
+
+def _time_text(seconds):
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(seconds))
+
+
+COMMANDS = {
+    "new": new,
+    "check": check,
+    "diff": diff,
+    "apply": apply,
+    "show": show,
+    "history": history,
+}
--- a/src/savoryhill/config/answers.py
+++ b/src/savoryhill/config/answers.py
@@ -85,7 +85,7 @@
     path: Path
     idempotent: bool
     kind: str
-    lookup_path: str = ""
+    lookup_path: Annotated[str, AfterValidator(lambda p: p and _check_path(p))] = ""
 
 
 class ServiceAnswers(Answers):
--- a/src/savoryhill/config/checks.py
+++ b/src/savoryhill/config/checks.py
@@ -1,131 +1,164 @@
-"""Checks of answers against each other."""
+"""Checks of answers against each other.
+
+They take the plain values of the document, so that contradictions are reported
+together with values that are missing or out of range.
+"""
 
 from savoryhill.config.findings import suggestion
 
 
-def cross_findings(answers):
-    """Find contradictions between valid answers.
+def cross_findings(values):
+    """Find contradictions between answers.
 
     Parameters
     ----------
-    answers : Questionnaire
-        Answers whose values are each in range.
+    values : dict
+        The document; parts of another shape are skipped, as the checks of single
+        values report them.
 
     Yields
     ------
     tuple of (tuple, str)
         The path of the finding and its message.
     """
-    yield from _check_present(answers)
-    yield from _check_zones(answers)
-    yield from _check_hardware(answers)
-    yield from _check_endpoints(answers)
-    yield from _check_calls(answers)
-    yield from _check_workspaces(answers)
+    yield from _check_present(values)
+    yield from _check_zones(values)
+    yield from _check_hardware(values)
+    yield from _check_endpoints(values)
+    yield from _check_calls(values)
+    yield from _check_workspaces(values)
+
+
+def _mapping(value, key=None):
+    value = value if key is None else _mapping(value).get(key)
+    return value if isinstance(value, dict) else {}
+
+
+def _items(value, key):
+    return ((name, _mapping(each)) for name, each in _mapping(value, key).items())
+
+
+def _list(value, key):
+    found = _mapping(value).get(key)
+    return found if isinstance(found, list) else []
+
+
+def _targets(values):
+    for section in ("models", "services"):
+        for name, target in _items(values, section):
+            yield section, name, target
+
+
+def _endpoints(values):
+    """Yield path, id and answers of every endpoint."""
+    for section, name, target in _targets(values):
+        for endpoint_id, endpoint in _items(target, "endpoints"):
+            path = (section, name, "endpoints", endpoint_id)
+            yield path, endpoint_id, endpoint
 
 
-def _check_present(answers):
+def _check_present(values):
     for section in ("zones", "hardware", "workspaces", "kinds"):
-        if not getattr(answers, section):
+        if values.get(section) == {}:
             yield (section,), "at least one entry is needed"
-    if not answers.models and not answers.services:
+    if not values.get("models") and not values.get("services"):
         yield (), "at least one model or service is needed"
-    for name in answers.services:
-        if name in answers.models:
+    for name in _mapping(values, "services"):
+        if name in _mapping(values, "models"):
             yield ("services", name), "a model has the same name"
 
 
-def _check_zones(answers):
-    zones = answers.zones.values()
-    if zones and all(zone.withdrawn for zone in zones):
+def _check_zones(values):
+    zones = dict(_items(values, "zones"))
+    if zones and all(zone.get("withdrawn") is True for zone in zones.values()):
         yield ("zones",), "all availability zones are withdrawn"
-    used = {each.zone for _, _, each in _endpoints(answers)}
-    for name, zone in answers.zones.items():
-        others = [
-            other.withdrawn
-            for other_name, other in answers.zones.items()
-            if other.region == zone.region and other_name in used
+        return
+    used = {endpoint.get("zone") for _, _, endpoint in _endpoints(values)}
+    for region in sorted({str(zone.get("region")) for zone in zones.values()}):
+        names = [
+            name
+            for name, zone in zones.items()
+            if str(zone.get("region")) == region and name in used
         ]
-        if name in used and zone.withdrawn and others and all(others):
+        if names and all(zones[name].get("withdrawn") is True for name in names):
             yield (
-                ("zones", name, "withdrawn"),
-                f"every zone with endpoints in region {zone.region!r} is withdrawn",
+                ("zones", names[0], "withdrawn"),
+                f"every zone with endpoints in region {region!r} is withdrawn",
             )
 
 
-def _check_hardware(answers):
-    for name, hardware in answers.hardware.items():
-        if hardware.cold_slots > hardware.slots:
+def _check_hardware(values):
+    for name, hardware in _items(values, "hardware"):
+        cold, slots = hardware.get("cold_slots"), hardware.get("slots")
+        if isinstance(cold, int) and isinstance(slots, int) and cold > slots:
             yield (
                 ("hardware", name, "cold_slots"),
-                f"{hardware.cold_slots} exceeds slots, which is {hardware.slots}",
+                f"{cold} exceeds slots, which is {slots}",
             )
 
 
-def _endpoints(answers):
-    """Yield section path, endpoint id and answers of every endpoint."""
-    for section in ("models", "services"):
-        for name, target in getattr(answers, section).items():
-            for endpoint_id, endpoint in target.endpoints.items():
-                path = (section, name, "endpoints", endpoint_id)
-                yield path, endpoint_id, endpoint
-
-
-def _check_endpoints(answers):
-    for section in ("models", "services"):
-        for name, target in getattr(answers, section).items():
-            if not target.endpoints:
-                yield (section, name, "endpoints"), "at least one endpoint is needed"
+def _check_endpoints(values):
+    for section, name, target in _targets(values):
+        if target.get("endpoints") == {}:
+            yield (section, name, "endpoints"), "at least one endpoint is needed"
     paths_by_id, paths_by_address = {}, {}
-    for path, endpoint_id, endpoint in _endpoints(answers):
-        for field, known in (("zone", answers.zones), ("hardware", answers.hardware)):
-            value = getattr(endpoint, field)
-            if value not in known:
+    for path, endpoint_id, endpoint in _endpoints(values):
+        for field, section in (("zone", "zones"), ("hardware", "hardware")):
+            known = _mapping(values, section)
+            value = endpoint.get(field)
+            if isinstance(value, str) and value not in known:
                 hint = suggestion(value, known)
                 yield (*path, field), f"unknown {field} {value!r}{hint}"
         first = paths_by_id.setdefault(endpoint_id, path)
         if first != path:
-            yield path, f"endpoint id is also used at {'.'.join(first)}"
-        first = paths_by_address.setdefault(endpoint.address, path)
+            yield path, f"endpoint id is also used at {'.'.join(map(str, first))}"
+        address = endpoint.get("address")
+        if not isinstance(address, str):
+            continue
+        first = paths_by_address.setdefault(address, path)
         if first != path:
             yield (
                 (*path, "address"),
-                f"address {endpoint.address} is also used at {'.'.join(first)}",
+                f"address {address} is also used at {'.'.join(map(str, first))}",
             )
 
 
-def _check_calls(answers):
-    for name, service in answers.services.items():
+def _check_calls(values):
+    kinds = _mapping(values, "kinds")
+    for name, service in _items(values, "services"):
         path = ("services", name, "calls")
-        if not service.calls:
+        if service.get("calls") == []:
             yield path, "at least one call is needed"
         seen = {}
-        for number, call in enumerate(service.calls):
-            inner = (*path, str(number))
-            if call.kind not in answers.kinds:
-                hint = suggestion(call.kind, answers.kinds)
-                yield (*inner, "kind"), f"unknown kind {call.kind!r}{hint}"
-            if call.method == "GET" and not call.idempotent:
-                yield (*inner, "idempotent"), "a GET call must be idempotent"
-            if call.lookup_path and not call.lookup_path.startswith("/"):
-                yield (*inner, "lookup_path"), "must start with '/'"
-            if call.lookup_path and call.idempotent:
-                yield (*inner, "lookup_path"), "an idempotent call needs no lookup"
-            first = seen.setdefault((call.method, call.path), number)
+        for number, call in enumerate(map(_mapping, _list(service, "calls"))):
+            yield from _check_call(call, (*path, str(number)), kinds)
+            key = (call.get("method"), call.get("path"))
+            first = seen.setdefault(key, number)
             if first != number:
-                yield inner, f"{call.method} {call.path} is also call {first}"
-        if len(set(service.not_run_statuses)) < len(service.not_run_statuses):
+                yield (*path, str(number)), f"{key[0]} {key[1]} is also call {first}"
+        statuses = list(map(str, _list(service, "not_run_statuses")))
+        if len(set(statuses)) < len(statuses):
             yield ("services", name, "not_run_statuses"), "a status occurs twice"
 
 
-def _check_workspaces(answers):
+def _check_call(call, path, kinds):
+    kind = call.get("kind")
+    if isinstance(kind, str) and kind not in kinds:
+        yield (*path, "kind"), f"unknown kind {kind!r}{suggestion(kind, kinds)}"
+    if call.get("method") == "GET" and call.get("idempotent") is False:
+        yield (*path, "idempotent"), "a GET call must be idempotent"
+    if call.get("lookup_path") and call.get("idempotent") is True:
+        yield (*path, "lookup_path"), "an idempotent call needs no lookup"
+
+
+def _check_workspaces(values):
     owners_by_hash = {}
-    for name, workspace in answers.workspaces.items():
+    for name, workspace in _items(values, "workspaces"):
         path = ("workspaces", name, "key_hashes")
-        if not workspace.key_hashes:
+        if workspace.get("key_hashes") == []:
             yield path, "at least one key hash is needed"
-        for number, key_hash in enumerate(workspace.key_hashes):
-            owner = owners_by_hash.setdefault(key_hash, (name, number))
+        for number, key_hash in enumerate(_list(workspace, "key_hashes")):
+            owner = owners_by_hash.setdefault(str(key_hash), (name, number))
             if owner != (name, number):
                 yield (
                     (*path, str(number)),
--- a/src/savoryhill/config/grouping.py
+++ b/src/savoryhill/config/grouping.py
@@ -1,6 +1,6 @@
 """Divide the endpoints of a target into groups that change little."""
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from math import ceil
 
 from savoryhill.config.model import Group
@@ -44,7 +44,7 @@
         kept = {each for members in members_by_number.values() for each in members}
         added = sorted(set(ids) - kept, key=lambda each: (zone_of[each], each))
         if not members_by_number:
-            members_by_number = _deal(added, zone_of)
+            members_by_number = _deal(added)
         else:
             for endpoint_id in added:
                 _insert(members_by_number, endpoint_id, zone_of)
@@ -69,20 +69,10 @@
     return members_by_number
 
 
-def _deal(added, zone_of):
-    """Deal the endpoints of each zone in turn to the fewest possible groups."""
+def _deal(added):
+    """Deal endpoints, which are ordered by zone, to the fewest possible groups."""
     n_groups = ceil(len(added) / MAX_GROUP_SIZE)
-    ranks = Counter()
-    ordered = []
-    for endpoint_id in added:
-        zone = zone_of[endpoint_id]
-        ordered.append((ranks[zone], zone, endpoint_id))
-        ranks[zone] += 1
-    ordered.sort()
-    return {
-        number: [each[2] for each in ordered[number::n_groups]]
-        for number in range(n_groups)
-    }
+    return {number: added[number::n_groups] for number in range(n_groups)}
 
 
 def _insert(members_by_number, endpoint_id, zone_of):
--- a/src/savoryhill/config/questionnaire.py
+++ b/src/savoryhill/config/questionnaire.py
@@ -42,12 +42,11 @@
         With all findings, each with its line and path.
     """
     values, lines_by_path, findings = parse_answers(text, place=place)
+    problems = list(cross_findings(values))
     try:
         answers = Questionnaire.model_validate(values)
     except ValidationError as error:
-        problems = [_explain(each) for each in error.errors()]
-    else:
-        problems = cross_findings(answers)
+        problems += [_explain(each) for each in error.errors()]
     findings += [
         Finding(
             place=place,
@@ -55,7 +54,7 @@
             path=path_text(path),
             message=message,
         )
-        for path, message in problems
+        for path, message in dict.fromkeys(problems)
     ]
     if findings:
         raise QuestionnaireError(sorted(findings, key=lambda each: each.line))
--- a/src/savoryhill/peers/transport.py
+++ b/src/savoryhill/peers/transport.py
@@ -74,6 +74,19 @@
         transport.n_dropped += 1
 
 
+def send_once(transport, address, message):
+    """Send a message to ``ip:port`` on a connection of its own.
+
+    Raises
+    ------
+    OSError
+        If it could not be sent.
+    """
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S) as sock:
+        sock.sendall(_frame(transport, message))
+
+
 def _frame(transport, message):
     transport.sequence += 1
     envelope = Envelope(
