--- a/src/savoryhill/bench/_cores.py
+++ b/src/savoryhill/bench/_cores.py
@@ -30,7 +30,8 @@
     """Cores of many nodes with their links, in virtual time.
 
     ``may_pass`` tells whether a message from one node may reach another;
-    ``reaches_service`` whether a node may reach the key-value service.
+    ``reaches_service`` whether a node may reach the key-value service. Contents of
+    configurations are lost while ``deliver_values`` is false.
     """
 
     service: MemoryService
@@ -44,6 +45,7 @@
     states_by_node: dict[str, NodeState] = field(default_factory=dict)
     watch_starts_by_node: dict[str, int] = field(default_factory=dict)
     silent_watches: set[str] = field(default_factory=set)
+    deliver_values: bool = True
     may_pass: Callable[[str, str], bool] = lambda sender, receiver: True
     reaches_service: Callable[[str], bool] = lambda node: True
     in_force: list[tuple[float, str, int]] = field(default_factory=list)
@@ -212,6 +214,8 @@
     if not cores.may_pass(sender, receiver):
         return
     if type(message) is messages.ConfigValue:
+        if not cores.deliver_values:
+            return
         event = events.ConfigurationRead(
             at=cores.now,
             configuration=_load(message.content),
--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -19,7 +19,11 @@
     read_revision,
     switch,
 )
-from savoryhill.errors import ConfigurationError, OutcomeUnknownError
+from savoryhill.errors import (
+    ConfigurationError,
+    OutcomeUnknownError,
+    PlatformUnreachableError,
+)
 
 # Each attempt loses only to another accepted change.
 MAX_ATTEMPTS = 20
@@ -151,6 +155,14 @@
             n_unknown += 1
             if n_unknown >= MAX_UNKNOWN:
                 raise
+        except PlatformUnreachableError as error:
+            if not tried_revisions:
+                raise
+            # An earlier write whose answer was lost may have been accepted.
+            raise OutcomeUnknownError(
+                f"the change may have been accepted as revision "
+                f"{max(tried_revisions)}: {error}"
+            ) from error
     raise ConflictError(f"other changes came first {MAX_ATTEMPTS} times; apply again")
 
 
--- a/src/savoryhill/core/configuration/isolation.py
+++ b/src/savoryhill/core/configuration/isolation.py
@@ -25,7 +25,7 @@
     CUT_OFF = "cut_off"
 
 
-def judge(*, confirmed_age_s, n_heard, n_known, sampled=False):
+def judge(*, confirmed_age_s, n_heard, n_known, sampled=False, behind=False):
     """Judge how a node stands.
 
     Parameters
@@ -36,6 +36,8 @@
         Nodes that answered just now, and nodes asked; both include this node.
     sampled : bool
         Whether the nodes asked are a sample of those known.
+    behind : bool
+        Whether a higher revision is known to exist that is not in force here yet.
 
     Returns
     -------
@@ -44,7 +46,7 @@
     """
     if confirmed_age_s < CONFIRMED_S:
         return Standing.CONFIRMED
-    if n_heard > n_known * (SAMPLED_MAJORITY if sampled else MAJORITY):
+    if not behind and n_heard > n_known * (SAMPLED_MAJORITY if sampled else MAJORITY):
         return Standing.SERVICE_DOWN
     return Standing.CUT_OFF
 
--- a/src/savoryhill/core/configuration/spread.py
+++ b/src/savoryhill/core/configuration/spread.py
@@ -91,6 +91,7 @@
 def learn(state, *, revision, source, hops):
     """Fetch a revision that a peer holds, unless it is being fetched already."""
     current = state.configuration
+    current.highest_seen = max(current.highest_seen, revision)
     if revision <= revision_in_force(state):
         return
     offer = current.offer
--- a/src/savoryhill/core/configuration/state.py
+++ b/src/savoryhill/core/configuration/state.py
@@ -53,6 +53,7 @@
 
     ``confirmed_at`` is the latest time at which the service is known to have held
     no higher revision. ``isolated`` is set while new work must be refused.
+    ``highest_seen`` is the highest revision that any peer or the service showed.
     ``known_nodes`` are the nodes whose majority counts.
     """
 
@@ -64,6 +65,7 @@
     standing: Standing = Standing.CONFIRMED
     isolated: bool = False
     service: ServiceView = field(default_factory=ServiceView)
+    highest_seen: int = 0
     offer: Offer | None = None
     known_nodes: frozenset[str] = frozenset()
     rounds_by_id: dict[int, CheckRound] = field(default_factory=dict)
--- a/src/savoryhill/core/configuration/watch.py
+++ b/src/savoryhill/core/configuration/watch.py
@@ -173,6 +173,7 @@
     service = current.service
     known = revision_in_force(state)
     service.wanted = max(service.wanted, head.revision)
+    current.highest_seen = max(current.highest_seen, head.revision)
     if head.revision > known:
         if read_at is not None and (
             service.unmatched is None or head.revision >= service.unmatched[0]
--- a/tests/config/test_apply.py
+++ b/tests/config/test_apply.py
@@ -172,6 +172,19 @@
         with pytest.raises(OutcomeUnknownError):
             apply_to(service, with_deadline(9.0), taken_from=1)
 
+    def test_an_outage_after_a_lost_answer_is_not_reported_as_not_applied(self):
+        # Found by the model: the first write was accepted, its answer was lost, and
+        # the second found the service down.
+        service = make_service()
+
+        def go_down(row):
+            if row.key == records.HEAD_KEY:
+                service.down, service.lose_answers = True, 1
+
+        service.on_put = go_down
+        with pytest.raises(OutcomeUnknownError, match="may have been accepted"):
+            apply_to(service, with_deadline(9.0), taken_from=1)
+
     def test_an_outage_changes_nothing(self):
         service = make_service()
         service.down = True
--- a/tests/config/test_cli.py
+++ b/tests/config/test_cli.py
@@ -12,6 +12,7 @@
     stop_deployment,
 )
 from savoryhill.demo.run import wait_until_ready
+from savoryhill.errors import PlatformUnreachableError
 
 
 @pytest.fixture(scope="module")
@@ -125,7 +126,12 @@
             deployment.platform.down = True
             return push(*arguments)
 
+        def unreachable(*arguments, **options):
+            raise PlatformUnreachableError("the outage began with the change")
+
         monkeypatch.setattr(questionnaire, "_push", push_in_outage)
+        # The nodes cannot read the change before the outage is switched on.
+        monkeypatch.setattr("savoryhill.node.drivers.platform.read_range", unreachable)
         try:
             code, result = call(
                 capsys, questionnaire.apply, path, settings=settings, timeout_s=3.0
--- a/tests/core/configuration/test_isolation.py
+++ b/tests/core/configuration/test_isolation.py
@@ -1,7 +1,8 @@
 import pytest
 
-from savoryhill.bench._cores import feed, run, started_cores
+from savoryhill.bench._cores import apply_revision, feed, run, started_cores
 from savoryhill.core.configuration.isolation import Standing, judge, may_start
+from savoryhill.core.configuration.spread import revision_in_force
 from savoryhill.core.events import KeyValueAnswered, PeerReceived, Ticked
 from savoryhill.core.messages import Ack, ConfigStatus
 
@@ -84,6 +85,28 @@
         cut_off = {n for n, s in standings(cores).items() if s is Standing.CUT_OFF}
         assert cut_off == minority
 
+    def test_a_node_that_returns_in_an_outage_waits_for_the_newer_revision(self):
+        # Guards against a node that hears a majority again, is not confirmed by
+        # anybody, and starts work in a zone that was withdrawn in its absence.
+        cores = started_cores()
+        cores.may_pass = lambda sender, receiver: "node-0" not in (sender, receiver)
+        cores.reaches_service = lambda node: node != "node-0"
+        apply_revision(cores, 2)
+        run(cores, 5.0)
+        cores.service.down = True
+        run(cores, 5.0)
+        # Everything passes again but the contents themselves.
+        cores.may_pass = lambda sender, receiver: True
+        state = cores.states_by_node["node-0"]
+        deliver, cores.deliver_values = cores.deliver_values, False
+        run(cores, 3.0)
+        assert revision_in_force(state) == 1
+        assert state.configuration.isolated
+        cores.deliver_values = deliver
+        run(cores, 3.0)
+        assert revision_in_force(state) == 2
+        assert state.configuration.standing is Standing.SERVICE_DOWN
+
     def test_a_node_without_the_service_is_confirmed_by_its_peers(self):
         cores = started_cores()
         cores.reaches_service = lambda node: node != "node-0"
