--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -1,7 +1,9 @@
 """Start stand-ins and nodes in one process, over loopback TCP."""
 
+import time
 from dataclasses import dataclass, field
 from hashlib import sha256
+from random import Random
 
 import gevent
 from gevent import socket
@@ -104,7 +106,13 @@
 
 def _start_engine(deployment, number):
     engine_id = f"engine-{number}"
-    engine = EngineState(id=engine_id, model=MODEL, **HARDWARE[_hardware_of(number)])
+    engine = EngineState(
+        id=engine_id,
+        model=MODEL,
+        clock=time.monotonic,
+        random=Random(number),
+        **HARDWARE[_hardware_of(number)],
+    )
     server, address = serve(engine_application(engine), "127.0.0.1:0")
     deployment.servers.append(server)
     deployment.greenlets.append(gevent.spawn(run_engine, engine))
--- a/src/savoryhill/node/front.py
+++ b/src/savoryhill/node/front.py
@@ -3,7 +3,7 @@
 import hmac
 import json
 import uuid
-from hashlib import blake2b, sha256
+from hashlib import sha256
 
 import falcon
 
@@ -13,10 +13,9 @@
 from savoryhill.httpapp import make_resource
 from savoryhill.node.relay import Relay
 from savoryhill.node.runtime import submit
+from savoryhill.prompts import estimate_tokens, prefix_hashes
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-BYTES_PER_TOKEN = 4
-FIRST_PREFIX_BYTES = 2048
 DEFAULT_MAX_TOKENS = 64
 
 
@@ -69,29 +68,6 @@
     raise falcon.HTTPUnauthorized(description="unknown bearer key")
 
 
-def prefix_hashes(prompt):
-    """Hash a prompt's prefixes at doubling lengths.
-
-    Parameters
-    ----------
-    prompt : bytes
-        The prompt.
-
-    Returns
-    -------
-    tuple of int
-        64-bit hashes of the first 2048, 4096, 8192 ... bytes.
-    """
-    hashes = []
-    digest = blake2b(digest_size=8)
-    start, end = 0, FIRST_PREFIX_BYTES
-    while end <= len(prompt):
-        digest.update(prompt[start:end])
-        hashes.append(int.from_bytes(digest.copy().digest(), "big"))
-        start, end = end, 2 * end
-    return tuple(hashes)
-
-
 def _deadline_at(node, req, kind):
     header = req.get_header_as_int("Savoryhill-Deadline-Ms")
     limit_s = kind.deadline_s if kind is not None else 60.0
@@ -145,7 +121,7 @@
         kind=kind_name,
         target=body["model"],
         is_model=True,
-        prompt_tokens=max(1, len(prompt) // BYTES_PER_TOKEN),
+        prompt_tokens=estimate_tokens(len(prompt)),
         max_tokens=int(body.setdefault("max_tokens", DEFAULT_MAX_TOKENS)),
         deadline_at=_deadline_at(node, req, kind),
         prefix_hashes=prefix_hashes(prompt),
