tests: let both steps pass before an ended stream is resumed

Cause: the test resumed a stream before its decoding step, so it waited for ever; with greenlets of an earlier test alive the whole run hung.

--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -89,7 +89,8 @@
         engine.highest_fence = 5
         assert ask(client, "r", "x", **{"X-Fence": "4"}).status_code == 409
         engine.checks_fencing = False
-        start(engine, "s", 1, max_tokens=0)
+        start(engine, "s", 1)
+        step(engine, 0.1)
         step(engine, 0.1)
         assert ask(client, "s", "x", **{"X-Fence": "4"}).status_code == 200
 
