--- a/src/savoryhill/node/drivers/peers.py
+++ b/src/savoryhill/node/drivers/peers.py
@@ -7,6 +7,7 @@
 from savoryhill.node.runtime import submit
 from savoryhill.observability.logs import log_event
 from savoryhill.peers import transport as peers
+from savoryhill.peers.operator import operator_address
 
 
 def make_peer_drivers(node):
@@ -31,6 +32,10 @@
 def on_peer_message(node, sender, message):
     """Turn a peer's message into an event."""
     at = node.runtime.clock.monotonic()
+    if operator_address(sender) is not None:
+        # Every command line has a name of its own, and its messages may be repeated
+        # without harm, so nothing is kept of it.
+        node.transport.windows_by_sender.pop((sender, "tcp"), None)
     if type(message) is ConfigValue:
         try:
             configuration = load_configuration(message.content)
@@ -38,7 +43,10 @@
             log_event("configuration.undecodable", sender=sender, detail=str(error))
             return
         event = events.ConfigurationRead(
-            at=at, configuration=configuration, source=sender
+            at=at,
+            configuration=configuration,
+            source=sender,
+            content=message.content,
         )
     else:
         event = events.PeerReceived(at=at, sender=sender, message=message)
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -14,16 +14,13 @@
 from savoryhill.node.drivers import make_drivers
 from savoryhill.node.drivers.peers import on_peer_message, on_peer_unreachable
 from savoryhill.node.front import front_application
-from savoryhill.node.readers import (
-    re_read_configuration,
-    read_hosts_forever,
-    watch_configuration,
-)
+from savoryhill.node.readers import read_hosts_forever
 from savoryhill.node.relay import Relay
 from savoryhill.node.runtime import Runtime, run_ticks, submit
 from savoryhill.node.settings import NodeSettings
 from savoryhill.observability.logs import log_event
 from savoryhill.peers import transport as peers
+from savoryhill.peers.operator import operator_address
 from savoryhill.platform.key_value import (
     KeyValueClient,
     connect_key_value,
@@ -101,8 +98,6 @@
     node.servers.append(server)
     node.greenlets += [
         gevent.spawn(read_hosts_forever, node),
-        gevent.spawn(watch_configuration, node),
-        gevent.spawn(re_read_configuration, node),
         gevent.spawn(run_ticks, node.runtime, settings.tick_s),
     ]
     log_event("node.started", node=settings.node, zone=settings.zone)
@@ -124,4 +119,4 @@
 
 def _address_of(state, name):
     member = state.membership.members_by_node.get(name)
-    return member.address if member is not None else None
+    return member.address if member is not None else operator_address(name)
--- a/src/savoryhill/peers/connections.py
+++ b/src/savoryhill/peers/connections.py
@@ -27,6 +27,7 @@
     tcp_context,
     unpack_control,
 )
+from savoryhill.peers.operator import operator_address
 
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_INTERVAL_S = 1.0
@@ -92,11 +93,17 @@
 
 
 def _serve_peer(transport, peer):
+    served = False
     while True:
         if not peer.queued and not peer.in_flight:
+            if served and operator_address(peer.node) is not None:
+                # Every command line has a name of its own and never comes back.
+                del transport.peers_by_node[peer.node]
+                return
             peer.wake.wait()
             peer.wake.clear()
             continue
+        served = True
         try:
             connection = _connect(transport, peer)
         except (OSError, PeerError):
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -146,3 +146,13 @@
   fence @2 :Int64;
   provisional @3 :Bool;
 }
+
+struct ConfigCheck {
+  check @0 :Int64;
+}
+
+struct ConfigStatus {
+  check @0 :Int64;
+  revision @1 :Int64;
+  confirmedAgeS @2 :Float64;
+}
