--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -1,8 +1,10 @@
 """Start stand-ins and nodes in one process, over loopback TCP."""
 
+import time
 import uuid
 from dataclasses import dataclass, field
 from hashlib import sha256
+from random import Random
 
 import gevent
 import yaml
@@ -105,7 +107,13 @@
 
 def _start_engine(deployment, number):
     engine_id = f"engine-{number}"
-    engine = EngineState(id=engine_id, model=MODEL, **HARDWARE[_hardware_of(number)])
+    engine = EngineState(
+        id=engine_id,
+        model=MODEL,
+        clock=time.monotonic,
+        random=Random(number),
+        **HARDWARE[_hardware_of(number)],
+    )
     server, address = serve(engine_application(engine), "127.0.0.1:0")
     deployment.servers.append(server)
     deployment.greenlets.append(gevent.spawn(run_engine, engine))
--- a/src/savoryhill/node/drivers/peers.py
+++ b/src/savoryhill/node/drivers/peers.py
@@ -1,7 +1,5 @@
 """Drivers of messages between nodes."""
 
-import gevent
-
 from savoryhill.config.model import load_configuration
 from savoryhill.core import effects, events
 from savoryhill.core.messages import ConfigValue
@@ -9,25 +7,26 @@
 from savoryhill.node.runtime import submit
 from savoryhill.observability.logs import log_event
 from savoryhill.peers import transport as peers
-from savoryhill.peers.operator import answer_operator, operator_address
+from savoryhill.peers.operator import operator_address
 
 
 def make_peer_drivers(node):
     """Build the drivers of effects on other nodes."""
 
     def send_peer(effect):
-        if operator_address(effect.to) is not None:
-            gevent.spawn(
-                answer_operator,
-                node.transport,
-                effect.to,
-                effect.message,
-                send_once=peers.send_once,
-            )
-            return
         peers.send(node.transport, effect.to, effect.message)
 
-    return {effects.SendPeer: send_peer}
+    def send_datagram(effect):
+        peers.send_datagram(node.transport, effect.to, effect.message)
+
+    return {effects.SendPeer: send_peer, effects.SendDatagram: send_datagram}
+
+
+def on_peer_unreachable(node, name, message):
+    """Tell the core of a message that could not be delivered."""
+    log_event("peer.unreachable", peer=name, message=type(message).__name__)
+    at = node.runtime.clock.monotonic()
+    submit(node.runtime, events.PeerUnreachable(at=at, node=name, message=message))
 
 
 def on_peer_message(node, sender, message):
@@ -36,7 +35,7 @@
     if operator_address(sender) is not None:
         # Every command line has a name of its own, and its messages may be repeated
         # without harm, so nothing is kept of it.
-        node.transport.windows_by_sender.pop(sender, None)
+        node.transport.windows_by_sender.pop((sender, "tcp"), None)
     if type(message) is ConfigValue:
         try:
             configuration = load_configuration(message.content)
--- a/src/savoryhill/peers/operator.py
+++ b/src/savoryhill/peers/operator.py
@@ -4,8 +4,6 @@
 it waits for answers, so that a node can answer without knowing it.
 """
 
-from savoryhill.errors import PeerError
-
 _PREFIX = "operator@"
 
 
@@ -17,11 +15,3 @@
 def operator_address(name):
     """Return ``ip:port`` of a command line's name, None for that of a node."""
     return name.removeprefix(_PREFIX) if name.startswith(_PREFIX) else None
-
-
-def answer_operator(transport, name, message, *, send_once):
-    """Send one message to a command line, which may be gone by now."""
-    try:
-        send_once(transport, operator_address(name), message)
-    except (OSError, PeerError):
-        transport.n_dropped += 1
