config: notice a restored service; judge requests after a pause by fresh answers

Cause: after a restore of the service a new revision may be below what nodes hold; apply reported it as in force because the nodes' revision was higher. Answers from before a pause counted as a majority for the first request after it. Rounds older than the window count for nothing.

--- a/src/savoryhill/bench/_cores.py
+++ b/src/savoryhill/bench/_cores.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import lru_cache
 from random import Random
 
@@ -31,7 +31,8 @@
 
     ``may_pass`` tells whether a message from one node may reach another;
     ``reaches_service`` whether a node may reach the key-value service. Contents of
-    configurations are lost while ``deliver_values`` is false.
+    configurations are lost while ``deliver_values`` is false. What happens to a
+    paused node waits until the time in ``paused_until_by_node``.
     """
 
     service: MemoryService
@@ -46,6 +47,7 @@
     watch_starts_by_node: dict[str, int] = field(default_factory=dict)
     silent_watches: set[str] = field(default_factory=set)
     deliver_values: bool = True
+    paused_until_by_node: dict[str, float] = field(default_factory=dict)
     may_pass: Callable[[str, str], bool] = lambda sender, receiver: True
     reaches_service: Callable[[str], bool] = lambda node: True
     in_force: list[tuple[float, str, int]] = field(default_factory=list)
@@ -112,16 +114,20 @@
             node=name, address="", zone=zone
         )
     cores.states_by_node[node] = state
-    _at(cores, cores.random.random() * TICK_S, _tick, node)
-    _at(cores, cores.random.random() * PROBE_INTERVAL_S, _probe, node)
+    _at(cores, cores.random.random() * TICK_S, node, _tick, node)
+    _at(cores, cores.random.random() * PROBE_INTERVAL_S, node, _probe, node)
 
 
 def run(cores, duration_s):
     """Let virtual time pass."""
     ends_at = cores.now + duration_s
     while cores.queue and cores.queue[0][0] <= ends_at:
-        cores.now, _, action, *arguments = heapq.heappop(cores.queue)
-        action(cores, *arguments)
+        cores.now, _, node, action, *arguments = heapq.heappop(cores.queue)
+        resumes_at = cores.paused_until_by_node.get(node, 0.0)
+        if resumes_at > cores.now:
+            _at(cores, resumes_at - cores.now, node, action, *arguments)
+        else:
+            action(cores, *arguments)
     cores.now = ends_at
 
 
@@ -173,15 +179,16 @@
         _carry_out(cores, node, effect)
 
 
-def _at(cores, delay_s, action, *arguments):
+def _at(cores, delay_s, node, action, *arguments):
+    """Queue something that happens to a node."""
     cores.n_queued += 1
-    entry = (cores.now + delay_s, cores.n_queued, action, *arguments)
+    entry = (cores.now + delay_s, cores.n_queued, node, action, *arguments)
     heapq.heappush(cores.queue, entry)
 
 
 def _tick(cores, node):
     feed(cores, node, events.Ticked(at=cores.now))
-    _at(cores, TICK_S, _tick, node)
+    _at(cores, TICK_S, node, _tick, node)
 
 
 def _gossip_fields(state, now):
@@ -199,7 +206,7 @@
         fields = _gossip_fields(cores.states_by_node[node], cores.now)
         ping = messages.Ping(probe=0, target=target, origin=node, **fields)
         _send(cores, node, target, ping)
-    _at(cores, PROBE_INTERVAL_S, _probe, node)
+    _at(cores, PROBE_INTERVAL_S, node, _probe, node)
 
 
 def _send(cores, sender, receiver, message):
@@ -207,7 +214,7 @@
     counts[type(message)] = counts.get(type(message), 0) + 1
     if receiver not in cores.states_by_node or cores.random.random() < cores.loss:
         return
-    _at(cores, cores.link_s, _deliver, sender, receiver, message)
+    _at(cores, cores.link_s, receiver, _deliver, sender, receiver, message)
 
 
 def _deliver(cores, sender, receiver, message):
@@ -247,14 +254,19 @@
         rows=rows,
         revision=revision,
     )
-    _at(cores, SERVICE_S, feed, node, answered)
+    _at(cores, SERVICE_S, node, _feed_answer, node, answered)
+
+
+def _feed_answer(cores, node, answered):
+    feed(cores, node, replace(answered, at=cores.now))
 
 
 def _notify_watches(cores, row):
     for node, start in tuple(cores.watch_starts_by_node.items()):
         silent = node in cores.silent_watches or not cores.reaches_service(node)
         if row.key == HEAD_KEY and row.mod_revision >= start and not silent:
-            _at(cores, cores.watch_lag_s + SERVICE_S, _see_head, node, row.value)
+            delay_s = cores.watch_lag_s + SERVICE_S
+            _at(cores, delay_s, node, _see_head, node, row.value)
 
 
 def _see_head(cores, node, value):
@@ -266,7 +278,7 @@
     if kind is effects.SendPeer:
         _send(cores, node, effect.to, effect.message)
     elif kind is effects.KeyValueRange:
-        _at(cores, SERVICE_S, _answer, node, effect, cores.now)
+        _at(cores, SERVICE_S, "", _answer, node, effect, cores.now)
     elif kind is effects.WatchConfiguration:
         cores.watch_starts_by_node.pop(node, None)
         if effect.watch:
--- a/src/savoryhill/cli/questionnaire.py
+++ b/src/savoryhill/cli/questionnaire.py
@@ -173,6 +173,7 @@
     author=None,
     note="",
     content_of=None,
+    above=0,
     timeout_s=10.0,
     output="text",
 ):
@@ -190,6 +191,9 @@
         Why, for the history.
     content_of : int
         Apply the answers of this earlier revision again, instead of a file.
+    above : int
+        Make the revision higher than this one, if the service was restored and nodes
+        hold a higher revision than it does.
     timeout_s : float
         How long to wait for the nodes.
     output : str
@@ -208,9 +212,10 @@
             attempt=uuid.uuid4().hex,
             note=str(note),
             taken_from=taken_from,
+            above=int(above),
             now_s=time.time(),
         )
-        return _push(accepted, known, float(timeout_s))
+        return _push(accepted, known, store, float(timeout_s))
 
     _guarded(run, output)
 
@@ -226,7 +231,7 @@
     return earlier.answers, f"revision {content_of}", current.record.revision
 
 
-def _push(accepted, known, timeout_s):
+def _push(accepted, known, store, timeout_s):
     # Imported late because the other commands need no connections to nodes.
     from savoryhill.config.push import push_until_in_force
 
@@ -266,9 +271,28 @@
         f"NOT confirmed by {node} within {timeout_s:g} s"
         for node in report.not_confirmed
     ]
+    if _service_lost_changes(store, accepted, report):
+        lines.append(
+            f"nodes hold revision {report.highest}, so revision {accepted.revision} is "
+            f"NOT in force: the service has lost changes. Apply again with "
+            f"--above {report.highest}"
+        )
+        result["in_force_s_by_node"] = {}
+        result["above"] = report.highest
+        return result, lines, EXIT_FINDINGS
     return result, lines, EXIT_UNREACHABLE if report.not_confirmed else 0
 
 
+def _service_lost_changes(store, accepted, report):
+    """Tell whether nodes hold a revision that the service does not know."""
+    if report.highest <= accepted.revision:
+        return False
+    try:
+        return read_current(store).record.revision < report.highest
+    except PlatformError:
+        return False
+
+
 def show(*, settings=None, revision=None, generated=False, output="text"):
     """Print the answers of the accepted or of an earlier revision.
 
--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -87,7 +87,16 @@
 
 
 def apply_answers(
-    store, text, *, place, author, attempt, note="", taken_from=None, now_s=0.0
+    store,
+    text,
+    *,
+    place,
+    author,
+    attempt,
+    note="",
+    taken_from=None,
+    above=0,
+    now_s=0.0,
 ):
     """Apply answers as a new revision.
 
@@ -107,6 +116,9 @@
         Why, for the history.
     taken_from : int, optional
         Overrides the revision named in the answers.
+    above : int
+        The new revision is above this one. Needed when the service was restored and
+        nodes hold a higher revision than it does.
     now_s : float
         Wall-clock time in seconds, for the history.
 
@@ -138,7 +150,13 @@
             if won is not None:
                 return won
             prepared = _prepare(
-                store, text, place=place, base=base, current=current, author=author
+                store,
+                text,
+                place=place,
+                base=base,
+                current=current,
+                author=author,
+                above=above,
             )
             if prepared.record is None:
                 return prepared.accepted
@@ -202,7 +220,7 @@
     return None
 
 
-def _prepare(store, text, *, place, base, current, author):
+def _prepare(store, text, *, place, base, current, author, above):
     mine = plain_answers(text, place=place)
     known = current.record.revision if current is not None else 0
     theirs = plain_answers(current.answers) if current is not None else {}
@@ -220,7 +238,7 @@
             place = f"{place} merged with revision {known}"
         mine = merged
     changes = tuple(compare(theirs, mine))
-    if not changes:
+    if not changes and above < known + 1:
         accepted = Accepted(
             revision=known,
             author=current.record.author,
@@ -229,12 +247,13 @@
         )
         return _Prepared(accepted=accepted, record=None)
     answers = load_questionnaire(merged_text, place=place)
+    revision = max(known, above) + 1
     previous = load_configuration(current.configuration) if current else None
     configuration = dump_configuration(
-        generate(answers, revision=known + 1, author=author, previous=previous)
+        generate(answers, revision=revision, author=author, previous=previous)
     )
     accepted = Accepted(
-        revision=known + 1,
+        revision=revision,
         author=author,
         changed=True,
         configuration=configuration,
@@ -242,11 +261,11 @@
         merged_with=merged_with,
     )
     record = {
-        "revision": known + 1,
+        "revision": revision,
         "author": author,
         "taken_from": base,
         "digest": digest_of(configuration),
-        "content": pack(with_taken_from(merged_text, known + 1), configuration),
+        "content": pack(with_taken_from(merged_text, revision), configuration),
     }
     return _Prepared(accepted=accepted, record=record)
 
@@ -280,7 +299,7 @@
     for revision in range(known, base, -1):
         stored = read_revision(store, revision)
         if stored is None:
-            break
+            continue
         value = value_at(plain_answers(stored.answers), conflict.path)
         if value != conflict.theirs:
             break
--- a/src/savoryhill/config/push.py
+++ b/src/savoryhill/config/push.py
@@ -24,9 +24,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PushReport:
-    """Seconds until the revision was in force by node, and the nodes without it."""
+    """Seconds until the revision was in force by node, and the nodes without it.
+
+    ``highest`` is the highest revision that any node reported.
+    """
 
     in_force_s_by_node: dict[str, float]
+    highest: int
     not_confirmed: tuple[str, ...]
 
 
@@ -70,12 +74,13 @@
     """
     addresses_by_node, _ = read_hosts(hosts)
     started_at = time.monotonic()
-    in_force_s_by_node = {}
+    in_force_s_by_node, highest = {}, []
 
     def on_message(sender, message):
         if type(message) is ConfigStatus and message.revision >= revision:
             elapsed_s = time.monotonic() - started_at
             in_force_s_by_node.setdefault(sender, elapsed_s)
+            highest.append(message.revision)
 
     transport = peers.Transport(
         node="",
@@ -108,5 +113,6 @@
         peers.close(transport)
     return PushReport(
         in_force_s_by_node=in_force_s_by_node,
+        highest=max(highest, default=0),
         not_confirmed=tuple(sorted(set(addresses_by_node) - set(in_force_s_by_node))),
     )
--- a/src/savoryhill/core/configuration/confirmation.py
+++ b/src/savoryhill/core/configuration/confirmation.py
@@ -135,6 +135,9 @@
     """Return how many nodes answered lately, and how many should have."""
     asked, answered = set(), set()
     for each in state.configuration.rounds_by_id.values():
+        # After a pause the rounds are old, and their answers show nothing.
+        if state.now - each.asked_at > HEARD_WINDOW_S:
+            continue
         answered |= each.answered
         if state.now - each.asked_at >= REPLY_WAIT_S:
             asked |= each.asked
--- a/tests/config/test_cli.py
+++ b/tests/config/test_cli.py
@@ -186,3 +186,27 @@
         )
         assert (code, len(result["not_confirmed"])) == (2, 3)
         assert sum(node.transport.n_dropped for node in deployment.nodes) > n_dropped
+
+    def test_a_restored_service_is_noticed_and_overtaken(
+        self, capsys, settings, tmp_path, deployment
+    ):
+        # Guards against an accepted revision that no node ever puts in force.
+        path, revision = taken(
+            capsys, settings, tmp_path, policy={"short_prompt_tokens": 9_000}
+        )
+        saved = dict(deployment.platform.rows_by_key)
+        call(capsys, questionnaire.apply, path, settings=settings)
+        deployment.platform.rows_by_key.clear()
+        deployment.platform.rows_by_key.update(saved)
+        again, _ = taken(capsys, settings, tmp_path, journal={"n_shards": 2})
+        code, result = call(capsys, questionnaire.apply, again, settings=settings)
+        other, _ = taken(capsys, settings, tmp_path, journal={"n_shards": 3})
+        # The service holds the other content under the revision of the nodes.
+        code, result = call(
+            capsys, questionnaire.apply, other, settings=settings, above=revision + 5
+        )
+        assert (code, result["revision"]) == (0, revision + 6)
+        deployment.platform.rows_by_key.clear()
+        deployment.platform.rows_by_key.update(saved)
+        code, result = call(capsys, questionnaire.apply, again, settings=settings)
+        assert code == 1
--- a/tests/core/configuration/test_isolation.py
+++ b/tests/core/configuration/test_isolation.py
@@ -3,7 +3,12 @@
 from savoryhill.bench._cores import apply_revision, feed, run, started_cores
 from savoryhill.core.configuration.isolation import Standing, judge, may_start
 from savoryhill.core.configuration.spread import revision_in_force
-from savoryhill.core.events import KeyValueAnswered, PeerReceived, Ticked
+from savoryhill.core.events import (
+    KeyValueAnswered,
+    PeerReceived,
+    RequestArrived,
+    Ticked,
+)
 from savoryhill.core.messages import Ack, ConfigStatus
 
 
@@ -161,6 +166,16 @@
         feed(cores, "node-0", late)
         assert state.configuration.confirmed_at == asked.asked_at - 0.5
 
+    def test_a_request_after_a_pause_is_judged_before_the_first_tick(self):
+        # Guards against answers from before a pause that count as a majority.
+        cores = started_cores()
+        cores.service.down = True
+        run(cores, 4.0)
+        state = cores.states_by_node["node-0"]
+        assert state.configuration.standing is Standing.SERVICE_DOWN
+        feed(cores, "node-0", RequestArrived(at=cores.now + 60.0, spec=None))
+        assert state.configuration.isolated
+
     def test_a_slow_read_confirms_the_time_at_which_it_started(self):
         cores = started_cores()
         state = cores.states_by_node["node-0"]
--- a/tests/core/configuration/test_watch.py
+++ b/tests/core/configuration/test_watch.py
@@ -30,7 +30,7 @@
         cores = started_cores(n_nodes=30, n_zones=3)
         dead = sorted(watchers(cores))[0]
         zone = cores.states_by_node.pop(dead).zone
-        cores.queue = [entry for entry in cores.queue if dead not in entry[3:]]
+        cores.queue = [entry for entry in cores.queue if dead not in entry[2:]]
         for state in cores.states_by_node.values():
             state.membership.members_by_node[dead].status = "gone"
         run(cores, 1.5)
