--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -1,6 +1,7 @@
 """Apply changed answers as a new revision, by compare-and-swap."""
 
 import re
+from copy import deepcopy
 from dataclasses import asdict, dataclass
 
 from savoryhill.config.findings import QuestionnaireError, dump_yaml
@@ -83,7 +84,8 @@
 def plain_answers(text, *, place="answers"):
     """Return answers as plain data, without the revision they were taken from."""
     values, _, _ = parse_answers(text, place=place)
-    return {key: value for key, value in values.items() if key != TAKEN_FROM}
+    # The parsed values are shared with later calls for the same text.
+    return deepcopy({key: each for key, each in values.items() if key != TAKEN_FROM})
 
 
 def apply_answers(
--- a/src/savoryhill/core/configuration/state.py
+++ b/src/savoryhill/core/configuration/state.py
@@ -39,6 +39,7 @@
     watched_revision: int = 0
     head_call: str = ""
     head_asked_at: float = float("-inf")
+    re_read_s: float = 0.0
     content_call: str = ""
     content_asked_at: float = float("-inf")
     wanted: int = 0
--- a/src/savoryhill/core/configuration/watch.py
+++ b/src/savoryhill/core/configuration/watch.py
@@ -33,6 +33,9 @@
 from savoryhill.errors import ConfigurationError
 
 RE_READ_S = 2.0
+# Nodes that started together would otherwise read at the same moments, and a change
+# that no watch reports would wait for the whole interval.
+RE_READ_JITTER_S = 0.5
 # Calls end within the client's timeout of 2 s; this only guards against a lost answer.
 CALL_TIMEOUT_S = 4.0
 BOOTSTRAP_INTERVAL_S = 0.5
@@ -74,7 +77,7 @@
     service = current.service
     waited_s = state.now - service.head_asked_at
     bootstrapping = current.active is None
-    interval_s = BOOTSTRAP_INTERVAL_S if bootstrapping else RE_READ_S
+    interval_s = BOOTSTRAP_INTERVAL_S if bootstrapping else service.re_read_s
     if service.head_call and waited_s < CALL_TIMEOUT_S:
         return
     if (service.watching or bootstrapping) and waited_s >= interval_s:
@@ -100,6 +103,7 @@
     service = state.configuration.service
     service.head_call = core_state.next_id(state, "config-head")
     service.head_asked_at = state.now
+    service.re_read_s = RE_READ_S - RE_READ_JITTER_S * state.random.random()
     return KeyValueRange(call_id=service.head_call, key=HEAD_KEY)
 
 
