--- /dev/null
+++ b/src/savoryhill/bench/client.py
@@ -0,0 +1,155 @@
+"""Send one planned request and record what came back."""
+
+import json
+import time
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from geventhttpclient import HTTPClient
+
+from savoryhill.bench.plan import Planned, prompt_text
+from savoryhill.demo.deployment import BEARER_KEY, MODEL, SERVICE
+from savoryhill.standins.engine import token_text
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Result:
+    """How one request ended.
+
+    ``outcome`` is ``answered``, ``refused_not_run`` or ``failed``; times are in
+    seconds, ``started_s`` counts from the beginning of the run.
+    """
+
+    planned: Planned
+    outcome: str
+    status: int
+    started_s: float
+    took_s: float
+    deadline_s: float
+    first_token_s: float = 0.0
+    right: bool = True
+    execution: str = ""
+    detail: str = ""
+
+
+def send(planned, *, address, seed, deadline_s, run_started_at):
+    """Send one request and wait for its end.
+
+    Parameters
+    ----------
+    planned : Planned
+        The request.
+    address : str
+        ``ip:port`` of the entry node.
+    seed : int
+        Seed of the run, part of the prompt.
+    deadline_s : float
+        The deadline that is sent along.
+    run_started_at : float
+        Monotonic time of the run's beginning.
+
+    Returns
+    -------
+    Result
+        How it ended; a connection that breaks counts as failed.
+    """
+    host, port = address.rsplit(":", 1)
+    client = HTTPClient(
+        host,
+        int(port),
+        connection_timeout=CONNECT_TIMEOUT_S,
+        network_timeout=deadline_s + 10.0,
+    )
+    started_at = time.monotonic()
+    found = {"outcome": "failed", "status": 0}
+    try:
+        run = _send_order if planned.band == "order" else _send_completion
+        found = run(client, planned, seed, deadline_s, started_at)
+    except (OSError, ValueError, KeyError) as error:
+        found["detail"] = repr(error)
+    finally:
+        client.close()
+    return Result(
+        planned=planned,
+        started_s=started_at - run_started_at,
+        took_s=time.monotonic() - started_at,
+        deadline_s=deadline_s,
+        **found,
+    )
+
+
+def _headers(deadline_s):
+    return {
+        "Authorization": f"Bearer {BEARER_KEY}",
+        "Content-Type": "application/json",
+        "Savoryhill-Deadline-Ms": str(int(deadline_s * 1000)),
+    }
+
+
+def _refusal(response):
+    problem = json.loads(response.read())
+    execution = problem.get("execution", "unknown")
+    return {
+        "outcome": "refused_not_run" if execution == "not_run" else "failed",
+        "status": response.status_code,
+        "execution": execution,
+        "detail": problem.get("detail", ""),
+    }
+
+
+def _send_order(client, planned, seed, deadline_s, started_at):
+    headers = _headers(deadline_s)
+    headers["Idempotency-Key"] = f"order-{seed}-{planned.number}"
+    body = json.dumps({"order": planned.number}).encode()
+    response = client.post(
+        f"/services/{SERVICE}/call/order", body=body, headers=headers
+    )
+    if response.status_code != 200:
+        return _refusal(response)
+    content = json.loads(response.read())
+    return {
+        "outcome": "answered",
+        "status": 200,
+        "execution": "completed",
+        "right": content["key"] == headers["Idempotency-Key"],
+    }
+
+
+def _send_completion(client, planned, seed, deadline_s, started_at):
+    prompt = prompt_text(planned, seed=seed)
+    body = {
+        "model": MODEL,
+        "prompt": prompt,
+        "max_tokens": planned.max_tokens,
+        "stream": True,
+    }
+    response = client.post(
+        "/v1/completions", body=json.dumps(body).encode(), headers=_headers(deadline_s)
+    )
+    if response.status_code != 200:
+        return _refusal(response)
+    first_token_s, texts = 0.0, []
+    while True:
+        line = bytes(response.readline(b"\n")).strip()
+        if not line:
+            continue
+        if line.startswith(b"event: error"):
+            problem = json.loads(response.readline(b"\n").removeprefix(b"data: "))
+            detail = problem.get("detail", "")
+            return {"outcome": "failed", "status": 200, "detail": detail}
+        data = line.removeprefix(b"data: ")
+        if data == b"[DONE]":
+            break
+        first_token_s = first_token_s or time.monotonic() - started_at
+        texts.append(json.loads(data)["choices"][0]["text"])
+    digest = blake2b(prompt.encode(), digest_size=16).digest()
+    wanted = "".join(token_text(digest, each) for each in range(planned.max_tokens))
+    return {
+        "outcome": "answered",
+        "status": 200,
+        "execution": "completed",
+        "first_token_s": first_token_s,
+        "right": "".join(texts) == wanted,
+    }
--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -3,6 +3,7 @@
 import sys
 
 from savoryhill.cli import questionnaire
+from savoryhill.cli.bench import bench
 from savoryhill.errors import SavoryhillError
 
 # A leaving node hands its groups over; the messages need an acknowledgement.
@@ -44,7 +45,12 @@
     stop_node(running)
 
 
-COMMANDS = {"demo": demo, "node": node, "questionnaire": questionnaire.COMMANDS}
+COMMANDS = {
+    "bench": bench,
+    "demo": demo,
+    "node": node,
+    "questionnaire": questionnaire.COMMANDS,
+}
 
 
 def main():
--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -49,6 +49,8 @@
 
     platform: PlatformState
     platform_address: str
+    hardware: dict[str, dict]
+    policy: str = "savoryhill"
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     engine_addresses_by_id: dict[str, str] = field(default_factory=dict)
     services_by_id: dict[str, ServiceState] = field(default_factory=dict)
@@ -65,13 +67,20 @@
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
-def start_deployment(*, n_nodes=3, n_engines=6, n_services=1):
+def start_deployment(
+    *, n_nodes=3, n_engines=6, n_services=1, hardware=HARDWARE, policy="savoryhill"
+):
     """Start stand-ins and nodes and apply a configuration.
 
     Parameters
     ----------
     n_nodes, n_engines, n_services : int
         How many of each; they are spread over three availability zones.
+    hardware : dict of str to dict
+        Figures of the hardware kinds ``fast`` and ``slow``, half of the engines
+        each.
+    policy : str
+        The routing policy of all nodes.
 
     Returns
     -------
@@ -80,7 +89,12 @@
     """
     platform = PlatformState()
     server, address = serve(platform_application(platform), "127.0.0.1:0")
-    deployment = Deployment(platform=platform, platform_address=address)
+    deployment = Deployment(
+        platform=platform,
+        platform_address=address,
+        hardware=hardware,
+        policy=policy,
+    )
     deployment.servers.append(server)
     for number in range(n_engines):
         _start_engine(deployment, number)
@@ -101,6 +115,12 @@
         server.stop(timeout=0.2)
 
 
+def zone_of(deployment, engine_id):
+    """Return the availability zone of an engine."""
+    number = list(deployment.engines_by_id).index(engine_id)
+    return ZONES[number % len(ZONES)]
+
+
 def _hardware_of(number):
     return "fast" if number % 2 == 0 else "slow"
 
@@ -112,7 +132,7 @@
         model=MODEL,
         clock=time.monotonic,
         random=Random(number),
-        **HARDWARE[_hardware_of(number)],
+        **deployment.hardware[_hardware_of(number)],
     )
     server, address = serve(engine_application(engine), "127.0.0.1:0")
     deployment.servers.append(server)
@@ -148,11 +168,26 @@
         "zone": settings.zone,
         "state": "live",
     }
-    deployment.nodes.append(start_node(settings))
+    node = start_node(settings)
+    node.runtime.state.routing.policy = deployment.policy
+    deployment.nodes.append(node)
 
 
-def make_answers(deployment):
-    """Build the questionnaire of a deployment."""
+def make_answers(deployment, *, withdrawn=()):
+    """Build the questionnaire of a deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Gives the addresses of the endpoints.
+    withdrawn : collection of str
+        Availability zones that are withdrawn.
+
+    Returns
+    -------
+    Questionnaire
+        The answers.
+    """
 
     def endpoint(number, address, hardware):
         zone = ZONES[number % len(ZONES)]
@@ -179,8 +214,11 @@
     }
     return Questionnaire.model_validate(
         {
-            "zones": {zone: {"region": "south"} for zone in ZONES},
-            "hardware": {**HARDWARE, "application": application},
+            "zones": {
+                zone: {"region": "south", "withdrawn": zone in withdrawn}
+                for zone in ZONES
+            },
+            "hardware": {**deployment.hardware, "application": application},
             "models": {
                 MODEL: {
                     "version": "1",
