--- a/src/savoryhill/core/effects.py
+++ b/src/savoryhill/core/effects.py
@@ -44,21 +44,37 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class KeyValueTransaction(Effect):
-    """Write all of ``puts`` and ``deletes`` if every comparison holds."""
+    """Write all of ``puts`` and ``deletes`` if every comparison holds.
+
+    ``delete_ranges`` are pairs of a first key and the first key after the range.
+    """
 
     call_id: str
     compares: tuple[Compare, ...]
     puts: tuple[tuple[str, bytes], ...] = ()
     deletes: tuple[str, ...] = ()
+    delete_ranges: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class KeyValueRange(Effect):
-    """Read all keys with a prefix, or one key if ``prefix`` is false."""
+    """Read all keys with a prefix, or one key if ``prefix`` is false.
+
+    With ``range_end``, read the keys from ``key`` up to it, itself excluded.
+    """
 
     call_id: str
     key: str
     prefix: bool = False
+    range_end: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SetTimer(Effect):
+    """Submit `TimerFired` with this name after ``delay_s``."""
+
+    name: str
+    delay_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,6 +92,18 @@
     export_from: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LookUpCall(Effect):
+    """Ask a service whether the key of a request was executed.
+
+    ``path`` is the lookup path of the call; the key is that of the caller.
+    """
+
+    spec: RequestSpec
+    address: str
+    path: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CancelAttempt(Effect):
     """Stop an attempt and cancel its stream on the endpoint."""
@@ -105,7 +133,8 @@
 class FinishRequest(Effect):
     """Tell the caller how its request ended.
 
-    ``execution`` is ``not_run``, ``completed`` or ``unknown``.
+    ``execution`` is ``not_run``, ``completed`` or ``unknown``. A completed call
+    whose answer is not available any more has ``answer_missing`` set.
     """
 
     request_id: str
@@ -114,6 +143,8 @@
     detail: str = ""
     retry_after_s: float = 0.0
     response: bytes = field(default=b"", repr=False)
+    content_type: str = ""
+    answer_missing: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -18,7 +18,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ticked(Event):
-    """The periodic timer of the runtime fired."""
+    """The periodic timer of the runtime fired.
+
+    ``wall_s`` is the host's wall clock; the journal's retention is measured in it.
+    """
+
+    wall_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TimerFired(Event):
+    """A timer that the core has set fired."""
+
+    name: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -116,6 +128,7 @@
     incarnation: str = ""
     detail: str = ""
     response: bytes = b""
+    content_type: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -145,13 +158,15 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class JournalAnswered(Event):
-    """The journal decided on a reservation.
+class CallLookedUp(Event):
+    """A service answered whether a key was executed.
 
-    ``status`` is ``reserved``, ``done``, ``running``, ``unknown``,
-    ``mismatch`` (same key, other body) or ``unavailable``.
+    ``result`` is ``executed``, ``not_found`` (not executed so far) or ``failed``.
     """
 
     request_id: str
-    status: str
+    result: str
+    status: int = 0
+    content_type: str = ""
     response: bytes = field(default=b"", repr=False)
+    detail: str = ""
--- a/src/savoryhill/core/journal/writer.py
+++ b/src/savoryhill/core/journal/writer.py
@@ -1,192 +1,319 @@
-"""Write journal batches by compare-and-swap and answer reservations."""
+"""Write journal batches by compare-and-swap and answer reservations.
 
-import json
+A shard has at most one call to the key-value service under way. The order of
+work is: settle what is in doubt, answer what memory decides, fold, write.
+"""
 
-from savoryhill.core.coordination.view import rendezvous_order
 from savoryhill.core.effects import (
     Compare,
-    KeyValueRange,
     KeyValueTransaction,
+    Observe,
     SendPeer,
+    SetTimer,
     record,
 )
-from savoryhill.core.events import KeyValueAnswered, Ticked
-from savoryhill.core.journal.state import Entry, PendingOperation, Shard
-from savoryhill.core.membership.view import live_nodes
+from savoryhill.core.events import KeyValueAnswered, Ticked, TimerFired
+from savoryhill.core.journal import keys, log
+from savoryhill.core.journal.codec import (
+    Row,
+    decode_rows,
+    encode_rows,
+    row_bytes,
+    split_attempt,
+)
+from savoryhill.core.journal.judge import (
+    attempt_of,
+    ending_has_effect,
+    judge_reservation,
+    may_report,
+    wall_s,
+)
+from savoryhill.core.journal.state import Flight, PendingOperation, Shard
 from savoryhill.core.messages import JournalFinish, JournalReply, JournalReserve
+from savoryhill.errors import JournalFormatError
 
 # Two writes of a shard are at least this far apart, which bounds the write rate.
 MIN_WRITE_INTERVAL_S = 0.04
+# The first reservation of a batch waits this long for others, an ending longer:
+# nobody waits for it.
+RESERVE_LINGER_S = 0.02
+ENDING_LINGER_S = 0.2
+# 64 batches of this size fit into one segment and one transaction.
+MAX_BATCH_BYTES = 10_000
+# An answer from memory other than "done" needs a view of the log this recent.
+MAX_VIEW_AGE_S = 1.0
+# A reservation that could not be written for this long is answered "unavailable".
+UNAVAILABLE_AFTER_S = 0.5
+RETRY_BASE_S = 0.05
+MAX_RETRY_S = 0.8
+MAX_PENDING = 10_000
+# 100,000 entries take about 40 MB; see docs/decisions/journal.md.
+MAX_ENTRIES_PER_SHARD = 100_000
+
+
+def _shard(state, number):
+    return state.journal.shards_by_number.setdefault(number, Shard())
 
 
-def shard_of(state, key):
-    """Return the shard number of a journal key."""
-    return int.from_bytes(key[:4], "big") % state.active.journal.n_shards
-
-
-def writer_of(state, shard_number):
-    """Return the node that should write a shard; any other may, only slower."""
-    return rendezvous_order(f"journal/{shard_number}", live_nodes(state))[0]
-
-
-def _batch_key(shard_number, position):
-    return f"/journal/{shard_number}/batch/{position:012d}"
-
-
-def _encode(batch_id, operations):
-    rows = [
-        [
-            operation.key.hex(),
-            operation.status,
-            operation.attempt,
-            operation.body_digest.hex(),
-            operation.response.decode("latin-1"),
-        ]
-        for operation in operations
-    ]
-    return json.dumps({"id": batch_id, "operations": rows}).encode()
-
-
-def _apply_batch(shard, value):
-    batch = json.loads(value)
-    for key, status, attempt, body_digest, response in batch["operations"]:
-        key = bytes.fromhex(key)
-        entry = shard.entries_by_key.get(key)
-        if status == "reserved":
-            if entry is None or entry.status == "not_sent":
-                shard.entries_by_key[key] = Entry(
-                    status="reserved",
-                    attempt=attempt,
-                    body_digest=bytes.fromhex(body_digest),
-                )
-        elif entry is not None and entry.attempt == attempt:
-            entry.status = status
-            entry.response = response.encode("latin-1")
-    return batch["id"]
-
-
-def _decide(entry, operation):
-    """Judge a reservation against the entry of its key."""
-    if entry is None or entry.status == "not_sent":
-        return None
-    if entry.body_digest != operation.body_digest:
-        return "mismatch"
-    if entry.status == "done":
-        return "done"
-    if entry.attempt == operation.attempt:
-        return "reserved"
-    return "running"
-
-
-def _answer(operation, status, response=b""):
+def _answer(operation, status, entry=None):
+    """Answer the requester of an operation."""
+    if operation.status != "reserved":
+        status = "recorded"
+    done = status == "done" and entry is not None
     return SendPeer(
         to=operation.requester,
         message=JournalReply(
             request_id=operation.request_id,
             attempt=operation.attempt,
             status=status,
-            response=response,
+            response=entry.response if done else b"",
+            earlier=attempt_of(entry) if entry is not None else "",
         ),
     )
 
 
-def _shard(state, number):
-    return state.journal.shards_by_number.setdefault(number, Shard())
+def _add(state, operation):
+    """Queue an operation unless it waits already or memory decides it."""
+    number = keys.shard_of(state, operation.key)
+    shard = _shard(state, number)
+    known = [*shard.pending, *(shard.flight.operations if shard.flight else ())]
+    same = (operation.attempt, operation.status)
+    if any((other.attempt, other.status) == same for other in known):
+        return
+    entry = shard.entries_by_key.get(operation.key)
+    if operation.status == "reserved" and entry is not None and entry.status == "done":
+        # Final, so it is answered even while the service is out.
+        yield _answer(operation, judge_reservation(state, entry, operation), entry)
+        return
+    if len(shard.pending) >= MAX_PENDING:
+        if operation.status == "reserved":
+            yield _answer(operation, "unavailable")
+        return
+    shard.pending.append(operation)
+    yield from _advance(state, number)
 
 
-def _call(state, shard, number):
-    state.n_ids += 1
-    shard.call_id = f"journal-{number}-{state.n_ids}"
-    state.journal.shard_numbers_by_call[shard.call_id] = number
-    return shard.call_id
+def _on_reserve(state, event):
+    message = event.message
+    if state.active is None:
+        # Without the number of shards nothing can be written.
+        yield SendPeer(
+            to=event.sender,
+            message=JournalReply(
+                request_id=message.request_id,
+                attempt=message.attempt,
+                status="unavailable",
+            ),
+        )
+        return
+    yield from _add(
+        state,
+        PendingOperation(
+            requester=event.sender,
+            request_id=message.request_id,
+            attempt=message.attempt,
+            key=message.key,
+            status="reserved",
+            arrived_at=event.at,
+            body_digest=message.body_digest,
+            ends_at_s=int(wall_s(state) + message.remaining_s) + 1,
+        ),
+    )
+
+
+def _on_finish(state, event):
+    message = event.message
+    if state.active is None:
+        return
+    if not may_report(event.sender, message):
+        yield record(
+            "journal.ending_refused",
+            sender=event.sender,
+            attempt=message.attempt,
+            status=message.status,
+        )
+        return
+    yield from _add(
+        state,
+        PendingOperation(
+            requester=event.sender,
+            request_id="",
+            attempt=message.attempt,
+            key=message.key,
+            status=message.status,
+            arrived_at=event.at,
+            response=message.response,
+        ),
+    )
 
 
 def _advance(state, number):
-    """Load the shard if needed, else write the next batch if it is time."""
+    """Take the next step of a shard if it is time."""
     shard = _shard(state, number)
-    if shard.call_id or not (shard.pending or shard.written):
+    if shard.call_id or not (shard.pending or shard.flight or shard.load):
         return
-    if not shard.loaded:
-        yield KeyValueRange(
-            call_id=_call(state, shard, number),
-            key=f"/journal/{number}/batch/",
-            prefix=True,
-        )
+    if state.now < shard.retry_at:
+        yield from _give_up(state, shard)
+        yield from _wake_at(state, shard, number, shard.retry_at)
+        return
+    if shard.load is not None:
+        yield log.read_segment(state, shard, number)
         return
-    if state.now - shard.wrote_at < MIN_WRITE_INTERVAL_S:
+    if shard.fresh and shard.flight is None:
+        yield from _judge(state, shard)
+    if not shard.fresh:
+        yield log.read_log(state, shard, number)
+    elif shard.flight is not None:
+        # Sent before with an unknown outcome, and its position is still free. The
+        # same batch is sent again: whichever copy arrives, the outcome is one.
+        yield _send_flight(state, shard, number)
+    elif shard.pending and log.needs_fold(shard):
+        transaction, meta, tail_keys = log.fold(state, shard, number)
+        shard.folding = (meta, tail_keys)
+        yield transaction
+    elif shard.pending:
+        yield from _write(state, shard, number)
+
+
+def _wake_at(state, shard, number, at):
+    if shard.timer_at <= at:
         return
-    batch = []
-    keys_in_batch = set()
+    shard.timer_at = at
+    yield SetTimer(name=f"journal-{number}", delay_s=max(0.0, at - state.now))
+
+
+def _judge(state, shard):
+    """Answer pending operations that the entries in memory decide."""
+    given_up = {op.attempt for op in shard.pending if op.status == "not_sent"}
     later = []
     for operation in shard.pending:
+        entry = shard.entries_by_key.get(operation.key)
         if operation.status != "reserved":
-            batch.append(operation)
+            if ending_has_effect(entry, operation):
+                later.append(operation)
+            elif shard.confirmed_at >= operation.arrived_at:
+                yield _answer(operation, "recorded")
+            else:
+                # Another writer may have written the reservation meanwhile.
+                shard.fresh = False
+                later.append(operation)
             continue
-        entry = shard.entries_by_key.get(operation.key)
-        decision = _decide(entry, operation)
-        if decision is not None:
-            yield _answer(operation, decision, entry.response)
-        elif operation.key in keys_in_batch:
+        if operation.attempt in given_up:
+            yield _answer(operation, "unavailable")
+            continue
+        status = judge_reservation(state, entry, operation)
+        recent = operation.arrived_at - shard.confirmed_at <= MAX_VIEW_AGE_S
+        if status is None:
             later.append(operation)
+        elif recent or status in ("done", "reserved"):
+            yield _answer(operation, status, entry)
         else:
-            keys_in_batch.add(operation.key)
-            batch.append(operation)
+            shard.fresh = False
+            later.append(operation)
     shard.pending = later
-    if not batch:
-        return
-    shard.written = batch
-    shard.wrote_at = state.now
-    shard.batch_id = f"{state.node}:{state.incarnation}:{state.n_ids}"
-    key = _batch_key(number, shard.position + 1)
-    yield KeyValueTransaction(
-        call_id=_call(state, shard, number),
-        compares=(Compare(key=key, mod_revision=0),),
-        puts=((key, _encode(shard.batch_id, batch)),),
-    )
 
 
-def _on_reserve(state, event):
-    message = event.message
-    operation = PendingOperation(
-        requester=event.sender,
-        request_id=message.request_id,
-        attempt=message.attempt,
-        key=message.key,
-        status="reserved",
-        body_digest=message.body_digest,
+def _give_up(state, shard):
+    """Answer reservations that have waited too long for the service.
+
+    None of them was ever sent, so none can be written later. One whose key is
+    known is answered from memory, which may be old: it is not said to be free.
+    """
+    later = []
+    for operation in shard.pending:
+        waited_s = state.now - operation.arrived_at
+        if operation.status != "reserved":
+            # The entry node keeps the ending and sends it again.
+            continue
+        if waited_s < UNAVAILABLE_AFTER_S and shard.n_failures < 3:
+            later.append(operation)
+            continue
+        entry = shard.entries_by_key.get(operation.key)
+        status = judge_reservation(state, entry, operation)
+        yield _answer(operation, status or "unavailable", entry if status else None)
+    shard.pending = later
+
+
+def _row(state, operation):
+    origin, request = split_attempt(operation.attempt)
+    return Row(
+        key=operation.key,
+        status=operation.status,
+        origin=origin,
+        request=request,
+        at_s=int(wall_s(state)),
+        ends_at_s=operation.ends_at_s,
+        body_digest=operation.body_digest,
+        response=operation.response,
     )
-    number = shard_of(state, message.key)
-    _shard(state, number).pending.append(operation)
-    return _advance(state, number)
 
 
-def _on_finish(state, event):
-    message = event.message
-    operation = PendingOperation(
-        requester=event.sender,
-        request_id="",
-        attempt=message.attempt,
-        key=message.key,
-        status=message.status,
-        response=message.response,
+def _write(state, shard, number):
+    """Send the next batch if the oldest operation has waited long enough."""
+    reserves = [op.arrived_at for op in shard.pending if op.status == "reserved"]
+    endings = [op.arrived_at for op in shard.pending if op.status != "reserved"]
+    due = min(
+        min(reserves, default=float("inf")) + RESERVE_LINGER_S,
+        min(endings, default=float("inf")) + ENDING_LINGER_S,
+    )
+    due = max(due, shard.wrote_at + MIN_WRITE_INTERVAL_S)
+    if state.now < due:
+        yield from _wake_at(state, shard, number, due)
+        return
+    full = len(shard.entries_by_key) >= MAX_ENTRIES_PER_SHARD
+    if full:
+        log.drop_expired(state, shard)
+        full = len(shard.entries_by_key) >= MAX_ENTRIES_PER_SHARD
+    batch, rows, later, reserved_keys, n_bytes = [], [], [], set(), 0
+    for operation in shard.pending:
+        if operation.status == "reserved":
+            if full:
+                yield _answer(operation, "unavailable")
+                continue
+            if operation.key in reserved_keys:
+                later.append(operation)
+                continue
+        row = _row(state, operation)
+        n_bytes += row_bytes(row)
+        if n_bytes > MAX_BATCH_BYTES and batch:
+            later.append(operation)
+            continue
+        if operation.status == "reserved":
+            reserved_keys.add(operation.key)
+        batch.append(operation)
+        rows.append(row)
+    shard.pending = later
+    if not batch:
+        return
+    state.n_ids += 1
+    batch_id = f"{state.node}:{state.incarnation}:{state.n_ids}"
+    shard.flight = Flight(
+        position=shard.position + 1,
+        meta_revision=shard.meta_revision,
+        batch_id=batch_id,
+        value=encode_rows(batch_id, int(wall_s(state)), rows),
+        operations=tuple(batch),
     )
-    number = shard_of(state, message.key)
-    _shard(state, number).pending.append(operation)
-    return _advance(state, number)
+    yield _send_flight(state, shard, number)
 
 
-def _settle(state, number, status):
-    """Finish the batch in flight once it is known whether it was written."""
-    shard = _shard(state, number)
-    written, shard.written = shard.written, []
-    if status == "written":
-        _apply_batch(shard, _encode(shard.batch_id, written))
-        shard.position += 1
-        for operation in written:
-            if operation.status == "reserved":
-                yield _answer(operation, "reserved")
-    else:
-        shard.pending = written + shard.pending
+def _send_flight(state, shard, number):
+    """Append the batch in flight.
+
+    The comparison of the batch's key lets one writer take the position; that of
+    the meta key keeps a position from being created again after a fold.
+    """
+    flight = shard.flight
+    shard.wrote_at = state.now
+    key = keys.batch_key(number, flight.position)
+    return KeyValueTransaction(
+        call_id=log.start_call(state, shard, number, "append"),
+        compares=(
+            Compare(key=key, mod_revision=0),
+            Compare(key=keys.meta_key(number), mod_revision=flight.meta_revision),
+        ),
+        puts=((key, flight.value),),
+    )
 
 
 def _on_key_value_answered(state, event):
@@ -194,51 +321,102 @@
     if number is None:
         return
     shard = _shard(state, number)
-    shard.call_id = ""
-    if not shard.loaded:
-        yield from _on_loaded(state, number, event)
-    elif event.status == "ok":
-        yield from _settle(state, number, "written")
-    elif event.status == "unreachable":
-        reserves = [op for op in shard.written if op.status == "reserved"]
-        shard.written = [op for op in shard.written if op.status != "reserved"]
-        yield from _settle(state, number, "not_written")
-        for operation in reserves:
-            yield _answer(operation, "unavailable")
+    call, shard.call, shard.call_id = shard.call, "", ""
+    if event.status in ("ok", "conflict"):
+        shard.n_failures = 0
+        shard.retry_at = float("-inf")
     else:
-        # Another writer took the position, or the answer was lost: read back.
-        shard.loaded = False
+        shard.n_failures += 1
+        limit_s = min(MAX_RETRY_S, RETRY_BASE_S * 2**shard.n_failures)
+        shard.retry_at = state.now + state.random.uniform(limit_s / 2, limit_s)
+        yield Observe(
+            metric="journal_call_failed",
+            value=1.0,
+            labels=(("call", call), ("status", event.status)),
+        )
+    if call == "append":
+        yield from _on_appended(state, shard, event)
+    elif call == "fold":
+        yield from _on_fold_answered(shard, number, event)
+    elif event.status == "ok":
+        yield from _on_read(state, shard, number, call, event)
     yield from _advance(state, number)
 
 
-def _on_loaded(state, number, event):
-    shard = _shard(state, number)
-    if event.status != "ok":
-        if not shard.written:
-            for operation in shard.pending:
-                if operation.status == "reserved":
-                    yield _answer(operation, "unavailable")
-            shard.pending = [op for op in shard.pending if op.status != "reserved"]
-        return
-    shard.loaded = True
-    outcome = "not_written"
-    for row in event.rows:
-        position = int(row.key.rsplit("/", 1)[1])
-        if position <= shard.position:
-            continue
-        if position == shard.position + 1 and shard.written:
-            own = json.loads(row.value)["id"] == shard.batch_id
-            if own:
-                yield from _settle(state, number, "written")
-                continue
-        _apply_batch(shard, row.value)
-        shard.position = position
-    if shard.written:
-        yield record("journal.batch_lost_race", shard=number, position=shard.position)
-        yield from _settle(state, number, outcome)
+def _on_appended(state, shard, event):
+    if event.status == "ok":
+        shard.confirmed_at = event.started_at
+        flight, shard.flight, shard.doubtful = shard.flight, None, False
+        log.apply_batch(shard, decode_rows(flight.value)[1])
+        for operation in flight.operations:
+            entry = shard.entries_by_key.get(operation.key)
+            yield _answer(operation, "reserved", entry)
+    elif event.status == "unreachable" and not shard.doubtful:
+        # Provably without effect: the operations are pending as before.
+        shard.pending = [*shard.flight.operations, *shard.pending]
+        shard.flight = None
+    else:
+        # Another writer was faster, or the answer was lost: read back.
+        shard.doubtful = True
+        shard.fresh = False
+
+
+def _on_fold_answered(shard, number, event):
+    meta, tail_keys = shard.folding
+    shard.folding = None
+    if event.status == "ok":
+        shard.confirmed_at = event.started_at
+        log.on_folded(shard, meta, event.revision, tail_keys)
+        yield record(
+            "journal.folded",
+            shard=number,
+            through=meta.folded_through,
+            n_bytes=meta.segments[-1].n_bytes,
+            n_segments=len(meta.segments),
+        )
+    elif event.status != "unreachable":
+        shard.fresh = False
+
+
+def _on_read(state, shard, number, call, event):
+    try:
+        if call == "log":
+            complete = log.on_log(
+                shard, number, event.rows, started_at=event.started_at
+            )
+        else:
+            complete = log.on_segment(state, shard, event.rows)
+    except JournalFormatError as error:
+        yield record("journal.damaged", shard=number, detail=str(error))
+        log.forget(shard)
+        shard.n_failures += 1
+        shard.retry_at = state.now + MAX_RETRY_S
+        return
+    if not complete:
+        return
+    shard.fresh = True
+    flight = shard.flight
+    if flight is None:
+        return
+    # The position is taken or the meta key has changed, so no copy of the batch
+    # can be written any more. Its operations are judged again by their attempts,
+    # which a fold keeps, unlike the batch's identity.
+    if shard.position >= flight.position or shard.meta_revision != flight.meta_revision:
+        shard.flight, shard.doubtful = None, False
+        shard.pending = [*flight.operations, *shard.pending]
+        yield record("journal.read_back", shard=number, position=flight.position)
+
+
+def _on_timer(state, event):
+    kind, _, number = event.name.partition("-")
+    if kind == "journal":
+        _shard(state, int(number)).timer_at = float("inf")
+        yield from _advance(state, int(number))
 
 
 def _on_tick(state, event):
+    if event.wall_s:
+        state.journal.wall_offset_s = event.wall_s - event.at
     for number in tuple(state.journal.shards_by_number):
         yield from _advance(state, number)
 
@@ -247,5 +425,6 @@
     JournalReserve: _on_reserve,
     JournalFinish: _on_finish,
     KeyValueAnswered: _on_key_value_answered,
+    TimerFired: _on_timer,
     Ticked: _on_tick,
 }
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -18,6 +18,7 @@
     ``target`` names a model or a service. ``prefix_hashes`` are chained hashes
     of the prompt's leading blocks. ``deadline_at`` is in seconds of the entry
     node's runtime clock. ``journal_key`` is empty for repeatable calls.
+    ``lookup_path`` is where the service tells whether a key was executed.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     idempotent: bool = True
     journal_key: bytes = b""
     body_digest: bytes = b""
+    lookup_path: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -105,27 +107,38 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JournalReserve(Message):
-    """Ask the writer of a journal shard to reserve a key for one attempt."""
+    """Ask the writer of a journal shard to reserve a key for one attempt.
+
+    The attempt ends within ``remaining_s``, whatever becomes of it.
+    """
 
     request_id: str
     attempt: str
     key: bytes
     body_digest: bytes
+    remaining_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JournalReply(Message):
-    """The journal's decision on a reservation."""
+    """The journal's answer to a reservation or an ending.
+
+    ``status`` is ``reserved``, ``done``, ``running``, ``unknown``, ``mismatch``
+    (same key, other body), ``unavailable`` (not reserved, nor will it be) or
+    ``recorded`` (the answer to an ending). ``earlier`` is the attempt that holds
+    the key; ``response`` is a packed answer, see ``core.journal.answers``.
+    """
 
     request_id: str
     attempt: str
     status: str
     response: bytes = field(default=b"", repr=False)
+    earlier: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JournalFinish(Message):
-    """Record how a reserved call ended (``done`` or ``not_sent``)."""
+    """Record how a reserved call ended (``done``, ``not_sent`` or ``unknown``)."""
 
     attempt: str
     key: bytes
--- a/src/savoryhill/core/requests/lifecycle.py
+++ b/src/savoryhill/core/requests/lifecycle.py
@@ -6,6 +6,7 @@
 from savoryhill.core.effects import (
     CancelAttempt,
     FinishRequest,
+    LookUpCall,
     Observe,
     SendPeer,
     StartAttempt,
@@ -16,15 +17,15 @@
     AttemptEnded,
     AttemptStarted,
     CallerGone,
+    CallLookedUp,
     DrainRequested,
     RequestArrived,
     Ticked,
 )
-from savoryhill.core.journal.writer import shard_of, writer_of
+from savoryhill.core.journal import entry as journal
+from savoryhill.core.journal.answers import pack_answer, unpack_answer
 from savoryhill.core.messages import (
-    JournalFinish,
     JournalReply,
-    JournalReserve,
     PermitRelease,
     PlaceReply,
     PlaceRequest,
@@ -88,15 +89,12 @@
 def _journal_finish(state, request, status, response=b""):
     if not request.spec.journal_key or not request.journal_attempt:
         return
-    key = request.spec.journal_key
-    yield SendPeer(
-        to=writer_of(state, shard_of(state, key)),
-        message=JournalFinish(
-            attempt=request.journal_attempt,
-            key=key,
-            status=status,
-            response=response,
-        ),
+    yield from journal.finish(
+        state,
+        key=request.spec.journal_key,
+        attempt=request.journal_attempt,
+        status=status,
+        response=response,
     )
 
 
@@ -155,16 +153,8 @@
         yield from _ask(state, request)
         return
     request.phase = "reserving"
-    request.journal_attempt = f"{state.node}:{state.incarnation}:{spec.request_id}"
-    yield SendPeer(
-        to=writer_of(state, shard_of(state, spec.journal_key)),
-        message=JournalReserve(
-            request_id=spec.request_id,
-            attempt=request.journal_attempt,
-            key=spec.journal_key,
-            body_digest=spec.body_digest,
-        ),
-    )
+    request.journal_attempt, effects = journal.reserve(state, spec)
+    yield from effects
 
 
 def _on_journal_reply(state, event):
@@ -177,8 +167,13 @@
         yield from _ask(state, request)
         return
     request.journal_attempt = ""
+    if reply.status == "done":
+        yield from _finish_stored(state, request, unpack_answer(reply.response))
+        return
+    if reply.status == "unknown" and request.spec.lookup_path:
+        yield from _look_up(state, request, reply.earlier)
+        return
     endings = {
-        "done": (200, "completed", "answer of the earlier call"),
         "running": (409, "unknown", "a call with this key is still running"),
         "unknown": (409, "unknown", "the outcome of the earlier call is unknown"),
         "mismatch": (422, "not_run", "this key was used with another body"),
@@ -192,7 +187,91 @@
         execution=execution,
         detail=detail,
         retry_after_s=1.0 if status in (409, 503) else 0.0,
-        response=reply.response,
+    )
+
+
+def _finish_stored(state, request, answer):
+    """Give a repeated call the answer of the earlier one."""
+    if answer.body is not None:
+        yield from _finish(
+            state,
+            request,
+            status=answer.status,
+            execution="completed",
+            detail="answer of the earlier call",
+            response=answer.body,
+            content_type=answer.content_type,
+        )
+        return
+    yield from _finish(
+        state,
+        request,
+        status=409,
+        execution="completed",
+        detail=(
+            f"the earlier call completed with status {answer.status}; its answer of "
+            f"{answer.n_bytes} bytes is too large to be kept, its SHA-256 is "
+            f"{answer.digest.hex()}"
+        ),
+        answer_missing=True,
+    )
+
+
+def _look_up(state, request, earlier):
+    """Ask the service itself what became of the earlier call."""
+    spec = request.spec
+    endpoints = [
+        state.active.endpoints_by_id[endpoint]
+        for group in state.active.group_ids_by_target.get(spec.target, ())
+        for endpoint in state.active.groups_by_id[group].endpoints
+    ]
+    usable = [each for each in endpoints if not each.leaving] or endpoints
+    request.phase = "looking_up"
+    request.earlier_attempt = earlier
+    yield LookUpCall(
+        spec=spec,
+        address=state.random.choice(usable).address,
+        path=spec.lookup_path,
+    )
+
+
+def _on_call_looked_up(state, event):
+    request = state.requests.requests_by_id.get(event.request_id)
+    if request is None or request.phase != "looking_up":
+        return
+    if event.result == "executed":
+        yield from journal.finish(
+            state,
+            key=request.spec.journal_key,
+            attempt=request.earlier_attempt,
+            status="done",
+            response=pack_answer(
+                status=event.status,
+                content_type=event.content_type,
+                body=event.response,
+            ),
+        )
+        yield from _finish(
+            state,
+            request,
+            status=event.status,
+            execution="completed",
+            detail="answer found by the service's lookup",
+            response=event.response,
+            content_type=event.content_type,
+        )
+        return
+    # "Not executed so far" is no proof: the earlier call may still arrive.
+    detail = "the outcome of the earlier call is unknown"
+    if event.result == "not_found":
+        detail += "; the service has not executed it so far"
+    yield from _finish(
+        state,
+        request,
+        status=409,
+        execution="unknown",
+        detail=detail,
+        retry_after_s=1.0,
     )
 
 
@@ -266,19 +345,26 @@
     request.n_emitted += event.n_tokens
     yield from _release(request, event.result, state, event.n_tokens, event.incarnation)
     if event.result == "completed":
-        yield from _journal_finish(state, request, "done", event.response)
+        answer = pack_answer(
+            status=event.status or 200,
+            content_type=event.content_type,
+            body=event.response,
+        )
+        yield from _journal_finish(state, request, "done", answer)
         yield from _finish(
             state,
             request,
             status=event.status or 200,
             execution="completed",
             response=event.response,
+            content_type=event.content_type,
         )
         return
     if not request.spec.idempotent:
         if event.result in ("not_sent", "refused"):
             yield from _refuse(state, request, event.detail)
         else:
+            yield from _journal_finish(state, request, "unknown")
             yield from _finish(
                 state, request, status=502, execution="unknown", detail=event.detail
             )
@@ -334,6 +420,16 @@
 
 
 def _expire(state, request):
+    if request.phase == "looking_up":
+        yield from _finish(
+            state,
+            request,
+            status=409,
+            execution="unknown",
+            detail="the outcome of the earlier call is unknown; the lookup was late",
+            retry_after_s=1.0,
+        )
+        return
     if request.phase != "running":
         yield from _refuse(state, request, "deadline passed before it could start")
         return
@@ -343,6 +439,7 @@
         endpoint=request.endpoint,
     )
     yield from _release(request, "cancelled", state)
+    yield from _journal_finish(state, request, "unknown")
     yield from _finish(
         state, request, status=504, execution="unknown", detail="deadline passed"
     )
@@ -357,6 +454,7 @@
 HANDLERS = {
     RequestArrived: _on_request_arrived,
     JournalReply: _on_journal_reply,
+    CallLookedUp: _on_call_looked_up,
     PlaceReply: _on_place_reply,
     AttemptStarted: _on_attempt_started,
     AttemptEnded: _on_attempt_ended,
--- a/src/savoryhill/core/requests/state.py
+++ b/src/savoryhill/core/requests/state.py
@@ -9,13 +9,14 @@
 class RequestState:
     """A request that this node has admitted.
 
-    ``phase`` is ``reserving``, ``placing`` or ``running``.
+    ``phase`` is ``reserving``, ``placing``, ``running`` or ``looking_up``.
     """
 
     spec: RequestSpec
     arrived_at: float
     phase: str = "placing"
     journal_attempt: str = ""
+    earlier_attempt: str = ""
     attempt: int = 0
     group: str = ""
     endpoint: str = ""
--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -188,6 +188,7 @@
                             "path": "/call/order",
                             "idempotent": False,
                             "kind": "order",
+                            "lookup_path": "/lookup",
                         },
                         {
                             "method": "GET",
--- a/src/savoryhill/demo/run.py
+++ b/src/savoryhill/demo/run.py
@@ -196,7 +196,7 @@
     checks = [
         ("every prompt is answered in full", texts_right),
         ("the request with a 5 ms deadline fails", late.get().execution != "completed"),
-        ("the order ran once", executions["order-1"] == 1),
+        ("the order ran once", executions["workspace-one:order-1"] == 1),
         ("every repeat got an answer", all(o.status in (200, 409) for o in orders)),
         ("no memory is left in use", _memory_is_free(deployment)),
     ]
--- a/src/savoryhill/errors.py
+++ b/src/savoryhill/errors.py
@@ -25,6 +25,22 @@
     """The call was sent but its answer was lost, so it may have taken effect."""
 
 
+class StaleAnswerError(PlatformError):
+    """The platform answered with an older revision than it had before."""
+
+
+class WatchSilentError(PlatformError):
+    """A watch delivered nothing for longer than its silence limit."""
+
+
+class NotConnectedError(SavoryhillError):
+    """No connection could be made, so nothing was sent."""
+
+
+class ResendPreventedError(SavoryhillError):
+    """An HTTP client was about to send a request a second time."""
+
+
 class EndpointError(SavoryhillError):
     """A call to an endpoint failed."""
 
@@ -41,5 +57,9 @@
     """A stream broke, fell silent or carried unexpected content."""
 
 
+class JournalFormatError(SavoryhillError):
+    """A stored journal batch or segment cannot be decoded."""
+
+
 class PeerError(SavoryhillError):
     """A message between nodes could not be sent, decoded or authenticated."""
--- a/src/savoryhill/node/drivers/attempts.py
+++ b/src/savoryhill/node/drivers/attempts.py
@@ -4,7 +4,7 @@
 
 from savoryhill.core import effects, events
 from savoryhill.endpoints.engine import cancel_stream, read_load, stream_completion
-from savoryhill.endpoints.service import call_service
+from savoryhill.endpoints.service import call_service, look_up_call
 from savoryhill.errors import (
     BrokenStreamError,
     EndpointError,
@@ -49,6 +49,9 @@
         if relay is not None:
             relay.mailbox.put(effect)
 
+    def look_up(effect):
+        gevent.spawn(_look_up, node, effect, now)
+
     def poll_load(effect):
         gevent.spawn(_poll_load, node, effect, now)
 
@@ -58,6 +61,7 @@
         effects.CancelStream: cancel_on_endpoint,
         effects.FinishRequest: finish_request,
         effects.PollLoad: poll_load,
+        effects.LookUpCall: look_up,
     }
 
 
@@ -122,7 +126,7 @@
     spec = relay.spec
     headers = {"Content-Type": relay.content_type, "X-Fence": str(effect.fence)}
     if relay.idempotency_key:
-        headers["Idempotency-Key"] = relay.idempotency_key
+        headers["Idempotency-Key"] = service_key(relay)
     service = node.runtime.state.active.services_by_name[spec.target]
     status, content_type, content = call_service(
         effect.address,
@@ -133,8 +137,38 @@
         timeout_s=max(0.05, spec.deadline_at - now()),
         not_run_statuses=service.not_run_statuses,
     )
-    relay.content_type = content_type
-    return {"status": status, "response": content}
+    return {"status": status, "response": content, "content_type": content_type}
+
+
+def service_key(relay):
+    """Return the key a service sees; workspaces may use the same key."""
+    return f"{relay.spec.workspace}:{relay.idempotency_key}"
+
+
+def _look_up(node, effect, now):
+    relay = node.relays_by_request.get(effect.spec.request_id)
+    if relay is None:
+        return
+    found = {"result": "failed"}
+    try:
+        status, content_type, content = look_up_call(
+            effect.address,
+            path=effect.path,
+            key=service_key(relay),
+            timeout_s=max(0.05, effect.spec.deadline_at - now()),
+        )
+        found = {
+            "result": "executed" if status == 200 else "not_found",
+            "status": status,
+            "content_type": content_type,
+            "response": content,
+        }
+    except EndpointError as error:
+        found["detail"] = str(error)
+    submit(
+        node.runtime,
+        events.CallLookedUp(at=now(), request_id=effect.spec.request_id, **found),
+    )
 
 
 def _cancel(address, request_id):
--- a/src/savoryhill/node/drivers/platform.py
+++ b/src/savoryhill/node/drivers/platform.py
@@ -14,25 +14,41 @@
     def call_key_value(effect):
         gevent.spawn(_call_key_value, node, effect)
 
+    def set_timer(effect):
+        gevent.spawn(_fire_timer, node, effect)
+
     return {
         effects.KeyValueTransaction: call_key_value,
         effects.KeyValueRange: call_key_value,
+        effects.SetTimer: set_timer,
     }
 
 
+def _fire_timer(node, effect):
+    node.clock.sleep(effect.delay_s)
+    at = node.clock.monotonic()
+    submit(node.runtime, events.TimerFired(at=at, name=effect.name))
+
+
 def _call_key_value(node, effect):
     now = node.clock.monotonic
     started_at = now()
     rows, revision = (), 0
     try:
         if type(effect) is effects.KeyValueRange:
-            answer = read_range(node.key_value, effect.key, prefix=effect.prefix)
+            answer = read_range(
+                node.key_value,
+                effect.key,
+                prefix=effect.prefix,
+                range_end=effect.range_end,
+            )
         else:
             answer = transact(
                 node.key_value,
                 compares=effect.compares,
                 puts=effect.puts,
                 deletes=effect.deletes,
+                delete_ranges=effect.delete_ranges,
             )
         status = "ok" if answer.succeeded else "conflict"
         rows, revision = answer.rows, answer.revision
--- a/src/savoryhill/node/front.py
+++ b/src/savoryhill/node/front.py
@@ -272,6 +272,7 @@
         idempotent=call.idempotent,
         journal_key=b"" if call.idempotent else sha256(identity).digest()[:16],
         body_digest=sha256(f"{req.method} {path}\0".encode() + body).digest()[:16],
+        lookup_path="" if call.idempotent else call.lookup_path,
     )
     relay = Relay(
         spec=spec,
@@ -282,9 +283,9 @@
         content_type=req.content_type or "application/json",
     )
     finish = _start(node, relay)
-    if finish.execution == "completed":
+    if finish.execution == "completed" and not finish.answer_missing:
         resp.status = falcon.code_to_http_status(finish.status)
-        resp.content_type = relay.content_type
+        resp.content_type = finish.content_type or relay.content_type
         resp.data = finish.response
     else:
         _problem(resp, finish)
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -81,7 +81,16 @@
         settings=settings,
         clock=clock,
         runtime=Runtime(state=state, clock=clock),
-        key_value=connect_key_value(settings.key_value),
+        key_value=connect_key_value(
+            settings.key_value,
+            writes_per_s=settings.key_value_writes_per_s,
+            reads_per_s=settings.key_value_reads_per_s,
+            clock=clock,
+            seed=incarnation,
+            report=lambda name, **fields: log_event(
+                name, level="WARNING", node=settings.node, **fields
+            ),
+        ),
     )
     node.transport = peers.Transport(
         node=settings.node,
--- a/src/savoryhill/node/readers.py
+++ b/src/savoryhill/node/readers.py
@@ -6,7 +6,8 @@
 from savoryhill.node.runtime import submit
 from savoryhill.observability.logs import log_event
 from savoryhill.platform.hosts import read_hosts
-from savoryhill.platform.key_value import read_range, watch
+from savoryhill.platform.key_value import read_range
+from savoryhill.platform.watch import watch
 
 CONFIGURATION_KEY = "/config/current"
 RE_READ_S = 2.0
--- a/src/savoryhill/node/runtime.py
+++ b/src/savoryhill/node/runtime.py
@@ -53,4 +53,5 @@
     """Submit a tick at every interval until the greenlet is killed."""
     while True:
         runtime.clock.sleep(interval_s)
-        submit(runtime, Ticked(at=runtime.clock.monotonic()))
+        clock = runtime.clock
+        submit(runtime, Ticked(at=clock.monotonic(), wall_s=clock.wall()))
--- a/src/savoryhill/node/settings.py
+++ b/src/savoryhill/node/settings.py
@@ -9,7 +9,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeSettings:
-    """Where a node runs and whom it talks to; addresses are ``ip:port``."""
+    """Where a node runs and whom it talks to; addresses are ``ip:port``.
+
+    The ``key_value_*`` fields are this node's share of the calls that the
+    key-value service grants the whole deployment.
+    """
 
     node: str
     zone: str
@@ -21,6 +25,8 @@
     hosts: str
     cluster_key: str
     tick_s: float = 0.05
+    key_value_writes_per_s: float = 60.0
+    key_value_reads_per_s: float = 200.0
 
 
 def load_settings(path):
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -59,6 +59,7 @@
   attempt @1 :Text;
   key @2 :Data;
   bodyDigest @3 :Data;
+  remainingS @4 :Float64;
 }
 
 struct JournalReply {
@@ -66,6 +67,7 @@
   attempt @1 :Text;
   status @2 :Text;
   response @3 :Data;
+  earlier @4 :Text;
 }
 
 struct JournalFinish {
--- /dev/null
+++ b/src/savoryhill/platform/watch.py
@@ -0,0 +1,154 @@
+"""Watches and leases of the key-value service."""
+
+import json
+
+from geventhttpclient import HTTPClient
+
+from savoryhill.errors import (
+    OutcomeUnknownError,
+    PlatformUnreachableError,
+    StaleAnswerError,
+    WatchSilentError,
+)
+from savoryhill.platform.key_value import (
+    CONNECT_TIMEOUT_S,
+    call_once,
+    encode_text,
+    prefix_end,
+    row_from_json,
+    spend,
+)
+
+
+def watch(client, key, *, start_revision, timeout_s, prefix=False):
+    """Yield rows as they are written.
+
+    A watch counts as one read. Rows older than one already delivered are ignored
+    and reported.
+
+    Parameters
+    ----------
+    client : KeyValueClient
+        Gives the address; the watch uses a connection of its own.
+    key : str
+        The key or the prefix to watch.
+    start_revision : int
+        First revision of interest.
+    timeout_s : float
+        Silence limit. The watch asks for progress notices, so a watch without
+        any line for this long is broken and not merely idle.
+    prefix : bool
+        Whether ``key`` is a prefix.
+
+    Yields
+    ------
+    KeyValueRow
+        Each write of the key.
+
+    Raises
+    ------
+    WatchSilentError
+        If the watch was silent for longer than its limit.
+    PlatformUnreachableError
+        If it ended for another reason.
+    """
+    spend(client, client.reads, "watch")
+    host, port = client.address.rsplit(":", 1)
+    http = HTTPClient(
+        host,
+        int(port),
+        connection_timeout=CONNECT_TIMEOUT_S,
+        network_timeout=timeout_s,
+    )
+    create = {
+        "key": encode_text(key),
+        "start_revision": str(start_revision),
+        "progress_notify": True,
+    }
+    if prefix:
+        create["range_end"] = encode_text(prefix_end(key))
+    body = json.dumps({"create_request": create}).encode()
+    headers = {"Content-Type": "application/json"}
+    try:
+        response = http.post("/v3/watch", body=body, headers=headers)
+        if response.status_code != 200:
+            raise PlatformUnreachableError(
+                f"watch of {key!r} was answered {response.status_code}"
+            )
+        yield from _rows(client, key, response)
+    except PlatformUnreachableError:
+        client.counts["watch", "refused"] += 1
+        raise
+    except TimeoutError as error:
+        client.counts["watch", "silent"] += 1
+        client.report("key_value.watch_silent", key=key, limit_s=timeout_s)
+        raise WatchSilentError(
+            f"watch of {key!r} was silent for {timeout_s:g} s"
+        ) from error
+    except Exception as error:
+        client.counts["watch", "broken"] += 1
+        raise PlatformUnreachableError(f"watch of {key!r} ended: {error!r}") from error
+    finally:
+        http.close()
+
+
+def _rows(client, key, response):
+    delivered = 0
+    while line := response.readline(b"\n"):
+        result = json.loads(line)["result"]
+        if result.get("canceled"):
+            raise PlatformUnreachableError(
+                f"watch of {key!r} was cancelled, revisions before "
+                f"{result.get('compact_revision', 'unknown')} are compacted"
+            )
+        for event in result.get("events", ()):
+            row = row_from_json(event["kv"])
+            if row.mod_revision < delivered:
+                client.counts["watch", "revision_went_back"] += 1
+                client.report(
+                    "key_value.revision_went_back",
+                    revision=row.mod_revision,
+                    known=delivered,
+                    path="/v3/watch",
+                )
+                continue
+            delivered = row.mod_revision
+            yield row
+
+
+def grant_lease(client, *, ttl_s):
+    """Grant a lease.
+
+    Returns
+    -------
+    int
+        The lease's identifier.
+
+    Raises
+    ------
+    PlatformUnreachableError, OutcomeUnknownError
+        If the service did not answer.
+    """
+    spend(client, client.writes, "write")
+    answer = _lease_call(client, "/v3/lease/grant", {"TTL": str(ttl_s), "ID": "0"})
+    return int(answer["ID"])
+
+
+def keep_lease(client, lease):
+    """Renew a lease; return its remaining seconds, 0 if it has expired."""
+    spend(client, client.writes, "write")
+    answer = _lease_call(client, "/v3/lease/keepalive", {"ID": str(lease)})
+    return int(answer.get("TTL", 0))
+
+
+def revoke_lease(client, lease):
+    """End a lease and delete its keys."""
+    spend(client, client.writes, "write")
+    _lease_call(client, "/v3/lease/revoke", {"ID": str(lease)})
+
+
+def _lease_call(client, path, body):
+    try:
+        return call_once(client, "write", path, body)
+    except StaleAnswerError as error:
+        raise OutcomeUnknownError(str(error)) from error
--- /dev/null
+++ b/src/savoryhill/sendonce.py
@@ -0,0 +1,98 @@
+"""HTTP requests that are sent at most once.
+
+geventhttpclient 2.6.1 sends GET, PUT and DELETE again when the connection closes
+before the answer, and releases before 2.6 did so for POST. A resent transaction
+that had taken effect is answered as a failed comparison, and a resent service
+call runs twice. The client built here hands out one connection per request, so
+a resend ends in an error instead.
+"""
+
+from dataclasses import dataclass, field
+
+import gevent
+from geventhttpclient import HTTPClient
+
+from savoryhill.errors import NotConnectedError, ResendPreventedError
+
+
+@dataclass(kw_only=True)
+class OnceClient:
+    """An HTTP client with the greenlets whose request holds a connection."""
+
+    http: HTTPClient
+    address: str
+    senders: set = field(default_factory=set)
+    n_resends_prevented: int = 0
+
+
+def connect_once(address, *, connect_timeout_s, timeout_s, concurrency=1):
+    """Build a client that sends each request at most once.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the server.
+    connect_timeout_s, timeout_s : float
+        Limits for connecting and for each read.
+    concurrency : int
+        Requests that may run at the same time.
+
+    Returns
+    -------
+    OnceClient
+        The client; no connection is opened before the first request.
+    """
+    host, port = address.rsplit(":", 1)
+    http = HTTPClient(
+        host,
+        int(port),
+        concurrency=concurrency,
+        connection_timeout=connect_timeout_s,
+        network_timeout=timeout_s,
+    )
+    client = OnceClient(http=http, address=address)
+    pool = http._connection_pool
+    take_socket = pool.get_socket
+
+    def get_socket():
+        sender = gevent.getcurrent()
+        if sender in client.senders:
+            client.n_resends_prevented += 1
+            raise ResendPreventedError(
+                f"connection to {address} closed before the answer was complete"
+            )
+        try:
+            sock = take_socket()
+        except Exception as error:
+            raise NotConnectedError(f"{address}: {error!r}") from error
+        client.senders.add(sender)
+        return sock
+
+    pool.get_socket = get_socket
+    return client
+
+
+def request_once(client, method, path, *, body=b"", headers=None):
+    """Send a request once and read its answer completely.
+
+    Returns
+    -------
+    tuple of (int, dict of str to str, bytes)
+        Status, headers with lower-case names, and body of the answer.
+
+    Raises
+    ------
+    NotConnectedError
+        If no connection was made, so nothing was sent.
+    Exception
+        Any other error: the request may have been received.
+    """
+    sender = gevent.getcurrent()
+    client.senders.discard(sender)
+    try:
+        response = client.http.request(method, path, body=body, headers=headers)
+        content = bytes(response.read())
+        received = {name.lower(): value for name, value in response.items()}
+        return response.status_code, received, content
+    finally:
+        client.senders.discard(sender)
