--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -20,7 +20,8 @@
 class Ticked(Event):
     """The periodic timer of the runtime fired.
 
-    ``wall_s`` is the host's wall clock; the journal's retention is measured in it.
+    ``wall_s`` is the host's wall clock, in which the journal's retention is
+    measured; the journal writes nothing before it is known.
     """
 
     wall_s: float = 0.0
--- a/src/savoryhill/core/journal/judge.py
+++ b/src/savoryhill/core/journal/judge.py
@@ -17,7 +17,7 @@
 
 def wall_s(state):
     """Return the wall time of the event being processed, in seconds."""
-    return state.now + state.journal.wall_offset_s
+    return state.now + (state.journal.wall_offset_s or 0.0)
 
 
 def attempt_of(entry):
@@ -109,6 +109,7 @@
 
 def put_entry(shard, row):
     """Set the entry of a key; the newest reservation goes to the end."""
+    shard.newest_s = max(shard.newest_s, row.at_s)
     shard.entries_by_key.pop(row.key, None)
     shard.entries_by_key[row.key] = Entry(
         status=row.status,
--- a/src/savoryhill/core/journal/log.py
+++ b/src/savoryhill/core/journal/log.py
@@ -53,9 +53,18 @@
     )
 
 
-def oldest_kept_s(state):
+def stamp_s(state, shard):
+    """Return the wall time to write; it never goes back within a shard.
+
+    A host whose clock is behind would otherwise write entries that seem expired.
+    """
+    return max(int(wall_s(state)), shard.newest_s)
+
+
+def oldest_kept_s(state, shard):
     """Return the wall time before which entries are dropped."""
-    return wall_s(state) - state.active.journal.retention_s * RETENTION_SLACK
+    kept_s = state.active.journal.retention_s * RETENTION_SLACK
+    return min(wall_s(state), shard.newest_s) - kept_s
 
 
 def on_log(shard, number, rows, *, started_at):
@@ -111,7 +120,7 @@
         shard.load = None
         return False
     _, entries = decode_rows(rows[0].value)
-    oldest_s = oldest_kept_s(state)
+    oldest_s = oldest_kept_s(state, shard)
     shard.position = load.segments.pop(0).last_position
     for row in entries:
         if row.at_s >= oldest_s:
@@ -170,7 +179,7 @@
 
 def drop_expired(state, shard):
     """Drop entries over their retention from memory, the oldest first."""
-    oldest_s = oldest_kept_s(state)
+    oldest_s = oldest_kept_s(state, shard)
     expired = []
     for key, entry in shard.entries_by_key.items():
         if entry.at_s >= oldest_s:
@@ -195,7 +204,7 @@
         key and the keys of its last segment.
     """
     drop_expired(state, shard)
-    oldest_s = oldest_kept_s(state)
+    oldest_s = oldest_kept_s(state, shard)
     kept = list(shard.meta.segments)
     dropped = []
     while kept and len(dropped) < MAX_DROPPED_SEGMENTS and kept[0].newest_s < oldest_s:
@@ -213,7 +222,7 @@
     rows = [_row(shard, key) for key in row_keys if key in shard.entries_by_key]
     rows.sort(key=lambda row: (row.at_s, row.key))
     identity = f"{state.node}:{state.incarnation}:{shard.position}"
-    value = encode_rows(identity, int(wall_s(state)), rows)
+    value = encode_rows(identity, stamp_s(state, shard), rows)
     segment = Segment(
         last_position=shard.position,
         n_bytes=len(value),
--- a/src/savoryhill/core/journal/state.py
+++ b/src/savoryhill/core/journal/state.py
@@ -36,7 +36,7 @@
     status: str
     arrived_at: float
     body_digest: bytes = b""
-    ends_at_s: int = 0
+    ends_at: float = 0.0
     response: bytes = b""
 
 
@@ -93,10 +93,11 @@
     holds the keys changed since the last fold with the position of the change.
     ``confirmed_at`` is the start of the last call that showed the end of the log.
     ``tail_keys`` holds the keys of the last segment, or None if this node has not
-    read it.
+    read it. ``newest_s`` is the newest wall time in the log.
     """
 
     position: int = 0
+    newest_s: int = 0
     meta: Meta = Meta()
     meta_revision: int = 0
     fresh: bool = False
@@ -140,11 +141,13 @@
 class JournalState:
     """All shards this node has written to or read, and its own attempts.
 
-    ``wall_offset_s`` turns runtime time into wall time. ``abandoned`` holds the
-    attempts that this node has given up before sending anything, with their keys.
+    ``wall_offset_s`` turns runtime time into wall time; it is None until the first
+    tick that carries the wall clock, and nothing is written before. ``abandoned``
+    holds the attempts that this node has given up before sending anything, with
+    their keys.
     """
 
-    wall_offset_s: float = 0.0
+    wall_offset_s: float | None = None
     shards_by_number: dict[int, Shard] = field(default_factory=dict)
     shard_numbers_by_call: dict[str, int] = field(default_factory=dict)
     reservations_by_request: dict[str, Reservation] = field(default_factory=dict)
--- a/src/savoryhill/core/journal/writer.py
+++ b/src/savoryhill/core/journal/writer.py
@@ -21,12 +21,12 @@
     row_bytes,
     split_attempt,
 )
-from savoryhill.core.journal.judge import (
-    attempt_of,
-    ending_has_effect,
-    judge_reservation,
-    may_report,
-    wall_s,
+from savoryhill.core.journal.judge import judge_reservation, may_report
+from savoryhill.core.journal.replies import (
+    answer,
+    answer_from_view,
+    give_up,
+    known_entry,
 )
 from savoryhill.core.journal.state import Flight, PendingOperation, Shard
 from savoryhill.core.messages import JournalFinish, JournalReply, JournalReserve
@@ -40,10 +40,6 @@
 ENDING_LINGER_S = 0.2
 # 64 batches of this size fit into one segment and one transaction.
 MAX_BATCH_BYTES = 10_000
-# An answer from memory other than "done" needs a view of the log this recent.
-MAX_VIEW_AGE_S = 1.0
-# A reservation that could not be written for this long is answered "unavailable".
-UNAVAILABLE_AFTER_S = 0.5
 RETRY_BASE_S = 0.05
 MAX_RETRY_S = 0.8
 MAX_PENDING = 10_000
@@ -55,23 +51,6 @@
     return state.journal.shards_by_number.setdefault(number, Shard())
 
 
-def _answer(operation, status, entry=None):
-    """Answer the requester of an operation."""
-    if operation.status != "reserved":
-        status = "recorded"
-    done = status == "done" and entry is not None
-    return SendPeer(
-        to=operation.requester,
-        message=JournalReply(
-            request_id=operation.request_id,
-            attempt=operation.attempt,
-            status=status,
-            response=entry.response if done else b"",
-            earlier=attempt_of(entry) if entry is not None else "",
-        ),
-    )
-
-
 def _add(state, operation):
     """Queue an operation unless it waits already or memory decides it."""
     number = keys.shard_of(state, operation.key)
@@ -80,14 +59,15 @@
     same = (operation.attempt, operation.status)
     if any((other.attempt, other.status) == same for other in known):
         return
-    entry = shard.entries_by_key.get(operation.key)
-    if operation.status == "reserved" and entry is not None and entry.status == "done":
-        # Final, so it is answered even while the service is out.
-        yield _answer(operation, judge_reservation(state, entry, operation), entry)
-        return
+    if operation.status == "reserved":
+        entry = known_entry(shard, operation.key)
+        if entry is not None and entry.status == "done":
+            # Final, so it is answered even while the service is out.
+            yield answer(operation, judge_reservation(state, entry, operation), entry)
+            return
     if len(shard.pending) >= MAX_PENDING:
         if operation.status == "reserved":
-            yield _answer(operation, "unavailable")
+            yield answer(operation, "unavailable")
         return
     shard.pending.append(operation)
     yield from _advance(state, number)
@@ -116,7 +96,7 @@
             status="reserved",
             arrived_at=event.at,
             body_digest=message.body_digest,
-            ends_at_s=int(wall_s(state) + message.remaining_s) + 1,
+            ends_at=event.at + message.remaining_s,
         ),
     )
 
@@ -152,15 +132,17 @@
     shard = _shard(state, number)
     if shard.call_id or not (shard.pending or shard.flight or shard.load):
         return
+    if state.journal.wall_offset_s is None:
+        return
     if state.now < shard.retry_at:
-        yield from _give_up(state, shard)
+        yield from give_up(state, shard)
         yield from _wake_at(state, shard, number, shard.retry_at)
         return
     if shard.load is not None:
         yield log.read_segment(state, shard, number)
         return
     if shard.fresh and shard.flight is None:
-        yield from _judge(state, shard)
+        yield from answer_from_view(state, shard)
     if not shard.fresh:
         yield log.read_log(state, shard, number)
     elif shard.flight is not None:
@@ -182,67 +164,16 @@
     yield SetTimer(name=f"journal-{number}", delay_s=max(0.0, at - state.now))
 
 
-def _judge(state, shard):
-    """Answer pending operations that the entries in memory decide."""
-    given_up = {op.attempt for op in shard.pending if op.status == "not_sent"}
-    later = []
-    for operation in shard.pending:
-        entry = shard.entries_by_key.get(operation.key)
-        if operation.status != "reserved":
-            if ending_has_effect(entry, operation):
-                later.append(operation)
-            elif shard.confirmed_at >= operation.arrived_at:
-                yield _answer(operation, "recorded")
-            else:
-                # Another writer may have written the reservation meanwhile.
-                shard.fresh = False
-                later.append(operation)
-            continue
-        if operation.attempt in given_up:
-            yield _answer(operation, "unavailable")
-            continue
-        status = judge_reservation(state, entry, operation)
-        recent = operation.arrived_at - shard.confirmed_at <= MAX_VIEW_AGE_S
-        if status is None:
-            later.append(operation)
-        elif recent or status in ("done", "reserved"):
-            yield _answer(operation, status, entry)
-        else:
-            shard.fresh = False
-            later.append(operation)
-    shard.pending = later
-
-
-def _give_up(state, shard):
-    """Answer reservations that have waited too long for the service.
-
-    None of them was ever sent, so none can be written later. One whose key is
-    known is answered from memory, which may be old: it is not said to be free.
-    """
-    later = []
-    for operation in shard.pending:
-        waited_s = state.now - operation.arrived_at
-        if operation.status != "reserved":
-            # The entry node keeps the ending and sends it again.
-            continue
-        if waited_s < UNAVAILABLE_AFTER_S and shard.n_failures < 3:
-            later.append(operation)
-            continue
-        entry = shard.entries_by_key.get(operation.key)
-        status = judge_reservation(state, entry, operation)
-        yield _answer(operation, status or "unavailable", entry if status else None)
-    shard.pending = later
-
-
-def _row(state, operation):
+def _row(operation, at_s, now):
     origin, request = split_attempt(operation.attempt)
+    lasts_s = operation.ends_at - now
     return Row(
         key=operation.key,
         status=operation.status,
         origin=origin,
         request=request,
-        at_s=int(wall_s(state)),
-        ends_at_s=operation.ends_at_s,
+        at_s=at_s,
+        ends_at_s=at_s + int(lasts_s) + 1 if lasts_s > 0 else 0,
         body_digest=operation.body_digest,
         response=operation.response,
     )
@@ -264,16 +195,17 @@
     if full:
         log.drop_expired(state, shard)
         full = len(shard.entries_by_key) >= MAX_ENTRIES_PER_SHARD
+    at_s = log.stamp_s(state, shard)
     batch, rows, later, reserved_keys, n_bytes = [], [], [], set(), 0
     for operation in shard.pending:
         if operation.status == "reserved":
             if full:
-                yield _answer(operation, "unavailable")
+                yield answer(operation, "unavailable")
                 continue
             if operation.key in reserved_keys:
                 later.append(operation)
                 continue
-        row = _row(state, operation)
+        row = _row(operation, at_s, state.now)
         n_bytes += row_bytes(row)
         if n_bytes > MAX_BATCH_BYTES and batch:
             later.append(operation)
@@ -291,7 +223,7 @@
         position=shard.position + 1,
         meta_revision=shard.meta_revision,
         batch_id=batch_id,
-        value=encode_rows(batch_id, int(wall_s(state)), rows),
+        value=encode_rows(batch_id, at_s, rows),
         operations=tuple(batch),
     )
     yield _send_flight(state, shard, number)
@@ -350,7 +282,7 @@
         log.apply_batch(shard, decode_rows(flight.value)[1])
         for operation in flight.operations:
             entry = shard.entries_by_key.get(operation.key)
-            yield _answer(operation, "reserved", entry)
+            yield answer(operation, "reserved", entry)
     elif event.status == "unreachable" and not shard.doubtful:
         # Provably without effect: the operations are pending as before.
         shard.pending = [*shard.flight.operations, *shard.pending]
--- a/src/savoryhill/node/drivers/platform.py
+++ b/src/savoryhill/node/drivers/platform.py
@@ -3,7 +3,7 @@
 import gevent
 
 from savoryhill.core import effects, events
-from savoryhill.errors import OutcomeUnknownError, PlatformUnreachableError
+from savoryhill.errors import OutcomeUnknownError, PlatformError
 from savoryhill.node.runtime import submit
 from savoryhill.platform.key_value import read_range, transact
 
@@ -11,15 +11,15 @@
 def make_platform_drivers(node):
     """Build the drivers of effects on the platform's services."""
 
-    def call_key_value(effect):
+    def start_call(effect):
         gevent.spawn(_call_key_value, node, effect)
 
     def set_timer(effect):
         gevent.spawn(_fire_timer, node, effect)
 
     return {
-        effects.KeyValueTransaction: call_key_value,
-        effects.KeyValueRange: call_key_value,
+        effects.KeyValueTransaction: start_call,
+        effects.KeyValueRange: start_call,
         effects.SetTimer: set_timer,
     }
 
@@ -32,19 +32,38 @@
 
 def _call_key_value(node, effect):
     now = node.clock.monotonic
-    started_at = now()
+    event = call_key_value(node.key_value, effect, started_at=now(), now=now)
+    submit(node.runtime, event)
+
+
+def call_key_value(client, effect, *, started_at, now):
+    """Carry out a key-value effect.
+
+    Parameters
+    ----------
+    client : KeyValueClient
+        The connection.
+    effect : KeyValueRange or KeyValueTransaction
+        The call.
+    started_at : float
+        Time at which the core asked for the call.
+    now : callable
+        Returns the time in seconds.
+
+    Returns
+    -------
+    KeyValueAnswered
+        How the call ended.
+    """
     rows, revision = (), 0
     try:
         if type(effect) is effects.KeyValueRange:
             answer = read_range(
-                node.key_value,
-                effect.key,
-                prefix=effect.prefix,
-                range_end=effect.range_end,
+                client, effect.key, prefix=effect.prefix, range_end=effect.range_end
             )
         else:
             answer = transact(
-                node.key_value,
+                client,
                 compares=effect.compares,
                 puts=effect.puts,
                 deletes=effect.deletes,
@@ -52,18 +71,15 @@
             )
         status = "ok" if answer.succeeded else "conflict"
         rows, revision = answer.rows, answer.revision
-    except PlatformUnreachableError:
-        status = "unreachable"
     except OutcomeUnknownError:
         status = "unknown"
-    submit(
-        node.runtime,
-        events.KeyValueAnswered(
-            at=now(),
-            call_id=effect.call_id,
-            status=status,
-            started_at=started_at,
-            rows=rows,
-            revision=revision,
-        ),
+    except PlatformError:
+        status = "unreachable"
+    return events.KeyValueAnswered(
+        at=now(),
+        call_id=effect.call_id,
+        status=status,
+        started_at=started_at,
+        rows=rows,
+        revision=revision,
     )
--- /dev/null
+++ b/src/savoryhill/standins/world.py
@@ -0,0 +1,465 @@
+"""Everything around the cores of a few nodes, in one process with paused time.
+
+Nothing happens by itself: messages between nodes, calls to the key-value service,
+timers and calls to the service wait until the world's user carries them out, in
+any order and with any fault. The cores and the key-value client are the real
+ones; only the HTTP layer below the client is replaced.
+"""
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from savoryhill.clock import Clock
+from savoryhill.config import model
+from savoryhill.core import effects, events, messages
+from savoryhill.core.coordination.state import CoordinatorRecord
+from savoryhill.core.journal.codec import decode_meta, decode_rows
+from savoryhill.core.journal.judge import apply_row, put_entry
+from savoryhill.core.journal.state import Shard
+from savoryhill.core.membership.state import Member
+from savoryhill.core.reducer import reduce
+from savoryhill.core.state import NodeState, new_state
+from savoryhill.errors import NotConnectedError
+from savoryhill.node.drivers.platform import call_key_value
+from savoryhill.platform.key_value import connect_key_value, transaction_body
+from savoryhill.standins import platform_store as kv
+
+SERVICE = "orders"
+COORDINATOR = "coordinator"
+DEADLINE_S = 5.0
+CALL_RESULTS = ("ok", "lost", "delayed", "refused", "down", "not_connected")
+ATTEMPT_RESULTS = ("completed", "lost", "dropped", "not_sent", "refused", "delayed")
+
+
+@dataclass(kw_only=True)
+class WorldNode:
+    """A node's core with what it waits for; ``paused`` ones receive nothing."""
+
+    name: str
+    state: NodeState
+    client: object
+    incarnation: int = 1
+    paused: bool = False
+    calls: list = field(default_factory=list)
+    timers: list[tuple[float, str]] = field(default_factory=list)
+    attempts: list[effects.StartAttempt] = field(default_factory=list)
+    lookups: list[effects.LookUpCall] = field(default_factory=list)
+
+
+@dataclass(kw_only=True)
+class World:
+    """The nodes and their surroundings.
+
+    ``delayed`` holds writes whose sender has given up and which may still arrive;
+    ``delayed_executions`` the same for calls to the service.
+    """
+
+    store: kv.StoreState = field(default_factory=kv.StoreState)
+    now: float = 100.0
+    n_requests: int = 0
+    fault: str = "ok"
+    nodes: dict[str, WorldNode] = field(default_factory=dict)
+    wire: list[tuple[str, str, messages.Message]] = field(default_factory=list)
+    delayed: list[dict] = field(default_factory=list)
+    delayed_executions: list[messages.RequestSpec] = field(default_factory=list)
+    specs: dict[str, messages.RequestSpec] = field(default_factory=dict)
+    executions_by_key: Counter = field(default_factory=Counter)
+    executed_requests: set[str] = field(default_factory=set)
+    finishes: dict[str, effects.FinishRequest] = field(default_factory=dict)
+    recorded: Counter = field(default_factory=Counter)
+
+
+def make_configuration(*, lookup=True):
+    """Build a configuration with one service and one journal shard."""
+    return model.Configuration(
+        revision=1,
+        zones=(model.Zone(name="zone-a", region="south"),),
+        endpoints=(
+            model.Endpoint(
+                id="orders-0",
+                address="127.0.0.1:1",
+                zone="zone-a",
+                group="orders/south/0",
+                hardware="application",
+            ),
+        ),
+        groups=(
+            model.Group(
+                id="orders/south/0",
+                target=SERVICE,
+                region="south",
+                endpoints=("orders-0",),
+            ),
+        ),
+        services=(
+            model.Service(
+                name=SERVICE,
+                calls=(
+                    model.ServiceCall(
+                        method="POST",
+                        path="/call/order",
+                        idempotent=False,
+                        kind="order",
+                        lookup_path="/lookup" if lookup else "",
+                    ),
+                ),
+            ),
+        ),
+        journal=model.JournalSettings(n_shards=1),
+    )
+
+
+def make_world(n_nodes):
+    """Build a world of nodes named ``node-0`` and so on."""
+    world = World()
+    for number in range(n_nodes):
+        start(world, f"node-{number}")
+    return world
+
+
+def start(world, name):
+    """Start a node, or start it again with the next incarnation."""
+    earlier = world.nodes.get(name)
+    incarnation = earlier.incarnation + 1 if earlier else 1
+    state = new_state(
+        node=name,
+        zone="zone-a",
+        region="south",
+        address=f"{name}:1",
+        incarnation=incarnation,
+        seed=incarnation,
+    )
+    state.configuration.active = make_configuration()
+    state.coordination.records_by_group["orders/south/0"] = CoordinatorRecord(
+        holder=COORDINATOR, fence=1
+    )
+    clock = Clock(
+        monotonic=lambda: world.now,
+        wall=lambda: world.now + 1e6,
+        sleep=lambda seconds: None,
+    )
+    client = connect_key_value("127.0.0.1:1", clock=clock, writes_per_s=1e6)
+    client.reads.rate_per_s = client.reads.burst = client.reads.tokens = 1e6
+    client.once.http = SimpleNamespace(
+        request=lambda method, path, body, headers: _serve(world, path, body)
+    )
+    world.nodes[name] = WorldNode(
+        name=name, state=state, client=client, incarnation=incarnation
+    )
+    see_nodes(world, name, world.nodes)
+    for other in world.nodes:
+        if other != name:
+            see_nodes(world, other, world.nodes)
+
+
+def see_nodes(world, name, seen):
+    """Set which nodes a node believes to be live."""
+    members = world.nodes[name].state.membership.members_by_node
+    members.clear()
+    for other in seen:
+        members[other] = Member(node=other, address=f"{other}:1")
+
+
+def _serve(world, path, body):
+    """Answer a call of the key-value client under the current fault."""
+    fault, body = world.fault, json.loads(body)
+    writes = path == "/v3/kv/txn"
+    if fault == "not_connected":
+        raise NotConnectedError("no connection")
+    if fault == "delayed" and writes:
+        world.delayed.append(body)
+    if fault == "delayed" or (fault == "lost" and not writes):
+        raise TimeoutError("no answer")
+    if fault in ("refused", "down"):
+        return _response(429 if fault == "refused" else 503, {})
+    answer = (kv.apply_transaction if writes else kv.apply_range)(world.store, body)
+    if fault == "lost":
+        raise TimeoutError("no answer")
+    return _response(200, answer)
+
+
+def _response(status, answer):
+    content = json.dumps(answer).encode()
+    return SimpleNamespace(status_code=status, read=lambda: content, items=dict().items)
+
+
+def submit(world, node, event):
+    """Feed an event to a node and take its effects."""
+    for effect in reduce(node.state, event):
+        kind = type(effect)
+        if kind is effects.SendPeer:
+            world.wire.append((node.name, effect.to, effect.message))
+        elif kind in (effects.KeyValueRange, effects.KeyValueTransaction):
+            node.calls.append((world.now, effect))
+        elif kind is effects.SetTimer:
+            node.timers.append((world.now + effect.delay_s, effect.name))
+        elif kind is effects.StartAttempt:
+            node.attempts.append(effect)
+        elif kind is effects.CancelAttempt:
+            _cancel(world, node, effect)
+        elif kind is effects.LookUpCall:
+            node.lookups.append(effect)
+        elif kind is effects.FinishRequest:
+            world.finishes[effect.request_id] = effect
+        elif kind is effects.Record:
+            world.recorded[effect.name] += 1
+
+
+def _cancel(world, node, effect):
+    for attempt in list(node.attempts):
+        if attempt.spec.request_id == effect.request_id:
+            node.attempts.remove(attempt)
+            # Its bytes may be on the way to the service.
+            world.delayed_executions.append(attempt.spec)
+
+
+def place_order(world, name, key, *, body=b"body"):
+    """Let a caller place an order at a node; return the request id."""
+    world.n_requests += 1
+    request_id = f"{world.n_requests:032x}"
+    spec = messages.RequestSpec(
+        request_id=request_id,
+        workspace="workspace-one",
+        kind="order",
+        target=SERVICE,
+        is_model=False,
+        prompt_tokens=0,
+        max_tokens=0,
+        deadline_at=world.now + DEADLINE_S,
+        idempotent=False,
+        journal_key=key.encode().ljust(16, b"."),
+        body_digest=body.ljust(16, b"."),
+        lookup_path="/lookup",
+    )
+    world.specs[request_id] = spec
+    submit(world, world.nodes[name], events.RequestArrived(at=world.now, spec=spec))
+    return request_id
+
+
+def deliver(world, index, *, lose=False):
+    """Deliver or lose one message between nodes."""
+    sender, to, message = world.wire.pop(index % len(world.wire))
+    if lose:
+        return
+    if to == COORDINATOR:
+        if type(message) is messages.PlaceRequest:
+            reply = messages.PlaceReply(
+                request_id=message.request_id,
+                attempt=message.attempt,
+                group=message.group,
+                status="granted",
+                endpoint="orders-0",
+                fence=1,
+            )
+            world.wire.append((COORDINATOR, sender, reply))
+        return
+    node = world.nodes[to]
+    if node.paused:
+        world.wire.append((sender, to, message))
+        return
+    submit(
+        world,
+        node,
+        events.PeerReceived(at=world.now, sender=sender, message=message),
+    )
+
+
+def answer_call(world, name, *, fault="ok", index=0):
+    """Carry out one key-value call of a node under a fault."""
+    node = world.nodes[name]
+    started_at, effect = node.calls.pop(index % len(node.calls))
+    world.fault = fault
+    event = call_key_value(
+        node.client, effect, started_at=started_at, now=lambda: world.now
+    )
+    world.fault = "ok"
+    submit(world, node, event)
+
+
+def arrive_late(world, index):
+    """Let a write arrive whose sender has given up waiting."""
+    kv.apply_transaction(world.store, world.delayed.pop(index % len(world.delayed)))
+
+
+def _execute(world, spec):
+    world.executions_by_key[spec.journal_key] += 1
+    world.executed_requests.add(spec.request_id)
+
+
+def execute_late(world, index):
+    """Let a call reach the service whose sender has given up waiting."""
+    spec = world.delayed_executions.pop(index % len(world.delayed_executions))
+    _execute(world, spec)
+
+
+def answer_of(spec):
+    """Return what the service answers to a request."""
+    return spec.request_id.encode()
+
+
+def run_attempt(world, name, result):
+    """Carry out one call to the service.
+
+    ``lost`` loses the answer after the execution, ``dropped`` the call before
+    it, ``delayed`` breaks the connection while the call is on its way.
+    """
+    node = world.nodes[name]
+    effect = node.attempts.pop(0)
+    spec = effect.spec
+    if result in ("completed", "lost"):
+        _execute(world, spec)
+    elif result == "delayed":
+        world.delayed_executions.append(spec)
+    broken = result in ("lost", "dropped", "delayed")
+    submit(
+        world,
+        node,
+        events.AttemptEnded(
+            at=world.now,
+            request_id=spec.request_id,
+            attempt=effect.attempt,
+            result="broken" if broken else result,
+            status=200 if result == "completed" else 0,
+            response=answer_of(spec) if result == "completed" else b"",
+        ),
+    )
+
+
+def answer_lookup(world, name):
+    """Answer one lookup of a node from the service's books."""
+    node = world.nodes[name]
+    spec = node.lookups.pop(0).spec
+    executed = [
+        other
+        for other in world.specs.values()
+        if other.journal_key == spec.journal_key
+        and other.request_id in world.executed_requests
+    ]
+    submit(
+        world,
+        node,
+        events.CallLookedUp(
+            at=world.now,
+            request_id=spec.request_id,
+            result="executed" if executed else "not_found",
+            status=200 if executed else 404,
+            response=answer_of(executed[0]) if executed else b"",
+        ),
+    )
+
+
+def crash(world, name):
+    """End a node's process; calls on their way may still arrive."""
+    node = world.nodes[name]
+    world.delayed += _transactions_under_way(node)
+    world.delayed_executions += [effect.spec for effect in node.attempts]
+    world.wire = [item for item in world.wire if item[0] != name]
+    start(world, name)
+
+
+def _transactions_under_way(node):
+    return [
+        transaction_body(
+            compares=effect.compares,
+            puts=effect.puts,
+            deletes=effect.deletes,
+            delete_ranges=effect.delete_ranges,
+        )
+        for _, effect in node.calls
+        if type(effect) is effects.KeyValueTransaction
+    ]
+
+
+def pass_time(world, seconds):
+    """Advance the clock and let timers and ticks of running nodes fire."""
+    world.now += seconds
+    for node in list(world.nodes.values()):
+        if node.paused:
+            continue
+        due = [timer for timer in node.timers if timer[0] <= world.now]
+        node.timers = [timer for timer in node.timers if timer[0] > world.now]
+        for _, name in due:
+            submit(world, node, events.TimerFired(at=world.now, name=name))
+        wall_s = world.now + 1e6
+        submit(world, node, events.Ticked(at=world.now, wall_s=wall_s))
+
+
+def settle(world, *, n_rounds=400):
+    """Let everything happen without further faults until nothing waits."""
+    for node in world.nodes.values():
+        node.paused = False
+    for _ in range(n_rounds):
+        while world.wire:
+            deliver(world, 0)
+        for name, node in world.nodes.items():
+            while node.calls:
+                answer_call(world, name)
+            while node.attempts:
+                run_attempt(world, name, "completed")
+            while node.lookups:
+                answer_lookup(world, name)
+        pass_time(world, 0.05)
+
+
+def durable_entries(world):
+    """Read the log as the key-value service holds it.
+
+    Returns
+    -------
+    Shard
+        With the entries that follow from meta key, segments and batches.
+    """
+    shard = Shard()
+    rows = {key.decode(): value for key, (value, _) in world.store.rows_by_key.items()}
+    if "/journal/0/meta" in rows:
+        shard.meta = decode_meta(rows["/journal/0/meta"])
+    for segment in shard.meta.segments:
+        value = rows[f"/journal/0/segment/{segment.last_position:012d}"]
+        for row in decode_rows(value)[1]:
+            put_entry(shard, row)
+    shard.position = shard.meta.folded_through
+    batches = sorted(key for key in rows if key.startswith("/journal/0/batch/"))
+    for key in batches:
+        shard.position += 1
+        assert key.endswith(f"{shard.position:012d}"), f"gap in the log: {batches}"
+        for row in decode_rows(rows[key])[1]:
+            apply_row(shard, row)
+    return shard
+
+
+def check(world, done_responses_by_key):
+    """Check what must hold in every state of a world.
+
+    Parameters
+    ----------
+    world : World
+        The world.
+    done_responses_by_key : dict of bytes to bytes
+        Answers seen as done earlier; updated.
+
+    Returns
+    -------
+    list of str
+        What does not hold.
+    """
+    findings = [
+        f"key {key} ran {count} times"
+        for key, count in world.executions_by_key.items()
+        if count > 1
+    ]
+    findings += [
+        f"request {request_id} was called not run but ran: {finish.detail}"
+        for request_id, finish in world.finishes.items()
+        if finish.execution == "not_run" and request_id in world.executed_requests
+    ]
+    entries = durable_entries(world).entries_by_key
+    for key, response in done_responses_by_key.items():
+        entry = entries.get(key)
+        if entry is None or (entry.status, entry.response) != ("done", response):
+            findings.append(f"the answer of key {key} was done and is {entry}")
+    for key, entry in entries.items():
+        if entry.status == "done":
+            done_responses_by_key.setdefault(key, entry.response)
+    return findings
--- /dev/null
+++ b/tests/core/journal/test_machine.py
@@ -0,0 +1,128 @@
+"""Drive the real cores of two or three nodes through any order of faults."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from savoryhill.core.journal import log
+from savoryhill.standins import world as w
+
+KEYS = st.sampled_from(["a", "b"])
+NODES = st.integers(min_value=0, max_value=2)
+INDEX = st.integers(min_value=0, max_value=5)
+N_EXAMPLES = int(os.environ.get("SAVORYHILL_EXAMPLES", "60"))
+
+
+class Journal(RuleBasedStateMachine):
+    """Orders with two keys under faults; every rule is one step of the world."""
+
+    @initialize(n_nodes=st.integers(min_value=2, max_value=3))
+    def begin(self, n_nodes):
+        self.world = w.make_world(n_nodes)
+        self.n_nodes = n_nodes
+        self.done = {}
+        self.fold_batches = log.FOLD_BATCHES
+        log.FOLD_BATCHES = 3
+        w.pass_time(self.world, 0.05)
+
+    def name(self, number):
+        return f"node-{number % self.n_nodes}"
+
+    @rule(number=NODES, key=KEYS, body=st.sampled_from([b"one", b"one", b"two"]))
+    def order(self, number, key, body):
+        w.place_order(self.world, self.name(number), key, body=body)
+
+    @precondition(lambda self: self.world.wire)
+    @rule(index=INDEX, lose=st.sampled_from([False, False, False, True]))
+    def message(self, index, lose):
+        w.deliver(self.world, index, lose=lose)
+
+    @precondition(lambda self: self.world.wire)
+    @rule()
+    def all_messages(self):
+        for _ in range(len(self.world.wire)):
+            w.deliver(self.world, 0)
+
+    @rule(number=NODES, fault=st.sampled_from(["ok", "ok", "ok", *w.CALL_RESULTS]))
+    def call(self, number, fault):
+        name = self.name(number)
+        if self.world.nodes[name].calls and not self.world.nodes[name].paused:
+            w.answer_call(self.world, name, fault=fault)
+
+    @precondition(lambda self: self.world.delayed)
+    @rule(index=INDEX)
+    def late_write(self, index):
+        w.arrive_late(self.world, index)
+
+    @rule(number=NODES, result=st.sampled_from(w.ATTEMPT_RESULTS))
+    def attempt(self, number, result):
+        name = self.name(number)
+        if self.world.nodes[name].attempts and not self.world.nodes[name].paused:
+            w.run_attempt(self.world, name, result)
+
+    @precondition(lambda self: self.world.delayed_executions)
+    @rule(index=INDEX)
+    def late_execution(self, index):
+        w.execute_late(self.world, index)
+
+    @rule(number=NODES)
+    def lookup(self, number):
+        name = self.name(number)
+        if self.world.nodes[name].lookups and not self.world.nodes[name].paused:
+            w.answer_lookup(self.world, name)
+
+    @rule(seconds=st.sampled_from([0.05, 0.05, 0.25, 1.0, 8.0]))
+    def time(self, seconds):
+        w.pass_time(self.world, seconds)
+
+    @rule(number=NODES)
+    def pause_or_resume(self, number):
+        node = self.world.nodes[self.name(number)]
+        node.paused = not node.paused
+
+    @rule(number=NODES)
+    def crash(self, number):
+        w.crash(self.world, self.name(number))
+
+    @rule(number=NODES, seen=st.sets(NODES))
+    def membership(self, number, seen):
+        name = self.name(number)
+        w.see_nodes(self.world, name, {name, *(self.name(n) for n in seen)})
+
+    @invariant()
+    def every_property_holds(self):
+        if hasattr(self, "world"):
+            assert w.check(self.world, self.done) == []
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        try:
+            w.settle(self.world, n_rounds=160)
+            assert w.check(self.world, self.done) == []
+            unfinished = [
+                request_id
+                for node in self.world.nodes.values()
+                for request_id in node.state.requests.requests_by_id
+            ]
+            assert unfinished == [], "a request outlived its deadline"
+        finally:
+            log.FOLD_BATCHES = self.fold_batches
+
+
+TestJournal = Journal.TestCase
+TestJournal.settings = settings(
+    max_examples=N_EXAMPLES,
+    stateful_step_count=60,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/tests/core/journal/test_walk.py
@@ -0,0 +1,133 @@
+"""Long random walks of the real cores, and rules whose removal they must notice."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from savoryhill.core.journal import judge, log, replies, writer
+from savoryhill.core.requests import lifecycle
+from savoryhill.standins import world as w
+
+N_STEPS = 1_500
+KEYS = [f"key-{number}" for number in range(40)]
+
+
+@pytest.fixture(autouse=True)
+def small_folds(monkeypatch):
+    monkeypatch.setattr(log, "FOLD_BATCHES", 4)
+
+
+def step(world, rng):
+    """Take one random step; progress is more likely than faults."""
+    name = rng.choice(list(world.nodes))
+    node = world.nodes[name]
+    roll = rng.random()
+    if roll < 0.06:
+        recent = world.n_requests // 6
+        key = KEYS[min(len(KEYS) - 1, max(0, recent + rng.choice((0, 0, -1, -2))))]
+        w.place_order(world, name, key)
+    elif roll < 0.50 and world.wire:
+        w.deliver(world, rng.randrange(3), lose=rng.random() < 0.03)
+    elif roll < 0.72 and node.calls and not node.paused:
+        results = w.CALL_RESULTS if rng.random() < 0.3 else ("ok",)
+        w.answer_call(world, name, fault=rng.choice(results))
+    elif roll < 0.82 and node.attempts and not node.paused:
+        results = w.ATTEMPT_RESULTS if rng.random() < 0.5 else ("completed",)
+        w.run_attempt(world, name, rng.choice(results))
+    elif roll < 0.84 and node.lookups and not node.paused:
+        w.answer_lookup(world, name)
+    elif roll < 0.86 and world.delayed:
+        w.arrive_late(world, rng.randrange(5))
+    elif roll < 0.87 and world.delayed_executions:
+        w.execute_late(world, rng.randrange(5))
+    elif roll < 0.88:
+        node.paused = not node.paused
+    elif roll < 0.883:
+        w.crash(world, name)
+    elif roll < 0.89:
+        seen = [other for other in world.nodes if rng.random() < 0.6]
+        w.see_nodes(world, name, {name, *seen})
+    else:
+        w.pass_time(world, rng.choice((0.02, 0.05, 0.05, 0.05, 0.3, 2.0)))
+
+
+def walk(seed, *, n_steps=N_STEPS):
+    """Walk and settle; return what did not hold, and the world."""
+    rng = random.Random(seed)
+    world, done = w.make_world(3), {}
+    w.pass_time(world, 0.05)
+    for _ in range(n_steps):
+        step(world, rng)
+        findings = w.check(world, done)
+        if findings:
+            return findings, world
+    w.settle(world, n_rounds=120)
+    return w.check(world, done), world
+
+
+class TestWalk:
+    def test_faults_in_any_order_break_no_property(self):
+        seen = Counter()
+        for seed in range(8):
+            findings, world = walk(seed)
+            assert findings == [], f"seed {seed}"
+            seen.update(world.recorded)
+            seen.update(each.execution for each in world.finishes.values())
+            seen["executions"] += len(world.executions_by_key)
+        assert seen["executions"] > 40
+        for name in ("completed", "not_run", "unknown", "journal.folded"):
+            assert seen[name] > 20, name
+
+
+def _compare_only_key(state, shard, number, original=writer._send_flight):
+    effect = original(state, shard, number)
+    return _with_compares(effect, effect.compares[:1])
+
+
+def _compare_only_meta(state, shard, number, original=writer._send_flight):
+    effect = original(state, shard, number)
+    return _with_compares(effect, effect.compares[1:])
+
+
+def _with_compares(effect, compares):
+    return type(effect)(call_id=effect.call_id, compares=compares, puts=effect.puts)
+
+
+def _judge_free(state, entry, operation, original=judge.judge_reservation):
+    status = original(state, entry, operation)
+    return None if status == "unknown" else status
+
+
+def _finish_as_not_sent(
+    state, request, status, response=b"", original=lifecycle._journal_finish
+):
+    status = "not_sent" if status == "unknown" else status
+    return original(state, request, status, response)
+
+
+MUTATIONS = {
+    "a taken position is overwritten": (writer, "_send_flight", _compare_only_meta),
+    "a folded position is created again": (writer, "_send_flight", _compare_only_key),
+    "an unknown call is sent again": (replies, "judge_reservation", _judge_free),
+    "a broken call is reported as not sent": (
+        lifecycle,
+        "_journal_finish",
+        _finish_as_not_sent,
+    ),
+}
+
+
+class TestMutations:
+    @pytest.mark.parametrize("name", MUTATIONS)
+    def test_a_removed_rule_is_noticed(self, name, monkeypatch):
+        module, function, replacement = MUTATIONS[name]
+        monkeypatch.setattr(module, function, replacement)
+        assert any(_breaks(seed) for seed in range(60))
+
+
+def _breaks(seed):
+    try:
+        return bool(walk(seed)[0])
+    except AssertionError:
+        return True
--- /dev/null
+++ b/tests/core/journal/test_writer.py
@@ -0,0 +1,267 @@
+import pytest
+
+from savoryhill.core import events, messages
+from savoryhill.core.journal import codec, log
+from savoryhill.core.journal.answers import MAX_STORED_BODY_BYTES
+from savoryhill.core.journal.keys import writer_of
+from savoryhill.standins import world as w
+
+
+@pytest.fixture
+def world():
+    world = w.make_world(2)
+    w.pass_time(world, 0.05)
+    return world
+
+
+def nodes_by_role(world):
+    """Return the shard's writer and the other node."""
+    writer = writer_of(world.nodes["node-0"].state, 0)
+    (other,) = set(world.nodes) - {writer}
+    return writer, other
+
+
+def deliver_all(world):
+    while world.wire:
+        w.deliver(world, 0)
+
+
+def run(world, *names, faults=()):
+    """Let messages and calls happen for a while, the first calls with faults."""
+    faults = list(faults)
+    for _ in range(8):
+        deliver_all(world)
+        for name in names:
+            while world.nodes[name].calls:
+                w.answer_call(world, name, fault=faults.pop(0) if faults else "ok")
+            while world.nodes[name].attempts:
+                w.run_attempt(world, name, "completed")
+            while world.nodes[name].lookups:
+                w.answer_lookup(world, name)
+        w.pass_time(world, 0.05)
+
+
+def execution(world, request_id):
+    finish = world.finishes.get(request_id)
+    return finish and finish.execution
+
+
+def status_of(world, key):
+    return w.durable_entries(world).entries_by_key[key.encode().ljust(16, b".")].status
+
+
+class TestLostAnswers:
+    def test_a_write_whose_answer_was_lost_is_read_back(self, world):
+        # The caller was refused as "not run" or the key stayed reserved.
+        writer, other = nodes_by_role(world)
+        order = w.place_order(world, other, "a")
+        run(world, writer, other, faults=["ok", "lost"])
+        assert execution(world, order) == "completed"
+        assert sum(world.executions_by_key.values()) == 1
+
+    def test_a_write_that_arrives_after_the_read_back_changes_nothing(self, world):
+        # Reading an empty position does not prove that the write is gone.
+        writer, other = nodes_by_role(world)
+        order = w.place_order(world, other, "a")
+        run(world, writer, other, faults=["ok", "delayed"])
+        w.arrive_late(world, 0)
+        run(world, writer, other)
+        assert execution(world, order) == "completed"
+        assert w.check(world, {}) == []
+
+    def test_a_batch_in_doubt_is_not_called_unavailable(self, world):
+        # It may still be written, so the key would stay reserved for nobody.
+        writer, other = nodes_by_role(world)
+        order = w.place_order(world, other, "a")
+        run(world, writer, other, faults=["ok", "delayed", *["down"] * 200])
+        assert execution(world, order) is None
+        w.pass_time(world, 5.0)
+        assert execution(world, order) == "not_run"
+        w.arrive_late(world, 0)
+        run(world, writer, other)
+        assert status_of(world, "a") == "not_sent"
+        repeat = w.place_order(world, other, "a")
+        run(world, writer, other)
+        assert execution(world, repeat) == "completed"
+
+
+class TestTwoWriters:
+    def test_both_write_the_same_shard_and_one_order_runs(self, world):
+        for name in world.nodes:
+            w.see_nodes(world, name, {name})
+        orders = [w.place_order(world, name, "a") for name in world.nodes]
+        run(world, *world.nodes)
+        assert sum(world.executions_by_key.values()) == 1
+        assert "completed" in {execution(world, order) for order in orders}
+
+    def test_a_writer_paused_through_a_fold_creates_no_old_position(
+        self, world, monkeypatch
+    ):
+        # Its position does not exist any more, so only the meta key stops it.
+        monkeypatch.setattr(log, "FOLD_BATCHES", 3)
+        writer, other = nodes_by_role(world)
+        for name in world.nodes:
+            w.see_nodes(world, name, {name})
+        w.place_order(world, writer, "a")
+        run(world, writer)
+        w.place_order(world, writer, "b")
+        w.pass_time(world, 0.05)
+        assert world.nodes[writer].calls, "the paused writer's append is on its way"
+        world.nodes[writer].paused = True
+        for key in ("c", "d", "e", "f"):
+            w.place_order(world, other, key)
+            run(world, other)
+        assert world.recorded["journal.folded"] > 0
+        world.nodes[writer].paused = False
+        run(world, *world.nodes)
+        assert w.check(world, {}) == []
+        assert len(w.durable_entries(world).entries_by_key) == 6
+
+    def test_only_the_attempts_own_node_may_free_a_key(self, world):
+        writer, other = nodes_by_role(world)
+        w.place_order(world, other, "a")
+        run(world, writer, other)
+        message = messages.JournalFinish(
+            attempt=f"{other}:1:{1:032x}", key=b"a" + b"." * 15, status="not_sent"
+        )
+        event = events.PeerReceived(at=world.now, sender="node-9", message=message)
+        w.submit(world, world.nodes[writer], event)
+        assert world.recorded["journal.ending_refused"] == 1
+
+
+class TestOutage:
+    def test_a_key_known_as_done_is_answered_and_a_new_one_refused(self, world):
+        writer, other = nodes_by_role(world)
+        first = w.place_order(world, other, "a")
+        run(world, writer, other)
+        repeat = w.place_order(world, other, "a")
+        new = w.place_order(world, other, "b")
+        for _ in range(20):
+            run(world, writer, other, faults=["refused"] * 100)
+        assert world.finishes[repeat].response == world.finishes[first].response
+        assert execution(world, new) == "not_run"
+        assert world.finishes[new].status == 503
+        assert sum(world.executions_by_key.values()) == 1
+
+    def test_a_refused_reservation_is_free_after_the_outage(self, world):
+        writer, other = nodes_by_role(world)
+        w.place_order(world, other, "a")
+        for _ in range(20):
+            run(world, writer, other, faults=["down"] * 100)
+        repeat = w.place_order(world, other, "a")
+        run(world, writer, other)
+        assert execution(world, repeat) == "completed"
+
+
+class TestRepeats:
+    def test_another_body_is_refused(self, world):
+        writer, other = nodes_by_role(world)
+        w.place_order(world, other, "a")
+        run(world, writer, other)
+        repeat = w.place_order(world, writer, "a", body=b"other")
+        run(world, writer, other)
+        assert world.finishes[repeat].status == 422
+
+    def test_an_order_of_a_killed_node_is_settled_by_the_lookup(self, world):
+        writer, other = nodes_by_role(world)
+        first = w.place_order(world, other, "a")
+        deliver_all(world)
+        for _ in range(6):
+            for name in world.nodes:
+                while world.nodes[name].calls:
+                    w.answer_call(world, name)
+            deliver_all(world)
+            w.pass_time(world, 0.05)
+        w.crash(world, other)
+        early = w.place_order(world, writer, "a")
+        run(world, writer)
+        assert world.finishes[early].status == 409
+        w.execute_late(world, 0)
+        w.pass_time(world, 8.0)
+        repeat = w.place_order(world, writer, "a")
+        run(world, writer)
+        spec = world.specs[first]
+        assert world.finishes[repeat].response == w.answer_of(spec)
+        assert status_of(world, "a") == "done"
+        assert sum(world.executions_by_key.values()) == 1
+
+    def test_a_lookup_that_finds_nothing_frees_no_key(self, world):
+        # The earlier call may still be on its way to the service.
+        writer, other = nodes_by_role(world)
+        w.place_order(world, other, "a")
+        for _ in range(8):
+            deliver_all(world)
+            for name in world.nodes:
+                while world.nodes[name].calls:
+                    w.answer_call(world, name)
+            w.pass_time(world, 0.05)
+        w.run_attempt(world, other, "delayed")
+        repeat = w.place_order(world, other, "a")
+        run(world, writer, other)
+        assert execution(world, repeat) == "unknown"
+        assert status_of(world, "a") == "unknown"
+
+    def test_an_answer_too_large_to_keep_is_named_by_its_digest(
+        self, world, monkeypatch
+    ):
+        monkeypatch.setattr(
+            w, "answer_of", lambda spec: b"x" * (MAX_STORED_BODY_BYTES + 1)
+        )
+        writer, other = nodes_by_role(world)
+        w.place_order(world, other, "a")
+        run(world, writer, other)
+        repeat = w.place_order(world, other, "a")
+        run(world, writer, other)
+        finish = world.finishes[repeat]
+        assert (finish.execution, finish.answer_missing) == ("completed", True)
+        assert "SHA-256" in finish.detail
+
+
+class TestRetention:
+    def test_an_expired_answer_is_dropped_with_its_segment(self, world, monkeypatch):
+        monkeypatch.setattr(log, "FOLD_BATCHES", 2)
+        monkeypatch.setattr(log, "MERGE_BELOW_BYTES", 0)
+        writer, other = nodes_by_role(world)
+        w.place_order(world, other, "a")
+        run(world, writer, other)
+        w.pass_time(world, 100_000.0)
+        for key in "bcd":
+            w.place_order(world, other, key)
+            run(world, writer, other)
+        keys = {key[:1] for key in w.durable_entries(world).entries_by_key}
+        assert keys == {b"b", b"c", b"d"}
+        assert len(world.nodes[writer].state.journal.shards_by_number) == 1
+
+    def test_nothing_is_written_before_the_wall_clock_is_known(self):
+        # Entries stamped with 0 seemed expired to other nodes and ran twice.
+        world = w.make_world(1)
+        w.place_order(world, "node-0", "a")
+        assert world.nodes["node-0"].calls == []
+        run(world, "node-0")
+        (entry,) = w.durable_entries(world).entries_by_key.values()
+        assert entry.at_s > 1e6
+
+
+class TestCodec:
+    def test_sizes_of_rows_are_what_the_design_note_says(self):
+        rows = [
+            codec.Row(
+                key=bytes(16),
+                status="reserved",
+                origin="node-0:1764829266000",
+                request=bytes(16),
+                at_s=5,
+                ends_at_s=9,
+                body_digest=bytes(16),
+            )
+        ] * 50
+        size = len(codec.encode_rows("node-0:1764829266000:7", 5, rows))
+        assert size / len(rows) < 64
+        assert codec.decode_rows(codec.encode_rows("x", 5, rows))[1] == rows
+
+    @pytest.mark.parametrize("cut", [1, 5, 20, 40])
+    def test_damaged_values_are_refused(self, cut):
+        row = codec.Row(key=b"k", status="done", origin="n:1", request="r", at_s=1)
+        value = codec.encode_rows("identity", 1, [row])
+        with pytest.raises(codec.JournalFormatError):
+            codec.decode_rows(value[:-cut])
