bench: orders under faults; stop the 40 ms stall of gevent's HTTP server

Cause: nothing counted duplicates and false refusals over real sockets. gevent's HTTP server sends headers and body separately, so every answer after the first on a connection waited 40 ms for a delayed acknowledgement. Change: savoryhill bench orders; TCP_NODELAY on the listening socket; stopping a server ends the calls it is serving, so that a stopped node looks killed.

--- /dev/null
+++ b/src/savoryhill/cli/bench_orders.py
@@ -0,0 +1,43 @@
+"""The command ``savoryhill bench orders``."""
+
+import json
+import sys
+
+
+def orders(seed=1, seeds=1, faults="all", count=60, rate=30.0, nodes=3, output="text"):
+    """Place orders under faults and count duplicates and false refusals.
+
+    Parameters
+    ----------
+    seed : int
+        First seed.
+    seeds : int
+        Number of consecutive seeds to run.
+    faults : str
+        ``all`` or ``none``.
+    count : int
+        Orders per seed.
+    rate : float
+        Orders a second.
+    nodes : int
+        Number of entry nodes.
+    output : str
+        ``text`` or ``json`` (one document per seed and line).
+    """
+    from savoryhill.bench.orders import run_orders
+    from savoryhill.observability.logs import configure_logs
+
+    configure_logs(level="ERROR")
+    failed = False
+    for each in range(seed, seed + seeds):
+        result = run_orders(
+            seed=each, faults=faults, n_orders=count, rate_per_s=rate, n_nodes=nodes
+        )
+        failed = failed or bool(result["duplicates"] or result["false_not_run"])
+        if output == "json":
+            print(json.dumps(result), flush=True)
+        else:
+            pairs = (f"{name}={value}" for name, value in result.items())
+            print(" ".join(pairs), flush=True)
+    if failed:
+        sys.exit(1)
--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from savoryhill.cli.bench_orders import orders
 from savoryhill.errors import SavoryhillError
 
 
@@ -38,7 +39,7 @@
     stop_node(running)
 
 
-COMMANDS = {"demo": demo, "node": node}
+COMMANDS = {"demo": demo, "node": node, "bench": {"orders": orders}}
 
 
 def main():
--- a/src/savoryhill/httpapp.py
+++ b/src/savoryhill/httpapp.py
@@ -1,5 +1,7 @@
 """Build falcon resources from plain functions and serve them with gevent."""
 
+from gevent import socket
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
 
@@ -49,6 +51,13 @@
         The started server and the address it listens on.
     """
     host, port = address.rsplit(":", 1)
-    server = WSGIServer((host, int(port)), application, log=None, error_log=None)
+    # With a pool, stopping the server also ends the calls it is serving.
+    server = WSGIServer(
+        (host, int(port)), application, log=None, error_log=None, spawn=Pool()
+    )
     server.start()
+    # gevent writes headers and body separately; without this option the second
+    # write waits 40 ms for the peer's delayed acknowledgement. Accepted sockets
+    # inherit it from the listening one.
+    server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return server, f"{host}:{server.server_port}"
--- a/src/savoryhill/peers/transport.py
+++ b/src/savoryhill/peers/transport.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent import socket
+from gevent.pool import Pool
 from gevent.queue import Full, Queue
 from gevent.server import StreamServer
 
@@ -48,7 +49,10 @@
     """Accept frames from other nodes on ``ip:port``."""
     host, port = address.rsplit(":", 1)
     transport.server = StreamServer(
-        (host, int(port)), lambda sock, _: _read_frames(transport, sock)
+        (host, int(port)),
+        lambda sock, _: _read_frames(transport, sock),
+        # With a pool, stopping the server also ends its connections.
+        spawn=Pool(),
     )
     transport.server.start()
 
--- /dev/null
+++ b/tests/platform/test_key_value.py
@@ -0,0 +1,226 @@
+import json
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from savoryhill.clock import Clock
+from savoryhill.core.effects import Compare
+from savoryhill.errors import (
+    OutcomeUnknownError,
+    PlatformUnreachableError,
+    ResendPreventedError,
+    WatchSilentError,
+)
+from savoryhill.httpapp import serve
+from savoryhill.platform.budget import make_bucket, take_token
+from savoryhill.platform.key_value import connect_key_value, read_range, transact
+from savoryhill.platform.watch import grant_lease, keep_lease, watch
+from savoryhill.sendonce import connect_once, request_once
+from savoryhill.standins.platform import PlatformState, platform_application, set_faults
+
+ABSENT = (Compare(key="key", mod_revision=0),)
+PUT = (("key", b"value"),)
+
+
+@pytest.fixture
+def platform():
+    return PlatformState()
+
+
+@pytest.fixture
+def address(platform):
+    server, address = serve(platform_application(platform), "127.0.0.1:0")
+    yield address
+    server.stop(timeout=0.1)
+
+
+@pytest.fixture
+def reports():
+    return []
+
+
+@pytest.fixture
+def client(address, reports):
+    client = connect_key_value(
+        address,
+        timeout_s=0.2,
+        report=lambda name, **fields: reports.append((name, fields)),
+    )
+    yield client
+    client.once.http.close()
+
+
+@pytest.fixture
+def closing_server():
+    """A server that reads each request and closes without an answer."""
+    requests = []
+
+    def handle(sock, _):
+        requests.append(sock.recv(65_536))
+        sock.shutdown(socket.SHUT_RDWR)
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    yield f"127.0.0.1:{server.server_port}", requests
+    server.stop(timeout=0.1)
+
+
+class TestClassification:
+    @pytest.mark.parametrize("closed", [False, True], ids=["status", "closed"])
+    def test_a_lost_answer_is_unknown_and_the_write_stands(
+        self, platform, client, closed
+    ):
+        set_faults(platform, {"lose_next_answers": 1, "close_lost_answers": closed})
+        with pytest.raises(OutcomeUnknownError):
+            transact(client, compares=ABSENT, puts=PUT)
+        assert read_range(client, "key").rows[0].value == b"value"
+        assert platform.n_writes == 1, "the write was sent again"
+
+    @pytest.mark.parametrize(
+        ("faults", "error"),
+        [
+            ({"down": True}, OutcomeUnknownError),
+            ({"writes_per_s": 0.001}, PlatformUnreachableError),
+            ({"delay_s": 0.5}, OutcomeUnknownError),
+        ],
+        ids=["status 503", "status 429", "timeout"],
+    )
+    def test_failed_writes(self, platform, client, faults, error):
+        # A gateway gives 503 also after the proposal was accepted.
+        platform.buckets["writes"] = make_bucket(0.001)
+        platform.buckets["writes"].tokens = 0.0
+        set_faults(platform, faults)
+        with pytest.raises(error):
+            transact(client, compares=ABSENT, puts=PUT)
+
+    def test_a_refused_connection_is_provably_without_effect(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        client = connect_key_value(f"127.0.0.1:{port}")
+        with pytest.raises(PlatformUnreachableError):
+            transact(client, compares=ABSENT, puts=PUT)
+        assert client.counts["write", "not_connected"] == 1
+
+    def test_a_failed_comparison_is_a_conflict(self, client):
+        assert transact(client, compares=ABSENT, puts=PUT).succeeded
+        assert not transact(client, compares=ABSENT, puts=PUT).succeeded
+
+
+class TestSendOnce:
+    @pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+    def test_a_request_is_not_sent_again_on_a_closed_connection(
+        self, closing_server, method
+    ):
+        # geventhttpclient 2.6.1 sends GET, PUT and DELETE again in this case.
+        address, requests = closing_server
+        client = connect_once(address, connect_timeout_s=1.0, timeout_s=1.0)
+        with pytest.raises(Exception, match="closed|peer") as caught:
+            request_once(client, method, "/")
+        assert len(requests) == 1
+        assert method == "POST" or isinstance(caught.value, ResendPreventedError)
+
+    def test_the_next_request_of_a_greenlet_is_sent(self, address):
+        client = connect_once(address, connect_timeout_s=1.0, timeout_s=1.0)
+        for _ in range(2):
+            assert request_once(client, "GET", "/control/counts")[0] == 200
+
+
+class TestReads:
+    def test_a_failed_read_is_tried_again(self, platform, client):
+        platform.delay_s = 0.5
+        gevent.spawn_later(0.25, setattr, platform, "delay_s", 0.0)
+        assert read_range(client, "key").rows == ()
+        assert client.counts["read", "timeout"] >= 1
+
+    def test_a_revision_that_goes_back_is_ignored_and_reported(
+        self, platform, client, reports
+    ):
+        # A service restored from an old copy must not undo what was read.
+        transact(client, compares=ABSENT, puts=PUT)
+        platform.revision = 1
+        with pytest.raises(PlatformUnreachableError):
+            read_range(client, "key")
+        assert reports[0][0] == "key_value.revision_went_back"
+        assert client.counts["read", "revision_went_back"] == 3
+
+
+class TestBudget:
+    def test_calls_over_the_budget_wait_and_then_fail_without_effect(self, address):
+        slept = []
+        clock = Clock(monotonic=lambda: 0.0, wall=lambda: 0.0, sleep=slept.append)
+        client = connect_key_value(address, writes_per_s=4.0, clock=clock)
+        for _ in range(6):
+            transact(client, compares=(), puts=PUT)
+        with pytest.raises(PlatformUnreachableError, match="budget"):
+            transact(client, compares=(), puts=PUT)
+        assert slept == [0.25, 0.5]
+        assert client.counts["write", "budget"] == 1
+
+    def test_the_rate_holds_over_time(self):
+        bucket = make_bucket(10.0)
+        taken = [
+            take_token(bucket, step / 100, max_wait_s=0.0) is not None
+            for step in range(1000)
+        ]
+        assert 100 <= sum(taken) <= 110
+
+
+class TestWatch:
+    def test_a_silent_watch_is_noticed(self, platform, client, reports):
+        # Its connection stays open, so only the missing progress shows the fault.
+        transact(client, compares=ABSENT, puts=PUT)
+        platform.silent_watches = True
+        rows = watch(client, "key", start_revision=0, timeout_s=0.3)
+        assert next(rows).value == b"value"
+        with pytest.raises(WatchSilentError):
+            next(rows)
+        assert reports[-1][0] == "key_value.watch_silent"
+
+    def test_an_idle_watch_delivers_the_next_write(self, platform, client, monkeypatch):
+        monkeypatch.setattr("savoryhill.standins.platform.PROGRESS_INTERVAL_S", 0.05)
+        rows = watch(client, "key", start_revision=0, timeout_s=0.3)
+        gevent.spawn_later(0.5, transact, client, compares=ABSENT, puts=PUT)
+        assert next(rows).value == b"value"
+
+    def test_rows_that_go_back_are_dropped(self, platform, client, reports):
+        transact(client, compares=ABSENT, puts=PUT)
+        old = (1, b"key", b"old")
+        new = (platform.revision + 5, b"key", b"new")
+        platform.history += [new, old, (platform.revision + 6, b"key", b"newer")]
+        rows = watch(client, "key", start_revision=0, timeout_s=0.3)
+        values = [next(rows).value for _ in range(3)]
+        assert values == [b"value", b"new", b"newer"]
+        assert client.counts["watch", "revision_went_back"] == 1
+
+
+class TestStandIn:
+    def test_a_lease_expires_with_its_keys(self, platform, client):
+        lease = grant_lease(client, ttl_s=5)
+        assert keep_lease(client, lease) == 5
+        platform.leases_by_id[lease][1] = 0.0
+        assert keep_lease(client, lease) == 0
+
+    def test_faults_are_switched_by_a_control_call(self, platform, address):
+        once = connect_once(address, connect_timeout_s=1.0, timeout_s=1.0)
+        for body, status in (({"hosts_lag_s": 2.5}, 200), ({"no_fault": 1}, 400)):
+            answer = request_once(
+                once,
+                "POST",
+                "/control/fault",
+                body=json.dumps(body).encode(),
+                headers={"Content-Type": "application/json"},
+            )
+            assert answer[0] == status
+        assert platform.hosts_lag_s == 2.5
+
+    def test_the_host_list_lags(self, platform, address):
+        once = connect_once(address, connect_timeout_s=1.0, timeout_s=1.0)
+        request_once(once, "GET", "/hosts")
+        platform.hosts_lag_s = 60.0
+        platform.hosts_by_node["node-0"] = {"node": "node-0", "address": "127.0.0.1:1"}
+        assert json.loads(request_once(once, "GET", "/hosts")[2]) == {"hosts": []}
+        platform.hosts_lag_s = 0.0
+        assert len(json.loads(request_once(once, "GET", "/hosts")[2])["hosts"]) == 1
