--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,9 +2,13 @@
 
 import sys
 
+from savoryhill.cli import questionnaire
 from savoryhill.cli.bench_orders import orders
 from savoryhill.errors import SavoryhillError
 
+# A leaving node hands its groups over; the messages need an acknowledgement.
+FLUSH_TIMEOUT_S = 2.0
+
 
 def demo():
     """Start a whole deployment in one process, use it and check the results."""
@@ -31,15 +35,22 @@
     from savoryhill.node.process import drain, start_node, stop_node
     from savoryhill.node.settings import load_settings
     from savoryhill.observability.logs import configure_logs
+    from savoryhill.peers.transport import flush
 
     configure_logs()
     running = start_node(load_settings(settings))
     gevent.signal_handler(signal.SIGTERM, drain, running)
     running.stopped.wait()
+    flush(running.transport, timeout_s=FLUSH_TIMEOUT_S)
     stop_node(running)
 
 
-COMMANDS = {"demo": demo, "node": node, "bench": {"orders": orders}}
+COMMANDS = {
+    "demo": demo,
+    "node": node,
+    "questionnaire": questionnaire.COMMANDS,
+    "bench": {"orders": orders},
+}
 
 
 def main():
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -34,6 +34,17 @@
     name: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProcessResumed(Event):
+    """The process was paused for ``gap_s``; applied before any other event.
+
+    Whatever the node held before may have passed to another one: every subject
+    drops its roles and unused permits.
+    """
+
+    gap_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PeerReceived(Event):
     """An authenticated message arrived from another node."""
@@ -81,6 +92,21 @@
 
     configuration: Configuration
     source: str
+    content: bytes = field(default=b"", repr=False)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationHeadSeen(Event):
+    """The watch of the configuration delivered a new head."""
+
+    value: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationWatchEnded(Event):
+    """The watch of the configuration broke or ended."""
+
+    detail: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/journal/entry.py
+++ b/src/savoryhill/core/journal/entry.py
@@ -115,7 +115,13 @@
     if reservation is not None and reservation.attempt == reply.attempt:
         del journal.reservations_by_request[reply.request_id]
         if reply.status == "unavailable":
-            abandon(state, reply.attempt, reservation.spec.journal_key)
+            key = reservation.spec.journal_key
+            abandon(state, reply.attempt, key)
+            if reservation.n_asked > 1:
+                # Another writer may have written it, whose reply may be lost.
+                yield from finish(
+                    state, key=key, attempt=reply.attempt, status="not_sent"
+                )
     elif reply.status == "reserved" and reply.attempt in journal.abandoned:
         # Written after this node gave up on it: free the key again.
         key = journal.abandoned[reply.attempt]
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -169,6 +169,22 @@
     content: bytes = field(repr=False)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigCheck(Message):
+    """Ask a node which revision it has in force and how recently confirmed."""
+
+    check: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigStatus(Message):
+    """The answer to a `ConfigCheck`; the age is in seconds."""
+
+    check: int
+    revision: int
+    confirmed_age_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MemberUpdate:
     """What a node believes of a member; ``status`` as in the membership page."""
@@ -190,11 +206,15 @@
     predicted_wait_s: float
     free_slots: int
     version: int
+    provisional: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ping(Message):
-    """A membership probe; ``target`` differs from the receiver if relayed."""
+    """A membership probe; ``origin`` differs from the sender if relayed.
+
+    ``heard`` is described in `savoryhill.core.membership.hearing`.
+    """
 
     probe: int
     target: str
@@ -204,6 +224,7 @@
     key_value_reached: bool = True
     updates: tuple[MemberUpdate, ...] = ()
     groups: tuple[GroupSummary, ...] = ()
+    heard: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -217,6 +238,7 @@
     key_value_reached: bool = True
     updates: tuple[MemberUpdate, ...] = ()
     groups: tuple[GroupSummary, ...] = ()
+    heard: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -225,3 +247,21 @@
 
     probe: int
     target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandOver(Message):
+    """The holder of a group has stopped granting; the receiver may take over."""
+
+    group: str
+    fence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CoordinatorChanged(Message):
+    """A group has a new coordinator; passed on once by each node it is new to."""
+
+    group: str
+    holder: str
+    fence: int
+    provisional: bool = False
