--- a/src/savoryhill/core/journal/judge.py
+++ b/src/savoryhill/core/journal/judge.py
@@ -6,6 +6,9 @@
 # An attempt is still considered able to end this long after its deadline, which
 # covers the difference between the hosts' clocks.
 CLOCK_SLACK_S = 2.0
+# A process's incarnation is its start in milliseconds and rises by one with each
+# refuted suspicion; a difference from here on means another process.
+REFUTATIONS = 1_000
 # Endings that may follow each status; everything else is ignored.
 NEXT_STATUSES = {
     "reserved": frozenset({"done", "not_sent", "unknown"}),
@@ -34,7 +37,7 @@
         return incarnation == state.incarnation
     member = state.membership.members_by_node.get(node)
     return member is None or (
-        member.status != "gone" and member.incarnation <= incarnation
+        member.status != "gone" and member.incarnation - incarnation < REFUTATIONS
     )
 
 
--- a/src/savoryhill/core/reducer.py
+++ b/src/savoryhill/core/reducer.py
@@ -11,18 +11,19 @@
 _SUBJECTS = (configuration, membership, coordination, journal, routing, entry)
 
 
-def _merge_handlers():
+def merge_handlers(subjects):
+    """Return the handlers of subjects by event type, in the order of the subjects."""
     handlers_by_type = {}
-    for subject in _SUBJECTS:
+    for subject in subjects:
         for event_type, handler in subject.HANDLERS.items():
             handlers_by_type.setdefault(event_type, []).append(handler)
     return {kind: tuple(handlers) for kind, handlers in handlers_by_type.items()}
 
 
-_HANDLERS_BY_TYPE = _merge_handlers()
+_HANDLERS_BY_TYPE = merge_handlers(_SUBJECTS)
 
 
-def reduce(state, event):
+def reduce(state, event, handlers_by_type=_HANDLERS_BY_TYPE):
     """Apply one event to the state.
 
     A message that the node sends to itself is applied within the same call.
@@ -33,6 +34,8 @@
         The node's state, updated in place.
     event : Event
         The event to apply.
+    handlers_by_type : dict of type to tuple of callable
+        The handlers, those of all subjects unless a test drives a part.
 
     Returns
     -------
@@ -48,7 +51,7 @@
         kind = type(current)
         if kind is PeerReceived:
             kind = type(current.message)
-        for handler in _HANDLERS_BY_TYPE.get(kind, ()):
+        for handler in handlers_by_type.get(kind, ()):
             for effect in handler(state, current) or ():
                 if type(effect) is Emit:
                     pending.append(effect.event)
