--- a/src/savoryhill/cli/bench.py
+++ b/src/savoryhill/cli/bench.py
@@ -1,18 +1,36 @@
 """``savoryhill bench``: load, faults and figures."""
 
+from savoryhill.cli.bench_orders import orders
 from savoryhill.errors import SavoryhillError
 
+SCENARIOS = (
+    "short-alone",
+    "short-beside-long",
+    "zone-withdrawal",
+    "cold-start",
+    "engine-deaths",
+    "oversize",
+)
 POLICIES = ("savoryhill", "random", "round-robin", "least-outstanding")
 
 
-def bench(scenario, *, seed=1, policy="savoryhill", output="text"):
-    """Run a bench scenario over real nodes and stand-ins in this process.
+def _scenario_command(name):
+    def command(*, seed=1, policy="savoryhill", output="text"):
+        from savoryhill.bench.report import print_report
+        from savoryhill.bench.scenarios import run_scenario
+        from savoryhill.observability.logs import configure_logs
+
+        if policy not in POLICIES:
+            raise SavoryhillError(
+                f"unknown policy {policy!r}; expected one of {', '.join(POLICIES)}"
+            )
+        configure_logs(level="ERROR")
+        print_report(run_scenario(name, seed=seed, policy=policy), output)
+
+    command.__doc__ = f"""Run {name} over real nodes and stand-ins in this process.
 
     Parameters
     ----------
-    scenario : str
-        short-alone, short-beside-long, zone-withdrawal, cold-start,
-        engine-deaths or oversize.
     seed : int
         Decides the requests and the faults.
     policy : str
@@ -20,17 +38,7 @@
     output : str
         text or json.
     """
-    from savoryhill.bench.report import print_report
-    from savoryhill.bench.scenarios import SCENARIOS, run_scenario
-    from savoryhill.observability.logs import configure_logs
-
-    if scenario not in SCENARIOS:
-        raise SavoryhillError(
-            f"unknown scenario {scenario!r}; expected one of {', '.join(SCENARIOS)}"
-        )
-    if policy not in POLICIES:
-        raise SavoryhillError(
-            f"unknown policy {policy!r}; expected one of {', '.join(POLICIES)}"
-        )
-    configure_logs(level="ERROR")
-    print_report(run_scenario(scenario, seed=seed, policy=policy), output)
+    return command
+
+
+COMMANDS = {name: _scenario_command(name) for name in SCENARIOS} | {"orders": orders}
--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -235,6 +235,7 @@
                             "path": "/call/order",
                             "idempotent": False,
                             "kind": "order",
+                            "lookup_path": "/lookup",
                         },
                         {
                             "method": "GET",
--- a/src/savoryhill/node/settings.py
+++ b/src/savoryhill/node/settings.py
@@ -11,6 +11,8 @@
 class NodeSettings:
     """Where a node runs and whom it talks to; addresses are ``ip:port``.
 
+    The ``key_value_*`` fields are this node's share of the calls that the
+    key-value service grants the whole deployment.
     ``seeds`` maps names of other nodes to their peer addresses; a node that cannot
     read the host list finds the others through them.
     """
@@ -25,6 +27,8 @@
     hosts: str
     cluster_key: str
     tick_s: float = 0.05
+    key_value_writes_per_s: float = 60.0
+    key_value_reads_per_s: float = 200.0
     seeds: dict = field(default_factory=dict)
 
 
