--- a/src/savoryhill/endpoints/engine.py
+++ b/src/savoryhill/endpoints/engine.py
@@ -134,6 +134,60 @@
     return _control(address, "GET", "/admin/load")
 
 
+def prefill_part(
+    address,
+    *,
+    request_id,
+    n_tokens,
+    imported_tokens,
+    fence,
+    incarnation,
+    priority,
+    timeout_s,
+):
+    """Prefill one part of an oversize prompt and keep it for export.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the engine.
+    request_id : str
+        Owner of the part; cancelling it frees the part's memory.
+    n_tokens, imported_tokens : int
+        Length of the part, and of the parts before it that the engine imports.
+    fence, incarnation, priority
+        As for `stream_completion`.
+    timeout_s : float
+        Limit for the whole part.
+
+    Raises
+    ------
+    NotSentError
+        If the engine provably did not receive the call.
+    EndpointRefusedError
+        If it refused the part.
+    BrokenStreamError
+        If it did not answer.
+    """
+    http = _http(address, timeout_s=timeout_s)
+    body = json.dumps({"n_tokens": n_tokens, "imported_tokens": imported_tokens})
+    headers = _headers(
+        request_id=request_id, fence=fence, incarnation=incarnation, priority=priority
+    )
+    try:
+        response = http.post("/admin/prefill", body=body.encode(), headers=headers)
+        detail = bytes(response.read()).decode("utf-8", "replace")
+        status = response.status_code
+    except ConnectionRefusedError as error:
+        raise NotSentError(f"engine at {address} refused the connection") from error
+    except Exception as error:
+        raise BrokenStreamError(f"part on {address}: {error!r}") from error
+    finally:
+        http.close()
+    if status != 200:
+        raise EndpointRefusedError(f"part on {address}: {status} {detail}")
+
+
 def cancel_stream(address, request_id):
     """Cancel a stream on an engine; one that does not exist is no error."""
     return _control(address, "POST", f"/admin/cancel/{quote(request_id, safe='')}")
--- a/src/savoryhill/standins/engine/application.py
+++ b/src/savoryhill/standins/engine/application.py
@@ -29,7 +29,6 @@
     add("/v1/completions", make_resource(state, post=_on_completion))
     add("/admin/load", make_resource(state, get=_on_load))
     add("/admin/cancel/{request_id}", make_resource(state, post=_on_cancel))
-    add("/admin/cache-events", make_resource(state, get=_on_cache_events))
     add("/admin/prefill", make_resource(state, post=_on_prefill))
     add("/admin/orders", make_resource(state, post=_on_order))
     add("/control/fault", make_resource(state, post=_on_fault))
@@ -173,7 +172,6 @@
         "running": n_running(state),
         "memory_used_tokens": memory_used(state),
         "streams": [*state.jobs_by_id, *state.parts_by_id],
-        "cached_prefixes": list(state.cached_tokens_by_prefix)[-64:],
         "version": state.version,
         "role": state.role,
     }
@@ -185,21 +183,20 @@
     if not state.loads or now - state.loads[-1][0] >= LOAD_SAMPLE_S:
         state.loads.append((now, _load(state)))
     published = [load for at, load in state.loads if now - at >= state.load_lag_s]
-    resp.media = published[-1] if published else state.loads[0][1]
+    load = published[-1] if published else state.loads[0][1]
+    after = req.get_param_as_int("cache_after")
+    if after is not None:
+        load = {**load, "cache_events": _cache_events(state, after)}
+    resp.media = load
 
 
-def _on_cache_events(state, req, resp):
-    _check_alive(state)
-    after = req.get_param_as_int("after") or 0
+def _cache_events(state, after):
     visible_at = state.clock() - state.cache_event_lag_s
-    resp.media = {
-        "incarnation": state.incarnation,
-        "events": [
-            {"sequence": number, "what": what, "prefix": prefix}
-            for at, number, what, prefix in state.cache_events
-            if number > after and at <= visible_at
-        ],
-    }
+    return [
+        {"sequence": number, "what": what, "prefix": prefix}
+        for at, number, what, prefix in state.cache_events
+        if number > after and at <= visible_at
+    ]
 
 
 def _on_cancel(state, req, resp, request_id):
