--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from savoryhill.cli import bench, questionnaire
 from savoryhill.errors import SavoryhillError
 
 # A leaving node hands its groups over; the messages need an acknowledgement.
@@ -43,7 +44,12 @@
     stop_node(running)
 
 
-COMMANDS = {"demo": demo, "node": node}
+COMMANDS = {
+    "bench": bench.COMMANDS,
+    "demo": demo,
+    "node": node,
+    "questionnaire": questionnaire.COMMANDS,
+}
 
 
 def main():
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -39,6 +39,8 @@
     messages.PingRequest,
     messages.HandOver,
     messages.CoordinatorChanged,
+    messages.ConfigCheck,
+    messages.ConfigStatus,
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _ITEM_TYPES_BY_FIELD = {
