--- /dev/null
+++ b/src/savoryhill/bench/membership.py
@@ -0,0 +1,386 @@
+"""Measure the cost of gossip for one node and the time to detect a dead one.
+
+Run with ``python -m savoryhill.bench.membership --output json``. Cost: one real node
+receives the encoded datagrams of fake peers in virtual time; its processor time for
+opening, decoding, reducing, encoding and sealing is measured. Detection: every node
+is a real reducer and messages are passed without encoding.
+"""
+
+import dataclasses
+import heapq
+import json
+import statistics
+import time
+from random import Random
+
+from savoryhill.core import effects, events
+from savoryhill.core.membership.hearing import add_hash
+from savoryhill.core.membership.state import Member
+from savoryhill.core.messages import Ack, GroupSummary, MemberUpdate, Ping, PingRequest
+from savoryhill.core.reducer import reduce
+from savoryhill.core.state import new_state
+from savoryhill.peers.auth import seal, unseal
+from savoryhill.peers.codec import Envelope, decode, encode
+from savoryhill.peers.frames import datagram_context
+
+SIZES = (9, 50, 100, 200, 340)
+DETECTION_SIZES = (9, 340)
+N_GROUPS = 75
+N_VANISHING = 50
+TICK_S = 0.05
+DETECTION_TICK_S = 0.1
+WARM_UP_S = 20.0
+STEADY_S = 60.0
+LOSS_S = 20.0
+# IP and UDP headers.
+HEADER_BYTES = 28
+ROUND_TRIP_S = 0.002
+KEY = b"0123456789abcdef"
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+def _name(number):
+    return f"node-{number:03d}"
+
+
+def _address(number):
+    return f"10.0.{number // 250}.{number % 250 + 1}:7100"
+
+
+def _new_state(number, seed, now):
+    state = new_state(
+        node=_name(number),
+        zone=ZONES[number % 3],
+        region="south",
+        address=_address(number),
+        incarnation=1_700_000_000_000 + number,
+        seed=seed,
+    )
+    state.now = now
+    return state
+
+
+def _add_all_members(state, n_nodes):
+    for number in range(n_nodes):
+        if _name(number) == state.node:
+            continue
+        member = Member(
+            node=_name(number),
+            address=_address(number),
+            zone=ZONES[number % 3],
+            incarnation=1_700_000_000_000 + number,
+            heard_at=state.now,
+            key_value_at=state.now,
+        )
+        state.membership.members_by_node[member.node] = member
+        add_hash(state, member.node)
+
+
+class _FakePeers:
+    """Peers that answer and probe with contents of the real size."""
+
+    def __init__(self, n_nodes, random):
+        self.random = random
+        self.n_nodes = n_nodes
+        self.live = set(range(1, n_nodes))
+        self.sequences = dict.fromkeys(range(1, n_nodes), 0)
+        # Builds the contents of the messages of all fake peers.
+        self.author = _new_state(1, 7, 0.0)
+        _add_all_members(self.author, n_nodes)
+        for number in range(min(N_GROUPS, n_nodes)):
+            group = f"assistant-south-{number:02d}"
+            self.author.membership.summaries_by_group[group] = GroupSummary(
+                group=group,
+                holder=_name(number),
+                fence=12,
+                predicted_wait_s=0.25,
+                free_slots=17,
+                version=1000 + number,
+            )
+
+    def content(self, message_type, now, **fields):
+        """Return a message as the author would send it to the measured node."""
+        author = self.author
+        for number, member in enumerate(author.membership.members_by_node.values()):
+            if number + 1 in self.live:
+                member.heard_at = now - self.random.uniform(0, 3)
+                member.key_value_at = member.heard_at - self.random.uniform(0, 1)
+        author.ticked_at = now
+        ping = Ping(probe=1, target=author.node, origin=_name(0))
+        (sent,) = (
+            effect.message
+            for effect in reduce(
+                author, events.PeerReceived(at=now, sender=_name(0), message=ping)
+            )
+            if isinstance(effect, effects.SendDatagram)
+        )
+        return message_type(
+            **fields,
+            config_revision=sent.config_revision,
+            config_confirmed_age_s=1.0,
+            updates=sent.updates,
+            groups=sent.groups,
+            heard=sent.heard,
+        )
+
+    def datagram(self, number, message):
+        """Encode a message of a fake peer under its own name."""
+        if isinstance(message, Ping | Ack):
+            own = MemberUpdate(
+                node=_name(number),
+                address=_address(number),
+                zone=ZONES[number % 3],
+                incarnation=1_700_000_000_000 + number,
+                status="live",
+            )
+            message = dataclasses.replace(message, updates=(own, *message.updates[1:]))
+        self.sequences[number] += 1
+        envelope = Envelope(
+            sender=_name(number),
+            incarnation=1_700_000_000_000 + number,
+            sequence=self.sequences[number],
+            message=message,
+        )
+        return seal(KEY, encode(envelope), datagram_context(_name(0)))
+
+
+class _Meter:
+    def __init__(self):
+        self.cpu_s = 0.0
+        self.n_in = self.n_out = self.bytes_in = self.bytes_out = 0
+        self.largest_bytes = 0
+
+
+class _Measured:
+    """The real node with its fake peers."""
+
+    def __init__(self, n_nodes, seed):
+        self.random = Random(seed)
+        self.peers = _FakePeers(n_nodes, self.random)
+        self.state = _new_state(0, seed, 0.0)
+        _add_all_members(self.state, n_nodes)
+        self.queue = []
+        self.n_queued = 0
+        self.n_sent = 0
+        self.now = 0.0
+        self.meter = _Meter()
+        for number in range(1, n_nodes):
+            self.at(self.random.uniform(0, n_nodes - 1), self.probe_by, number)
+        self.at(0.0, self.tick)
+
+    def at(self, when, call, *arguments):
+        self.n_queued += 1
+        heapq.heappush(self.queue, (when, self.n_queued, call, arguments))
+
+    def run(self, seconds):
+        ends_at = self.now + seconds
+        while self.queue[0][0] <= ends_at:
+            self.now, _, call, arguments = heapq.heappop(self.queue)
+            call(*arguments)
+        self.now = ends_at
+
+    def apply(self, make_event):
+        started = time.process_time()
+        sent = []
+        for effect in reduce(self.state, make_event()):
+            if isinstance(effect, effects.SendDatagram):
+                self.n_sent += 1
+                envelope = Envelope(
+                    sender=self.state.node,
+                    incarnation=self.state.incarnation,
+                    sequence=self.n_sent,
+                    message=effect.message,
+                )
+                context = datagram_context(effect.to)
+                sent.append((effect, seal(KEY, encode(envelope), context)))
+        self.meter.cpu_s += time.process_time() - started
+        for effect, data in sent:
+            self.meter.n_out += 1
+            self.meter.bytes_out += len(data) + HEADER_BYTES
+            self.meter.largest_bytes = max(self.meter.largest_bytes, len(data))
+            self.at(self.now + ROUND_TRIP_S, self.answer, effect)
+
+    def tick(self):
+        self.apply(lambda: events.Ticked(at=self.now))
+        self.at(self.now + TICK_S, self.tick)
+
+    def receive(self, data):
+        self.meter.n_in += 1
+        self.meter.bytes_in += len(data) + HEADER_BYTES
+
+        def make_event():
+            envelope = decode(unseal(KEY, data, datagram_context(self.state.node)))
+            return events.PeerReceived(
+                at=self.now, sender=envelope.sender, message=envelope.message
+            )
+
+        self.apply(make_event)
+
+    def probe_by(self, number):
+        """Probe the measured node once in a round of the peer."""
+        if number in self.peers.live:
+            message = self.peers.content(
+                Ping, self.now, probe=1, target=self.state.node, origin=_name(number)
+            )
+            self.receive(self.peers.datagram(number, message))
+        self.at(self.now + self.peers.n_nodes - 1, self.probe_by, number)
+
+    def answer(self, effect):
+        number = int(effect.to.removeprefix("node-"))
+        if number not in self.peers.live or not isinstance(effect.message, Ping):
+            return
+        message = self.peers.content(
+            Ack, self.now, probe=effect.message.probe, target=effect.to
+        )
+        self.receive(self.peers.datagram(number, message))
+
+    def vanish(self, numbers):
+        """Remove peers; the others ask this node to probe them in their place."""
+        self.peers.live.difference_update(numbers)
+        members = self.peers.author.membership.members_by_node
+        for number in numbers:
+            self.at(self.now + self.random.uniform(1, 8), self.suspect, number, members)
+        share = len(numbers) / self.peers.n_nodes
+        # Each live node fails a probe with this probability and asks three others.
+        n_requests = round(3 * share * 6)
+        for _ in range(n_requests):
+            when = self.now + self.random.uniform(0, 6)
+            self.at(when, self.ask_for, self.random.choice(sorted(numbers)))
+
+    def suspect(self, number, members):
+        member = members.get(_name(number))
+        if member is not None and member.status == "live":
+            member.status = "suspected"
+            self.peers.author.membership.n_sent_by_node[member.node] = 0
+
+    def ask_for(self, number):
+        asker = self.random.choice(sorted(self.peers.live))
+        message = PingRequest(probe=9, target=_name(number))
+        self.receive(self.peers.datagram(asker, message))
+
+
+def _summary(meter, seconds):
+    return {
+        "cpu_percent": round(100 * meter.cpu_s / seconds, 3),
+        "bytes_per_s": round((meter.bytes_in + meter.bytes_out) / seconds),
+        "messages_per_s": round((meter.n_in + meter.n_out) / seconds, 2),
+        "largest_datagram_bytes": meter.largest_bytes,
+    }
+
+
+def measure_cost(n_nodes, *, seed=1, n_vanishing=N_VANISHING):
+    """Measure one node's gossip in steady state and while many members vanish.
+
+    Parameters
+    ----------
+    n_nodes : int
+        Members of the fleet, the measured one included.
+    seed : int
+        Seed of all random numbers.
+    n_vanishing : int
+        Members that vanish at once, a third of the fleet at most.
+
+    Returns
+    -------
+    dict
+        Processor time in percent of a core, bytes (with IP and UDP headers) and
+        messages per second in both directions.
+    """
+    measured = _Measured(n_nodes, seed)
+    measured.run(WARM_UP_S)
+    measured.meter = _Meter()
+    measured.run(STEADY_S)
+    result = {"nodes": n_nodes, "steady": _summary(measured.meter, STEADY_S)}
+    n_lost = min(n_vanishing, n_nodes // 3)
+    measured.meter = _Meter()
+    measured.vanish(list(range(1, 1 + n_lost)))
+    measured.run(LOSS_S)
+    result["vanishing"] = {"members": n_lost, **_summary(measured.meter, LOSS_S)}
+    return result
+
+
+def measure_detection(n_nodes, *, seed=1, limit_s=60.0):
+    """Measure how long after its death a node is gone for the others.
+
+    Returns
+    -------
+    dict
+        Seconds until the first, the median and the last of the others.
+    """
+    random = Random(seed)
+    states = {_name(n): _new_state(n, seed + n, 0.0) for n in range(n_nodes)}
+    for state in states.values():
+        _add_all_members(state, n_nodes)
+    queue, gone_at, n_queued = [], {}, 0
+    dead, died_at = _name(n_nodes - 1), 10.0
+
+    def put(when, name, event_type, message=None, sender=""):
+        nonlocal n_queued
+        n_queued += 1
+        heapq.heappush(queue, (when, n_queued, name, event_type, message, sender))
+
+    for name in states:
+        put(random.uniform(0, DETECTION_TICK_S), name, events.Ticked)
+    while queue and len(gone_at) < n_nodes - 1:
+        now, _, name, event_type, message, sender = heapq.heappop(queue)
+        if now > died_at + limit_s:
+            break
+        if name == dead and now >= died_at:
+            continue
+        state = states[name]
+        if event_type is events.Ticked:
+            event = events.Ticked(at=now)
+            put(now + DETECTION_TICK_S, name, events.Ticked)
+        else:
+            event = events.PeerReceived(at=now, sender=sender, message=message)
+        for effect in reduce(state, event):
+            if isinstance(effect, effects.SendDatagram):
+                delay_s = random.uniform(0.0005, 0.002)
+                put(
+                    now + delay_s,
+                    effect.to,
+                    events.PeerReceived,
+                    effect.message,
+                    name,
+                )
+        if name != dead and state.membership.members_by_node[dead].status == "gone":
+            gone_at.setdefault(name, now - died_at)
+    times = sorted(gone_at.values())
+    return {
+        "nodes": n_nodes,
+        "detected_by": len(times),
+        "first_s": round(times[0], 2) if times else None,
+        "median_s": round(statistics.median(times), 2) if times else None,
+        "last_s": round(times[-1], 2) if times else None,
+    }
+
+
+def main(output="text", seed=1, sizes=SIZES, detection_sizes=DETECTION_SIZES):
+    """Measure every size and print the results.
+
+    Parameters
+    ----------
+    output : str
+        ``json`` or ``text``.
+    seed : int
+        Seed of all random numbers.
+    sizes, detection_sizes : sequence of int
+        Numbers of members.
+    """
+    results = {
+        "seed": seed,
+        "cost": [measure_cost(size, seed=seed) for size in sizes],
+        "detection": [measure_detection(size, seed=seed) for size in detection_sizes],
+    }
+    if output == "json":
+        print(json.dumps(results))
+        return
+    for kind in ("cost", "detection"):
+        for result in results[kind]:
+            print(kind, json.dumps(result))
+
+
+if __name__ == "__main__":
+    import fire
+
+    fire.Fire(main)
--- a/src/savoryhill/core/membership/updates.py
+++ b/src/savoryhill/core/membership/updates.py
@@ -162,13 +162,12 @@
 
 def _next_in_rotation(rotation, names):
     """Return the next name of a rotation over ``names``, refilled when empty."""
-    if not rotation:
-        rotation.extend(sorted(names))
     while rotation:
         name = rotation.pop()
         if name in names:
             return name
-    return None
+    rotation.extend(sorted(names))
+    return rotation.pop()
 
 
 def choose_content(state, receiver, n_heard_bytes):
