tests: kill and pause a coordinator among real node processes

Cause: takeover and the guard against pauses were proven on reducers only. Change: three node processes over the platform stand-in; SIGKILL and SIGSTOP/SIGCONT of a coordinator; a peer in the test's process asks the resumed one for a permit.

--- /dev/null
+++ b/tests/peers/test_daemons.py
@@ -0,0 +1,244 @@
+import json
+import signal
+import sys
+import time
+from pathlib import Path
+
+import gevent
+import pytest
+import yaml
+from gevent import socket, subprocess
+
+from savoryhill.config.model import (
+    Configuration,
+    Endpoint,
+    Group,
+    Hardware,
+    Zone,
+    dump_configuration,
+)
+from savoryhill.config.records import Record, digest_of, pack
+from savoryhill.config.store import connect_store, switch
+from savoryhill.core.messages import Ack, MemberUpdate, Ping, PlaceReply, PlaceRequest
+from savoryhill.httpapp import serve
+from savoryhill.peers import transport as peers
+from savoryhill.standins.platform import PlatformState, platform_application
+
+SOURCE = Path(__file__).parents[2] / "src"
+CLUSTER_KEY = "cluster-key-of-the-test-0123456789"
+ZONES = ("zone-a", "zone-b", "zone-c")
+GROUPS = ("assistant-0", "assistant-1")
+N_NODES = 3
+LIMIT_S = 20.0
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def wait_until(condition, *, limit_s=LIMIT_S):
+    started = time.monotonic()
+    while not condition():
+        assert time.monotonic() - started < limit_s, f"not reached in {limit_s} s"
+        gevent.sleep(0.02)
+    return time.monotonic() - started
+
+
+def make_configuration():
+    return Configuration(
+        revision=1,
+        zones=tuple(Zone(name=zone, region="south") for zone in ZONES),
+        hardware=(
+            Hardware(
+                name="fast",
+                prefill_tokens_per_s=1e5,
+                decode_tokens_per_s=100.0,
+                memory_tokens=100_000,
+                slots=4,
+            ),
+        ),
+        endpoints=tuple(
+            Endpoint(
+                id=f"engine-{group}",
+                address=free_address(),
+                zone="zone-a",
+                group=group,
+                hardware="fast",
+            )
+            for group in GROUPS
+        ),
+        groups=tuple(
+            Group(
+                id=group,
+                target="assistant",
+                region="south",
+                endpoints=(f"engine-{group}",),
+            )
+            for group in GROUPS
+        ),
+    )
+
+
+class Daemons:
+    """Node processes over a platform stand-in, and a peer of them in this process.
+
+    The peer answers probes as a leaving member, so that it coordinates nothing.
+    """
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.platform = PlatformState()
+        self.server, self.address = serve(
+            platform_application(self.platform), "127.0.0.1:0"
+        )
+        content = dump_configuration(make_configuration())
+        accepted = Record(
+            revision=1,
+            author="test",
+            attempt="1",
+            taken_from=0,
+            digest=digest_of(content),
+            content=pack("", content),
+        )
+        assert switch(connect_store(self.address), accepted, mod_revision=0)
+        self.addresses = {f"node-{n}": free_address() for n in range(N_NODES)}
+        self.addresses["tester"] = free_address()
+        for name, address in self.addresses.items():
+            self.platform.hosts_by_node[name] = {
+                "node": name,
+                "address": address,
+                "state": "leaving" if name == "tester" else "live",
+            }
+        self.replies = []
+        self.tester = peers.Transport(
+            node="tester",
+            incarnation=1,
+            key=CLUSTER_KEY.encode(),
+            address_of=self.addresses.get,
+            on_message=self.on_message,
+            on_unreachable=lambda node, message: None,
+        )
+        peers.listen(self.tester, self.addresses["tester"])
+        self.processes = {}
+        for number in range(N_NODES):
+            self.start(f"node-{number}", ZONES[number])
+
+    def on_message(self, sender, message):
+        if isinstance(message, Ping):
+            own = MemberUpdate(
+                node="tester",
+                address=self.addresses["tester"],
+                zone=ZONES[0],
+                incarnation=1,
+                status="leaving",
+            )
+            ack = Ack(probe=message.probe, target="tester", updates=(own,))
+            peers.send_datagram(self.tester, sender, ack)
+        elif isinstance(message, PlaceReply):
+            self.replies.append((sender, message))
+
+    def start(self, name, zone):
+        settings = {
+            "node": name,
+            "zone": zone,
+            "region": "south",
+            "listen": free_address(),
+            "peer_listen": self.addresses[name],
+            "admin_listen": free_address(),
+            "key_value": self.address,
+            "hosts": self.address,
+            "cluster_key": CLUSTER_KEY,
+        }
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        with open(self.directory / f"{name}.log", "w") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "savoryhill", "node", "--settings", str(path)],
+                env={"PYTHONPATH": str(SOURCE)},
+                stderr=log,
+            )
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def log(self, name):
+        return (self.directory / f"{name}.log").read_text()
+
+    def records(self):
+        prefix = b"/coordinator/"
+        return {
+            key.removeprefix(prefix).decode(): json.loads(value)
+            for key, (value, _) in self.platform.rows_by_key.items()
+            if key.startswith(prefix)
+        }
+
+    def ask(self, node, group):
+        """Ask a node for a permit until it answers, and return the reply's status."""
+        self.replies.clear()
+        request = PlaceRequest(
+            request_id=f"request-{node}",
+            attempt=1,
+            group=group,
+            workspace="workspace-one",
+            kind="completion",
+            prompt_tokens=10,
+            max_tokens=1,
+            remaining_s=0.1,
+        )
+        peers.send(self.tester, node, request)
+        wait_until(lambda: self.replies)
+        return self.replies[0][1].status
+
+    def stop(self):
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        peers.close(self.tester)
+        self.server.stop(timeout=0.1)
+
+
+@pytest.fixture
+def daemons(tmp_path):
+    daemons = Daemons(tmp_path)
+    try:
+        yield daemons
+    finally:
+        daemons.stop()
+
+
+def holder_of_some_group(daemons):
+    wait_until(lambda: len(daemons.records()) == len(GROUPS))
+    group, record = min(daemons.records().items())
+    # Members must have been heard before their silence means anything.
+    started = [f"node-{n}" for n in range(N_NODES)]
+    wait_until(lambda: all("configuration.in_force" in daemons.log(n) for n in started))
+    return group, record["holder"], record["fence"]
+
+
+class TestDaemons:
+    def test_a_killed_coordinator_is_replaced_within_the_bound(self, daemons):
+        group, holder, fence = holder_of_some_group(daemons)
+        daemons.signal(holder, signal.SIGKILL)
+        took_s = wait_until(lambda: daemons.records()[group]["holder"] != holder)
+        assert daemons.records()[group]["fence"] > fence
+        # At 3 nodes: up to 2 s until the probe, 1 s for it, 4 s of suspicion.
+        assert took_s < 9, took_s
+        print(f"takeover after SIGKILL took {took_s:.2f} s")
+
+    def test_a_paused_coordinator_grants_nothing_when_it_resumes(self, daemons):
+        group, holder, fence = holder_of_some_group(daemons)
+        daemons.signal(holder, signal.SIGSTOP)
+        took_s = wait_until(lambda: daemons.records()[group]["holder"] != holder)
+        print(f"takeover after SIGSTOP took {took_s:.2f} s")
+        # The request waits in the paused process's socket and may be the first
+        # thing that it processes.
+        asked = gevent.spawn(daemons.ask, holder, group)
+        daemons.signal(holder, signal.SIGCONT)
+        assert asked.get() == "moved"
+        log = daemons.log(holder)
+        assert log.index("process.resumed") < log.index("coordination.role_dropped")
+        assert daemons.records()[group]["holder"] != holder
+        assert daemons.records()[group]["fence"] > fence
