--- a/src/savoryhill/bench/_cores.py
+++ b/src/savoryhill/bench/_cores.py
@@ -275,7 +275,7 @@
 
 def _carry_out(cores, node, effect):
     kind = type(effect)
-    if kind is effects.SendPeer:
+    if kind in (effects.SendPeer, effects.SendDatagram):
         _send(cores, node, effect.to, effect.message)
     elif kind is effects.KeyValueRange:
         _at(cores, SERVICE_S, "", _answer, node, effect, cores.now)
--- a/src/savoryhill/core/configuration/confirmation.py
+++ b/src/savoryhill/core/configuration/confirmation.py
@@ -10,7 +10,7 @@
 )
 from savoryhill.core.configuration.state import CheckRound
 from savoryhill.core.configuration.watch import all_watch, watchers_of_zone
-from savoryhill.core.effects import SendPeer, record
+from savoryhill.core.effects import SendDatagram, SendPeer, record
 from savoryhill.core.messages import ConfigCheck, ConfigStatus
 
 # A watcher's own confirmation is up to 2 s old just before its next read, so other
@@ -58,14 +58,14 @@
 
 def on_check(state, event):
     """Tell a peer or an operator which revision is in force here."""
-    yield SendPeer(
-        to=event.sender,
-        message=ConfigStatus(
-            check=event.message.check,
-            revision=revision_in_force(state),
-            confirmed_age_s=confirmed_age_s(state),
-        ),
+    status = ConfigStatus(
+        check=event.message.check,
+        revision=revision_in_force(state),
+        confirmed_age_s=confirmed_age_s(state),
     )
+    # An operator's command line is no member and receives no datagrams.
+    is_member = event.sender in state.membership.members_by_node
+    yield (SendDatagram if is_member else SendPeer)(to=event.sender, message=status)
 
 
 def on_status(state, event):
@@ -107,7 +107,7 @@
             asked_at=state.now, asked=frozenset(nodes)
         )
         for node in nodes:
-            yield SendPeer(to=node, message=ConfigCheck(check=current.n_checks))
+            yield SendDatagram(to=node, message=ConfigCheck(check=current.n_checks))
 
 
 def _pulled(state):
--- a/src/savoryhill/peers/datagrams.py
+++ b/src/savoryhill/peers/datagrams.py
@@ -1,16 +1,25 @@
-"""Datagrams of the membership gossip."""
+"""Datagrams of the membership gossip and of configuration checks."""
 
 import gevent
 from gevent import socket
 
 from savoryhill.core.membership.updates import MAX_DATAGRAM_BYTES
-from savoryhill.core.messages import Ack, CoordinatorChanged, Ping, PingRequest
+from savoryhill.core.messages import (
+    Ack,
+    ConfigCheck,
+    ConfigStatus,
+    CoordinatorChanged,
+    Ping,
+    PingRequest,
+)
 from savoryhill.errors import PeerError
 from savoryhill.peers.auth import TAG_BYTES, seal
 from savoryhill.peers.codec import Envelope, encode
 from savoryhill.peers.frames import datagram_context
 
-DATAGRAM_TYPES = frozenset((Ping, Ack, PingRequest, CoordinatorChanged))
+DATAGRAM_TYPES = frozenset(
+    (Ping, Ack, PingRequest, CoordinatorChanged, ConfigCheck, ConfigStatus)
+)
 _RECEIVE_BYTES = 2048
 
 
--- a/tests/core/configuration/test_isolation.py
+++ b/tests/core/configuration/test_isolation.py
@@ -3,13 +3,16 @@
 from savoryhill.bench._cores import apply_revision, feed, run, started_cores
 from savoryhill.core.configuration.isolation import Standing, judge, may_start
 from savoryhill.core.configuration.spread import revision_in_force
+from savoryhill.core.effects import SendDatagram, SendPeer
 from savoryhill.core.events import (
     KeyValueAnswered,
     PeerReceived,
     RequestArrived,
     Ticked,
 )
-from savoryhill.core.messages import Ack, ConfigStatus
+from savoryhill.core.messages import Ack, ConfigCheck, ConfigStatus
+from savoryhill.core.reducer import reduce
+from savoryhill.peers.datagrams import DATAGRAM_TYPES
 
 
 def standings(cores):
@@ -152,6 +155,23 @@
         assert newest <= 6.0, f"confirmations from {oldest} to {newest}"
 
 
+class TestChecks:
+    def test_members_are_answered_by_datagram_and_operators_by_connection(self):
+        # A datagram to a command line, which is no member, would be dropped.
+        state = started_cores().states_by_node["node-0"]
+
+        def answer_to(sender):
+            check = PeerReceived(
+                at=state.now, sender=sender, message=ConfigCheck(check=1)
+            )
+            (effect,) = reduce(state, check)
+            return type(effect)
+
+        assert answer_to("node-1") is SendDatagram
+        assert answer_to("operator@127.0.0.1:1") is SendPeer
+        assert {ConfigCheck, ConfigStatus} <= DATAGRAM_TYPES
+
+
 class TestAges:
     def test_an_age_in_a_datagram_read_after_a_pause_is_not_believed(self):
         # Guards against datagrams that waited in the socket of a paused process.
