--- a/src/savoryhill/bench/orders.py
+++ b/src/savoryhill/bench/orders.py
@@ -63,7 +63,7 @@
         The figures of `savoryhill bench orders`.
     """
     rng = random.Random(seed)
-    deployment = demo.start_deployment(n_nodes=n_nodes, n_engines=0, n_services=3)
+    deployment = demo.start_deployment(n_nodes=n_nodes, n_engines=1, n_services=3)
     share_books(deployment)
     try:
         for node in deployment.nodes:
--- a/src/savoryhill/core/journal/writer.py
+++ b/src/savoryhill/core/journal/writer.py
@@ -43,8 +43,8 @@
 RETRY_BASE_S = 0.05
 MAX_RETRY_S = 0.8
 MAX_PENDING = 10_000
-# 100,000 entries take about 40 MB; see docs/decisions/journal.md.
-MAX_ENTRIES_PER_SHARD = 100_000
+# 50,000 entries with answers of 100 bytes take 25 MB; see docs/decisions/journal.md.
+MAX_ENTRIES_PER_SHARD = 50_000
 
 
 def _shard(state, number):
