--- a/src/savoryhill/core/journal/writer.py
+++ b/src/savoryhill/core/journal/writer.py
@@ -36,8 +36,8 @@
 MIN_WRITE_INTERVAL_S = 0.04
 # The first reservation of a batch waits this long for others, an ending longer:
 # nobody waits for it.
-RESERVE_LINGER_S = 0.02
-ENDING_LINGER_S = 0.2
+RESERVE_LINGER_S = 0.005
+ENDING_LINGER_S = 0.5
 # 64 batches of this size fit into one segment and one transaction.
 MAX_BATCH_BYTES = 10_000
 RETRY_BASE_S = 0.05
