--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,8 +2,7 @@
 
 import sys
 
-from savoryhill.cli import questionnaire
-from savoryhill.cli.bench_orders import orders
+from savoryhill.cli import bench, questionnaire
 from savoryhill.errors import SavoryhillError
 
 # A leaving node hands its groups over; the messages need an acknowledgement.
@@ -46,10 +45,10 @@
 
 
 COMMANDS = {
+    "bench": bench.COMMANDS,
     "demo": demo,
     "node": node,
     "questionnaire": questionnaire.COMMANDS,
-    "bench": {"orders": orders},
 }
 
 
--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -1,6 +1,7 @@
 """Apply changed answers as a new revision, by compare-and-swap."""
 
 import re
+from copy import deepcopy
 from dataclasses import asdict, dataclass
 
 from savoryhill.config.findings import QuestionnaireError, dump_yaml
@@ -19,7 +20,11 @@
     read_revision,
     switch,
 )
-from savoryhill.errors import ConfigurationError, OutcomeUnknownError
+from savoryhill.errors import (
+    ConfigurationError,
+    OutcomeUnknownError,
+    PlatformUnreachableError,
+)
 
 # Each attempt loses only to another accepted change.
 MAX_ATTEMPTS = 20
@@ -79,11 +84,21 @@
 def plain_answers(text, *, place="answers"):
     """Return answers as plain data, without the revision they were taken from."""
     values, _, _ = parse_answers(text, place=place)
-    return {key: value for key, value in values.items() if key != TAKEN_FROM}
+    # The parsed values are shared with later calls for the same text.
+    return deepcopy({key: each for key, each in values.items() if key != TAKEN_FROM})
 
 
 def apply_answers(
-    store, text, *, place, author, attempt, note="", taken_from=None, now_s=0.0
+    store,
+    text,
+    *,
+    place,
+    author,
+    attempt,
+    note="",
+    taken_from=None,
+    above=0,
+    now_s=0.0,
 ):
     """Apply answers as a new revision.
 
@@ -103,6 +118,9 @@
         Why, for the history.
     taken_from : int, optional
         Overrides the revision named in the answers.
+    above : int
+        The new revision is above this one. Needed when the service was restored and
+        nodes hold a higher revision than it does.
     now_s : float
         Wall-clock time in seconds, for the history.
 
@@ -134,7 +152,13 @@
             if won is not None:
                 return won
             prepared = _prepare(
-                store, text, place=place, base=base, current=current, author=author
+                store,
+                text,
+                place=place,
+                base=base,
+                current=current,
+                author=author,
+                above=above,
             )
             if prepared.record is None:
                 return prepared.accepted
@@ -151,6 +175,14 @@
             n_unknown += 1
             if n_unknown >= MAX_UNKNOWN:
                 raise
+        except PlatformUnreachableError as error:
+            if not tried_revisions:
+                raise
+            # An earlier write whose answer was lost may have been accepted.
+            raise OutcomeUnknownError(
+                f"the change may have been accepted as revision "
+                f"{max(tried_revisions)}: {error}"
+            ) from error
     raise ConflictError(f"other changes came first {MAX_ATTEMPTS} times; apply again")
 
 
@@ -190,7 +222,7 @@
     return None
 
 
-def _prepare(store, text, *, place, base, current, author):
+def _prepare(store, text, *, place, base, current, author, above):
     mine = plain_answers(text, place=place)
     known = current.record.revision if current is not None else 0
     theirs = plain_answers(current.answers) if current is not None else {}
@@ -208,7 +240,7 @@
             place = f"{place} merged with revision {known}"
         mine = merged
     changes = tuple(compare(theirs, mine))
-    if not changes:
+    if not changes and above < known + 1:
         accepted = Accepted(
             revision=known,
             author=current.record.author,
@@ -217,12 +249,13 @@
         )
         return _Prepared(accepted=accepted, record=None)
     answers = load_questionnaire(merged_text, place=place)
+    revision = max(known, above) + 1
     previous = load_configuration(current.configuration) if current else None
     configuration = dump_configuration(
-        generate(answers, revision=known + 1, author=author, previous=previous)
+        generate(answers, revision=revision, author=author, previous=previous)
     )
     accepted = Accepted(
-        revision=known + 1,
+        revision=revision,
         author=author,
         changed=True,
         configuration=configuration,
@@ -230,11 +263,11 @@
         merged_with=merged_with,
     )
     record = {
-        "revision": known + 1,
+        "revision": revision,
         "author": author,
         "taken_from": base,
         "digest": digest_of(configuration),
-        "content": pack(with_taken_from(merged_text, known + 1), configuration),
+        "content": pack(with_taken_from(merged_text, revision), configuration),
     }
     return _Prepared(accepted=accepted, record=record)
 
@@ -268,7 +301,7 @@
     for revision in range(known, base, -1):
         stored = read_revision(store, revision)
         if stored is None:
-            break
+            continue
         value = value_at(plain_answers(stored.answers), conflict.path)
         if value != conflict.theirs:
             break
--- a/tests/config/test_cli.py
+++ b/tests/config/test_cli.py
@@ -12,6 +12,7 @@
     stop_deployment,
 )
 from savoryhill.demo.run import wait_until_ready
+from savoryhill.errors import PlatformUnreachableError
 
 
 @pytest.fixture(scope="module")
@@ -125,7 +126,12 @@
             deployment.platform.down = True
             return push(*arguments)
 
+        def unreachable(*arguments, **options):
+            raise PlatformUnreachableError("the outage began with the change")
+
         monkeypatch.setattr(questionnaire, "_push", push_in_outage)
+        # The nodes cannot read the change before the outage is switched on.
+        monkeypatch.setattr("savoryhill.node.drivers.platform.read_range", unreachable)
         try:
             code, result = call(
                 capsys, questionnaire.apply, path, settings=settings, timeout_s=3.0
@@ -180,3 +186,27 @@
         )
         assert (code, len(result["not_confirmed"])) == (2, 3)
         assert sum(node.transport.n_dropped for node in deployment.nodes) > n_dropped
+
+    def test_a_restored_service_is_noticed_and_overtaken(
+        self, capsys, settings, tmp_path, deployment
+    ):
+        # Guards against an accepted revision that no node ever puts in force.
+        path, revision = taken(
+            capsys, settings, tmp_path, policy={"short_prompt_tokens": 9_000}
+        )
+        saved = dict(deployment.platform.rows_by_key)
+        call(capsys, questionnaire.apply, path, settings=settings)
+        deployment.platform.rows_by_key.clear()
+        deployment.platform.rows_by_key.update(saved)
+        again, _ = taken(capsys, settings, tmp_path, journal={"n_shards": 2})
+        code, result = call(capsys, questionnaire.apply, again, settings=settings)
+        other, _ = taken(capsys, settings, tmp_path, journal={"n_shards": 3})
+        # The service holds the other content under the revision of the nodes.
+        code, result = call(
+            capsys, questionnaire.apply, other, settings=settings, above=revision + 5
+        )
+        assert (code, result["revision"]) == (0, revision + 6)
+        deployment.platform.rows_by_key.clear()
+        deployment.platform.rows_by_key.update(saved)
+        code, result = call(capsys, questionnaire.apply, again, settings=settings)
+        assert code == 1
--- a/tests/core/configuration/test_isolation.py
+++ b/tests/core/configuration/test_isolation.py
@@ -1,8 +1,14 @@
 import pytest
 
-from savoryhill.bench._cores import feed, run, started_cores
+from savoryhill.bench._cores import apply_revision, feed, run, started_cores
 from savoryhill.core.configuration.isolation import Standing, judge, may_start
-from savoryhill.core.events import KeyValueAnswered, PeerReceived, Ticked
+from savoryhill.core.configuration.spread import revision_in_force
+from savoryhill.core.events import (
+    KeyValueAnswered,
+    PeerReceived,
+    RequestArrived,
+    Ticked,
+)
 from savoryhill.core.messages import Ack, ConfigStatus
 
 
@@ -84,6 +90,28 @@
         cut_off = {n for n, s in standings(cores).items() if s is Standing.CUT_OFF}
         assert cut_off == minority
 
+    def test_a_node_that_returns_in_an_outage_waits_for_the_newer_revision(self):
+        # Guards against a node that hears a majority again, is not confirmed by
+        # anybody, and starts work in a zone that was withdrawn in its absence.
+        cores = started_cores()
+        cores.may_pass = lambda sender, receiver: "node-0" not in (sender, receiver)
+        cores.reaches_service = lambda node: node != "node-0"
+        apply_revision(cores, 2)
+        run(cores, 5.0)
+        cores.service.down = True
+        run(cores, 5.0)
+        # Everything passes again but the contents themselves.
+        cores.may_pass = lambda sender, receiver: True
+        state = cores.states_by_node["node-0"]
+        deliver, cores.deliver_values = cores.deliver_values, False
+        run(cores, 3.0)
+        assert revision_in_force(state) == 1
+        assert state.configuration.isolated
+        cores.deliver_values = deliver
+        run(cores, 3.0)
+        assert revision_in_force(state) == 2
+        assert state.configuration.standing is Standing.SERVICE_DOWN
+
     def test_a_node_without_the_service_is_confirmed_by_its_peers(self):
         cores = started_cores()
         cores.reaches_service = lambda node: node != "node-0"
@@ -138,6 +166,16 @@
         feed(cores, "node-0", late)
         assert state.configuration.confirmed_at == asked.asked_at - 0.5
 
+    def test_a_request_after_a_pause_is_judged_before_the_first_tick(self):
+        # Guards against answers from before a pause that count as a majority.
+        cores = started_cores()
+        cores.service.down = True
+        run(cores, 4.0)
+        state = cores.states_by_node["node-0"]
+        assert state.configuration.standing is Standing.SERVICE_DOWN
+        feed(cores, "node-0", RequestArrived(at=cores.now + 60.0, spec=None))
+        assert state.configuration.isolated
+
     def test_a_slow_read_confirms_the_time_at_which_it_started(self):
         cores = started_cores()
         state = cores.states_by_node["node-0"]
