--- /dev/null
+++ b/src/savoryhill/bench/capacity/control.py
@@ -0,0 +1,267 @@
+"""Control cost of one real node process among fake peers at full size."""
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import asdict, dataclass
+
+import gevent
+import psutil
+import yaml
+
+from savoryhill.bench._answers import answers_text, make_answers
+from savoryhill.bench.capacity.peers import (
+    Fleet,
+    Traffic,
+    add_peer,
+    list_hosts,
+    run_ticks,
+    silence,
+)
+from savoryhill.bench.capacity.target import TARGET
+from savoryhill.config import apply as config_apply
+from savoryhill.config.model import load_configuration
+from savoryhill.config.store import connect_store
+from savoryhill.core.coordination.view import rendezvous_order
+from savoryhill.demo.deployment import free_address
+from savoryhill.httpapp import serve
+from savoryhill.standins.engine import EngineState, engine_application
+from savoryhill.standins.platform import PlatformState, platform_application
+
+CLUSTER_KEY = "capacity-cluster-key-0123"
+SETTLE_S = 20.0
+WINDOW_S = 20.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControlCost:
+    """What control costs a node over a window of time."""
+
+    core_share: float
+    peak_core_share: float
+    resident_bytes: int
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+    messages_per_s: float
+    key_value_calls_per_s: float
+    key_value_bytes_per_s: float
+
+
+@dataclass(kw_only=True)
+class Meter:
+    """Calls and bytes of the platform stand-in's callers."""
+
+    n_calls: int = 0
+    n_bytes: int = 0
+
+
+def _metered(application, meter):
+    """Count the calls and bodies of a WSGI application."""
+
+    def wrapped(environ, start_response):
+        meter.n_calls += 1
+        meter.n_bytes += int(environ.get("CONTENT_LENGTH") or 0)
+        for part in application(environ, start_response):
+            meter.n_bytes += len(part)
+            yield part
+
+    return wrapped
+
+
+def _answers(target):
+    """Answers at a size, with every endpoint on a loopback address."""
+    answers = make_answers(
+        n_engines=target.n_engines,
+        n_workspaces=target.n_workspaces,
+        n_models=target.n_models,
+        n_zones=target.n_zones,
+    )
+    targets = [*answers["models"].values(), *answers["services"].values()]
+    number = 0
+    for each in targets:
+        for endpoint in each["endpoints"].values():
+            number += 1
+            endpoint["address"] = f"127.1.{number // 250}.{number % 250 + 1}:8000"
+    return answers
+
+
+def _busiest_node(configuration, nodes):
+    """Return the node that coordinates the most groups, and those groups."""
+    groups_by_node = {}
+    for group in configuration.groups_by_id:
+        first = rendezvous_order(group, nodes)[0]
+        groups_by_node.setdefault(first, []).append(group)
+    return max(groups_by_node.items(), key=lambda item: (len(item[1]), item[0]))
+
+
+def _serve_endpoints(configuration, groups):
+    servers = []
+    for group in groups:
+        for endpoint_id in configuration.groups_by_id[group].endpoints:
+            engine = EngineState(
+                id=endpoint_id,
+                model="m",
+                prefill_tokens_per_s=1e4,
+                decode_tokens_per_s=10.0,
+                memory_tokens=100_000,
+                slots=8,
+                clock=time.monotonic,
+            )
+            address = configuration.endpoints_by_id[endpoint_id].address
+            servers.append(serve(engine_application(engine), address)[0])
+    return servers
+
+
+def measure_control(target=TARGET, *, settle_s=SETTLE_S, window_s=WINDOW_S):
+    """Run one node process among fake peers and measure it.
+
+    Parameters
+    ----------
+    target : Target
+        The size.
+    settle_s, window_s : float
+        Time before the first measurement, and length of each.
+
+    Returns
+    -------
+    dict
+        ``steady`` and ``zone_loss`` as `ControlCost`, the number of groups that
+        the node coordinates, and its start-up time in seconds.
+    """
+    platform = PlatformState()
+    meter = Meter()
+    server, address = serve(
+        _metered(platform_application(platform), meter), "127.0.0.1:0"
+    )
+    accepted = config_apply.apply_answers(
+        connect_store(address),
+        answers_text(_answers(target)),
+        place="capacity",
+        author="capacity",
+        attempt="1",
+        taken_from=0,
+    )
+    configuration = load_configuration(accepted.configuration)
+    nodes = [f"node-{number}" for number in range(target.n_nodes)]
+    observed, groups = _busiest_node(configuration, nodes)
+    fleet = Fleet(
+        observed=observed,
+        cluster_key=CLUSTER_KEY.encode(),
+        store=platform,
+        clock=time.monotonic,
+    )
+    zones = [zone.name for zone in configuration.zones]
+    zone_by_node = {node: zones[n % len(zones)] for n, node in enumerate(nodes)}
+    for node in nodes:
+        if node != observed:
+            add_peer(fleet, node, zone_by_node[node], "south")
+    fleet.addresses_by_node[observed] = free_address()
+    for node, peer_address in fleet.addresses_by_node.items():
+        platform.hosts_by_node[node] = {"node": node, "address": peer_address}
+    servers = [server, *_serve_endpoints(configuration, groups)]
+    list_hosts(fleet)
+    ticks = gevent.spawn(run_ticks, fleet)
+    process, start_s = _start_node(
+        observed, zone_by_node[observed], fleet.addresses_by_node[observed], address
+    )
+    try:
+        gevent.sleep(settle_s)
+        steady = _measure(process, fleet, meter, window_s)
+        lost_zone = next(z for z in zones if z != zone_by_node[observed])
+        silence(fleet, [n for n in nodes if zone_by_node[n] == lost_zone])
+        zone_loss = _measure(process, fleet, meter, window_s)
+    finally:
+        process.terminate()
+        process.wait(timeout=10)
+        ticks.kill()
+        for each in servers:
+            each.stop(timeout=0.2)
+    return {
+        "n_nodes": target.n_nodes,
+        "n_engines": target.n_engines,
+        "n_groups_coordinated": len(groups),
+        "start_s": round(start_s, 2),
+        "steady": asdict(steady),
+        "zone_loss": asdict(zone_loss),
+    }
+
+
+def _start_node(node, zone, peer_address, platform_address):
+    listen = free_address()
+    settings = {
+        "node": node,
+        "zone": zone,
+        "region": "south",
+        "listen": listen,
+        "peer_listen": peer_address,
+        "admin_listen": free_address(),
+        "key_value": platform_address,
+        "hosts": platform_address,
+        "cluster_key": CLUSTER_KEY,
+    }
+    with tempfile.NamedTemporaryFile("w", suffix=".yaml", delete=False) as file:
+        yaml.safe_dump(settings, file)
+    started = time.monotonic()
+    process = subprocess.Popen(
+        [sys.executable, "-m", "savoryhill", "node", "--settings", file.name],
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+        stderr=subprocess.DEVNULL,
+    )
+    _wait_until_ready(listen)
+    os.unlink(file.name)
+    return process, time.monotonic() - started
+
+
+def _wait_until_ready(listen, limit_s=20.0):
+    from geventhttpclient import HTTPClient
+
+    host, port = listen.rsplit(":", 1)
+    ends_at = time.monotonic() + limit_s
+    while time.monotonic() < ends_at:
+        client = HTTPClient(host, int(port))
+        try:
+            if client.get("/readyz").status_code == 200:
+                return
+        except OSError:
+            pass
+        finally:
+            client.close()
+        gevent.sleep(0.05)
+    raise TimeoutError(f"the node at {listen} is not ready after {limit_s} s")
+
+
+def _measure(process, fleet, meter, window_s):
+    """Measure a window; the peak is that of its busiest second."""
+    watched = psutil.Process(process.pid)
+    fleet.traffic = Traffic()
+    meter.n_calls = meter.n_bytes = 0
+    started = time.monotonic()
+    first = _processor_s(watched)
+    peak, last = 0.0, first
+    resident = 0
+    while time.monotonic() - started < window_s:
+        second = time.monotonic()
+        gevent.sleep(1.0)
+        used = _processor_s(watched)
+        peak = max(peak, (used - last) / (time.monotonic() - second))
+        last = used
+        resident = max(resident, watched.memory_info().rss)
+    seconds = time.monotonic() - started
+    traffic = fleet.traffic
+    return ControlCost(
+        core_share=round((last - first) / seconds, 4),
+        peak_core_share=round(peak, 4),
+        resident_bytes=resident,
+        sent_bytes_per_s=round(traffic.sent_bytes / seconds),
+        received_bytes_per_s=round(traffic.received_bytes / seconds),
+        messages_per_s=round((traffic.n_sent + traffic.n_received) / seconds, 1),
+        key_value_calls_per_s=round(meter.n_calls / seconds, 2),
+        key_value_bytes_per_s=round(meter.n_bytes / seconds),
+    )
+
+
+def _processor_s(watched):
+    times = watched.cpu_times()
+    return times.user + times.system
