--- a/src/savoryhill/core/coordination/handlers.py
+++ b/src/savoryhill/core/coordination/handlers.py
@@ -169,13 +169,14 @@
             row.changed_at = known.changed_at
         coordination.records_by_group[group] = row
     role = coordination.roles_by_group.get(group)
-    if role is not None and role.identity == row.identity:
+    is_own = row.holder == state.node
+    if role is not None and is_own and role.identity == row.identity:
         role.tenure_ends_at = max(role.tenure_ends_at, started_at + TENURE_S)
         role.extended = False
         return
     if role is not None:
         yield from drop_role(state, group, f"record is held by {row.holder}")
-    if row.identity in coordination.unsettled_by_identity:
+    if is_own and row.identity in coordination.unsettled_by_identity:
         # The answer to the write was lost.
         yield from _gain(
             state,
--- a/src/savoryhill/core/coordination/records.py
+++ b/src/savoryhill/core/coordination/records.py
@@ -16,7 +16,7 @@
 def encode_record(*, holder, fence, identity):
     """Encode a record as JSON."""
     values = {"holder": holder, "fence": fence, "identity": identity}
-    return json.dumps(values).encode()
+    return json.dumps(values, separators=(",", ":")).encode()
 
 
 def decode_record(value, mod_revision):
--- a/src/savoryhill/core/coordination/takeover.py
+++ b/src/savoryhill/core/coordination/takeover.py
@@ -114,6 +114,15 @@
     return is_in_contact(state) and cannot_extend(state, record.holder)
 
 
+def _new_identity(state):
+    """Return an identity that no other takeover of this node has.
+
+    It is short because a holder reads the records of all groups each second.
+    """
+    state.n_ids += 1
+    return f"{state.incarnation:x}-{state.n_ids:x}"
+
+
 def _take_over(state, group, row):
     known = state.coordination.records_by_group.get(group)
     fence = max(
@@ -121,7 +130,7 @@
     )
     takeover = Takeover(
         group=group,
-        identity=next_id(state, "takeover"),
+        identity=_new_identity(state),
         fence=fence + 1,
         is_first=fence == 0,
         is_prompt=_is_prompt(state, group, row or known),
