tests: hand-over to nodes that join, candidates of the region

Cause: moving misplaced groups and the region of candidates were not covered. Change: two tests over real reducers. Conclusion: each group moves once, by one write.

--- a/tests/core/coordination/test_cluster.py
+++ b/tests/core/coordination/test_cluster.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -95,6 +97,39 @@
         assert n_reads <= 20 * n_holders + N_NODES + 1
 
 
+class TestPlacement:
+    def test_groups_move_one_by_one_to_nodes_that_join(self, make_cluster):
+        # Without hand-over the first node to start keeps every group.
+        cluster = make_cluster(5, n_groups=6)
+        for name in cluster.names[1:]:
+            cluster.kill(name)
+        cluster.settle(40)
+        groups = tuple(cluster.configuration.groups_by_id)
+        for name in cluster.names[1:]:
+            cluster.start(name)
+        cluster.settle(30)
+        n_writes = cluster.key_value.n_writes
+        cluster.settle(30 + 5 * len(groups) + 10)
+        state = cluster.states_by_node["node-0"]
+        expected = {group: view.candidate_of(state, group) for group in groups}
+        assert len(set(expected.values())) > 1
+        assert {group: cluster.holders(group)[0] for group in groups} == expected
+        n_moved = sum(holder != "node-0" for holder in expected.values())
+        assert cluster.key_value.n_writes - n_writes == n_moved
+
+    def test_a_node_of_another_region_is_no_candidate(self, make_cluster):
+        cluster = settled_cluster(make_cluster)
+        state = cluster.states_by_node["node-0"]
+        zones = tuple(
+            replace(zone, region="north") if zone.name == "zone-b" else zone
+            for zone in cluster.configuration.zones
+        )
+        state.configuration.active = replace(cluster.configuration, zones=zones)
+        candidates = {view.candidate_of(state, f"g{n}") for n in range(40)}
+        # Nodes 1 and 4 are in zone-b.
+        assert candidates == {"node-0", "node-2", "node-3"}
+
+
 class TestOutage:
     def test_holders_go_on_while_nobody_reaches_the_service(self, make_cluster):
         cluster = settled_cluster(make_cluster)
