config: show changes that were undone; do nothing on a misspelt flag

Cause: a file taken before a zone was withdrawn and restored withdrew it again, because the merge saw the old value; and fire had run apply before it refused a misspelt flag, so the deployment was changed with exit code 2. Change: records name the paths they changed, and a path that others touched since the file was taken is a conflict. Commands return deferred work, as the other commands of the command line do.

--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -3,6 +3,7 @@
 import sys
 
 from savoryhill.cli import bench, questionnaire
+from savoryhill.cli.commands import EXIT_OK, Deferred
 from savoryhill.errors import SavoryhillError
 
 # A leaving node hands its groups over; the messages need an acknowledgement.
@@ -52,12 +53,18 @@
 }
 
 
+def _shown(result):
+    return None if isinstance(result, Deferred) else result
+
+
 def main():
     """Run the command line."""
     import fire
 
     try:
-        fire.Fire(COMMANDS, name="savoryhill")
+        result = fire.Fire(COMMANDS, name="savoryhill", serialize=_shown)
+        if isinstance(result, Deferred):
+            sys.exit(result._start() or EXIT_OK)
     except SavoryhillError as error:
         print(f"savoryhill: {error}", file=sys.stderr)
         sys.exit(2)
--- a/src/savoryhill/cli/questionnaire.py
+++ b/src/savoryhill/cli/questionnaire.py
@@ -6,7 +6,6 @@
 
 import getpass
 import json
-import sys
 import time
 import uuid
 from dataclasses import asdict
@@ -14,6 +13,13 @@
 
 import yaml
 
+from savoryhill.cli.commands import (
+    EXIT_FAILED,
+    EXIT_USAGE,
+    check_output,
+    deferred,
+)
+from savoryhill.cli.commands import show as show_result
 from savoryhill.config.apply import ConflictError, apply_answers, plain_answers
 from savoryhill.config.findings import QuestionnaireError, findings_as_data
 from savoryhill.config.merge import compare
@@ -27,36 +33,28 @@
 from savoryhill.errors import PlatformError, SettingsError
 
 SAMPLES = Path(__file__).parent.parent / "config" / "samples"
-EXIT_FINDINGS = 1
-EXIT_UNREACHABLE = 2
-
-
-def _print(result, lines, output):
-    if output == "json":
-        print(json.dumps(result, indent=2, default=str))
-    else:
-        print("\n".join(lines))
 
 
 def _guarded(command, output):
-    """Run a command, print what it returns and exit with its code."""
-    if output not in ("text", "json"):
-        raise SettingsError(f"--output is 'text' or 'json', not {output!r}")
-    try:
-        result, lines, code = command()
-    except QuestionnaireError as error:
-        findings = findings_as_data(error.findings)
-        result = {"findings": findings}
-        lines, code = [*map(str, error.findings)], EXIT_FINDINGS
-    except ConflictError as error:
-        conflicts = [asdict(each) for each in error.conflicts]
-        result = {"conflict": str(error), "conflicts": conflicts}
-        lines, code = [f"conflict: {error}"], EXIT_FINDINGS
-    except (PlatformError, OSError) as error:
-        result, lines, code = {"error": str(error)}, [str(error)], EXIT_UNREACHABLE
-    _print(result, lines, output)
-    if code:
-        sys.exit(code)
+    """Return the work of a command, which prints its result and gives its code."""
+    check_output(output)
+
+    def start():
+        try:
+            result, lines, code = command()
+        except QuestionnaireError as error:
+            result = {"findings": findings_as_data(error.findings)}
+            lines, code = [*map(str, error.findings)], EXIT_FAILED
+        except ConflictError as error:
+            conflicts = [asdict(each) for each in error.conflicts]
+            result = {"conflict": str(error), "conflicts": conflicts}
+            lines, code = [f"conflict: {error}"], EXIT_FAILED
+        except (PlatformError, OSError) as error:
+            result, lines, code = {"error": str(error)}, [str(error)], EXIT_USAGE
+        show_result(result, output, lines)
+        return code
+
+    return deferred(start)
 
 
 def _settings(path):
@@ -90,7 +88,7 @@
     ]
 
 
-def new(file, *, deployment="retail"):
+def new(file, *, deployment="retail", output="text"):
     """Write a commented sample questionnaire to start from.
 
     Parameters
@@ -99,17 +97,21 @@
         Where to write it; an existing file is left alone.
     deployment : str
         ``retail`` or ``licensing``.
+    output : str
+        ``text`` or ``json``.
     """
     samples = {path.stem: path for path in SAMPLES.glob("*.yaml")}
     if deployment not in samples:
         known = ", ".join(sorted(samples))
         raise SettingsError(f"no sample {deployment!r}; there are {known}")
-    try:
+
+    def run():
         with open(str(file), "x") as target:
             target.write(samples[deployment].read_text())
-    except OSError as error:
-        raise SettingsError(f"cannot write {file}: {error}") from error
-    print(f"wrote {file}; change the answers, then run: questionnaire check {file}")
+        line = f"wrote {file}; change the answers, then run: questionnaire check {file}"
+        return {"written": str(file)}, [line], 0
+
+    return _guarded(run, output)
 
 
 def check(file, *, output="text"):
@@ -127,7 +129,7 @@
         load_questionnaire(_read(file), place=str(file))
         return {"findings": []}, [f"{file}: no findings"], 0
 
-    _guarded(run, output)
+    return _guarded(run, output)
 
 
 def diff(file, *, settings=None, output="text"):
@@ -163,7 +165,7 @@
             )
         return result, lines, 0
 
-    _guarded(run, output)
+    return _guarded(run, output)
 
 
 def apply(
@@ -217,7 +219,7 @@
         )
         return _push(accepted, known, store, float(timeout_s))
 
-    _guarded(run, output)
+    return _guarded(run, output)
 
 
 def _answers_to_apply(store, file, content_of):
@@ -260,7 +262,7 @@
     except PlatformError as error:
         result["error"] = str(error)
         lines.append(f"the nodes are not known: {error}")
-        return result, lines, EXIT_UNREACHABLE
+        return result, lines, EXIT_USAGE
     result["in_force_s_by_node"] = report.in_force_s_by_node
     result["not_confirmed"] = list(report.not_confirmed)
     lines += [
@@ -279,8 +281,8 @@
         )
         result["in_force_s_by_node"] = {}
         result["above"] = report.highest
-        return result, lines, EXIT_FINDINGS
-    return result, lines, EXIT_UNREACHABLE if report.not_confirmed else 0
+        return result, lines, EXIT_FAILED
+    return result, lines, EXIT_USAGE if report.not_confirmed else 0
 
 
 def _service_lost_changes(store, accepted, report):
@@ -327,7 +329,7 @@
         text = json.dumps(configuration, indent=2) if generated else found.answers
         return result, [text.rstrip("\n")], 0
 
-    _guarded(run, output)
+    return _guarded(run, output)
 
 
 def history(*, settings=None, last=20, output="text"):
@@ -364,7 +366,7 @@
         ]
         return {"revisions": rows}, lines or ["no revision yet"], 0
 
-    _guarded(run, output)
+    return _guarded(run, output)
 
 
 def _time_text(seconds):
--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -16,6 +16,7 @@
 from savoryhill.config.store import (
     delete_expired_parts,
     keep_in_history,
+    list_revisions,
     read_current,
     read_revision,
     switch,
@@ -267,6 +268,7 @@
         "author": author,
         "taken_from": base,
         "digest": digest_of(configuration),
+        "changed": tuple(change.path for change in changes),
         "content": pack(with_taken_from(merged_text, revision), configuration),
     }
     return _Prepared(accepted=accepted, record=record)
@@ -283,9 +285,10 @@
             )
     start = plain_answers(ancestor.answers) if ancestor is not None else {}
     merged, conflicts = merge(start, mine, theirs)
-    if not conflicts:
-        return merged
     blamed = [_blame(store, each, base=base, known=known) for each in conflicts]
+    blamed += _undone(store, start, mine, theirs, base=base, known=known)
+    if not blamed:
+        return merged
     lines = [
         f"{'.'.join(each.path)}: here {each.mine!r}, in revision {each.revision} of "
         f"{each.author} {each.theirs!r}, before {each.taken_from!r}"
@@ -295,6 +298,40 @@
     raise ConflictError(message, conflicts=blamed)
 
 
+def _undone(store, start, mine, theirs, *, base, known):
+    """Find changes of others that were undone since, and that ``mine`` would repeat.
+
+    The present value is that of the file's own revision, so the merge sees no
+    conflict, but the file was written without knowing why the change was undone.
+    """
+    changes = [
+        change
+        for change in compare(start, mine)
+        if value_at(theirs, change.path) == change.before
+    ]
+    if not changes:
+        return
+    for record in list_revisions(store, n_last=known - base):
+        if record.revision <= base:
+            return
+        for change in tuple(changes):
+            if any(_overlap(change.path, path) for path in record.changed):
+                changes.remove(change)
+                yield ConflictWith(
+                    path=change.path,
+                    taken_from=change.before,
+                    mine=change.after,
+                    theirs=change.before,
+                    author=record.author,
+                    revision=record.revision,
+                )
+
+
+def _overlap(path, other):
+    n_common = min(len(path), len(other))
+    return path[:n_common] == other[:n_common]
+
+
 def _blame(store, conflict, *, base, known):
     """Find the revision that gave a conflicting path its present value."""
     found = None
--- a/src/savoryhill/config/records.py
+++ b/src/savoryhill/config/records.py
@@ -22,9 +22,10 @@
 class Record:
     """One accepted revision.
 
-    ``content`` is the packed answers and configuration; it is empty when they are
-    in ``n_parts`` part keys. ``digest`` is that of the generated configuration;
-    ``attempt`` identifies the write, so that a lost answer can be settled.
+    ``changed`` are the paths that it changed. ``content`` is the packed answers and
+    configuration; it is empty when they are in ``n_parts`` part keys. ``digest`` is
+    that of the generated configuration; ``attempt`` identifies the write, so that a
+    lost answer can be settled.
     """
 
     revision: int
@@ -34,6 +35,7 @@
     digest: str
     applied_at_s: float = 0.0
     note: str = ""
+    changed: tuple[tuple[str, ...], ...] = ()
     n_parts: int = 0
     content: bytes = field(default=b"", repr=False)
 
@@ -80,6 +82,7 @@
     try:
         values = json.loads(value)
         values["content"] = b64decode(values["content"])
+        values["changed"] = tuple(map(tuple, values["changed"]))
         return Record(**values)
     except (ValueError, TypeError, KeyError) as error:
         raise ConfigurationError(f"invalid configuration record: {error}") from error
--- a/tests/config/test_apply.py
+++ b/tests/config/test_apply.py
@@ -118,6 +118,20 @@
         apply_to(service, with_deadline(9.0), taken_from=1, author="ben")
         assert accepted_answers(service)["zones"]["zone-1"]["withdrawn"] is True
 
+    def test_an_old_file_does_not_repeat_a_change_that_was_undone(self):
+        # Guards against a zone that is withdrawn again by a file from before its
+        # return, which the merge alone does not notice.
+        service = make_service()
+        apply_to(service, with_withdrawn("zone-1"), taken_from=1)
+        apply_to(service, with_deadline(5.0), taken_from=2, author="ben")
+        apply_to(service, with_deadline(9.0), taken_from=3, author="ben")
+        assert "withdrawn" not in accepted_answers(service)["zones"]["zone-1"]
+        with pytest.raises(ConflictError) as raised:
+            apply_to(service, with_withdrawn("zone-1"), taken_from=1)
+        (conflict,) = raised.value.conflicts
+        assert conflict.path == ("zones", "zone-1", "withdrawn")
+        assert (conflict.author, conflict.revision) == ("ben", 3)
+
     def test_merged_answers_are_checked_again(self):
         # Each file is valid, but together they withdraw every zone.
         service = make_service()
--- a/tests/config/test_cli.py
+++ b/tests/config/test_cli.py
@@ -4,7 +4,7 @@
 import pytest
 import yaml
 
-from savoryhill.cli import questionnaire
+from savoryhill.cli import main, questionnaire
 from savoryhill.demo.deployment import (
     CLUSTER_KEY,
     make_answers,
@@ -39,11 +39,7 @@
 def call(capsys, command, *arguments, **options):
     """Return exit code and JSON output of a command."""
     capsys.readouterr()
-    code = 0
-    try:
-        command(*arguments, output="json", **options)
-    except SystemExit as exit_:
-        code = exit_.code
+    code = command(*arguments, output="json", **options)._start()
     return code, json.loads(capsys.readouterr().out)
 
 
@@ -77,10 +73,25 @@
 
     def test_a_new_file_has_no_findings_and_is_not_overwritten(self, capsys, tmp_path):
         path = str(tmp_path / "new.yaml")
-        questionnaire.new(path, deployment="licensing")
+        code, _ = call(capsys, questionnaire.new, path, deployment="licensing")
+        assert code == 0
         assert call(capsys, questionnaire.check, path) == (0, {"findings": []})
-        with pytest.raises(questionnaire.SettingsError, match="exists"):
-            questionnaire.new(path)
+        code, _ = call(capsys, questionnaire.new, path)
+        assert code == 2
+        assert "register:" in Path(path).read_text()
+
+    def test_a_misspelt_flag_is_refused_before_anything_is_done(
+        self, monkeypatch, tmp_path
+    ):
+        # fire calls a command before it notices arguments that it cannot use, so
+        # apply would have changed the deployment.
+        path = tmp_path / "new.yaml"
+        arguments = ["savoryhill", "questionnaire", "new", str(path), "--deploymnet=x"]
+        monkeypatch.setattr("sys.argv", arguments)
+        with pytest.raises(SystemExit) as raised:
+            main()
+        assert raised.value.code == 2
+        assert not path.exists()
 
 
 class TestApply:
