--- a/src/savoryhill/config/push.py
+++ b/src/savoryhill/config/push.py
@@ -72,7 +72,10 @@
     PlatformUnreachableError
         If the host list could not be read.
     """
-    addresses_by_node, _ = read_hosts(hosts)
+    addresses_by_node, leaving = read_hosts(hosts)
+    # A leaving node gets no new requests and may be gone before it confirms.
+    for node in leaving:
+        addresses_by_node.pop(node, None)
     started_at = time.monotonic()
     in_force_s_by_node, highest = {}, []
 
--- a/tests/config/test_cli.py
+++ b/tests/config/test_cli.py
@@ -172,6 +172,23 @@
         assert (code, result["accepted"]) == (2, True)
         assert result["not_confirmed"] == ["node-9"]
 
+    def test_a_leaving_node_is_not_waited_for(
+        self, capsys, settings, tmp_path, deployment
+    ):
+        hosts = deployment.platform.hosts_by_node
+        gone = {"node": "node-9", "address": "127.0.0.1:1", "state": "leaving"}
+        hosts["node-9"] = gone
+        try:
+            path, _ = taken(
+                capsys, settings, tmp_path, policy={"short_prompt_tokens": 7_500}
+            )
+            code, result = call(
+                capsys, questionnaire.apply, path, settings=settings, timeout_s=3.0
+            )
+        finally:
+            del hosts["node-9"]
+        assert (code, result["not_confirmed"]) == (0, [])
+
     def test_an_outage_gives_exit_code_2(self, capsys, settings, tmp_path, deployment):
         path, _ = taken(capsys, settings, tmp_path, journal={"n_shards": 4})
         deployment.platform.down = True
