--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -31,7 +31,7 @@
 
     import gevent
 
-    from savoryhill.node.process import drain, start_node, stop_node
+    from savoryhill.node.process import drain, flush_endings, start_node, stop_node
     from savoryhill.node.settings import load_settings
     from savoryhill.observability.logs import configure_logs
     from savoryhill.peers.transport import flush
@@ -40,6 +40,7 @@
     running = start_node(load_settings(settings))
     gevent.signal_handler(signal.SIGTERM, drain, running)
     running.stopped.wait()
+    flush_endings(running, timeout_s=FLUSH_TIMEOUT_S)
     flush(running.transport, timeout_s=FLUSH_TIMEOUT_S)
     stop_node(running)
 
--- a/src/savoryhill/core/journal/writer.py
+++ b/src/savoryhill/core/journal/writer.py
@@ -180,13 +180,14 @@
     )
 
 
-def _linger_s(operation):
-    return DONE_LINGER_S if operation.status == "done" else LINGER_S
+def _linger_s(state, operation):
+    waits = operation.status == "done" and not state.draining
+    return DONE_LINGER_S if waits else LINGER_S
 
 
 def _write(state, shard, number):
     """Send the next batch if the oldest operation has waited long enough."""
-    due = min(op.arrived_at + _linger_s(op) for op in shard.pending)
+    due = min(op.arrived_at + _linger_s(state, op) for op in shard.pending)
     due = max(due, shard.wrote_at + MIN_WRITE_INTERVAL_S)
     if state.now < due:
         yield from _wake_at(state, shard, number, due)
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -118,6 +118,16 @@
     submit(node.runtime, DrainRequested(at=node.clock.monotonic()))
 
 
+def flush_endings(node, *, timeout_s):
+    """Wait until the journal has confirmed how this node's calls ended.
+
+    What is not confirmed in time becomes an unknown outcome for repeated calls.
+    """
+    with gevent.Timeout(timeout_s, False):
+        while node.runtime.state.journal.endings_by_attempt:
+            gevent.sleep(0.01)
+
+
 def stop_node(node):
     """Stop a node at once."""
     gevent.killall(node.greenlets)
--- a/src/savoryhill/sendonce.py
+++ b/src/savoryhill/sendonce.py
@@ -1,10 +1,9 @@
 """HTTP requests that are sent at most once.
 
 geventhttpclient 2.6.1 sends GET, PUT and DELETE again when the connection closes
-before the answer, and releases before 2.6 did so for POST. A resent transaction
-that had taken effect is answered as a failed comparison, and a resent service
-call runs twice. The client built here hands out one connection per request, so
-a resend ends in an error instead.
+before the answer. A resent transaction that had taken effect is answered as a
+failed comparison, and a resent service call runs twice. The client built here
+hands out one connection per request, so a resend ends in an error instead.
 """
 
 from dataclasses import dataclass, field
--- a/tests/bench/test_orders.py
+++ b/tests/bench/test_orders.py
@@ -6,7 +6,7 @@
 from savoryhill.bench.orders import executions_of, run_orders, share_books
 from savoryhill.demo import deployment as demo
 from savoryhill.demo.run import order, wait_until_ready
-from savoryhill.node.process import start_node, stop_node
+from savoryhill.node.process import drain, flush_endings, start_node, stop_node
 from savoryhill.standins.platform import set_faults
 
 
@@ -94,6 +94,20 @@
         assert n_executions(deployment, "stopped") == 1
 
 
+class TestDrain:
+    def test_a_drained_node_records_the_answers_it_has_given(self, deployment):
+        # They waited for more endings to be written with, and were lost with it.
+        place(deployment, 1, "drained")
+        node = deployment.nodes[1]
+        drain(node)
+        flush_endings(node, timeout_s=2.0)
+        assert not node.runtime.state.journal.endings_by_attempt
+        stop_node(node)
+        deployment.nodes[1] = start_node(node.settings)
+        wait_until_ready(deployment.nodes[1])
+        assert place(deployment, 0, "drained").execution == "completed"
+
+
 class TestBench:
     def test_orders_under_faults_run_at_most_once(self):
         result = run_orders(seed=3, n_orders=30)
--- a/tests/core/journal/test_walk.py
+++ b/tests/core/journal/test_walk.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from savoryhill.core.journal import judge, log, replies, writer
-from savoryhill.core.requests import lifecycle
+from savoryhill.core.journal import entry, judge, log, replies, writer
 from savoryhill.standins import world as w
 
 N_STEPS = 1_500
@@ -99,22 +98,16 @@
     return None if status == "unknown" else status
 
 
-def _finish_as_not_sent(
-    state, request, status, response=b"", original=lifecycle._journal_finish
-):
+def _finish_as_not_sent(state, *, status, original=entry.finish, **more):
     status = "not_sent" if status == "unknown" else status
-    return original(state, request, status, response)
+    return original(state, status=status, **more)
 
 
 MUTATIONS = {
     "a taken position is overwritten": (writer, "_send_flight", _compare_only_meta),
     "a folded position is created again": (writer, "_send_flight", _compare_only_key),
     "an unknown call is sent again": (replies, "judge_reservation", _judge_free),
-    "a broken call is reported as not sent": (
-        lifecycle,
-        "_journal_finish",
-        _finish_as_not_sent,
-    ),
+    "a broken call is reported as not sent": (entry, "finish", _finish_as_not_sent),
 }
 
 
