--- a/specs/check_journal.py
+++ b/specs/check_journal.py
@@ -7,9 +7,8 @@
 import sys
 import time
 
-from minicheck import Protocol, check_safety
-
 from journal_model import INITIAL, INVARIANTS, NO_FAULTS, State, transitions
+from minicheck import Protocol, check_safety
 
 # Checked by the tests.
 SCENARIOS = {
--- a/tests/specs/test_journal_model.py
+++ b/tests/specs/test_journal_model.py
@@ -1,6 +1,5 @@
-import pytest
-
 import check_journal as model
+import pytest
 
 
 class TestProtocol:
