--- a/src/savoryhill/core/journal/entry.py
+++ b/src/savoryhill/core/journal/entry.py
@@ -11,6 +11,8 @@
 MAX_ASKED = 8
 ENDING_AGAIN_S = 1.0
 MAX_ENDING_AGAIN_S = 10.0
+# Thousands of endings may wait in an outage, so not every tick looks at them.
+ENDINGS_CHECK_S = 0.25
 # Bounds the memory for endings while the key-value service is out; an ending
 # takes at most 2.5 kB.
 MAX_ENDINGS = 5_000
@@ -109,7 +111,10 @@
     reply = event.message
     journal = state.journal
     if reply.status == "recorded":
-        journal.endings_by_attempt.pop(reply.attempt, None)
+        # A done found by a lookup may have replaced the unknown that is confirmed.
+        ending = journal.endings_by_attempt.get(reply.attempt)
+        if ending is not None and ending.message.status == reply.ending:
+            del journal.endings_by_attempt[reply.attempt]
         return
     reservation = journal.reservations_by_request.get(reply.request_id)
     if reservation is not None and reservation.attempt == reply.attempt:
@@ -148,6 +153,9 @@
             and reservation.n_asked < MAX_ASKED
         ):
             yield from _ask_again(state, reservation)
+    if event.at - journal.endings_checked_at < ENDINGS_CHECK_S:
+        return
+    journal.endings_checked_at = event.at
     for ending in journal.endings_by_attempt.values():
         wait_s = min(MAX_ENDING_AGAIN_S, ENDING_AGAIN_S * ending.n_sent)
         if event.at - ending.sent_at >= wait_s:
--- a/src/savoryhill/core/journal/replies.py
+++ b/src/savoryhill/core/journal/replies.py
@@ -19,7 +19,8 @@
 
 def answer(operation, status, entry=None):
     """Answer the requester of an operation."""
-    if operation.status != "reserved":
+    ending = "" if operation.status == "reserved" else operation.status
+    if ending:
         status = "recorded"
     done = status == "done" and entry is not None
     return SendPeer(
@@ -30,6 +31,7 @@
             status=status,
             response=entry.response if done else b"",
             earlier=attempt_of(entry) if entry is not None else "",
+            ending=ending,
         ),
     )
 
--- a/src/savoryhill/core/journal/state.py
+++ b/src/savoryhill/core/journal/state.py
@@ -152,4 +152,5 @@
     shard_numbers_by_call: dict[str, int] = field(default_factory=dict)
     reservations_by_request: dict[str, Reservation] = field(default_factory=dict)
     endings_by_attempt: dict[str, Ending] = field(default_factory=dict)
+    endings_checked_at: float = float("-inf")
     abandoned: dict[str, bytes] = field(default_factory=dict)
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -125,7 +125,7 @@
 
     ``status`` is ``reserved``, ``done``, ``running``, ``unknown``, ``mismatch``
     (same key, other body), ``unavailable`` (not reserved, nor will it be) or
-    ``recorded`` (the answer to an ending). ``earlier`` is the attempt that holds
+    ``recorded`` (the answer to ``ending``). ``earlier`` is the attempt that holds
     the key; ``response`` is a packed answer, see ``core.journal.answers``.
     """
 
@@ -134,6 +134,7 @@
     status: str
     response: bytes = field(default=b"", repr=False)
     earlier: str = ""
+    ending: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -68,6 +68,7 @@
   status @2 :Text;
   response @3 :Data;
   earlier @4 :Text;
+  ending @5 :Text;
 }
 
 struct JournalFinish {
--- a/tests/core/journal/test_writer.py
+++ b/tests/core/journal/test_writer.py
@@ -2,6 +2,7 @@
 
 from savoryhill.core import events, messages
 from savoryhill.core.journal import codec, log
+from savoryhill.core.journal import entry as journal
 from savoryhill.core.journal.answers import MAX_STORED_BODY_BYTES
 from savoryhill.core.journal.keys import writer_of
 from savoryhill.standins import world as w
@@ -202,6 +203,24 @@
         assert execution(world, repeat) == "unknown"
         assert status_of(world, "a") == "unknown"
 
+    def test_a_found_answer_survives_the_confirmation_of_unknown(self, world):
+        # The confirmation named no status and took the found answer with it.
+        writer, other = nodes_by_role(world)
+        node = world.nodes[other]
+        attempt = f"{other}:1:{1:032x}"
+        for status in ("unknown", "done"):
+            effects = journal.finish(
+                node.state, key=b"a" + b"." * 15, attempt=attempt, status=status
+            )
+            assert len(list(effects)) == 1
+        reply = messages.JournalReply(
+            request_id="", attempt=attempt, status="recorded", ending="unknown"
+        )
+        event = events.PeerReceived(at=world.now, sender=writer, message=reply)
+        w.submit(world, node, event)
+        (waiting,) = node.state.journal.endings_by_attempt.values()
+        assert waiting.message.status == "done"
+
     def test_an_answer_too_large_to_keep_is_named_by_its_digest(
         self, world, monkeypatch
     ):
