--- a/src/savoryhill/bench/orders.py
+++ b/src/savoryhill/bench/orders.py
@@ -143,14 +143,15 @@
     times_ms = []
     for number in range(N_DIRECT_CALLS):
         started = time.monotonic()
-        _request(address, "/call/order", f"direct-{number}", {})
+        send_order(address, "/call/order", f"direct-{number}", {})
         times_ms.append((time.monotonic() - started) * 1000)
     for key in [key for key in executions_of(deployment) if key.startswith("direct")]:
         del executions_of(deployment)[key]
     return sorted(times_ms)
 
 
-def _request(address, path, key, headers):
+def send_order(address, path, key, headers):
+    """Send one order; return the status and the decoded answer."""
     host, port = address.rsplit(":", 1)
     client = HTTPClient(
         host, int(port), connection_timeout=1.0, network_timeout=CALLER_TIMEOUT_S
@@ -188,7 +189,7 @@
     headers = {"Authorization": f"Bearer {demo.BEARER_KEY}"}
     path = f"/services/{demo.SERVICE}/call/order"
     try:
-        status, content = _request(address, path, order.key, headers)
+        status, content = send_order(address, path, order.key, headers)
         execution = content.get("execution", "completed" if status == 200 else "")
     except ConnectionRefusedError:
         execution = "not_run"
