requests: keep deadlines, permits, retries and outcomes in every phase

The HTTP front read bodies before it authenticated and had no limits.

Change: the requests subject is split into permits, attempts, endings, outcome, limits and undelivered messages. Permits are reported each second, grants with an old fence, attempt, group or start_by are given back, groups are chosen by two random choices, refusals and failures are retried with jitter within three attempts and the node's budget, streams resume on the same endpoint first, and calls that must not be repeated run to their end and are journaled after their deadline too. PlaceRequest carries asked_at, which the coordinator repeats in PlaceReply. The service client opens its own connection, because geventhttpclient sends GET, PUT and DELETE again after a closed connection. The front gets limits, validation, problem+json and caller-gone detection; metrics, timeline, hybrid clock and the admin address are new.

--- a/src/savoryhill/core/effects.py
+++ b/src/savoryhill/core/effects.py
@@ -63,7 +63,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StartAttempt(Effect):
-    """Send a request to an endpoint and relay its answer to the caller."""
+    """Send a request to an endpoint and relay its answer to the caller.
+
+    Nothing is sent after ``start_by``. ``first_token_limit_s`` and
+    ``gap_limit_s`` tell when the stream counts as silent before and after its
+    first content; ``call_until`` bounds a service call. Times are in seconds of
+    the runtime clock.
+    """
 
     spec: RequestSpec
     attempt: int
@@ -74,6 +80,10 @@
     priority: int
     from_offset: int = 0
     export_from: tuple[str, ...] = ()
+    start_by: float = float("inf")
+    first_token_limit_s: float = 10.0
+    gap_limit_s: float = 10.0
+    call_until: float = float("inf")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -92,6 +92,13 @@
     request_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DeadlineReached(Event):
+    """The deadline of a request has come; ticks notice it only later."""
+
+    request_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptStarted(Event):
     """The endpoint delivered the first content of an attempt."""
@@ -105,7 +112,8 @@
     """An attempt on an endpoint ended.
 
     ``result`` is ``completed``, ``not_sent`` (provably never received),
-    ``refused`` (received but not executed), ``broken`` or ``silent``.
+    ``refused`` (received but not executed), ``broken`` or ``silent``. ``response``
+    is the answer of a service call as `pack_response` builds it.
     """
 
     request_id: str
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -36,7 +36,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlaceRequest(Message):
-    """An entry node asks a group's coordinator for a permit."""
+    """An entry node asks a group's coordinator for a permit.
+
+    ``asked_at`` is in seconds of the entry node's clock. A repeated question for
+    the same attempt carries a new one.
+    """
 
     request_id: str
     attempt: int
@@ -48,11 +52,15 @@
     remaining_s: float
     prefix_hashes: tuple[int, ...] = ()
     avoid: tuple[str, ...] = ()
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlaceReply(Message):
-    """A coordinator's answer: a permit (``granted``), ``refused`` or ``moved``."""
+    """A coordinator's answer: a permit (``granted``), ``refused`` or ``moved``.
+
+    ``asked_at`` repeats that of the latest question; 0.0 if it is not known.
+    """
 
     request_id: str
     attempt: int
@@ -66,6 +74,7 @@
     retry_after_s: float = 0.0
     detail: str = ""
     export_from: tuple[str, ...] = ()
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/requests/lifecycle.py
+++ b/src/savoryhill/core/requests/lifecycle.py
@@ -2,365 +2,192 @@
 
 import heapq
 
-from savoryhill.core.coordination.view import holder_of
-from savoryhill.core.effects import (
-    CancelAttempt,
-    FinishRequest,
-    Observe,
-    SendPeer,
-    StartAttempt,
-    StopNode,
-    record,
-)
+from savoryhill.core.effects import Observe, SendPeer, record
 from savoryhill.core.events import (
     AttemptEnded,
     AttemptStarted,
     CallerGone,
+    DeadlineReached,
     DrainRequested,
+    PeerUnreachable,
     RequestArrived,
     Ticked,
 )
 from savoryhill.core.journal.writer import shard_of, writer_of
-from savoryhill.core.messages import (
-    JournalFinish,
-    JournalReply,
-    JournalReserve,
-    PermitRelease,
-    PlaceReply,
-    PlaceRequest,
+from savoryhill.core.messages import JournalReply, JournalReserve, PlaceReply
+from savoryhill.core.requests import limits, permits
+from savoryhill.core.requests.attempts import on_attempt_ended, on_attempt_started
+from savoryhill.core.requests.endings import (
+    on_caller_gone,
+    on_deadline,
+    on_drain_requested,
+)
+from savoryhill.core.requests.outcome import (
+    finish,
+    free_key,
+    refuse,
+    resend_finishes,
 )
 from savoryhill.core.requests.state import RequestState
+from savoryhill.core.requests.undelivered import on_peer_unreachable
 
-# A permit not used this long after it was asked for is given back unused.
-START_BY_S = 2.0
-ASK_AGAIN_S = 1.0
-MAX_ATTEMPTS = 3
-RETRY_TOKENS_PER_REQUEST = 0.1
-MAX_RETRY_TOKENS = 20.0
+RESERVE_AGAIN_S = 1.0
 
 
-def _finish(state, request, *, status, execution, detail="", retry_after_s=0.0, **more):
-    spec = request.spec
-    del state.requests.requests_by_id[spec.request_id]
-    yield FinishRequest(
-        request_id=spec.request_id,
-        status=status,
-        execution=execution,
-        detail=detail,
-        retry_after_s=retry_after_s,
-        **more,
-    )
-    yield record(
-        "request.finished",
-        request=spec.request_id,
-        workspace=spec.workspace,
-        kind=spec.kind,
-        status=status,
-        execution=execution,
-        attempts=request.attempt,
-        detail=detail,
-    )
-    if state.draining and not state.requests.requests_by_id:
-        yield StopNode()
-
-
-def _release(request, result, state, n_tokens=0, incarnation=""):
-    if not request.endpoint:
-        return
-    first = request.first_token_at - request.started_at
-    yield SendPeer(
-        to=holder_of(state, request.group) or state.node,
-        message=PermitRelease(
-            request_id=request.spec.request_id,
-            attempt=request.attempt,
-            group=request.group,
-            endpoint=request.endpoint,
-            result=result,
-            n_tokens=n_tokens,
-            first_token_s=max(0.0, first),
-            duration_s=max(0.0, state.now - request.started_at),
-            incarnation=incarnation,
-        ),
-    )
-    request.endpoint = ""
-
-
-def _journal_finish(state, request, status, response=b""):
-    if not request.spec.journal_key or not request.journal_attempt:
-        return
-    key = request.spec.journal_key
-    yield SendPeer(
-        to=writer_of(state, shard_of(state, key)),
-        message=JournalFinish(
-            attempt=request.journal_attempt,
-            key=key,
-            status=status,
-            response=response,
-        ),
-    )
-
-
-def _refuse(state, request, detail, *, status=503, retry_after_s=1.0):
-    yield from _journal_finish(state, request, "not_sent")
-    yield from _finish(
-        state,
-        request,
-        status=status,
-        execution="not_run",
-        detail=detail,
-        retry_after_s=retry_after_s,
-    )
-
-
-def _ask(state, request):
-    spec = request.spec
-    groups = state.active.group_ids_by_target.get(spec.target, ())
-    request.phase = "placing"
-    request.group = state.random.choice(groups)
-    request.asked_at = state.now
-    yield SendPeer(
-        to=holder_of(state, request.group) or state.node,
-        message=PlaceRequest(
-            request_id=spec.request_id,
-            attempt=request.attempt,
-            group=request.group,
-            workspace=spec.workspace,
-            kind=spec.kind,
-            prompt_tokens=spec.prompt_tokens,
-            max_tokens=spec.max_tokens,
-            remaining_s=spec.deadline_at - state.now,
-            prefix_hashes=spec.prefix_hashes,
-            avoid=tuple(request.avoid),
-        ),
-    )
+def _refusal(state, spec):
+    """Return (reason, detail) if a new request must be refused, else None."""
+    if state.draining:
+        return "draining", "this node is shutting down"
+    if state.active is None:
+        return "no_configuration", "this node has no configuration yet"
+    if state.configuration.isolated:
+        return "isolated", "this node is cut off from the rest of the deployment"
+    if spec.deadline_at <= state.now:
+        return "deadline", "the deadline has passed already"
+    if not permits.groups_of(state, spec.target):
+        return "no_endpoint", f"no endpoint serves {spec.target!r}"
+    return None
 
 
 def _on_request_arrived(state, event):
     spec = event.spec
     request = RequestState(spec=spec, arrived_at=event.at)
     state.requests.requests_by_id[spec.request_id] = request
-    budget = state.requests.retry_tokens + RETRY_TOKENS_PER_REQUEST
-    state.requests.retry_tokens = min(MAX_RETRY_TOKENS, budget)
-    if state.active is None or state.draining:
-        detail = "draining" if state.draining else "no configuration yet"
-        yield from _refuse(state, request, detail)
-        return
-    if not state.active.group_ids_by_target.get(spec.target):
-        detail = f"no endpoint serves {spec.target!r}"
-        yield from _refuse(state, request, detail, status=404, retry_after_s=0.0)
+    refusal = _refusal(state, spec)
+    if refusal is not None:
+        reason, detail = refusal
+        yield from refuse(state, request, detail, reason=reason)
         return
-    heapq.heappush(state.requests.deadlines, (spec.deadline_at, spec.request_id))
+    limits.earn_retry_tokens(state)
+    timer = (spec.deadline_at, spec.request_id, "deadline")
+    heapq.heappush(state.requests.timers, timer)
     if not spec.journal_key:
-        request.attempt = 1
-        yield from _ask(state, request)
+        yield from permits.place(state, request)
         return
-    request.phase = "reserving"
     request.journal_attempt = f"{state.node}:{state.incarnation}:{spec.request_id}"
+    yield from _reserve(state, request)
+
+
+def _reserve(state, request):
+    """Ask the journal, or ask again; the same attempt is reserved only once."""
+    request.phase = "reserving"
+    permits.wake_later(state, request, state.now + RESERVE_AGAIN_S)
+    key = request.spec.journal_key
     yield SendPeer(
-        to=writer_of(state, shard_of(state, spec.journal_key)),
+        to=writer_of(state, shard_of(state, key)),
         message=JournalReserve(
-            request_id=spec.request_id,
+            request_id=request.spec.request_id,
             attempt=request.journal_attempt,
-            key=spec.journal_key,
-            body_digest=spec.body_digest,
+            key=key,
+            body_digest=request.spec.body_digest,
         ),
     )
 
 
+# Status, execution, detail and Retry-After in seconds by the journal's answer.
+_JOURNAL_ENDINGS = {
+    "done": (200, "completed", "answer of the earlier call", 0.0),
+    "running": (409, "unknown", "a call with this key is still running", 1.0),
+    "unknown": (409, "unknown", "the outcome of the earlier call is unknown", 0.0),
+    "mismatch": (422, "not_run", "this key was used with another body", 0.0),
+    "unavailable": (503, "not_run", "the journal cannot be reached", 1.0),
+}
+
+
 def _on_journal_reply(state, event):
     reply = event.message
+    abandoned = state.requests.abandoned_by_attempt.get(reply.attempt)
+    if abandoned is not None:
+        if reply.status == "reserved":
+            yield free_key(state, reply.attempt, abandoned.key)
+        return
     request = state.requests.requests_by_id.get(reply.request_id)
     if request is None or request.phase != "reserving":
         return
+    if reply.attempt != request.journal_attempt:
+        return
     if reply.status == "reserved":
-        request.attempt = 1
-        yield from _ask(state, request)
+        yield from permits.place(state, request)
+        return
+    if reply.status == "unavailable":
+        # The reservation may have been written all the same.
+        detail = _JOURNAL_ENDINGS["unavailable"][2]
+        yield from refuse(state, request, detail, reason="journal")
         return
     request.journal_attempt = ""
-    endings = {
-        "done": (200, "completed", "answer of the earlier call"),
-        "running": (409, "unknown", "a call with this key is still running"),
-        "unknown": (409, "unknown", "the outcome of the earlier call is unknown"),
-        "mismatch": (422, "not_run", "this key was used with another body"),
-        "unavailable": (503, "not_run", "the journal cannot be reached"),
-    }
-    status, execution, detail = endings[reply.status]
-    yield from _finish(
+    status, execution, detail, retry_after_s = _JOURNAL_ENDINGS[reply.status]
+    yield from finish(
         state,
         request,
         status=status,
         execution=execution,
         detail=detail,
-        retry_after_s=1.0 if status in (409, 503) else 0.0,
+        retry_after_s=retry_after_s,
         response=reply.response,
     )
 
 
-def _on_place_reply(state, event):
-    reply = event.message
-    request = state.requests.requests_by_id.get(reply.request_id)
-    current = (
-        request is not None
-        and request.phase == "placing"
-        and request.attempt == reply.attempt
-        and request.group == reply.group
-    )
-    highest = state.requests.max_fence_by_group.get(reply.group, 0)
-    usable = current and reply.fence >= highest
-    if reply.status == "granted":
-        if not usable or state.now - request.asked_at > START_BY_S + ASK_AGAIN_S:
-            yield SendPeer(
-                to=event.sender,
-                message=PermitRelease(
-                    request_id=reply.request_id,
-                    attempt=reply.attempt,
-                    group=reply.group,
-                    endpoint=reply.endpoint,
-                    result="unused",
-                ),
-            )
-            return
-        state.requests.max_fence_by_group[reply.group] = reply.fence
-        yield from _start(state, request, reply)
-    elif current and reply.status == "refused":
-        yield from _refuse(
-            state, request, reply.detail, retry_after_s=reply.retry_after_s
-        )
-
+def _on_wake(state, request):
+    if request.phase == "reserving":
+        yield from _reserve(state, request)
+    elif request.phase == "placing":
+        yield from permits.ask(state, request)
+    elif request.phase == "pausing":
+        yield from permits.place(state, request)
 
-def _start(state, request, reply):
-    request.phase = "running"
-    request.endpoint = reply.endpoint
-    request.started_at = state.now
-    yield StartAttempt(
-        spec=request.spec,
-        attempt=request.attempt,
-        endpoint=reply.endpoint,
-        address=state.active.endpoints_by_id[reply.endpoint].address,
-        fence=reply.fence,
-        incarnation=reply.incarnation,
-        priority=reply.priority,
-        from_offset=request.n_emitted,
-    )
 
-
-def _on_attempt_started(state, event):
+def _on_tick(state, event):
+    requests = state.requests
+    while requests.timers and requests.timers[0][0] <= event.at:
+        at, name, what = heapq.heappop(requests.timers)
+        if what == "forget":
+            requests.abandoned_by_attempt.pop(name, None)
+            continue
+        request = requests.requests_by_id.get(name)
+        if request is None:
+            continue
+        if what == "deadline":
+            yield from on_deadline(state, request)
+        elif request.wake_at == at:
+            yield from _on_wake(state, request)
+    yield from permits.report_permits(state)
+    if requests.unsent_finishes:
+        yield from resend_finishes(state)
+
+
+def _on_deadline_reached(state, event):
     request = state.requests.requests_by_id.get(event.request_id)
-    if request is None or request.attempt != event.attempt:
-        return
-    request.first_token_at = event.at
-    yield Observe(
-        metric="first_token_s",
-        value=event.at - request.arrived_at,
-        labels=(("kind", request.spec.kind),),
-    )
+    if request is not None and request.spec.deadline_at <= event.at:
+        yield from on_deadline(state, request)
 
 
-def _on_attempt_ended(state, event):
+def _on_started(state, event):
     request = state.requests.requests_by_id.get(event.request_id)
-    if request is None or request.attempt != event.attempt:
-        return
-    if request.phase != "running":
-        return
-    endpoint = request.endpoint
-    request.n_emitted += event.n_tokens
-    yield from _release(request, event.result, state, event.n_tokens, event.incarnation)
-    if event.result == "completed":
-        yield from _journal_finish(state, request, "done", event.response)
-        yield from _finish(
-            state,
-            request,
-            status=event.status or 200,
-            execution="completed",
-            response=event.response,
-        )
-        return
-    if not request.spec.idempotent:
-        if event.result in ("not_sent", "refused"):
-            yield from _refuse(state, request, event.detail)
-        else:
-            yield from _finish(
-                state, request, status=502, execution="unknown", detail=event.detail
-            )
-        return
-    request.avoid.add(endpoint)
-    yield from _retry(state, request, event)
+    if request is not None and request.attempt == event.attempt:
+        yield from on_attempt_started(state, request, event)
 
 
-def _retry(state, request, event):
-    if request.attempt >= MAX_ATTEMPTS or state.requests.retry_tokens < 1.0:
-        execution = "unknown" if request.n_emitted else "not_run"
-        yield from _finish(
-            state,
-            request,
-            status=502,
-            execution=execution,
-            detail=f"gave up after {request.attempt} attempts: {event.detail}",
-            retry_after_s=1.0,
-        )
-        return
-    state.requests.retry_tokens -= 1.0
-    request.attempt += 1
-    yield from _ask(state, request)
-
-
-def _on_caller_gone(state, event):
+def _on_ended(state, event):
     request = state.requests.requests_by_id.get(event.request_id)
-    if request is None:
-        return
-    if request.phase == "running" and request.spec.idempotent:
-        yield CancelAttempt(
-            request_id=event.request_id,
-            attempt=request.attempt,
-            endpoint=request.endpoint,
-        )
-        yield from _release(request, "cancelled", state)
-        yield from _finish(
-            state, request, status=499, execution="unknown", detail="caller gone"
+    current = request is not None and request.attempt == event.attempt
+    if current and request.phase in ("running", "detached"):
+        yield from on_attempt_ended(state, request, event)
+    else:
+        yield Observe(metric="late_attempt_ends", value=1.0)
+        yield record(
+            "attempt.ended_late", request=event.request_id, result=event.result
         )
 
 
-def _on_tick(state, event):
-    requests = state.requests
-    while requests.deadlines and requests.deadlines[0][0] <= event.at:
-        _, request_id = heapq.heappop(requests.deadlines)
-        request = requests.requests_by_id.get(request_id)
-        if request is not None:
-            yield from _expire(state, request)
-    for request in tuple(requests.requests_by_id.values()):
-        waited_s = event.at - request.asked_at
-        if request.phase == "placing" and waited_s > ASK_AGAIN_S:
-            yield from _ask(state, request)
-
-
-def _expire(state, request):
-    if request.phase != "running":
-        yield from _refuse(state, request, "deadline passed before it could start")
-        return
-    yield CancelAttempt(
-        request_id=request.spec.request_id,
-        attempt=request.attempt,
-        endpoint=request.endpoint,
-    )
-    yield from _release(request, "cancelled", state)
-    yield from _finish(
-        state, request, status=504, execution="unknown", detail="deadline passed"
-    )
-
-
-def _on_drain_requested(state, event):
-    state.draining = True
-    if not state.requests.requests_by_id:
-        yield StopNode()
-
-
 HANDLERS = {
     RequestArrived: _on_request_arrived,
     JournalReply: _on_journal_reply,
-    PlaceReply: _on_place_reply,
-    AttemptStarted: _on_attempt_started,
-    AttemptEnded: _on_attempt_ended,
-    CallerGone: _on_caller_gone,
-    DrainRequested: _on_drain_requested,
+    PlaceReply: permits.on_place_reply,
+    AttemptStarted: _on_started,
+    AttemptEnded: _on_ended,
+    CallerGone: on_caller_gone,
+    DeadlineReached: _on_deadline_reached,
+    PeerUnreachable: on_peer_unreachable,
+    DrainRequested: on_drain_requested,
     Ticked: _on_tick,
 }
--- a/src/savoryhill/endpoints/service.py
+++ b/src/savoryhill/endpoints/service.py
@@ -1,10 +1,26 @@
-"""Client of a plain service."""
+"""Client of a plain service.
 
-from geventhttpclient import HTTPClient
+The connection is opened and the request written here rather than by
+``geventhttpclient.HTTPClient``: that client sends GET, PUT and DELETE again after
+a closed connection, and raises the same timeout for a connection that was never
+made and for an answer that never came. Its parser reads the answer.
+"""
+
+import re
+from urllib.parse import quote
+
+import gevent
+from gevent import socket
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from savoryhill.errors import BrokenStreamError, EndpointRefusedError, NotSentError
 
 CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_BLOCK_BYTES = 64 * 1024
+_FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+# By this header a service marks a 503 as given before execution.
+NOT_RUN_HEADER = "not-run"
 
 
 def call_service(address, *, method, path, body, headers, timeout_s, not_run_statuses):
@@ -15,13 +31,13 @@
     address : str
         ``ip:port`` of the service.
     method, path : str
-        The call.
+        The call; the path may have a query.
     body : bytes
         The caller's body.
     headers : dict of str to str
         Headers to send.
     timeout_s : float
-        Limit for the answer.
+        Limit for the whole call.
     not_run_statuses : collection of int
         Statuses by which the service refuses before it executes.
 
@@ -33,30 +49,74 @@
     Raises
     ------
     NotSentError
-        If the service provably did not receive the call.
+        If the service provably did not receive the call: no connection was made,
+        so no byte was written.
     EndpointRefusedError
         If the service refused the call before executing it.
     BrokenStreamError
         If the answer is missing or incomplete, so the call may have run.
     """
-    host, port = address.rsplit(":", 1)
-    http = HTTPClient(
-        host,
-        int(port),
-        connection_timeout=CONNECT_TIMEOUT_S,
-        network_timeout=timeout_s,
-    )
+    request = _encode(address, method, path, body, headers)
+    sock = _connect(address, timeout_s)
     try:
-        response = http.request(method, path, body=body, headers=headers)
-        content = bytes(response.read())
-        status = response.status_code
-        content_type = response.get("content-type", "application/octet-stream")
-    except ConnectionRefusedError as error:
-        raise NotSentError(f"service at {address} refused the connection") from error
-    except Exception as error:
-        raise BrokenStreamError(f"{method} {path} at {address}: {error!r}") from error
+        with gevent.Timeout(timeout_s, BrokenStreamError(f"{timeout_s:.3f} s passed")):
+            sock.sendall(request)
+            response = HTTPSocketResponse(sock, block_size=_BLOCK_BYTES, method=method)
+            content = _read(response)
+    except (OSError, HTTPParseError, BrokenStreamError) as error:
+        raise BrokenStreamError(
+            f"{method} {path} at {address} may have run: {error!r}"
+        ) from error
     finally:
-        http.close()
-    if status in not_run_statuses:
+        sock.close()
+    status = response.status_code
+    refused = status == 503 and response.get(NOT_RUN_HEADER) is not None
+    if refused or status in not_run_statuses:
         raise EndpointRefusedError(f"service at {address} answered {status}")
+    content_type = response.get("content-type", "application/octet-stream")
     return status, content_type, content
+
+
+def _connect(address, timeout_s):
+    host, port = address.rsplit(":", 1)
+    limit_s = min(CONNECT_TIMEOUT_S, timeout_s)
+    if limit_s <= 0:
+        raise NotSentError(f"no time was left to call the service at {address}")
+    try:
+        sock = socket.create_connection((host, int(port)), timeout=limit_s)
+    except OSError as error:
+        raise NotSentError(
+            f"no connection to the service at {address}: {error!r}"
+        ) from error
+    sock.settimeout(None)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def _encode(address, method, path, body, headers):
+    lines = [
+        f"{method} {quote(path, safe='/?&=%+,:;@!$*~()')} HTTP/1.1",
+        f"Host: {address}",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    ]
+    for name, value in headers.items():
+        if not _FIELD_VALUE.fullmatch(value):
+            raise NotSentError(f"header {name} has characters that cannot be sent")
+        lines.append(f"{name}: {value}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def _read(response):
+    parts, n_bytes = [], 0
+    while True:
+        part = response.read(_BLOCK_BYTES)
+        if not part:
+            break
+        parts.append(part)
+        n_bytes += len(part)
+        if n_bytes > MAX_ANSWER_BYTES:
+            raise BrokenStreamError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+    if not response.message_complete:
+        raise BrokenStreamError("the connection closed before the answer's end")
+    return b"".join(parts)
--- a/src/savoryhill/errors.py
+++ b/src/savoryhill/errors.py
@@ -41,5 +41,9 @@
     """A stream broke, fell silent or carried unexpected content."""
 
 
+class SilentStreamError(EndpointError):
+    """A stream carried no content for longer than its limit."""
+
+
 class PeerError(SavoryhillError):
     """A message between nodes could not be sent, decoded or authenticated."""
--- a/src/savoryhill/node/drivers/__init__.py
+++ b/src/savoryhill/node/drivers/__init__.py
@@ -4,7 +4,6 @@
 from savoryhill.node.drivers.attempts import make_attempt_drivers
 from savoryhill.node.drivers.peers import make_peer_drivers
 from savoryhill.node.drivers.platform import make_platform_drivers
-from savoryhill.observability.logs import log_event
 
 __all__ = ["make_drivers"]
 
@@ -24,11 +23,7 @@
     """
 
     def write_record(effect):
-        fields = dict(effect.fields)
-        log_event(effect.name, node=node.settings.node, **fields)
-        node.time_line.append(
-            {"wall_s": node.clock.wall(), "event": effect.name, **fields}
-        )
+        node.record(effect.name, dict(effect.fields))
 
     def observe(effect):
         node.observe(effect.metric, effect.value, dict(effect.labels))
--- a/src/savoryhill/node/drivers/attempts.py
+++ b/src/savoryhill/node/drivers/attempts.py
@@ -3,6 +3,7 @@
 import gevent
 
 from savoryhill.core import effects, events
+from savoryhill.core.requests.answers import pack_response
 from savoryhill.endpoints.engine import cancel_stream, read_load, stream_completion
 from savoryhill.endpoints.service import call_service
 from savoryhill.errors import (
@@ -10,12 +11,13 @@
     EndpointError,
     EndpointRefusedError,
     NotSentError,
+    SilentStreamError,
 )
-from savoryhill.node.relay import accept
+from savoryhill.node.relay import accept, put_chunk, put_finish
 from savoryhill.node.runtime import submit
 from savoryhill.observability.logs import log_event
 
-GAP_LIMIT_S = 10.0
+SILENCE_CHECK_S = 0.1
 
 
 def make_attempt_drivers(node):
@@ -27,13 +29,15 @@
         if relay is None:
             return
         relay.attempt = effect.attempt
+        relay.serial += 1
         run = _run_completion if effect.spec.is_model else _run_service_call
         relay.greenlet = gevent.spawn(_run_attempt, node, relay, effect, run, now)
 
     def cancel_attempt(effect):
         relay = node.relays_by_request.get(effect.request_id)
         if relay is not None and relay.attempt == effect.attempt:
-            relay.attempt = 0
+            relay.serial += 1
+            relay.silence_limit_s = 0.0
             if relay.greenlet is not None:
                 relay.greenlet.kill(block=False)
             if relay.spec.is_model:
@@ -47,7 +51,9 @@
     def finish_request(effect):
         relay = node.relays_by_request.pop(effect.request_id, None)
         if relay is not None:
-            relay.mailbox.put(effect)
+            put_finish(relay, effect)
+            if relay.n_dropped:
+                node.observe("dropped_chunks", relay.n_dropped, {})
 
     def poll_load(effect):
         gevent.spawn(_poll_load, node, effect, now)
@@ -61,17 +67,47 @@
     }
 
 
+def watch_silence(node):
+    """End attempts whose connection has been silent beyond its limit."""
+    while True:
+        node.clock.sleep(SILENCE_CHECK_S)
+        check_silence(node)
+
+
+def check_silence(node):
+    """Look once at every relay; see `watch_silence`."""
+    now = node.clock.monotonic()
+    for relay in tuple(node.relays_by_request.values()):
+        limit_s = relay.silence_limit_s
+        if limit_s and now - relay.heard_at > limit_s and relay.greenlet is not None:
+            relay.silence_limit_s = 0.0
+            error = SilentStreamError(f"no content for {limit_s:.1f} s")
+            relay.greenlet.kill(error, block=False)
+
+
 def _run_attempt(node, relay, effect, run, now):
+    serial = relay.serial
     first_offset = relay.next_offset
     ended = {"result": "completed", "status": 200}
     try:
+        if now() > effect.start_by:
+            raise NotSentError("the permit's start_by passed before sending")
         ended.update(run(node, relay, effect, now))
     except NotSentError as error:
         ended = {"result": "not_sent", "detail": str(error)}
     except EndpointRefusedError as error:
         ended = {"result": "refused", "detail": str(error)}
+    except SilentStreamError as error:
+        ended = {"result": "silent", "detail": str(error)}
     except BrokenStreamError as error:
         ended = {"result": "broken", "detail": str(error)}
+    except Exception as error:
+        # Without an end the core would hold the permit until the deadline.
+        log_event("attempt.error", level="ERROR", detail=repr(error))
+        ended = {"result": "broken", "detail": "internal error of the relay"}
+    if serial != relay.serial:
+        return
+    relay.silence_limit_s = 0.0
     submit(
         node.runtime,
         events.AttemptEnded(
@@ -86,6 +122,9 @@
 
 
 def _run_completion(node, relay, effect, now):
+    serial = relay.serial
+    relay.heard_at = now()
+    relay.silence_limit_s = effect.first_token_limit_s
     started = False
     chunks = stream_completion(
         effect.address,
@@ -95,13 +134,16 @@
         incarnation=effect.incarnation,
         priority=effect.priority,
         from_offset=effect.from_offset,
-        gap_limit_s=GAP_LIMIT_S,
+        # The silence limits are watched here; this one only bounds the socket.
+        gap_limit_s=max(1.0, relay.spec.deadline_at - now()),
     )
     for chunk in chunks:
-        if not accept(relay, effect.attempt, chunk):
+        relay.heard_at = now()
+        if not accept(relay, serial, chunk):
             continue
         if not started:
             started = True
+            relay.silence_limit_s = effect.gap_limit_s
             submit(
                 node.runtime,
                 events.AttemptStarted(
@@ -110,8 +152,9 @@
                     attempt=effect.attempt,
                 ),
             )
-        relay.mailbox.put(chunk)
-    if relay.next_offset < relay.spec.max_tokens:
+        put_chunk(relay, chunk)
+        relay.heard_at = now()
+    if relay.next_offset < relay.spec.max_tokens and not relay.finish_reason:
         raise BrokenStreamError(
             f"stream ended at token {relay.next_offset} of {relay.spec.max_tokens}"
         )
@@ -130,11 +173,11 @@
         path=relay.path,
         body=relay.body,
         headers=headers,
-        timeout_s=max(0.05, spec.deadline_at - now()),
+        timeout_s=effect.call_until - now(),
         not_run_statuses=service.not_run_statuses,
     )
-    relay.content_type = content_type
-    return {"status": status, "response": content}
+    packed = pack_response(status=status, content_type=content_type, body=content)
+    return {"status": status, "response": packed}
 
 
 def _cancel(address, request_id):
--- /dev/null
+++ b/src/savoryhill/node/problems.py
@@ -0,0 +1,90 @@
+"""Errors to callers as ``application/problem+json``."""
+
+import json
+
+import falcon
+
+from savoryhill.errors import SavoryhillError
+from savoryhill.observability.logs import log_event
+
+MEDIA_TYPE = "application/problem+json"
+
+
+class FindingsError(SavoryhillError):
+    """A caller's request is invalid.
+
+    Parameters
+    ----------
+    findings : list of str
+        Every fault with its location.
+    status : int
+        HTTP status.
+    """
+
+    def __init__(self, findings, *, status=400):
+        super().__init__("; ".join(findings))
+        self.findings = findings
+        self.status = status
+
+
+def problem_document(*, status, detail, execution, **more):
+    """Build the document of an error."""
+    return {
+        "type": "about:blank",
+        "title": falcon.code_to_http_status(status).partition(" ")[2],
+        "status": status,
+        "detail": detail,
+        "execution": execution,
+        **more,
+    }
+
+
+def write_problem(
+    resp, *, status, detail, execution="not_run", retry_after_s=0.0, **more
+):
+    """Turn a response into an error."""
+    resp.status = falcon.code_to_http_status(status)
+    if retry_after_s:
+        resp.set_header("Retry-After", str(max(1, round(retry_after_s))))
+    document = problem_document(
+        status=status, detail=detail, execution=execution, **more
+    )
+    resp.data = json.dumps(document).encode()
+    resp.content_type = MEDIA_TYPE
+
+
+def write_finish(resp, finish):
+    """Turn a response into the error that a `FinishRequest` tells."""
+    write_problem(
+        resp,
+        status=finish.status,
+        detail=finish.detail,
+        execution=finish.execution,
+        retry_after_s=finish.retry_after_s,
+    )
+
+
+def _on_findings(req, resp, error, params):
+    more = {"findings": error.findings} if len(error.findings) > 1 else {}
+    write_problem(resp, status=error.status, detail=str(error), **more)
+
+
+def _on_http_error(req, resp, error, params):
+    detail = error.description or error.title or "the request cannot be served"
+    write_problem(resp, status=error.status_code, detail=detail)
+    for name, value in (error.headers or {}).items():
+        resp.set_header(name, value)
+
+
+def _on_unexpected(req, resp, error, params):
+    log_event("front.error", level="ERROR", path=req.path, detail=repr(error))
+    write_problem(
+        resp, status=500, detail="internal error of this node", execution="unknown"
+    )
+
+
+def add_problem_handlers(application):
+    """Answer every error of a falcon application as problem+json."""
+    application.add_error_handler(Exception, _on_unexpected)
+    application.add_error_handler(falcon.HTTPError, _on_http_error)
+    application.add_error_handler(FindingsError, _on_findings)
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -7,12 +7,16 @@
 from gevent.event import Event
 
 from savoryhill.clock import Clock, system_clock
-from savoryhill.core.events import DrainRequested
+from savoryhill.core.events import DrainRequested, PeerUnreachable
 from savoryhill.core.state import new_state
 from savoryhill.httpapp import serve
+from savoryhill.node.admin import admin_application
+from savoryhill.node.callers import CallerServer, serve_callers
 from savoryhill.node.drivers import make_drivers
+from savoryhill.node.drivers.attempts import watch_silence
 from savoryhill.node.drivers.peers import on_peer_message
 from savoryhill.node.front import front_application
+from savoryhill.node.gauges import make_gauges
 from savoryhill.node.readers import (
     re_read_configuration,
     read_hosts_forever,
@@ -21,14 +25,18 @@
 from savoryhill.node.relay import Relay
 from savoryhill.node.runtime import Runtime, run_ticks, submit
 from savoryhill.node.settings import NodeSettings
+from savoryhill.observability import timeline
+from savoryhill.observability.hybrid_clock import HybridClock
 from savoryhill.observability.logs import log_event
+from savoryhill.observability.metrics import Metrics, observe
 from savoryhill.peers import transport as peers
 from savoryhill.platform.key_value import (
     KeyValueClient,
     connect_key_value,
 )
 
-N_TIME_LINE_EVENTS = 20_000
+SETTLE_S = 3.0
+_SETTLE_STEP_S = 0.02
 
 
 @dataclass(kw_only=True)
@@ -39,17 +47,24 @@
     clock: Clock
     runtime: Runtime
     key_value: KeyValueClient
+    hybrid_clock: HybridClock
     transport: peers.Transport | None = None
+    callers: CallerServer | None = None
     relays_by_request: dict[str, Relay] = field(default_factory=dict)
-    time_line: deque = field(default_factory=lambda: deque(maxlen=N_TIME_LINE_EVENTS))
-    values_by_metric: dict[str, list] = field(default_factory=dict)
+    time_line: deque = field(default_factory=lambda: deque(maxlen=timeline.N_EVENTS))
+    metrics: Metrics = field(default_factory=Metrics)
     stopped: Event = field(default_factory=Event)
     servers: list = field(default_factory=list)
     greenlets: list = field(default_factory=list)
 
     def observe(self, metric, value, labels):
-        """Keep a measurement."""
-        self.values_by_metric.setdefault(metric, []).append((value, labels))
+        """Record a measurement."""
+        observe(self.metrics, metric, value, labels)
+
+    def record(self, name, fields):
+        """Write one event to the log and the time line."""
+        log_event(name, node=self.settings.node, **fields)
+        timeline.add_event(self.time_line, self.hybrid_clock, name, fields)
 
 
 def start_node(settings, *, clock=None):
@@ -82,6 +97,7 @@
         clock=clock,
         runtime=Runtime(state=state, clock=clock),
         key_value=connect_key_value(settings.key_value),
+        hybrid_clock=HybridClock(wall=clock.wall),
     )
     node.transport = peers.Transport(
         node=settings.node,
@@ -89,27 +105,68 @@
         key=settings.cluster_key.encode(),
         address_of=lambda name: _address_of(state, name),
         on_message=lambda sender, message: on_peer_message(node, sender, message),
-        on_unreachable=lambda name, message: None,
+        on_unreachable=lambda name, message: _on_unreachable(node, name, message),
     )
     node.runtime.drivers_by_effect = make_drivers(node)
     peers.listen(node.transport, settings.peer_listen)
-    server, _ = serve(front_application(node), settings.listen)
-    node.servers.append(server)
+    node.callers = serve_callers(
+        front_application(node),
+        settings.listen,
+        settings.limits,
+        monotonic=clock.monotonic,
+    )
+    admin, _ = serve(admin_application(node, drain), settings.admin_listen)
+    node.servers += [node.callers.wsgi, admin]
+    node.metrics.gauges.update(make_gauges(node))
     node.greenlets += [
         gevent.spawn(read_hosts_forever, node),
         gevent.spawn(watch_configuration, node),
         gevent.spawn(re_read_configuration, node),
         gevent.spawn(run_ticks, node.runtime, settings.tick_s),
+        gevent.spawn(watch_silence, node),
     ]
-    log_event("node.started", node=settings.node, zone=settings.zone)
+    node.record("node.started", {"zone": settings.zone, "listen": settings.listen})
     return node
 
 
 def drain(node):
     """Stop accepting requests; ``node.stopped`` is set when none is left."""
+    node.callers.draining = True
     submit(node.runtime, DrainRequested(at=node.clock.monotonic()))
 
 
+def wait_drained(node):
+    """Wait until every request has ended and its answer is written.
+
+    Every request has a deadline, and a caller that reads nothing is cut off, so
+    the wait is bounded.
+    """
+    node.stopped.wait()
+    while node.callers.n_answering:
+        gevent.sleep(_SETTLE_STEP_S)
+    settled_by = node.clock.monotonic() + SETTLE_S
+    while not _settled(node) and node.clock.monotonic() < settled_by:
+        gevent.sleep(_SETTLE_STEP_S)
+
+
+def _settled(node):
+    """Tell whether all releases and journal endings have left this node."""
+    queues = node.transport.queues_by_node.values()
+    shards = node.runtime.state.journal.shards_by_number.values()
+    return not (
+        any(queue.qsize() for queue in queues)
+        or any(shard.pending or shard.written for shard in shards)
+    )
+
+
+def unfinished(node):
+    """Return what a stop at once would cut, by phase."""
+    counts = {"answers": node.callers.n_answering}
+    for request in node.runtime.state.requests.requests_by_id.values():
+        counts[request.phase] = counts.get(request.phase, 0) + 1
+    return counts
+
+
 def stop_node(node):
     """Stop a node at once."""
     gevent.killall(node.greenlets)
@@ -121,3 +178,9 @@
 def _address_of(state, name):
     member = state.membership.members_by_node.get(name)
     return member.address if member is not None else None
+
+
+def _on_unreachable(node, name, message):
+    node.observe("peer_unreachable", 1.0, {"message": type(message).__name__})
+    event = PeerUnreachable(at=node.clock.monotonic(), node=name, message=message)
+    submit(node.runtime, event)
--- a/src/savoryhill/node/runtime.py
+++ b/src/savoryhill/node/runtime.py
@@ -1,13 +1,14 @@
 """Run the decision core: feed it events and hand its effects to drivers."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from savoryhill.clock import Clock
-from savoryhill.core.events import Event, Ticked
+from savoryhill.core.events import Event, KeyValueAnswered, Ticked
 from savoryhill.core.reducer import reduce
 from savoryhill.core.state import NodeState
+from savoryhill.observability.logs import log_event
 
 
 @dataclass(kw_only=True)
@@ -22,6 +23,9 @@
     drivers_by_effect: dict[type, Callable] = field(default_factory=dict)
     pending: deque[Event] = field(default_factory=deque)
     busy: bool = False
+    n_events_by_name: Counter = field(default_factory=Counter)
+    n_effects_by_name: Counter = field(default_factory=Counter)
+    n_answers_by_status: Counter = field(default_factory=Counter)
 
 
 def submit(runtime, event):
@@ -43,14 +47,34 @@
     runtime.busy = True
     try:
         while runtime.pending:
-            for effect in reduce(runtime.state, runtime.pending.popleft()):
-                runtime.drivers_by_effect[type(effect)](effect)
+            _apply(runtime, runtime.pending.popleft())
     finally:
         runtime.busy = False
 
 
+def _apply(runtime, event):
+    kind = type(event)
+    runtime.n_events_by_name[kind.__name__] += 1
+    if kind is KeyValueAnswered:
+        runtime.n_answers_by_status[event.status] += 1
+    for effect in reduce(runtime.state, event):
+        kind = type(effect)
+        runtime.n_effects_by_name[kind.__name__] += 1
+        try:
+            runtime.drivers_by_effect[kind](effect)
+        except Exception as error:
+            # The remaining effects belong to other requests too.
+            log_event(
+                "driver.error", level="ERROR", effect=kind.__name__, detail=repr(error)
+            )
+
+
 def run_ticks(runtime, interval_s):
     """Submit a tick at every interval until the greenlet is killed."""
     while True:
         runtime.clock.sleep(interval_s)
-        submit(runtime, Ticked(at=runtime.clock.monotonic()))
+        try:
+            submit(runtime, Ticked(at=runtime.clock.monotonic()))
+        except Exception as error:
+            # Without ticks no deadline would be kept.
+            log_event("runtime.tick_error", level="ERROR", detail=repr(error))
--- /dev/null
+++ b/src/savoryhill/node/service_calls.py
@@ -0,0 +1,100 @@
+"""Calls of plain services."""
+
+import uuid
+from hashlib import sha256
+
+import falcon
+
+from savoryhill.core.messages import RequestSpec
+from savoryhill.core.requests.answers import unpack_response
+from savoryhill.node import admission
+from savoryhill.node.problems import write_finish, write_problem
+from savoryhill.node.relay import Relay
+from savoryhill.node.validation import (
+    check_idempotency_key,
+    deadline_seconds,
+    read_kind,
+)
+
+
+def _find_call(service, method, path):
+    for call in service.calls:
+        if call.method == method and path == call.path:
+            return call
+    return None
+
+
+def on_service(node, req, resp, workspace, name, path):
+    """Serve ``/services/<name>/<path>``."""
+    active = node.runtime.state.active
+    service = active.services_by_name.get(name)
+    if service is None:
+        raise falcon.HTTPNotFound(description=f"no service is named {name[:80]!r}")
+    call = _find_call(service, req.method, f"/{path}")
+    if call is None:
+        raise falcon.HTTPNotFound(
+            description=f"service {name!r} has no call {req.method} /{path[:80]}"
+        )
+    key = req.get_header("Idempotency-Key")
+    check_idempotency_key(key)
+    kind_name = req.get_header("Savoryhill-Kind") or call.kind
+    kind = read_kind(active, kind_name)
+    seconds = deadline_seconds(req.get_header("Savoryhill-Deadline-Ms"), kind)
+    body = admission.read_body(node, req)
+    request_id = uuid.uuid4().hex
+    target = call.path + (f"?{req.query_string}" if req.query_string else "")
+    key = key or request_id
+    # The journal keys of two workspaces differ whatever keys their callers choose.
+    identity = b"\0".join(
+        sha256(part.encode()).digest() for part in (workspace, name, key)
+    )
+    content = sha256(f"{req.method} {target}\0".encode() + body)
+    spec = RequestSpec(
+        request_id=request_id,
+        workspace=workspace,
+        kind=kind_name,
+        target=name,
+        is_model=False,
+        prompt_tokens=0,
+        max_tokens=0,
+        deadline_at=admission.deadline_at(req, seconds),
+        idempotent=call.idempotent,
+        journal_key=b"" if call.idempotent else sha256(identity).digest()[:16],
+        body_digest=content.digest()[:16],
+    )
+    relay = Relay(
+        spec=spec,
+        body=body,
+        method=req.method,
+        path=target,
+        idempotency_key=key,
+        content_type=req.content_type or "application/json",
+    )
+    resp.set_header("Savoryhill-Request-Id", request_id)
+    watcher = admission.start(node, req, relay)
+    try:
+        finish = admission.wait_finish(node, relay)
+    finally:
+        admission.stop_watching(watcher)
+    if finish is None:
+        write_problem(resp, status=499, detail="caller gone", execution="unknown")
+    elif finish.execution == "completed":
+        _write_answer(resp, finish)
+    else:
+        write_finish(resp, finish)
+
+
+def _write_answer(resp, finish):
+    status, content_type, body, kept = unpack_response(finish.response)
+    if not kept:
+        write_problem(
+            resp,
+            status=409,
+            detail=f"the earlier call ended with {status}; its answer was too large "
+            "to be kept",
+            execution="completed",
+        )
+        return
+    resp.status = falcon.code_to_http_status(status)
+    resp.content_type = content_type
+    resp.data = body
--- a/src/savoryhill/node/settings.py
+++ b/src/savoryhill/node/settings.py
@@ -1,15 +1,21 @@
 """Settings of a node process, read from YAML."""
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, field, fields
 
 import yaml
 
 from savoryhill.errors import SettingsError
+from savoryhill.node.callers import CallerLimits
+
+MIN_ADMIN_KEY_BYTES = 16
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeSettings:
-    """Where a node runs and whom it talks to; addresses are ``ip:port``."""
+    """Where a node runs and whom it talks to; addresses are ``ip:port``.
+
+    Without an ``admin_key`` the admin address refuses every call.
+    """
 
     node: str
     zone: str
@@ -19,8 +25,10 @@
     admin_listen: str
     key_value: str
     hosts: str
-    cluster_key: str
+    cluster_key: str = field(repr=False)
+    admin_key: str = field(default="", repr=False)
     tick_s: float = 0.05
+    limits: CallerLimits = CallerLimits()
 
 
 def load_settings(path):
@@ -42,6 +50,17 @@
         If the file cannot be read, or naming every field that is unknown,
         missing or of the wrong type.
     """
+    return check_settings(load_mapping(path), place=path)
+
+
+def load_mapping(path):
+    """Read a YAML file that holds one mapping.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or holds something else.
+    """
     try:
         with open(path) as file:
             values = yaml.safe_load(file)
@@ -49,25 +68,59 @@
         raise SettingsError(f"cannot read settings from {path}: {error}") from error
     if not isinstance(values, dict):
         raise SettingsError(f"{path}: expected a mapping of settings")
-    return check_settings(values, place=path)
+    return values
 
 
-def check_settings(values, *, place):
-    """Check settings given as a mapping; see `load_settings`."""
+def check_fields(kind, values, *, place=""):
+    """Return the findings on values for the fields of a data class."""
     findings = []
-    known = {field.name: field for field in fields(NodeSettings)}
-    findings += [f"unknown setting {name!r}" for name in values if name not in known]
-    for name, field in known.items():
+    known = {each.name: each for each in fields(kind)}
+    findings += [
+        f"unknown setting {place}{name}" for name in values if name not in known
+    ]
+    for name, each in known.items():
         if name not in values:
-            if field.default is field.default_factory:
-                findings.append(f"missing setting {name!r}")
+            if each.default is each.default_factory:
+                findings.append(f"missing setting {place}{name}")
+            continue
+        if each.type not in (str, int, float):
             continue
-        expected = (int, float) if field.type is float else field.type
-        if not isinstance(values[name], expected):
-            findings.append(f"{name}: {values[name]!r} is not a {field.type.__name__}")
+        expected = (int, float) if each.type is float else each.type
+        value = values[name]
+        if not isinstance(value, expected) or isinstance(value, bool):
+            # A wrong value is not shown, because it may be a secret.
+            findings.append(f"{place}{name}: expected {each.type.__name__}")
+        elif isinstance(value, int | float) and value <= 0:
+            findings.append(f"{place}{name}: expected a number above 0, not {value}")
+    return findings
+
+
+def _is_address(value):
+    host, _, port = value.rpartition(":")
+    return bool(host) and port.isdigit() and int(port) < 65_536
+
+
+def check_settings(values, *, place):
+    """Check settings given as a mapping; see `load_settings`."""
+    findings = check_fields(NodeSettings, values)
+    for name in ("listen", "peer_listen", "admin_listen", "key_value", "hosts"):
+        value = values.get(name)
+        if isinstance(value, str) and not _is_address(value):
+            findings.append(f"{name}: expected ip:port, not {value!r}")
     cluster_key = values.get("cluster_key")
     if isinstance(cluster_key, str) and not 16 <= len(cluster_key.encode()) <= 64:
         findings.append("cluster_key: expected 16 to 64 bytes")
+    admin_key = values.get("admin_key", "")
+    if isinstance(admin_key, str) and admin_key:
+        if len(admin_key.encode()) < MIN_ADMIN_KEY_BYTES:
+            findings.append(f"admin_key: expected at least {MIN_ADMIN_KEY_BYTES} bytes")
+        if not (admin_key.isascii() and admin_key.isprintable()):
+            findings.append("admin_key: expected printable ASCII")
+    limits = values.get("limits", {})
+    if isinstance(limits, dict):
+        findings += check_fields(CallerLimits, limits, place="limits.")
+    else:
+        findings.append("limits: expected a mapping")
     if findings:
         raise SettingsError(f"{place}: " + "; ".join(findings))
-    return NodeSettings(**values)
+    return NodeSettings(**{**values, "limits": CallerLimits(**limits)})
--- a/src/savoryhill/observability/logs.py
+++ b/src/savoryhill/observability/logs.py
@@ -5,10 +5,19 @@
 
 from loguru import logger
 
+_SECRET_NAMES = frozenset(
+    ("authorization", "bearer", "cluster_key", "admin_key", "key", "secret", "token")
+)
+
+
+def without_secrets(fields):
+    """Return the fields of an event without those that may hold a secret."""
+    return {name: value for name, value in fields.items() if name not in _SECRET_NAMES}
+
 
 def _format_value(value):
     text = value if isinstance(value, str) else json.dumps(value, default=str)
-    if text == "" or any(char in text for char in ' ="\n'):
+    if text == "" or any(char in ' ="' or not char.isprintable() for char in text):
         return json.dumps(text)
     return text
 
@@ -25,8 +34,12 @@
     **fields : object
         Values of the event; none may be a secret.
     """
-    pairs = " ".join(f"{key}={_format_value(value)}" for key, value in fields.items())
-    logger.log(level, f"event={name} {pairs}" if pairs else f"event={name}")
+    pairs = " ".join(
+        f"{key}={_format_value(value)}"
+        for key, value in without_secrets(fields).items()
+    )
+    # The line is an argument, so that braces in a value are not format fields.
+    logger.log(level, "{}", f"event={name} {pairs}" if pairs else f"event={name}")
 
 
 def configure_logs(*, level="INFO", sink=sys.stderr):
