node: test the callers' surface over real sockets; close refused bodies

Cause: the tests over sockets showed that a connection whose body was refused or too slow stayed open while the server waited to read the rest of the body, that the kernel held a whole 1.5 MB answer for a caller that read nothing, and that a stream found silent after its deadline ended with 502 instead of 504. geventhttpclient sends GET, PUT and DELETE again after a closed connection.

`savoryhill node`, `status`, `timeline` and `standin` read all arguments before they start. Tests drive a node with scripted engines and a service over loopback.

--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,51 +2,53 @@
 
 import sys
 
+from savoryhill.cli.commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Deferred, deferred
+from savoryhill.cli.daemon import node
+from savoryhill.cli.inspection import status, timeline
+from savoryhill.cli.standins import STANDINS
 from savoryhill.errors import SavoryhillError
 
 
 def demo():
     """Start a whole deployment in one process, use it and check the results."""
-    from savoryhill.demo.run import print_report, run_demo
-    from savoryhill.observability.logs import configure_logs
 
-    configure_logs(level="WARNING")
-    if not print_report(*run_demo()):
-        sys.exit(1)
+    def start():
+        from savoryhill.demo.run import print_report, run_demo
+        from savoryhill.observability.logs import configure_logs
 
+        configure_logs(level="WARNING")
+        return EXIT_OK if print_report(*run_demo()) else EXIT_FAILED
 
-def node(settings):
-    """Run a node.
+    return deferred(start)
 
-    Parameters
-    ----------
-    settings : str
-        Path of the node's YAML settings.
-    """
-    import signal
-
-    import gevent
-
-    from savoryhill.node.process import drain, start_node, stop_node
-    from savoryhill.node.settings import load_settings
-    from savoryhill.observability.logs import configure_logs
 
-    configure_logs()
-    running = start_node(load_settings(settings))
-    gevent.signal_handler(signal.SIGTERM, drain, running)
-    running.stopped.wait()
-    stop_node(running)
+COMMANDS = {
+    "demo": demo,
+    "node": node,
+    "standin": STANDINS,
+    "status": status,
+    "timeline": timeline,
+}
 
 
-COMMANDS = {"demo": demo, "node": node}
+def _shown(result):
+    return None if isinstance(result, Deferred) else result
 
 
 def main():
-    """Run the command line."""
+    """Run the command line and exit with its code.
+
+    The code is 0 if all went well, 1 if something failed, and 2 for wrong
+    arguments or settings.
+    """
     import fire
 
     try:
-        fire.Fire(COMMANDS, name="savoryhill")
+        result = fire.Fire(COMMANDS, name="savoryhill", serialize=_shown)
+        if isinstance(result, Deferred):
+            sys.exit(result._start() or EXIT_OK)
     except SavoryhillError as error:
         print(f"savoryhill: {error}", file=sys.stderr)
-        sys.exit(2)
+        sys.exit(EXIT_USAGE)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_FAILED)
--- a/src/savoryhill/core/requests/attempts.py
+++ b/src/savoryhill/core/requests/attempts.py
@@ -2,6 +2,7 @@
 
 from savoryhill.core.effects import Observe, record
 from savoryhill.core.requests import limits, permits
+from savoryhill.core.requests.endings import on_deadline
 from savoryhill.core.requests.outcome import (
     fail,
     finish,
@@ -84,6 +85,9 @@
 
 
 def _resume_or_retry(state, request, event):
+    if state.now >= request.spec.deadline_at:
+        yield from on_deadline(state, request)
+        return
     here = request.spec.is_model and not request.resumed_here
     interrupted = event.result in ("broken", "silent")
     connected = event.result != "not_sent"
--- a/src/savoryhill/node/callers.py
+++ b/src/savoryhill/node/callers.py
@@ -11,8 +11,11 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-# More than this of an unread body is not read away; the connection is closed.
-MAX_DISCARDED_BYTES = 64 * 1024
+# Bounds on what is read of a refused body before the connection is closed.
+MAX_DISCARDED_BYTES = 1024 * 1024
+LINGER_S = 0.2
+# The kernel otherwise lets the unsent answers of a slow caller grow to megabytes.
+SEND_BUFFER_BYTES = 128 * 1024
 # Key of the WSGI environment under which a request's body is accounted.
 BODY_BYTES_KEY = "savoryhill.body_bytes"
 
@@ -163,15 +166,29 @@
             super().run_application()
         finally:
             self.server.owner.n_body_bytes -= self.environ.pop(BODY_BYTES_KEY, 0)
-            body = self.wsgi_input
-            left = (body.content_length or 0) - body.position
-            if body.chunked_input or left > MAX_DISCARDED_BYTES:
-                # Reading the rest away could take as long as the caller likes.
-                read_whole = body.chunked_input and body.chunk_length == 0
-                if not read_whole:
-                    self.close_connection = True
-                body.position = body.content_length or 0
-                body.chunked_input = False
+            self._skip_body()
+
+    def _skip_body(self):
+        """Close a connection whose request body has not been read to its end.
+
+        Reading the rest could take as long as the caller likes. A little of it
+        is read all the same, because a socket closed with unread data resets the
+        connection and the caller may then lose the answer.
+        """
+        body = self.wsgi_input
+        unread = body.chunked_input and body.chunk_length != 0
+        if not unread and body.position >= (body.content_length or 0):
+            return
+        self.close_connection = True
+        body.position = body.content_length or 0
+        body.chunked_input = False
+        n_left = MAX_DISCARDED_BYTES
+        with gevent.Timeout(LINGER_S, False):
+            try:
+                while n_left > 0 and (part := self.socket.recv(n_left)):
+                    n_left -= len(part)
+            except OSError:
+                pass
 
     def _sendall(self, data):
         sock = self.socket
@@ -202,6 +219,7 @@
         owner.n_by_address[host] += 1
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             super().handle(sock, address)
         except _CallerTooSlowError:
             pass
--- a/src/savoryhill/node/drivers/attempts.py
+++ b/src/savoryhill/node/drivers/attempts.py
@@ -1,6 +1,7 @@
 """Drivers of attempts on endpoints."""
 
 import gevent
+from geventhttpclient.response import HTTPParseError
 
 from savoryhill.core import effects, events
 from savoryhill.core.requests.answers import pack_response
@@ -99,7 +100,7 @@
         ended = {"result": "refused", "detail": str(error)}
     except SilentStreamError as error:
         ended = {"result": "silent", "detail": str(error)}
-    except BrokenStreamError as error:
+    except (BrokenStreamError, HTTPParseError) as error:
         ended = {"result": "broken", "detail": str(error)}
     except Exception as error:
         # Without an end the core would hold the permit until the deadline.
--- /dev/null
+++ b/tests/node/conftest.py
@@ -0,0 +1,223 @@
+import json
+import time
+from collections import deque
+
+import gevent
+import pytest
+from gevent.pywsgi import WSGIServer
+
+from savoryhill.clock import Clock
+from savoryhill.demo.deployment import (
+    BEARER_KEY,
+    CLUSTER_KEY,
+    MODEL,
+    SERVICE,
+    Deployment,
+    apply_answers,
+    free_address,
+    make_answers,
+)
+from savoryhill.demo.run import wait_until_ready
+from savoryhill.httpapp import serve
+from savoryhill.node.callers import CallerLimits
+from savoryhill.node.process import start_node, stop_node
+from savoryhill.node.settings import NodeSettings
+from savoryhill.platform.key_value import connect_key_value
+from savoryhill.standins.platform import PlatformState, platform_application
+from savoryhill.standins.service import ServiceState, service_application
+
+ADMIN_KEY = "admin-key-of-the-tests"
+
+
+class FakeEngine:
+    """An engine that follows a script: one list of steps for each call.
+
+    Engines share the script, so that it applies wherever a call is placed.
+
+    A step is ``("chunk", offset, n_tokens)``, optionally with another request's
+    id; ``"break"`` resets the connection, ``"hang"`` says nothing more and
+    ``"done"`` ends the stream. A call beyond the script gets its whole answer.
+    """
+
+    def __init__(self, name, script):
+        self.name = name
+        self.script = script
+        self.calls = []
+        self.cancelled = []
+        self.server = WSGIServer(
+            ("127.0.0.1", 0), self._application, log=None, error_log=None
+        )
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def _application(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/v1/completions":
+            body = json.loads(environ["wsgi.input"].read())
+            start_response("200 OK", [("Content-Type", "text/event-stream")])
+            return self._stream(environ, body)
+        if path.startswith("/admin/cancel/"):
+            self.cancelled.append(path.rsplit("/", 1)[1])
+        load = {
+            "incarnation": f"{self.name}#1",
+            "warm": True,
+            "running": 0,
+            "memory_used_tokens": 0,
+            "streams": [],
+        }
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [json.dumps(load).encode()]
+
+    def _stream(self, environ, body):
+        name = environ["HTTP_X_REQUEST_ID"]
+        offset = int(environ.get("HTTP_X_RESUME_OFFSET") or 0)
+        self.calls.append((name, offset))
+        whole = [("chunk", n, 1) for n in range(offset, body["max_tokens"])]
+        for step in self.script.popleft() if self.script else [*whole, "done"]:
+            if step == "done":
+                yield b"data: [DONE]\n\n"
+            elif step == "break":
+                raise ConnectionResetError(104, "reset by the script")
+            elif step == "hang":
+                gevent.sleep(3600)
+            else:
+                yield self._line(step[3] if len(step) > 3 else name, *step[1:3])
+
+    def _line(self, name, offset, n_tokens):
+        text = "".join(f"t{n} " for n in range(offset, offset + n_tokens))
+        event = {
+            "id": name,
+            "offset": offset,
+            "n_tokens": n_tokens,
+            "choices": [{"index": 0, "text": text, "finish_reason": None}],
+        }
+        return b"data: " + json.dumps(event).encode() + b"\n\n"
+
+
+class Stack:
+    """One node with two scripted engines, a service and the platform."""
+
+    def __init__(self, **limits):
+        self.skipped_s = 0.0
+        self.script = deque()
+        platform = PlatformState()
+        server, address = serve(platform_application(platform), "127.0.0.1:0")
+        self.deployment = Deployment(platform=platform, platform_address=address)
+        self.engines = [FakeEngine(f"engine-{n}", self.script) for n in range(2)]
+        for engine in self.engines:
+            self.deployment.engine_addresses_by_id[engine.name] = engine.address
+        self.service = ServiceState(id="orders-0")
+        service_server, service_address = serve(
+            service_application(self.service), "127.0.0.1:0"
+        )
+        self.deployment.service_addresses_by_id["orders-0"] = service_address
+        self.servers = [server, service_server, *(e.server for e in self.engines)]
+        apply_answers(self.deployment, make_answers(self.deployment), revision=1)
+        settings = NodeSettings(
+            node="node-0",
+            zone="zone-a",
+            region="south",
+            listen=free_address(),
+            peer_listen=free_address(),
+            admin_listen=free_address(),
+            key_value=address,
+            hosts=address,
+            cluster_key=CLUSTER_KEY,
+            admin_key=ADMIN_KEY,
+            limits=CallerLimits(**limits),
+        )
+        platform.hosts_by_node["node-0"] = {
+            "node": "node-0",
+            "address": settings.peer_listen,
+            "zone": settings.zone,
+            "state": "live",
+        }
+        clock = Clock(
+            monotonic=lambda: time.monotonic() + self.skipped_s,
+            wall=time.time,
+            sleep=gevent.sleep,
+        )
+        self.node = start_node(settings, clock=clock)
+        self.address = settings.listen
+        wait_until_ready(self.node)
+        # The coordinator grants nothing before it knows an engine's incarnation.
+        self.wait(lambda: self.post("/v1/completions", self.body())[0] == 200)
+
+    def stop(self):
+        stop_node(self.node)
+        for server in self.servers:
+            server.stop(timeout=0.1)
+
+    def wait(self, holds, timeout_s=5.0):
+        """Wait in real time for what other greenlets and sockets bring about."""
+        ends_at = time.monotonic() + timeout_s
+        while not holds():
+            assert time.monotonic() < ends_at, "condition did not come about"
+            gevent.sleep(0.005)
+
+    def body(self, **more):
+        return {"model": MODEL, "prompt": "a question", "max_tokens": 8, **more}
+
+    def request(self, method, path, body=b"", headers=None, key=BEARER_KEY):
+        """Return status, headers and content of one call."""
+        http = connect_key_value(self.address, timeout_s=10.0).http
+        fields = {"Content-Type": "application/json", **(headers or {})}
+        if key:
+            fields["Authorization"] = f"Bearer {key}"
+        try:
+            response = http.request(method, path, body=body, headers=fields)
+            return response.status_code, dict(response.items()), response.read()
+        finally:
+            http.close()
+
+    def post(self, path, document, headers=None, key=BEARER_KEY):
+        """Return status and document of one JSON call."""
+        content = json.dumps(document).encode()
+        status, _, answer = self.request("POST", path, content, headers, key)
+        return status, json.loads(answer) if answer else None
+
+    def stream(self, body, headers=None):
+        """Return the events of a streamed completion."""
+        content = json.dumps({**body, "stream": True}).encode()
+        status, _, answer = self.request("POST", "/v1/completions", content, headers)
+        assert status == 200, answer
+        return [
+            line.removeprefix("data: ")
+            for line in answer.decode().splitlines()
+            if line.startswith("data: ")
+        ]
+
+    def order(self, key=None, body=None, headers=None):
+        fields = {**({"Idempotency-Key": key} if key else {}), **(headers or {})}
+        return self.post(f"/services/{SERVICE}/call/order", body or {"n": 1}, fields)
+
+    @property
+    def core(self):
+        return self.node.runtime.state.requests
+
+    def counter(self, name):
+        counters = self.node.metrics.counters
+        return sum(value for (known, _), value in counters.items() if known == name)
+
+
+@pytest.fixture(scope="session")
+def make_stack():
+    return Stack
+
+
+@pytest.fixture(scope="module")
+def stack(make_stack):
+    running = make_stack()
+    yield running
+    running.stop()
+
+
+@pytest.fixture
+def engines(stack):
+    """The engines without a script and with a full retry budget."""
+    stack.core.retry_tokens = 10.0
+    stack.script.clear()
+    for engine in stack.engines:
+        engine.calls.clear()
+        engine.cancelled.clear()
+    return stack.engines
--- /dev/null
+++ b/tests/node/test_front.py
@@ -0,0 +1,306 @@
+import json
+from hashlib import sha256
+
+import gevent
+import pytest
+from gevent import socket
+
+from savoryhill.config.model import Workspace
+from savoryhill.demo.deployment import BEARER_KEY
+from savoryhill.node.front import workspace_of
+
+CHAT = "/v1/chat/completions"
+TEXT = "/v1/completions"
+WHOLE = "".join(f"t{n} " for n in range(8))
+
+
+def messages(content="hello"):
+    return [{"role": "user", "content": content}]
+
+
+class TestCompletions:
+    def test_a_plain_completion_has_the_usual_shape(self, stack, engines):
+        status, answer = stack.post(TEXT, stack.body())
+        assert status == 200
+        choice = answer["choices"][0]
+        assert (choice["text"], choice["finish_reason"]) == (WHOLE, "length")
+        assert answer["usage"]["completion_tokens"] == 8
+
+    def test_a_chat_completion_streams_deltas_and_usage(self, stack, engines):
+        body = {
+            "model": "assistant",
+            "messages": messages([{"type": "text", "text": "hello"}]),
+            "max_completion_tokens": 8,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        status, headers, answer = stack.request("POST", CHAT, json.dumps(body).encode())
+        lines = [x for x in answer.decode().split("\n\n") if x]
+        assert (status, lines[-1]) == (200, "data: [DONE]")
+        events = [json.loads(line.removeprefix("data: ")) for line in lines[:-1]]
+        deltas = [e["choices"][0]["delta"] for e in events if e["choices"]]
+        assert deltas[0]["role"] == "assistant"
+        assert "".join(delta.get("content", "") for delta in deltas) == WHOLE
+        assert events[-1]["usage"]["completion_tokens"] == 8
+
+    # Guards against requests that reach an engine and fail there.
+    @pytest.mark.parametrize(
+        ("path", "change", "location"),
+        [
+            (TEXT, {"model": None}, "model"),
+            (TEXT, {"prompt": 7}, "prompt"),
+            (TEXT, {"prompt": ["a", "b"]}, "prompt"),
+            (TEXT, {"prompt": "\ud800"}, "prompt"),
+            (TEXT, {"max_tokens": 0}, "max_tokens"),
+            (TEXT, {"max_tokens": True}, "max_tokens"),
+            (TEXT, {"max_tokens": 10**9}, "max_tokens"),
+            (TEXT, {"stream": "yes"}, "stream"),
+            (TEXT, {"n": 2}, "n"),
+            (TEXT, {"temperature": 3}, "temperature"),
+            (TEXT, {"stop": [1]}, "stop"),
+            (TEXT, {"echo": True}, "echo"),
+            (CHAT, {"messages": []}, "messages"),
+            (CHAT, {"messages": [{"role": "user"}]}, "messages[0].content"),
+            (CHAT, {"messages": ["x"]}, "messages[0]"),
+        ],
+    )
+    def test_an_invalid_body_is_refused_with_its_location(
+        self, stack, path, change, location
+    ):
+        body = {"model": "assistant", "prompt": "x", "messages": messages(), **change}
+        status, problem = stack.post(path, body)
+        assert (status, problem["execution"]) == (400, "not_run")
+        assert problem["detail"].startswith(f"{location}:")
+
+    def test_all_findings_come_together(self, stack):
+        _, problem = stack.post(TEXT, {"max_tokens": 0})
+        assert len(problem["findings"]) == 3
+
+    @pytest.mark.parametrize("content", [b"", b"[]", b"{", b"\xff", b"[" * 100_000])
+    def test_a_body_that_is_no_object_is_refused(self, stack, content):
+        status, headers, answer = stack.request("POST", TEXT, content)
+        assert status == 400
+        assert headers["content-type"] == "application/problem+json"
+
+    @pytest.mark.parametrize(
+        ("headers", "status"),
+        [
+            ({"Savoryhill-Deadline-Ms": "0"}, 400),
+            ({"Savoryhill-Deadline-Ms": "-5"}, 400),
+            ({"Savoryhill-Deadline-Ms": "1e3"}, 400),
+            ({"Savoryhill-Kind": "unheard"}, 400),
+        ],
+    )
+    def test_invalid_headers_are_refused(self, stack, headers, status):
+        assert stack.post(TEXT, stack.body(), headers)[0] == status
+
+    # Guards against a caller that holds resources beyond its kind's deadline.
+    def test_the_kind_bounds_the_deadline(self, stack, engines):
+        stack.script.append(["hang"])
+        headers = {"Savoryhill-Deadline-Ms": "99999999", "Savoryhill-Kind": "query"}
+        job = gevent.spawn(stack.post, TEXT, stack.body(), headers)
+        stack.wait(lambda: stack.core.requests_by_id)
+        (request,) = stack.core.requests_by_id.values()
+        left_s = request.spec.deadline_at - stack.node.clock.monotonic()
+        assert 4.0 < left_s < 5.0
+        stack.skipped_s += 6.0
+        status, problem = job.get(timeout=5)
+        assert (status, problem["execution"]) == (504, "unknown")
+
+    # Guards against an error that comes after the deadline the caller gave.
+    def test_the_error_comes_by_the_deadline(self, stack, engines):
+        stack.script.append(["hang"])
+        started = stack.node.clock.monotonic()
+        headers = {"Savoryhill-Deadline-Ms": "300"}
+        status, _ = stack.post(TEXT, stack.body(), headers)
+        assert status == 504
+        assert stack.node.clock.monotonic() - started < 0.3 + 0.05
+
+    def test_unknown_models_and_paths_are_problems(self, stack):
+        status, problem = stack.post(TEXT, stack.body(model="other"))
+        assert (status, problem["execution"]) == (404, "not_run")
+        assert stack.post("/v1/nothing", {})[0] == 404
+        status, headers, _ = stack.request("GET", TEXT)
+        assert (status, headers["allow"]) == (405, "POST, OPTIONS")
+
+    def test_models_are_listed(self, stack):
+        _, _, answer = stack.request("GET", "/v1/models")
+        assert json.loads(answer)["data"][0]["id"] == "assistant"
+        assert stack.request("GET", "/v1/models/assistant")[0] == 200
+
+
+class TestAuthentication:
+    @pytest.mark.parametrize("key", ["", "wrong", "demo-key-of-workspace-on"])
+    def test_unknown_keys_are_refused_before_the_body_is_read(self, stack, key):
+        status, headers, answer = stack.request("POST", TEXT, b"{", key=key)
+        assert status == 401
+        assert headers["www-authenticate"] == "Bearer"
+        assert BEARER_KEY not in answer.decode()
+
+    # Guards against a look-up whose cost grows with the number of workspaces.
+    def test_a_key_is_found_without_a_scan(self, stack):
+        class Table(dict):
+            def __iter__(self):
+                raise AssertionError("the table was scanned")
+
+            items = keys = values = __iter__
+
+        class Request:
+            auth = "Bearer secret"
+
+        class Node:
+            class runtime:
+                class state:
+                    class active:
+                        workspace_names_by_key_hash = Table(
+                            {sha256(b"secret").hexdigest(): "w"}
+                        )
+
+        assert workspace_of(Node, Request) == "w"
+
+
+class TestServices:
+    def test_an_order_runs_once_for_its_key(self, stack):
+        answers = [stack.order(key="once") for _ in range(3)]
+        assert [status for status, _ in answers] == [200] * 3
+        assert answers[0][1] == answers[2][1]
+        assert stack.service.executions_by_key["once"] == 1
+
+    def test_the_same_key_with_another_body_is_refused(self, stack):
+        stack.order(key="body", body={"n": 1})
+        status, problem = stack.order(key="body", body={"n": 2})
+        assert (status, problem["execution"]) == (422, "not_run")
+
+    @pytest.mark.parametrize("key", [" ", "x" * 256, "k\u00e9y"])
+    def test_invalid_keys_are_refused(self, stack, key):
+        assert stack.order(key=key)[0] == 400
+
+    # Guards against an answer that another workspace stored under the same key.
+    def test_keys_of_workspaces_are_apart(self, stack):
+        other = Workspace(name="two", key_hashes=(sha256(b"key-two").hexdigest(),))
+        table = stack.node.runtime.state.active.workspace_names_by_key_hash
+        table[other.key_hashes[0]] = other.name
+        stack.order(key="shared", body={"secret": "one"})
+        path = "/services/orders/call/order"
+        headers = {"Idempotency-Key": "shared"}
+        status, answer = stack.post(path, {"mine": 2}, headers, key="key-two")
+        assert status == 200
+        assert stack.service.executions_by_key["shared"] == 2
+
+    # Guards against an order that is lost because its caller has gone.
+    def test_an_order_is_journaled_after_its_caller_left(self, stack):
+        stack.service.delay_s, before = 0.3, stack.service.delay_s
+        job = gevent.spawn(stack.order, key="gone")
+        stack.wait(lambda: stack.service.executions_by_key["gone"])
+        job.kill()
+        stack.wait(lambda: not stack.core.requests_by_id)
+        stack.service.delay_s = before
+        assert stack.order(key="gone")[0] == 200
+        assert stack.service.executions_by_key["gone"] == 1
+
+    def test_unknown_services_and_calls_are_not_found(self, stack):
+        assert stack.post("/services/nothing/x", {})[0] == 404
+        assert stack.post("/services/orders/call/nothing", {})[0] == 404
+        assert stack.request("DELETE", "/services/orders/call/order")[0] == 404
+
+
+@pytest.fixture(scope="module")
+def narrow(make_stack):
+    """A node with low limits."""
+    running = make_stack(
+        max_connections_per_address=6,
+        max_header_bytes=2000,
+        max_body_bytes=5000,
+        max_bodies_bytes=8000,
+        header_s=0.3,
+        body_s=0.3,
+        idle_s=0.5,
+    )
+    yield running
+    running.stop()
+
+
+def talk(stack, *parts):
+    """Send raw bytes and return everything up to the end of the connection."""
+    host, port = stack.address.split(":")
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        for part in parts:
+            sock.sendall(part)
+        answer = b""
+        while block := sock.recv(65536):
+            answer += block
+        return answer
+
+
+HEAD = f"POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer {BEARER_KEY}\r\n"
+GET = b"GET /healthz HTTP/1.1\r\n"
+
+
+class TestLimits:
+    # Guards against callers that hold a connection without sending a request.
+    def test_slow_headers_are_cut(self, narrow):
+        assert b" 408 " in talk(narrow, GET + b"X-Slow: ")
+
+    def test_an_idle_connection_is_closed(self, narrow):
+        assert talk(narrow) == b""
+
+    def test_a_slow_body_is_cut(self, narrow):
+        answer = talk(narrow, HEAD.encode() + b"Content-Length: 100\r\n\r\n{")
+        assert b" 408 " in answer
+        assert b"not_run" in answer
+
+    def test_large_headers_are_refused(self, narrow):
+        assert b" 431 " in talk(narrow, GET + b"X: " + b"y" * 3000 + b"\r\n\r\n")
+        many = b"".join(b"X-%d: y\r\n" % n for n in range(300))
+        assert b" 431 " in talk(narrow, GET + many + b"\r\n")
+
+    # Guards against a node that reads a refused body to its end.
+    def test_a_large_body_is_refused_unread(self, narrow):
+        head = HEAD.encode() + b"Content-Length: 900000000\r\n\r\n"
+        assert b" 413 " in talk(narrow, head)
+
+    def test_a_large_chunked_body_is_refused(self, narrow):
+        head = HEAD.encode() + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunk = b"1000\r\n" + b"x" * 0x1000 + b"\r\n"
+        assert b" 413 " in talk(narrow, head, chunk, chunk, b"0\r\n\r\n")
+
+    def test_all_bodies_together_are_bounded(self, narrow):
+        owner = narrow.node.callers
+        owner.n_body_bytes += 7000
+        try:
+            answer = talk(narrow, HEAD.encode() + b"Content-Length: 2000\r\n\r\n")
+        finally:
+            owner.n_body_bytes -= 7000
+        assert b" 503 " in answer
+        assert owner.n_body_bytes == 0
+
+    def test_malformed_requests_are_problems(self, narrow):
+        assert b"problem+json" in talk(narrow, b"nonsense\r\n\r\n")
+        length = b"Content-Length: -1\r\n\r\n"
+        assert b"problem+json" in talk(narrow, HEAD.encode() + length)
+
+    # Guards against one address that takes every connection.
+    def test_connections_of_one_address_are_bounded(self, narrow):
+        host, port = narrow.address.split(":")
+        narrow.wait(lambda: narrow.node.callers.n_connections == 0)
+        held = [socket.create_connection((host, int(port))) for _ in range(6)]
+        try:
+            narrow.wait(lambda: narrow.node.callers.n_connections == 6)
+            assert b" 503 " in talk(narrow, b"")
+        finally:
+            for sock in held:
+                sock.close()
+
+
+class TestReadiness:
+    # Guards against a balancer that sends callers to a node that refuses them.
+    def test_an_isolated_node_fails_readiness_and_refuses(self, stack):
+        configuration = stack.node.runtime.state.configuration
+        configuration.isolated = True
+        try:
+            assert stack.request("GET", "/readyz")[0] == 503
+            status, problem = stack.post(TEXT, stack.body())
+        finally:
+            configuration.isolated = False
+        assert (status, problem["execution"]) == (503, "not_run")
+        assert stack.request("GET", "/healthz")[0] == 200
--- /dev/null
+++ b/tests/node/test_service_client.py
@@ -0,0 +1,145 @@
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from savoryhill.endpoints import service
+from savoryhill.endpoints.service import call_service
+from savoryhill.errors import BrokenStreamError, EndpointRefusedError, NotSentError
+
+
+@pytest.fixture
+def serve_raw():
+    """Start servers that answer each connection with fixed bytes, then close."""
+    servers = []
+
+    def start(answer):
+        received = []
+
+        def handle(sock, _):
+            received.append(sock.recv(65536))
+            if answer:
+                sock.sendall(answer)
+            sock.close()
+
+        server = StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        servers.append(server)
+        return f"127.0.0.1:{server.server_port}", received
+
+    yield start
+    for server in servers:
+        server.stop(timeout=0.1)
+
+
+def call(address, method="POST", timeout_s=2.0, **more):
+    return call_service(
+        address,
+        method=method,
+        path="/call/order?n=1",
+        body=b"{}",
+        headers={"Idempotency-Key": "k", **more},
+        timeout_s=timeout_s,
+        not_run_statuses=(429,),
+    )
+
+
+class TestCallService:
+    # Guards against a library that sends a call again after a closed connection:
+    # geventhttpclient 2.6.1 sends GET, PUT and DELETE up to three times.
+    @pytest.mark.parametrize("method", ["GET", "POST", "PUT", "PATCH", "DELETE"])
+    def test_a_call_is_written_once_and_then_unknown(self, serve_raw, method):
+        address, received = serve_raw(b"")
+        with pytest.raises(BrokenStreamError, match="may have run"):
+            call(address, method)
+        assert len(received) == 1
+        assert received[0].startswith(f"{method} /call/order?n=1 HTTP/1.1".encode())
+
+    # Guards against a cut answer that is passed on as complete.
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+            b"HTTP/1.1 20",
+            b"nonsense\r\n\r\n",
+        ],
+    )
+    def test_a_cut_answer_is_unknown(self, serve_raw, answer):
+        address, _ = serve_raw(answer)
+        with pytest.raises(BrokenStreamError):
+            call(address)
+
+    def test_a_refused_connection_is_not_sent(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+            with pytest.raises(NotSentError):
+                call(address)
+
+    # Guards against "unknown" for a call of which no byte was written.
+    def test_a_connect_timeout_is_not_sent(self, monkeypatch):
+        monkeypatch.setattr(service, "CONNECT_TIMEOUT_S", 0.2)
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        waiting = []
+        for _ in range(3):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+            waiting.append(sock)
+        try:
+            with pytest.raises(NotSentError, match="no connection"):
+                call(f"127.0.0.1:{full.getsockname()[1]}")
+        finally:
+            for sock in (*waiting, full):
+                sock.close()
+
+    def test_no_time_left_is_not_sent(self, serve_raw):
+        address, received = serve_raw(b"")
+        with pytest.raises(NotSentError):
+            call(address, timeout_s=0.0)
+        assert not received
+
+    # Guards against headers that a caller smuggles into the service's connection.
+    def test_a_header_with_a_line_break_is_not_sent(self, serve_raw):
+        address, received = serve_raw(b"")
+        with pytest.raises(NotSentError):
+            call(address, Extra="a\r\nX-Fence: 9")
+        assert not received
+
+    @pytest.mark.parametrize(
+        "head", [b"429 Busy\r\n", b"503 Busy\r\nnot-run: true\r\n"]
+    )
+    def test_a_refusal_before_execution_is_recognized(self, serve_raw, head):
+        address, _ = serve_raw(b"HTTP/1.1 " + head + b"Content-Length: 0\r\n\r\n")
+        with pytest.raises(EndpointRefusedError):
+            call(address)
+
+    # Guards against a 503 that is taken for "not run" without the header.
+    def test_a_503_without_the_header_is_an_answer(self, serve_raw):
+        address, _ = serve_raw(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        assert call(address)[0] == 503
+
+    # Guards against an answer that trickles for ever.
+    def test_the_time_limit_covers_the_whole_call(self):
+        def trickle(sock, _):
+            try:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n")
+                while not closing:
+                    sock.sendall(b"x")
+                    gevent_sleep(0.02)
+            except OSError:
+                pass
+
+        from gevent import sleep as gevent_sleep
+
+        closing = []
+        server = StreamServer(("127.0.0.1", 0), trickle)
+        server.start()
+        try:
+            with pytest.raises(BrokenStreamError):
+                call(f"127.0.0.1:{server.server_port}", timeout_s=0.2)
+        finally:
+            closing.append(True)
+            server.stop(timeout=0.1)
