relay: set no time limit on every read, wait and write

Cause: each relayed chunk set three gevent timeouts, one on the read from the engine, one on the wait for content and one on the write to the caller.

Change: a request has one timer for its deadline; the read from the engine is bounded by the silence check and the deadline; a write that fits into the socket's buffer needs no limit. `python -m savoryhill.bench.relay` measures the data path with every part in a process of its own.

--- /dev/null
+++ b/src/savoryhill/bench/relay.py
@@ -0,0 +1,340 @@
+"""Measure the data path of a node: ``python -m savoryhill.bench.relay``.
+
+The platform stand-in, one engine stand-in and two nodes run as processes of their
+own; the entry node is the one that does not coordinate the engine's group, so that
+a placement takes a call to the other node.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from hashlib import sha256
+from pathlib import Path
+
+import gevent
+import psutil
+import yaml
+from gevent import socket
+
+from savoryhill.config.model import dump_configuration
+from savoryhill.config.questionnaire import Questionnaire, generate
+from savoryhill.core.effects import Compare
+from savoryhill.demo.deployment import free_address
+from savoryhill.errors import SavoryhillError
+from savoryhill.node.readers import CONFIGURATION_KEY
+from savoryhill.platform.key_value import connect_key_value, transact
+
+MODEL = "assistant"
+BEARER_KEY = "key-of-the-relay-bench"
+CLUSTER_KEY = "cluster-key-of-the-relay-bench"
+ADMIN_KEY = "admin-key-of-the-relay-bench"
+N_STREAMS = 100
+TOKENS_PER_S = 71.0
+SETTLE_S = 2.0
+WINDOW_S = 6.0
+N_FIRST_TOKENS = 300
+LIMIT_S = 30.0
+PROMPT = "a question of some length " * 20
+
+
+class BenchError(SavoryhillError):
+    """The bench could not be carried out."""
+
+
+def run_relay_bench(*, n_streams=N_STREAMS, window_s=WINDOW_S, n_first=N_FIRST_TOKENS):
+    """Measure cost per chunk, added latency and memory.
+
+    Parameters
+    ----------
+    n_streams : int
+        Streams open at once, each at 71 tokens a second.
+    window_s : float
+        Length of the measurement of processor time, in seconds.
+    n_first : int
+        First tokens measured directly and through the node.
+
+    Returns
+    -------
+    dict
+        The figures, with units in the names.
+    """
+    with tempfile.TemporaryDirectory() as directory:
+        started = []
+        try:
+            addresses = _start_parts(Path(directory), started, n_streams)
+            return _measure(addresses, n_streams, window_s, n_first)
+        finally:
+            for process in started:
+                process.send_signal(signal.SIGKILL)
+                process.wait()
+
+
+def _start(directory, started, name, *arguments, settings):
+    path = directory / f"{name}.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    source = str(Path(__file__).parents[2])
+    process = subprocess.Popen(
+        [sys.executable, "-m", "savoryhill", *arguments, str(path)],
+        env={**os.environ, "PYTHONPATH": source},
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    started.append(process)
+    return process
+
+
+def _start_parts(directory, started, n_streams):
+    platform, engine = free_address(), free_address()
+    figures = {
+        "prefill_tokens_per_s": 1e6,
+        "decode_tokens_per_s": TOKENS_PER_S,
+        "memory_tokens": 10**8,
+        "slots": 2 * n_streams,
+        "cold_slots": 2 * n_streams,
+    }
+    nodes = []
+    for number in range(2):
+        nodes.append(
+            {
+                "node": f"node-{number}",
+                "zone": "zone-a",
+                "region": "south",
+                "listen": free_address(),
+                "peer_listen": free_address(),
+                "admin_listen": free_address(),
+                "key_value": platform,
+                "hosts": platform,
+                "cluster_key": CLUSTER_KEY,
+                "admin_key": ADMIN_KEY,
+            }
+        )
+    hosts = [
+        {
+            "node": settings["node"],
+            "address": settings["peer_listen"],
+            "zone": settings["zone"],
+            "state": "live",
+        }
+        for settings in nodes
+    ]
+    part = {"listen": platform, "hosts": hosts}
+    _start(directory, started, "platform", "standin", "platform", settings=part)
+    part = {"listen": engine, "id": "engine-0", "model": MODEL, **figures}
+    _start(directory, started, "engine", "standin", "engine", settings=part)
+    _wait(lambda: _call(platform, "GET", "/hosts")[0] == 200, "platform stand-in")
+    _wait(lambda: _call(engine, "GET", "/admin/load")[0] == 200, "engine stand-in")
+    _write_configuration(platform, engine, figures)
+    pids = {}
+    for settings in nodes:
+        name = settings["node"]
+        arguments = ("node", "--log_level", "ERROR")
+        process = _start(directory, started, name, *arguments, settings=settings)
+        pids[name] = process.pid
+    for settings in nodes:
+        ready = _ready(settings["listen"])
+        _wait(ready, f"readiness of {settings['node']}")
+    coordinator = _coordinator(nodes[0]["admin_listen"])
+    (entry,) = [each for each in nodes if each["node"] != coordinator]
+    _wait(lambda: _first_token_s(entry["listen"]) is not None, "first answer")
+    return {
+        "engine": engine,
+        "entry": entry["listen"],
+        "entry_pid": pids[entry["node"]],
+    }
+
+
+def _ready(address):
+    return lambda: _call(address, "GET", "/readyz")[0] == 200
+
+
+def _coordinator(admin):
+    found = []
+
+    def known():
+        status, content = _call(admin, "GET", "/admin/status", key=ADMIN_KEY)
+        groups = json.loads(content)["groups"] if status == 200 else []
+        found[:] = [group["coordinator"] for group in groups]
+        return bool(found and found[0])
+
+    _wait(known, "coordinator")
+    return found[0]
+
+
+def _write_configuration(platform, engine, figures):
+    answers = Questionnaire.model_validate(
+        {
+            "zones": {"zone-a": {"region": "south"}},
+            "hardware": {"one": figures},
+            "models": {
+                MODEL: {
+                    "version": "1",
+                    "endpoints": {
+                        "engine-0": {
+                            "address": engine,
+                            "zone": "zone-a",
+                            "hardware": "one",
+                        }
+                    },
+                }
+            },
+            "workspaces": {
+                "bench": {"key_hashes": [sha256(BEARER_KEY.encode()).hexdigest()]}
+            },
+            "kinds": {"completion": {"deadline_s": 120.0}},
+        }
+    )
+    configuration = generate(answers, revision=1, author="bench")
+    transact(
+        connect_key_value(platform),
+        compares=(Compare(key=CONFIGURATION_KEY, mod_revision=0),),
+        puts=((CONFIGURATION_KEY, dump_configuration(configuration)),),
+    )
+
+
+def _wait(holds, what):
+    ends_at = time.monotonic() + LIMIT_S
+    while True:
+        try:
+            if holds():
+                return
+        except OSError:
+            pass
+        if time.monotonic() > ends_at:
+            raise BenchError(f"{what} did not come about within {LIMIT_S} s")
+        gevent.sleep(0.05)
+
+
+def _open(address, method, path, body=b"", key=BEARER_KEY):
+    """Send a request and return its socket."""
+    host, port = address.rsplit(":", 1)
+    sock = socket.create_connection((host, int(port)), timeout=LIMIT_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Type: application/json\r\n"
+        f"X-Request-Id: bench-{id(sock)}-{time.monotonic_ns()}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    sock.sendall(head.encode() + body)
+    return sock
+
+
+def _call(address, method, path, body=b"", key=BEARER_KEY):
+    with _open(address, method, path, body, key) as sock:
+        answer = b""
+        while block := sock.recv(65536):
+            answer += block
+    head, _, content = answer.partition(b"\r\n\r\n")
+    status = head.split(b" ", 2)[1:2]
+    return int(status[0]) if status else 0, content
+
+
+def _open_stream(address, max_tokens):
+    body = {"model": MODEL, "prompt": PROMPT, "max_tokens": max_tokens, "stream": True}
+    return _open(address, "POST", "/v1/completions", json.dumps(body).encode())
+
+
+def _first_token_s(address):
+    """Return the time to the first token in seconds, None if refused."""
+    started = time.perf_counter()
+    with _open_stream(address, 1) as sock:
+        answer = b""
+        while b'"text": "' not in answer:
+            block = sock.recv(65536)
+            if not block:
+                return None
+            answer += block
+        return time.perf_counter() - started
+
+
+def _read_stream(sock, counts):
+    """Count the chunks and the deliveries of a stream until its end."""
+    tail = b""
+    with sock:
+        while block := sock.recv(65536):
+            joined = tail + block
+            counts["chunks"] += joined.count(b'"text": "') - tail.count(b'"text": "')
+            counts["reads"] += 1
+            tail = joined[-8:]
+
+
+def _percentile(values, percent):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
+
+
+def _measure(addresses, n_streams, window_s, n_first):
+    direct, through = [], []
+    for _ in range(n_first):
+        direct.append(_first_token_s(addresses["engine"]))
+        through.append(_first_token_s(addresses["entry"]))
+    if None in direct or None in through:
+        raise BenchError("a request of the first-token measurement was refused")
+    entry = psutil.Process(addresses["entry_pid"])
+    rss_before = entry.memory_info().rss
+    counts = {"chunks": 0, "reads": 0}
+    n_tokens = int(TOKENS_PER_S * (SETTLE_S + window_s + 20))
+    readers = []
+    for _ in range(n_streams):
+        sock = _open_stream(addresses["entry"], n_tokens)
+        readers.append(gevent.spawn(_read_stream, sock, counts))
+    gevent.sleep(SETTLE_S)
+    rss_open = entry.memory_info().rss
+    first_chunks, first_cpu = counts["chunks"], sum(entry.cpu_times()[:2])
+    started = time.monotonic()
+    gevent.sleep(window_s)
+    seconds = time.monotonic() - started
+    n_chunks = counts["chunks"] - first_chunks
+    cpu_s = sum(entry.cpu_times()[:2]) - first_cpu
+    gevent.killall(readers)
+    ms = 1000.0
+    return {
+        "n_streams": n_streams,
+        "window_s": round(seconds, 3),
+        "chunks_per_s": round(n_chunks / seconds, 1),
+        "cpu_share_of_core": round(cpu_s / seconds, 4),
+        "cpu_us_per_chunk": round(1e6 * cpu_s / max(1, n_chunks), 2),
+        "chunks_per_s_per_core": round(n_chunks / max(1e-9, cpu_s)),
+        "memory_per_stream_bytes": round((rss_open - rss_before) / n_streams),
+        "direct_first_token_ms_p50": round(ms * _percentile(direct, 50), 3),
+        "direct_first_token_ms_p99": round(ms * _percentile(direct, 99), 3),
+        "through_first_token_ms_p50": round(ms * _percentile(through, 50), 3),
+        "through_first_token_ms_p99": round(ms * _percentile(through, 99), 3),
+        "added_first_token_ms_p50": round(
+            ms * (_percentile(through, 50) - _percentile(direct, 50)), 3
+        ),
+        "added_first_token_ms_p99": round(
+            ms * (_percentile(through, 99) - _percentile(direct, 99)), 3
+        ),
+    }
+
+
+def main(output="text", n_streams=N_STREAMS, window_s=WINDOW_S, n_first=N_FIRST_TOKENS):
+    """Run the bench and print its figures.
+
+    Parameters
+    ----------
+    output : str
+        text or json.
+    n_streams, n_first : int
+        Streams open at once; first tokens measured.
+    window_s : float
+        Length of the measurement in seconds.
+    """
+    figures = run_relay_bench(n_streams=n_streams, window_s=window_s, n_first=n_first)
+    if output == "json":
+        print(json.dumps(figures))
+    else:
+        for name, value in figures.items():
+            print(f"{name:<28} {value}")
+
+
+if __name__ == "__main__":
+    import fire
+
+    fire.Fire(main)
--- a/src/savoryhill/node/admission.py
+++ b/src/savoryhill/node/admission.py
@@ -16,6 +16,8 @@
 MAX_MARGIN_S = 0.02
 _BLOCK_BYTES = 1 << 16
 _READABLE = 1
+# The loop's time may be slightly behind the clock, so the timer fires again.
+DEADLINE_AGAIN_S = 0.01
 
 
 def read_body(node, req):
@@ -77,14 +79,34 @@
 
 
 def start(node, req, relay):
-    """Hand a request to the core and watch its caller's connection."""
+    """Hand a request to the core; watch its deadline and its caller.
+
+    Returns
+    -------
+    list
+        Watchers of the event loop for `stop_watching`.
+    """
     node.relays_by_request[relay.spec.request_id] = relay
     sock = req.env["savoryhill.socket"]
-    watcher = get_hub().loop.io(sock.fileno(), _READABLE)
-    watcher.start(lambda: gevent.spawn(_on_readable, node, relay, sock, watcher))
-    req.env["savoryhill.watcher"] = watcher
-    submit(node.runtime, RequestArrived(at=node.clock.monotonic(), spec=relay.spec))
-    return watcher
+    loop = get_hub().loop
+    readable = loop.io(sock.fileno(), _READABLE)
+    readable.start(lambda: gevent.spawn(_on_readable, node, relay, sock, readable))
+    now = node.clock.monotonic()
+    # One timer for the request is cheaper than a time limit on every wait.
+    timer = loop.timer(max(0.0, relay.spec.deadline_at - now), repeat=DEADLINE_AGAIN_S)
+    timer.start(lambda: gevent.spawn(_on_deadline, node, relay), update=True)
+    submit(node.runtime, RequestArrived(at=now, spec=relay.spec))
+    return [readable, timer]
+
+
+def _on_deadline(node, relay):
+    if relay.finish is None:
+        submit(
+            node.runtime,
+            DeadlineReached(
+                at=node.clock.monotonic(), request_id=relay.spec.request_id
+            ),
+        )
 
 
 def _on_readable(node, relay, sock, watcher):
@@ -101,10 +123,11 @@
         caller_gone(node, relay)
 
 
-def stop_watching(watcher):
-    """Stop watching a caller's connection."""
-    watcher.stop()
-    watcher.close()
+def stop_watching(watchers):
+    """Stop watching a request's deadline and its caller."""
+    for watcher in watchers:
+        watcher.stop()
+        watcher.close()
 
 
 def caller_gone(node, relay):
@@ -118,31 +141,7 @@
     )
 
 
-def next_chunks(node, relay):
-    """Wait for content until the deadline.
-
-    Returns
-    -------
-    list of Chunk
-        Empty if the answer has ended, which ``relay.finish`` then describes, or
-        if the caller is gone.
-    """
-    now = node.clock.monotonic
-    chunks = take_chunks(relay, max(0.0, relay.spec.deadline_at - now()))
-    if chunks or relay.finish is not None or relay.caller_gone:
-        return chunks
-    submit(node.runtime, DeadlineReached(at=now(), request_id=relay.spec.request_id))
-    while relay.finish is None and not relay.caller_gone:
-        chunks = take_chunks(relay, max(0.001, relay.spec.deadline_at - now()))
-        if chunks:
-            return chunks
-        submit(
-            node.runtime, DeadlineReached(at=now(), request_id=relay.spec.request_id)
-        )
-    return []
-
-
-def wait_finish(node, relay):
+def wait_finish(relay):
     """Wait for the end of a request without streamed content.
 
     Returns
@@ -151,7 +150,7 @@
         None if the caller is gone.
     """
     while relay.finish is None and not relay.caller_gone:
-        next_chunks(node, relay)
+        take_chunks(relay)
     return relay.finish
 
 
--- a/src/savoryhill/node/callers.py
+++ b/src/savoryhill/node/callers.py
@@ -191,15 +191,29 @@
                 pass
 
     def _sendall(self, data):
+        # Most writes fit into the socket's buffer; only the others need a time
+        # limit, which costs as much as the write itself.
         sock = self.socket
+        try:
+            n_sent = sock._sock.send(data)
+        except BlockingIOError:
+            n_sent = 0
+        except OSError as error:
+            self.status = f"socket error: {error}"
+            self.code = -abs(self.code)
+            raise
+        if n_sent == len(data):
+            self.response_length += n_sent
+            return
         sock.settimeout(self.server.owner.limits.send_s)
         try:
-            super()._sendall(data)
+            super()._sendall(memoryview(data)[n_sent:])
         except TimeoutError as error:
             self.server.owner.n_refused_by_reason["slow_reader"] += 1
             raise OSError(errno.EPIPE, "the caller reads too slowly") from error
         finally:
             sock.settimeout(None)
+        self.response_length += n_sent
 
 
 class _Server(WSGIServer):
--- a/src/savoryhill/node/completions.py
+++ b/src/savoryhill/node/completions.py
@@ -7,7 +7,7 @@
 from savoryhill.core.messages import RequestSpec
 from savoryhill.node import admission
 from savoryhill.node.problems import problem_document, write_finish, write_problem
-from savoryhill.node.relay import Relay
+from savoryhill.node.relay import Relay, take_chunks
 from savoryhill.node.validation import (
     check_chat,
     check_completion,
@@ -65,24 +65,24 @@
     stream = bool(body.get("stream"))
     relay = Relay(spec=spec, body=body)
     resp.set_header("Savoryhill-Request-Id", spec.request_id)
-    watcher = admission.start(node, req, relay)
+    watchers = admission.start(node, req, relay)
     handed_over = False
     try:
-        chunks = admission.next_chunks(node, relay)
+        chunks = take_chunks(relay)
         if stream and (chunks or admission.finished(relay.finish)):
             resp.content_type = "text/event-stream"
             resp.set_header("Cache-Control", "no-store")
             usage = bool(options.get("include_usage"))
-            resp.stream = _events(node, relay, chunks, object_name, usage, watcher)
+            resp.stream = _events(node, relay, chunks, object_name, usage, watchers)
             handed_over = True
             return
         texts = [chunk.text for chunk in chunks]
         while relay.finish is None and not relay.caller_gone:
-            texts += [chunk.text for chunk in admission.next_chunks(node, relay)]
+            texts += [chunk.text for chunk in take_chunks(relay)]
         texts += [chunk.text for chunk in relay.chunks]
     finally:
         if not handed_over:
-            admission.stop_watching(watcher)
+            admission.stop_watching(watchers)
     if relay.finish is None or relay.finish.execution != "completed":
         _write_failure(resp, relay)
         return
@@ -121,7 +121,7 @@
     }
 
 
-def _events(node, relay, chunks, object_name, with_usage, watcher):
+def _events(node, relay, chunks, object_name, with_usage, watchers):
     """Yield server-sent events; all chunks that wait go into one write."""
     chat = object_name == CHAT
     fixed = {
@@ -161,7 +161,7 @@
                     for chunk in chunks
                 ]
             ).encode()
-            chunks = admission.next_chunks(node, relay)
+            chunks = take_chunks(relay)
         ended = relay.finish is not None
         if not ended:
             return
@@ -181,6 +181,6 @@
             )
             yield b"event: error\ndata: " + json.dumps(document).encode() + b"\n\n"
     finally:
-        admission.stop_watching(watcher)
+        admission.stop_watching(watchers)
         if not ended:
             admission.caller_gone(node, relay)
--- a/src/savoryhill/node/drivers/attempts.py
+++ b/src/savoryhill/node/drivers/attempts.py
@@ -135,8 +135,9 @@
         incarnation=effect.incarnation,
         priority=effect.priority,
         from_offset=effect.from_offset,
-        # The silence limits are watched here; this one only bounds the socket.
-        gap_limit_s=max(1.0, relay.spec.deadline_at - now()),
+        # `watch_silence` and the deadline end a silent attempt; a time limit on
+        # each read of the socket would cost a fifth of the relay's work.
+        gap_limit_s=None,
     )
     for chunk in chunks:
         relay.heard_at = now()
--- a/src/savoryhill/node/relay.py
+++ b/src/savoryhill/node/relay.py
@@ -82,7 +82,8 @@
     """Queue a chunk for the caller; wait while too much is queued."""
     relay.chunks.append(chunk)
     relay.n_queued_bytes += len(chunk.text) + CHUNK_BYTES
-    relay.readable.set()
+    if not relay.readable.is_set():
+        relay.readable.set()
     while relay.n_queued_bytes > MAX_QUEUED_BYTES and not relay.caller_gone:
         # A slow caller is no silence of the endpoint.
         limit_s, relay.silence_limit_s = relay.silence_limit_s, 0.0
@@ -104,26 +105,25 @@
     relay.writable.set()
 
 
-def take_chunks(relay, timeout_s=None):
+def take_chunks(relay):
     """Wait for content and take all that is queued.
 
     Parameters
     ----------
     relay : Relay
         The request's relay.
-    timeout_s : float, optional
-        Longest wait in seconds.
 
     Returns
     -------
     list of Chunk
-        Empty if the answer has ended, the caller is gone, or at the time limit.
+        Empty if the answer has ended or the caller is gone.
     """
     if not relay.chunks and relay.finish is None and not relay.caller_gone:
         relay.readable.clear()
-        relay.readable.wait(timeout_s)
+        relay.readable.wait()
     taken = list(relay.chunks)
     relay.chunks.clear()
     relay.n_queued_bytes = 0
-    relay.writable.set()
+    if not relay.writable.is_set():
+        relay.writable.set()
     return taken
--- a/src/savoryhill/node/service_calls.py
+++ b/src/savoryhill/node/service_calls.py
@@ -71,11 +71,11 @@
         content_type=req.content_type or "application/json",
     )
     resp.set_header("Savoryhill-Request-Id", request_id)
-    watcher = admission.start(node, req, relay)
+    watchers = admission.start(node, req, relay)
     try:
-        finish = admission.wait_finish(node, relay)
+        finish = admission.wait_finish(relay)
     finally:
-        admission.stop_watching(watcher)
+        admission.stop_watching(watchers)
     if finish is None:
         write_problem(resp, status=499, detail="caller gone", execution="unknown")
     elif finish.execution == "completed":
