--- a/src/savoryhill/bench/relay.py
+++ b/src/savoryhill/bench/relay.py
@@ -20,13 +20,10 @@
 import yaml
 from gevent import socket
 
-from savoryhill.config.model import dump_configuration
-from savoryhill.config.questionnaire import Questionnaire, generate
-from savoryhill.core.effects import Compare
+from savoryhill.config.apply import apply_answers
+from savoryhill.config.store import connect_store
 from savoryhill.demo.deployment import free_address
 from savoryhill.errors import SavoryhillError
-from savoryhill.node.readers import CONFIGURATION_KEY
-from savoryhill.platform.key_value import connect_key_value, transact
 
 MODEL = "assistant"
 BEARER_KEY = "key-of-the-relay-bench"
@@ -166,33 +163,33 @@
 
 
 def _write_configuration(platform, engine, figures):
-    answers = Questionnaire.model_validate(
-        {
-            "zones": {"zone-a": {"region": "south"}},
-            "hardware": {"one": figures},
-            "models": {
-                MODEL: {
-                    "version": "1",
-                    "endpoints": {
-                        "engine-0": {
-                            "address": engine,
-                            "zone": "zone-a",
-                            "hardware": "one",
-                        }
-                    },
-                }
-            },
-            "workspaces": {
-                "bench": {"key_hashes": [sha256(BEARER_KEY.encode()).hexdigest()]}
-            },
-            "kinds": {"completion": {"deadline_s": 120.0}},
-        }
-    )
-    configuration = generate(answers, revision=1, author="bench")
-    transact(
-        connect_key_value(platform),
-        compares=(Compare(key=CONFIGURATION_KEY, mod_revision=0),),
-        puts=((CONFIGURATION_KEY, dump_configuration(configuration)),),
+    answers = {
+        "zones": {"zone-a": {"region": "south"}},
+        "hardware": {"one": figures},
+        "models": {
+            MODEL: {
+                "version": "1",
+                "endpoints": {
+                    "engine-0": {
+                        "address": engine,
+                        "zone": "zone-a",
+                        "hardware": "one",
+                    }
+                },
+            }
+        },
+        "workspaces": {
+            "bench": {"key_hashes": [sha256(BEARER_KEY.encode()).hexdigest()]}
+        },
+        "kinds": {"completion": {"deadline_s": 120.0}},
+    }
+    apply_answers(
+        connect_store(platform),
+        yaml.safe_dump(answers, sort_keys=False),
+        place="bench",
+        author="bench",
+        attempt="bench",
+        taken_from=0,
     )
 
 
--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,6 +2,8 @@
 
 import sys
 
+from savoryhill.cli import questionnaire
+from savoryhill.cli.bench import bench
 from savoryhill.cli.commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Deferred, deferred
 from savoryhill.cli.daemon import node
 from savoryhill.cli.inspection import status, timeline
@@ -23,8 +25,10 @@
 
 
 COMMANDS = {
+    "bench": bench,
     "demo": demo,
     "node": node,
+    "questionnaire": questionnaire.COMMANDS,
     "standin": STANDINS,
     "status": status,
     "timeline": timeline,
--- a/src/savoryhill/cli/standins.py
+++ b/src/savoryhill/cli/standins.py
@@ -35,7 +35,8 @@
     ----------
     settings : str
         YAML with ``listen``, ``id``, ``model``, ``prefill_tokens_per_s``,
-        ``decode_tokens_per_s``, ``memory_tokens`` and ``slots``.
+        ``decode_tokens_per_s``, ``memory_tokens``, ``slots`` and, for what its
+        faults draw, ``seed``.
     """
     return deferred(lambda: _run(_engine, settings))
 
@@ -73,12 +74,16 @@
 
 
 def _engine(values, path):
+    import time
+    from random import Random
+
     import gevent
 
     from savoryhill.standins.engine import EngineState, engine_application, run_engine
 
     _take(values, path, "id", "model", "memory_tokens", "slots")
-    state = EngineState(**values)
+    random = Random(values.pop("seed", 0))
+    state = EngineState(clock=time.monotonic, random=random, **values)
     gevent.spawn(run_engine, state)
     return engine_application(state)
 
--- a/src/savoryhill/core/requests/lifecycle.py
+++ b/src/savoryhill/core/requests/lifecycle.py
@@ -10,6 +10,7 @@
     DeadlineReached,
     DrainRequested,
     PeerUnreachable,
+    ProcessResumed,
     RequestArrived,
     Ticked,
 )
@@ -188,6 +189,7 @@
     CallerGone: on_caller_gone,
     DeadlineReached: _on_deadline_reached,
     PeerUnreachable: on_peer_unreachable,
+    ProcessResumed: permits.on_process_resumed,
     DrainRequested: on_drain_requested,
     Ticked: _on_tick,
 }
--- a/src/savoryhill/core/requests/permits.py
+++ b/src/savoryhill/core/requests/permits.py
@@ -41,8 +41,7 @@
 
 def predicted_wait_s(state, group):
     """Return the wait that a group's coordinator announced, 0.0 if unknown."""
-    summaries = getattr(state.membership, "summaries_by_group", {})
-    summary = summaries.get(group)
+    summary = state.membership.summaries_by_group.get(group)
     return summary.predicted_wait_s if summary is not None else 0.0
 
 
@@ -75,10 +74,14 @@
 def ask(state, request):
     """Ask the group's coordinator for a permit, or ask again."""
     spec = request.spec
+    holder = holder_of(state, request.group)
+    if holder is None:
+        pause(state, request)
+        return
     request.asked_at = state.now
     wake_later(state, request, state.now + ASK_AGAIN_S)
     yield SendPeer(
-        to=holder_of(state, request.group) or state.node,
+        to=holder,
         message=PlaceRequest(
             request_id=spec.request_id,
             attempt=request.attempt,
--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -1,19 +1,22 @@
 """Start stand-ins and nodes in one process, over loopback TCP."""
 
+import time
+import uuid
 from dataclasses import dataclass, field
 from hashlib import sha256
+from random import Random
 
 import gevent
+import yaml
 from gevent import socket
 
-from savoryhill.config.model import dump_configuration
-from savoryhill.config.questionnaire import Questionnaire, generate
-from savoryhill.core.effects import Compare
+from savoryhill.config import apply as config_apply
+from savoryhill.config.questionnaire import Questionnaire
+from savoryhill.config.store import connect_store
+from savoryhill.errors import ConfigurationError
 from savoryhill.httpapp import serve
 from savoryhill.node.process import Node, start_node, stop_node
-from savoryhill.node.readers import CONFIGURATION_KEY
 from savoryhill.node.settings import NodeSettings
-from savoryhill.platform.key_value import connect_key_value, transact
 from savoryhill.standins.engine import EngineState, engine_application, run_engine
 from savoryhill.standins.platform import PlatformState, platform_application
 from savoryhill.standins.service import ServiceState, service_application
@@ -46,6 +49,8 @@
 
     platform: PlatformState
     platform_address: str
+    hardware: dict[str, dict]
+    policy: str = "savoryhill"
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     engine_addresses_by_id: dict[str, str] = field(default_factory=dict)
     services_by_id: dict[str, ServiceState] = field(default_factory=dict)
@@ -62,13 +67,20 @@
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
-def start_deployment(*, n_nodes=3, n_engines=6, n_services=1):
+def start_deployment(
+    *, n_nodes=3, n_engines=6, n_services=1, hardware=HARDWARE, policy="savoryhill"
+):
     """Start stand-ins and nodes and apply a configuration.
 
     Parameters
     ----------
     n_nodes, n_engines, n_services : int
         How many of each; they are spread over three availability zones.
+    hardware : dict of str to dict
+        Figures of the hardware kinds ``fast`` and ``slow``, half of the engines
+        each.
+    policy : str
+        The routing policy of all nodes.
 
     Returns
     -------
@@ -77,7 +89,12 @@
     """
     platform = PlatformState()
     server, address = serve(platform_application(platform), "127.0.0.1:0")
-    deployment = Deployment(platform=platform, platform_address=address)
+    deployment = Deployment(
+        platform=platform,
+        platform_address=address,
+        hardware=hardware,
+        policy=policy,
+    )
     deployment.servers.append(server)
     for number in range(n_engines):
         _start_engine(deployment, number)
@@ -98,13 +115,25 @@
         server.stop(timeout=0.2)
 
 
+def zone_of(deployment, engine_id):
+    """Return the availability zone of an engine."""
+    number = list(deployment.engines_by_id).index(engine_id)
+    return ZONES[number % len(ZONES)]
+
+
 def _hardware_of(number):
     return "fast" if number % 2 == 0 else "slow"
 
 
 def _start_engine(deployment, number):
     engine_id = f"engine-{number}"
-    engine = EngineState(id=engine_id, model=MODEL, **HARDWARE[_hardware_of(number)])
+    engine = EngineState(
+        id=engine_id,
+        model=MODEL,
+        clock=time.monotonic,
+        random=Random(number),
+        **deployment.hardware[_hardware_of(number)],
+    )
     server, address = serve(engine_application(engine), "127.0.0.1:0")
     deployment.servers.append(server)
     deployment.greenlets.append(gevent.spawn(run_engine, engine))
@@ -139,11 +168,26 @@
         "zone": settings.zone,
         "state": "live",
     }
-    deployment.nodes.append(start_node(settings))
+    node = start_node(settings)
+    node.runtime.state.routing.policy = deployment.policy
+    deployment.nodes.append(node)
+
 
+def make_answers(deployment, *, withdrawn=()):
+    """Build the questionnaire of a deployment.
 
-def make_answers(deployment):
-    """Build the questionnaire of a deployment."""
+    Parameters
+    ----------
+    deployment : Deployment
+        Gives the addresses of the endpoints.
+    withdrawn : collection of str
+        Availability zones that are withdrawn.
+
+    Returns
+    -------
+    Questionnaire
+        The answers.
+    """
 
     def endpoint(number, address, hardware):
         zone = ZONES[number % len(ZONES)]
@@ -170,8 +214,11 @@
     }
     return Questionnaire.model_validate(
         {
-            "zones": {zone: {"region": "south"} for zone in ZONES},
-            "hardware": {**HARDWARE, "application": application},
+            "zones": {
+                zone: {"region": "south", "withdrawn": zone in withdrawn}
+                for zone in ZONES
+            },
+            "hardware": {**deployment.hardware, "application": application},
             "models": {
                 MODEL: {
                     "version": "1",
@@ -213,14 +260,32 @@
 
 
 def apply_answers(deployment, answers, *, revision):
-    """Write a configuration to the platform stand-in."""
-    client = connect_key_value(deployment.platform_address)
-    _, mod_revision = deployment.platform.rows_by_key.get(
-        CONFIGURATION_KEY.encode(), (b"", 0)
-    )
-    configuration = generate(answers, revision=revision, author="demo")
-    transact(
-        client,
-        compares=(Compare(key=CONFIGURATION_KEY, mod_revision=mod_revision),),
-        puts=((CONFIGURATION_KEY, dump_configuration(configuration)),),
+    """Apply answers through the key-value service.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment to change.
+    answers : Questionnaire
+        The new answers.
+    revision : int
+        The revision they become; the one before is in force.
+
+    Raises
+    ------
+    ConfigurationError
+        If another revision is in force or the answers have findings.
+    """
+    accepted = config_apply.apply_answers(
+        connect_store(deployment.platform_address),
+        yaml.safe_dump(answers.model_dump(exclude_defaults=True), sort_keys=False),
+        place="demo",
+        author="demo",
+        attempt=uuid.uuid4().hex,
+        taken_from=revision - 1,
     )
+    if accepted.revision != revision:
+        raise ConfigurationError(
+            f"the change became revision {accepted.revision}, not {revision}"
+        )
+    return accepted
--- a/src/savoryhill/node/admin.py
+++ b/src/savoryhill/node/admin.py
@@ -88,6 +88,19 @@
     resp.media = node_status(node)
 
 
+def _members(state):
+    """Return the known nodes; the membership holds only the other ones."""
+    own = "leaving" if state.draining else "live"
+    members = {state.node: (own, state.address)}
+    for name, member in state.membership.members_by_node.items():
+        if name != state.node:
+            members[name] = (member.status, member.address)
+    return [
+        {"node": name, "status": status, "address": address}
+        for name, (status, address) in sorted(members.items())
+    ]
+
+
 def node_status(node):
     """Return what operators ask of a node, as plain data."""
     state = node.runtime.state
@@ -120,10 +133,7 @@
             }
             for group in sorted(groups)
         ],
-        "members": [
-            {"node": name, "status": member.status, "address": member.address}
-            for name, member in sorted(state.membership.members_by_node.items())
-        ],
+        "members": _members(state),
         "n_requests": len(requests),
         "requests": [
             {
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -7,29 +7,31 @@
 from gevent.event import Event
 
 from savoryhill.clock import Clock, system_clock
-from savoryhill.core.events import DrainRequested, PeerUnreachable
+from savoryhill.core.events import DrainRequested
+from savoryhill.core.membership.seeds import add_seed
 from savoryhill.core.state import new_state
 from savoryhill.httpapp import serve
 from savoryhill.node.admin import admin_application
 from savoryhill.node.callers import CallerServer, serve_callers
 from savoryhill.node.drivers import make_drivers
 from savoryhill.node.drivers.attempts import watch_silence
-from savoryhill.node.drivers.peers import on_peer_message
+from savoryhill.node.drivers.peers import on_peer_message, on_peer_unreachable
 from savoryhill.node.front import front_application
 from savoryhill.node.gauges import make_gauges
-from savoryhill.node.readers import (
-    re_read_configuration,
-    read_hosts_forever,
-    watch_configuration,
-)
+from savoryhill.node.readers import read_hosts_forever
 from savoryhill.node.relay import Relay
 from savoryhill.node.runtime import Runtime, run_ticks, submit
 from savoryhill.node.settings import NodeSettings
 from savoryhill.observability import timeline
-from savoryhill.observability.hybrid_clock import HybridClock
+from savoryhill.observability.hybrid_clock import (
+    HybridClock,
+    merge_stamp,
+    next_stamp,
+)
 from savoryhill.observability.logs import log_event
 from savoryhill.observability.metrics import Metrics, observe
 from savoryhill.peers import transport as peers
+from savoryhill.peers.operator import operator_address
 from savoryhill.platform.key_value import (
     KeyValueClient,
     connect_key_value,
@@ -92,6 +94,9 @@
         incarnation=incarnation,
         seed=incarnation,
     )
+    state.now = clock.monotonic()
+    for seed, address in settings.seeds.items():
+        add_seed(state, seed, address)
     node = Node(
         settings=settings,
         clock=clock,
@@ -105,7 +110,9 @@
         key=settings.cluster_key.encode(),
         address_of=lambda name: _address_of(state, name),
         on_message=lambda sender, message: on_peer_message(node, sender, message),
-        on_unreachable=lambda name, message: _on_unreachable(node, name, message),
+        on_unreachable=lambda name, message: on_peer_unreachable(node, name, message),
+        next_stamp=lambda: next_stamp(node.hybrid_clock),
+        merge_stamp=lambda stamp: merge_stamp(node.hybrid_clock, stamp),
     )
     node.runtime.drivers_by_effect = make_drivers(node)
     peers.listen(node.transport, settings.peer_listen)
@@ -120,8 +127,6 @@
     node.metrics.gauges.update(make_gauges(node))
     node.greenlets += [
         gevent.spawn(read_hosts_forever, node),
-        gevent.spawn(watch_configuration, node),
-        gevent.spawn(re_read_configuration, node),
         gevent.spawn(run_ticks, node.runtime, settings.tick_s),
         gevent.spawn(watch_silence, node),
     ]
@@ -145,18 +150,16 @@
     while node.callers.n_answering:
         gevent.sleep(_SETTLE_STEP_S)
     settled_by = node.clock.monotonic() + SETTLE_S
-    while not _settled(node) and node.clock.monotonic() < settled_by:
+    while not _journal_settled(node) and node.clock.monotonic() < settled_by:
         gevent.sleep(_SETTLE_STEP_S)
+    # Releases, journal endings and handed-over groups need an acknowledgement.
+    peers.flush(node.transport, timeout_s=SETTLE_S)
 
 
-def _settled(node):
-    """Tell whether all releases and journal endings have left this node."""
-    queues = node.transport.queues_by_node.values()
+def _journal_settled(node):
+    """Tell whether no journal batch of this node waits to be written."""
     shards = node.runtime.state.journal.shards_by_number.values()
-    return not (
-        any(queue.qsize() for queue in queues)
-        or any(shard.pending or shard.written for shard in shards)
-    )
+    return not any(shard.pending or shard.written for shard in shards)
 
 
 def unfinished(node):
@@ -177,10 +180,4 @@
 
 def _address_of(state, name):
     member = state.membership.members_by_node.get(name)
-    return member.address if member is not None else None
-
-
-def _on_unreachable(node, name, message):
-    node.observe("peer_unreachable", 1.0, {"message": type(message).__name__})
-    event = PeerUnreachable(at=node.clock.monotonic(), node=name, message=message)
-    submit(node.runtime, event)
+    return member.address if member is not None else operator_address(name)
--- a/src/savoryhill/node/settings.py
+++ b/src/savoryhill/node/settings.py
@@ -1,6 +1,6 @@
 """Settings of a node process, read from YAML."""
 
-from dataclasses import dataclass, field, fields
+from dataclasses import MISSING, dataclass, field, fields
 
 import yaml
 
@@ -14,7 +14,9 @@
 class NodeSettings:
     """Where a node runs and whom it talks to; addresses are ``ip:port``.
 
-    Without an ``admin_key`` the admin address refuses every call.
+    ``seeds`` maps names of other nodes to their peer addresses; a node that cannot
+    read the host list finds the others through them. Without an ``admin_key`` the
+    admin address refuses every call.
     """
 
     node: str
@@ -28,6 +30,7 @@
     cluster_key: str = field(repr=False)
     admin_key: str = field(default="", repr=False)
     tick_s: float = 0.05
+    seeds: dict = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
 
 
@@ -80,7 +83,7 @@
     ]
     for name, each in known.items():
         if name not in values:
-            if each.default is each.default_factory:
+            if each.default is MISSING and each.default_factory is MISSING:
                 findings.append(f"missing setting {place}{name}")
             continue
         if each.type not in (str, int, float):
@@ -96,7 +99,7 @@
 
 
 def _is_address(value):
-    host, _, port = value.rpartition(":")
+    host, _, port = str(value).rpartition(":")
     return bool(host) and port.isdigit() and int(port) < 65_536
 
 
@@ -116,6 +119,9 @@
             findings.append(f"admin_key: expected at least {MIN_ADMIN_KEY_BYTES} bytes")
         if not (admin_key.isascii() and admin_key.isprintable()):
             findings.append("admin_key: expected printable ASCII")
+    seeds = values.get("seeds", {})
+    if not isinstance(seeds, dict) or not all(map(_is_address, seeds.values())):
+        findings.append("seeds: expected a mapping of node names to ip:port")
     limits = values.get("limits", {})
     if isinstance(limits, dict):
         findings += check_fields(CallerLimits, limits, place="limits.")
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -1,9 +1,10 @@
 """Encode messages between nodes.
 
 A frame is a fixed header (protocol version, message type, incarnation, sequence
-number, sender) and a Cap'n Proto struct. The header is checked before the struct
-is touched: an exception inside the Cap'n Proto library takes a native stack
-trace, which crashes the process when it runs on a greenlet's stack.
+number, hybrid logical clock, sender) and a Cap'n Proto struct. The header is
+checked before the struct is touched: an exception inside the Cap'n Proto library
+takes a native stack trace, which crashes the process when it runs on a greenlet's
+stack.
 """
 
 import dataclasses
@@ -20,7 +21,7 @@
 PROTOCOL_VERSION = 1
 # A frame must hold a configuration of one megabyte and some more.
 TRAVERSAL_LIMIT_WORDS = 8 * 1024 * 1024
-_HEADER = struct.Struct("!BBQQB")
+_HEADER = struct.Struct("!BBQQQB")
 
 # The position is the message's type number, so new types are appended.
 MESSAGE_TYPES = (
@@ -37,6 +38,10 @@
     messages.Ping,
     messages.Ack,
     messages.PingRequest,
+    messages.HandOver,
+    messages.CoordinatorChanged,
+    messages.ConfigCheck,
+    messages.ConfigStatus,
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _ITEM_TYPES_BY_FIELD = {
@@ -56,6 +61,7 @@
     incarnation: int
     sequence: int
     message: messages.Message
+    hlc: int = 0
 
 
 @cache
@@ -126,6 +132,7 @@
         _NUMBERS_BY_TYPE[message_type],
         envelope.incarnation,
         envelope.sequence,
+        envelope.hlc,
         len(sender),
     )
     struct_type = getattr(_schema(), message_type.__name__)
@@ -149,24 +156,31 @@
     Raises
     ------
     PeerError
-        If the header is truncated, or the protocol version or the message type
-        is unknown.
+        If the header is truncated or its sender unreadable, or the protocol version
+        or the message type is unknown.
     """
     if len(data) < _HEADER.size:
         raise PeerError(f"message of {len(data)} bytes is truncated")
-    version, number, incarnation, sequence, n_sender = _HEADER.unpack_from(data)
+    version, number, incarnation, sequence, hlc, n_sender = _HEADER.unpack_from(data)
     if version != PROTOCOL_VERSION:
         raise PeerError(f"unknown protocol version {version}")
     if number >= len(MESSAGE_TYPES):
         raise PeerError(f"unknown message type {number}")
     start = _HEADER.size + n_sender
+    if len(data) <= start:
+        raise PeerError(f"message of {len(data)} bytes is truncated")
+    try:
+        sender = data[_HEADER.size : start].decode()
+    except UnicodeDecodeError as error:
+        raise PeerError(f"sender's name is not UTF-8: {error}") from error
     message_type = MESSAGE_TYPES[number]
     reader = getattr(_schema(), message_type.__name__).from_bytes_packed(
         data[start:], traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
     )
     return Envelope(
-        sender=data[_HEADER.size : start].decode(),
+        sender=sender,
         incarnation=incarnation,
         sequence=sequence,
         message=_build(message_type, reader),
+        hlc=hlc,
     )
--- a/tests/cli/test_processes.py
+++ b/tests/cli/test_processes.py
@@ -12,19 +12,16 @@
 import yaml
 from geventhttpclient import HTTPClient
 
-from savoryhill.config.model import dump_configuration
-from savoryhill.config.questionnaire import generate
-from savoryhill.core.effects import Compare
 from savoryhill.demo.deployment import (
     BEARER_KEY,
     CLUSTER_KEY,
+    HARDWARE,
     Deployment,
+    apply_answers,
     free_address,
     make_answers,
 )
 from savoryhill.demo.run import complete, expected_text, order
-from savoryhill.node.readers import CONFIGURATION_KEY
-from savoryhill.platform.key_value import connect_key_value, transact
 
 SOURCE = Path(__file__).parents[2] / "src"
 ADMIN_KEY = "admin-key-of-the-tests"
@@ -155,15 +152,10 @@
         settings={"listen": service, "id": "orders-0"},
     )
     wait_for(lambda: answers(platform, "/hosts") == 200, "platform")
-    deployment = Deployment(platform=None, platform_address=platform)
+    deployment = Deployment(platform=None, platform_address=platform, hardware=HARDWARE)
     deployment.engine_addresses_by_id.update(engines)
     deployment.service_addresses_by_id["orders-0"] = service
-    configuration = generate(make_answers(deployment), revision=1, author="test")
-    transact(
-        connect_key_value(platform),
-        compares=(Compare(key=CONFIGURATION_KEY, mod_revision=0),),
-        puts=((CONFIGURATION_KEY, dump_configuration(configuration)),),
-    )
+    apply_answers(deployment, make_answers(deployment), revision=1)
     for name, settings in nodes.items():
         processes.start(name, "node", settings=settings)
     for settings in nodes.values():
--- a/tests/core/requests/core_world.py
+++ b/tests/core/requests/core_world.py
@@ -1,4 +1,4 @@
-"""A node core whose coordinators, journal and endpoints the test plays."""
+"""The requests subject alone; the test plays all other subjects and endpoints."""
 
 from savoryhill.config import model
 from savoryhill.core import events
@@ -6,7 +6,7 @@
 from savoryhill.core.effects import FinishRequest, SendPeer, StartAttempt, StopNode
 from savoryhill.core.membership.state import Member
 from savoryhill.core.messages import PlaceReply, PlaceRequest, RequestSpec
-from savoryhill.core.reducer import reduce
+from savoryhill.core.requests import HANDLERS
 from savoryhill.core.state import new_state
 
 GROUPS = ("g0", "g1")
@@ -64,7 +64,7 @@
 
 
 class World:
-    """The core's state with everything it has asked for so far."""
+    """The subject's state with everything it has asked for so far."""
 
     def __init__(self, *, seed=7, coordinator="other"):
         self.state = new_state(
@@ -76,7 +76,6 @@
             seed=seed,
         )
         self.state.configuration.active = make_configuration()
-        # Only the peer is live, so that it is the writer of every journal shard.
         self.state.membership.members_by_node[coordinator] = Member(
             node=coordinator, address="127.0.0.1:2"
         )
@@ -89,7 +88,12 @@
         self.effects = []
 
     def feed(self, kind, **fields):
-        new = reduce(self.state, kind(at=self.now, **fields))
+        event = kind(at=self.now, **fields)
+        message = getattr(event, "message", None)
+        received = kind is events.PeerReceived
+        handler = HANDLERS.get(type(message) if received else kind)
+        self.state.now = self.now
+        new = list(handler(self.state, event) or ()) if handler else []
         self.effects += new
         return new
 
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -115,6 +115,8 @@
     def test_a_new_coordinator_gets_a_report_without_permits(self, world):
         world.advance(2.0)
         world.effects.clear()
+        third = world.state.membership.members_by_node["other"]
+        world.state.membership.members_by_node["third"] = third
         world.state.coordination.records_by_group["g0"].holder = "third"
         world.advance(1.1)
         assert len(world.sent(PermitReport, group="g0")) == 1
@@ -123,7 +125,7 @@
     def test_placements_start_again_after_a_pause(self, world):
         name = world.arrive()
         old = world.sent(PlaceRequest, request_id=name)[-1]
-        world.effects += list(permits.on_process_resumed(world.state, None))
+        world.feed(events.ProcessResumed, gap_s=2.0)
         new = world.sent(PlaceRequest, request_id=name)[-1]
         assert new.attempt > old.attempt
 
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -10,6 +10,7 @@
 from savoryhill.demo.deployment import (
     BEARER_KEY,
     CLUSTER_KEY,
+    HARDWARE,
     MODEL,
     SERVICE,
     Deployment,
@@ -102,7 +103,9 @@
         self.script = deque()
         platform = PlatformState()
         server, address = serve(platform_application(platform), "127.0.0.1:0")
-        self.deployment = Deployment(platform=platform, platform_address=address)
+        self.deployment = Deployment(
+            platform=platform, platform_address=address, hardware=HARDWARE
+        )
         self.engines = [FakeEngine(f"engine-{n}", self.script) for n in range(2)]
         for engine in self.engines:
             self.deployment.engine_addresses_by_id[engine.name] = engine.address
--- a/tests/node/test_front.py
+++ b/tests/node/test_front.py
@@ -1,13 +1,15 @@
 import json
 from hashlib import sha256
+from types import SimpleNamespace
 
 import gevent
 import pytest
+from falcon import testing
 from gevent import socket
 
 from savoryhill.config.model import Workspace
 from savoryhill.demo.deployment import BEARER_KEY
-from savoryhill.node.front import workspace_of
+from savoryhill.node.front import front_application, workspace_of
 
 CHAT = "/v1/chat/completions"
 TEXT = "/v1/completions"
@@ -294,13 +296,26 @@
 
 class TestReadiness:
     # Guards against a balancer that sends callers to a node that refuses them.
-    def test_an_isolated_node_fails_readiness_and_refuses(self, stack):
-        configuration = stack.node.runtime.state.configuration
-        configuration.isolated = True
-        try:
-            assert stack.request("GET", "/readyz")[0] == 503
-            status, problem = stack.post(TEXT, stack.body())
-        finally:
-            configuration.isolated = False
-        assert (status, problem["execution"]) == (503, "not_run")
-        assert stack.request("GET", "/healthz")[0] == 200
+    @pytest.mark.parametrize(
+        ("draining", "active", "isolated", "reason"),
+        [
+            (False, "any", False, ""),
+            (True, "any", False, "draining"),
+            (False, None, False, "no configuration"),
+            (False, "any", True, "isolated"),
+        ],
+    )
+    def test_a_node_that_refuses_fails_readiness(
+        self, draining, active, isolated, reason
+    ):
+        state = SimpleNamespace(
+            draining=draining,
+            active=active,
+            configuration=SimpleNamespace(isolated=isolated),
+        )
+        node = SimpleNamespace(runtime=SimpleNamespace(state=state))
+        client = testing.TestClient(front_application(node))
+        answer = client.simulate_get("/readyz")
+        assert answer.json == {"ready": not reason, "reason": reason}
+        assert answer.status_code == (503 if reason else 200)
+        assert client.simulate_get("/healthz").status_code == 200
