--- a/src/savoryhill/core/requests/attempts.py
+++ b/src/savoryhill/core/requests/attempts.py
@@ -9,6 +9,7 @@
     forget,
     journal_done,
     journal_not_sent,
+    journal_unknown,
     refuse,
 )
 
@@ -48,13 +49,14 @@
             n_tokens=event.n_tokens,
             incarnation=event.incarnation,
         )
-        yield from journal_done(state, request, event.response)
+        yield from journal_done(state, request, event)
         yield from finish(
             state,
             request,
             status=event.status or 200,
             execution="completed",
             response=event.response,
+            content_type=event.content_type,
         )
         return
     request.detail = event.detail
@@ -74,6 +76,8 @@
     yield from permits.release(
         state, request, event.result, incarnation=event.incarnation
     )
+    if not provably_not_run:
+        yield from journal_unknown(state, request)
     if request.answered:
         if provably_not_run:
             yield from journal_not_sent(state, request)
--- a/src/savoryhill/core/requests/endings.py
+++ b/src/savoryhill/core/requests/endings.py
@@ -1,6 +1,7 @@
 """Ends that do not come from an endpoint: deadline, caller gone, drain."""
 
 from savoryhill.core.effects import CancelAttempt, StopNode, record
+from savoryhill.core.requests.lookups import unknown_earlier
 from savoryhill.core.requests.outcome import answer, fail, finish
 from savoryhill.core.requests.permits import release, withdraw
 
@@ -22,6 +23,9 @@
     """
     if request.phase == "detached":
         return
+    if request.phase == "looking_up":
+        yield from unknown_earlier(state, request, "; the lookup was late")
+        return
     if request.phase != "running":
         yield from withdraw(state, request)
         detail = "deadline passed before the request could start"
@@ -38,7 +42,6 @@
         return
     request.phase = "detached"
     yield from answer(
-        state,
         request,
         status=504,
         execution="unknown",
--- a/src/savoryhill/core/requests/lifecycle.py
+++ b/src/savoryhill/core/requests/lifecycle.py
@@ -2,11 +2,12 @@
 
 import heapq
 
-from savoryhill.core.effects import Observe, SendPeer, record
+from savoryhill.core.effects import Observe, record
 from savoryhill.core.events import (
     AttemptEnded,
     AttemptStarted,
     CallerGone,
+    CallLookedUp,
     DeadlineReached,
     DrainRequested,
     PeerUnreachable,
@@ -14,8 +15,9 @@
     RequestArrived,
     Ticked,
 )
-from savoryhill.core.journal.writer import shard_of, writer_of
-from savoryhill.core.messages import JournalReply, JournalReserve, PlaceReply
+from savoryhill.core.journal import entry as journal
+from savoryhill.core.journal.answers import unpack_answer
+from savoryhill.core.messages import JournalReply, PlaceReply
 from savoryhill.core.requests import limits, permits
 from savoryhill.core.requests.attempts import on_attempt_ended, on_attempt_started
 from savoryhill.core.requests.endings import (
@@ -23,17 +25,15 @@
     on_deadline,
     on_drain_requested,
 )
-from savoryhill.core.requests.outcome import (
-    finish,
-    free_key,
-    refuse,
-    resend_finishes,
+from savoryhill.core.requests.lookups import (
+    finish_stored,
+    look_up,
+    on_call_looked_up,
 )
+from savoryhill.core.requests.outcome import finish, refuse
 from savoryhill.core.requests.state import RequestState
 from savoryhill.core.requests.undelivered import on_peer_unreachable
 
-RESERVE_AGAIN_S = 1.0
-
 
 def _refusal(state, spec):
     """Return (reason, detail) if a new request must be refused, else None."""
@@ -65,29 +65,13 @@
     if not spec.journal_key:
         yield from permits.place(state, request)
         return
-    request.journal_attempt = f"{state.node}:{state.incarnation}:{spec.request_id}"
-    yield from _reserve(state, request)
-
-
-def _reserve(state, request):
-    """Ask the journal, or ask again; the same attempt is reserved only once."""
     request.phase = "reserving"
-    permits.wake_later(state, request, state.now + RESERVE_AGAIN_S)
-    key = request.spec.journal_key
-    yield SendPeer(
-        to=writer_of(state, shard_of(state, key)),
-        message=JournalReserve(
-            request_id=request.spec.request_id,
-            attempt=request.journal_attempt,
-            key=key,
-            body_digest=request.spec.body_digest,
-        ),
-    )
+    request.journal_attempt, effects = journal.reserve(state, spec)
+    yield from effects
 
 
 # Status, execution, detail and Retry-After in seconds by the journal's answer.
 _JOURNAL_ENDINGS = {
-    "done": (200, "completed", "answer of the earlier call", 0.0),
     "running": (409, "unknown", "a call with this key is still running", 1.0),
     "unknown": (409, "unknown", "the outcome of the earlier call is unknown", 0.0),
     "mismatch": (422, "not_run", "this key was used with another body", 0.0),
@@ -97,11 +81,6 @@
 
 def _on_journal_reply(state, event):
     reply = event.message
-    abandoned = state.requests.abandoned_by_attempt.get(reply.attempt)
-    if abandoned is not None:
-        if reply.status == "reserved":
-            yield free_key(state, reply.attempt, abandoned.key)
-        return
     request = state.requests.requests_by_id.get(reply.request_id)
     if request is None or request.phase != "reserving":
         return
@@ -110,12 +89,14 @@
     if reply.status == "reserved":
         yield from permits.place(state, request)
         return
-    if reply.status == "unavailable":
-        # The reservation may have been written all the same.
-        detail = _JOURNAL_ENDINGS["unavailable"][2]
-        yield from refuse(state, request, detail, reason="journal")
-        return
     request.journal_attempt = ""
+    if reply.status == "done":
+        stored = unpack_answer(reply.response)
+        yield from finish_stored(state, request, stored)
+        return
+    if reply.status == "unknown" and request.spec.lookup_path:
+        yield from look_up(state, request, reply.earlier)
+        return
     status, execution, detail, retry_after_s = _JOURNAL_ENDINGS[reply.status]
     yield from finish(
         state,
@@ -124,14 +105,11 @@
         execution=execution,
         detail=detail,
         retry_after_s=retry_after_s,
-        response=reply.response,
     )
 
 
 def _on_wake(state, request):
-    if request.phase == "reserving":
-        yield from _reserve(state, request)
-    elif request.phase == "placing":
+    if request.phase == "placing":
         yield from permits.ask(state, request)
     elif request.phase == "pausing":
         yield from permits.place(state, request)
@@ -141,9 +119,6 @@
     requests = state.requests
     while requests.timers and requests.timers[0][0] <= event.at:
         at, name, what = heapq.heappop(requests.timers)
-        if what == "forget":
-            requests.abandoned_by_attempt.pop(name, None)
-            continue
         request = requests.requests_by_id.get(name)
         if request is None:
             continue
@@ -152,8 +127,6 @@
         elif request.wake_at == at:
             yield from _on_wake(state, request)
     yield from permits.report_permits(state)
-    if requests.unsent_finishes:
-        yield from resend_finishes(state)
 
 
 def _on_deadline_reached(state, event):
@@ -183,6 +156,7 @@
 HANDLERS = {
     RequestArrived: _on_request_arrived,
     JournalReply: _on_journal_reply,
+    CallLookedUp: on_call_looked_up,
     PlaceReply: permits.on_place_reply,
     AttemptStarted: _on_started,
     AttemptEnded: _on_ended,
--- a/src/savoryhill/core/requests/outcome.py
+++ b/src/savoryhill/core/requests/outcome.py
@@ -1,26 +1,15 @@
 """End a request: tell its caller, the journal and the time line."""
 
-import heapq
-
-from savoryhill.core.effects import (
-    FinishRequest,
-    Observe,
-    SendPeer,
-    StopNode,
-    record,
-)
-from savoryhill.core.journal.writer import shard_of, writer_of
-from savoryhill.core.messages import JournalFinish
-from savoryhill.core.requests.answers import bound_response
-from savoryhill.core.requests.state import Abandoned
-
-# A reservation answered later than this after its request ended stays reserved,
-# so that repeated calls get "unknown".
-ABANDONED_S = 120.0
-
-
-def answer(state, request, *, status, execution, detail, retry_after_s, response=b""):
-    """Tell the caller how its request ended, once."""
+from savoryhill.core.effects import FinishRequest, Observe, StopNode, record
+from savoryhill.core.journal import entry as journal
+from savoryhill.core.journal.answers import pack_answer
+
+
+def answer(request, *, status, execution, detail, retry_after_s, **content):
+    """Tell the caller how its request ended, once.
+
+    ``content`` are the fields of `FinishRequest` on an endpoint's answer.
+    """
     if request.answered:
         return
     request.answered = True
@@ -31,7 +20,7 @@
         execution=execution,
         detail=detail,
         retry_after_s=retry_after_s,
-        response=response,
+        **content,
     )
     yield record(
         "request.finished",
@@ -64,17 +53,16 @@
 
 
 def finish(
-    state, request, *, status, execution, detail="", retry_after_s=0.0, response=b""
+    state, request, *, status, execution, detail="", retry_after_s=0.0, **content
 ):
     """Answer the caller and forget the request."""
     yield from answer(
-        state,
         request,
         status=status,
         execution=execution,
         detail=detail,
         retry_after_s=retry_after_s,
-        response=response,
+        **content,
     )
     yield from forget(state, request)
 
@@ -110,50 +98,35 @@
     )
 
 
-def journal_done(state, request, response):
+def journal_done(state, request, event):
     """Keep the answer of a call that must not be repeated."""
     if request.journal_attempt:
-        yield _finish_entry(
-            state,
-            JournalFinish(
-                attempt=request.journal_attempt,
-                key=request.spec.journal_key,
-                status="done",
-                response=bound_response(response),
-            ),
+        answer = pack_answer(
+            status=event.status or 200,
+            content_type=event.content_type,
+            body=event.response,
         )
+        yield from _journal(state, request, "done", answer)
 
 
 def journal_not_sent(state, request):
-    """Free the key of a call that was provably not executed.
-
-    The reservation may still be on its way, so a later answer to it is met with
-    the same message again.
-    """
-    if not request.journal_attempt:
-        return
-    attempt, request.journal_attempt = request.journal_attempt, ""
-    key = request.spec.journal_key
-    until = state.now + ABANDONED_S
-    state.requests.abandoned_by_attempt[attempt] = Abandoned(key=key, until=until)
-    heapq.heappush(state.requests.timers, (until, attempt, "forget"))
-    yield free_key(state, attempt, key)
-
-
-def free_key(state, attempt, key):
-    """Build the message that frees the key of an attempt that was not sent."""
-    return _finish_entry(
-        state, JournalFinish(attempt=attempt, key=key, status="not_sent")
-    )
+    """Free the key of a call that was provably not executed."""
+    if request.journal_attempt:
+        yield from _journal(state, request, "not_sent")
+        request.journal_attempt = ""
 
 
-def _finish_entry(state, message):
-    return SendPeer(to=writer_of(state, shard_of(state, message.key)), message=message)
+def journal_unknown(state, request):
+    """Note that the outcome of a call that must not be repeated is not known."""
+    if request.journal_attempt:
+        yield from _journal(state, request, "unknown")
 
 
-def resend_finishes(state):
-    """Send again what could not be delivered to a journal writer."""
-    unsent, state.requests.unsent_finishes = state.requests.unsent_finishes, []
-    for until, message in unsent:
-        if state.now < until:
-            yield _finish_entry(state, message)
+def _journal(state, request, status, response=b""):
+    yield from journal.finish(
+        state,
+        key=request.spec.journal_key,
+        attempt=request.journal_attempt,
+        status=status,
+        response=response,
+    )
--- a/src/savoryhill/core/requests/state.py
+++ b/src/savoryhill/core/requests/state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from savoryhill.core.messages import JournalFinish, RequestSpec
+from savoryhill.core.messages import RequestSpec
 
 INITIAL_RETRY_TOKENS = 10.0
 
@@ -11,18 +11,20 @@
 class RequestState:
     """A request that this node has admitted.
 
-    ``phase`` is ``reserving`` (waits for the journal), ``placing`` (waits for a
-    permit), ``pausing`` (waits before it asks again), ``running`` or
-    ``detached`` (its caller has got an answer, but a call that must not be
-    repeated still runs). ``attempt`` numbers the placements, ``n_tries`` counts
-    the attempts sent to endpoints. ``wake_at`` is the time of the next step that
-    does not depend on an answer.
+    ``phase`` is ``reserving`` (waits for the journal), ``looking_up`` (asks the
+    service what became of an earlier call), ``placing`` (waits for a permit),
+    ``pausing`` (waits before it asks again), ``running`` or ``detached`` (its
+    caller has got an answer, but a call that must not be repeated still runs).
+    ``attempt`` numbers the placements, ``n_tries`` counts the attempts sent to
+    endpoints. ``wake_at`` is the time of the next step that does not depend on an
+    answer.
     """
 
     spec: RequestSpec
     arrived_at: float
     phase: str = "placing"
     journal_attempt: str = ""
+    earlier_attempt: str = ""
     attempt: int = 0
     n_tries: int = 0
     n_refusals: int = 0
@@ -48,20 +50,12 @@
     refused_groups: set[str] = field(default_factory=set)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Abandoned:
-    """A reservation whose call will not be sent."""
-
-    key: bytes
-    until: float
-
-
 @dataclass(kw_only=True)
 class RequestsState:
     """All requests of this node.
 
     ``timers`` is a heap of (time, request, what) with ``what`` either
-    ``deadline``, ``wake`` or ``forget``.
+    ``deadline`` or ``wake``.
     """
 
     requests_by_id: dict[str, RequestState] = field(default_factory=dict)
@@ -71,5 +65,3 @@
     reported_at: float = float("-inf")
     reported_holder_by_group: dict[str, str] = field(default_factory=dict)
     reported_groups: frozenset[str] = frozenset()
-    abandoned_by_attempt: dict[str, Abandoned] = field(default_factory=dict)
-    unsent_finishes: list[tuple[float, JournalFinish]] = field(default_factory=list)
--- a/src/savoryhill/endpoints/service.py
+++ b/src/savoryhill/endpoints/service.py
@@ -21,6 +21,8 @@
 _FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 # By this header a service marks a 503 as given before execution.
 NOT_RUN_HEADER = "not-run"
+# A gateway gives these when it has lost the answer of the service behind it.
+UNKNOWN_OUTCOME_STATUSES = frozenset({502, 503, 504})
 
 
 def call_service(address, *, method, path, body, headers, timeout_s, not_run_statuses):
@@ -54,27 +56,67 @@
     EndpointRefusedError
         If the service refused the call before executing it.
     BrokenStreamError
-        If the answer is missing or incomplete, so the call may have run.
+        If the answer is missing, incomplete or that of a gateway, so the call
+        may have run.
     """
+    response, content = _request(address, method, path, body, headers, timeout_s)
+    status = response.status_code
+    refused = status == 503 and response.get(NOT_RUN_HEADER) is not None
+    if refused or status in not_run_statuses:
+        raise EndpointRefusedError(f"service at {address} answered {status}")
+    if status in UNKNOWN_OUTCOME_STATUSES:
+        raise BrokenStreamError(f"{method} {path} at {address} answered {status}")
+    return status, response.get("content-type", ""), content
+
+
+def look_up_call(address, *, path, key, timeout_s):
+    """Ask a service whether a key was executed.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the service.
+    path : str
+        The lookup path of the call.
+    key : str
+        The key the call was sent with.
+    timeout_s : float
+        Limit for the answer.
+
+    Returns
+    -------
+    tuple of (int, str, bytes)
+        Status 200 with the answer of the executed call, or 404 if the key was
+        not executed so far.
+
+    Raises
+    ------
+    EndpointError
+        If the service did not answer or gave another status.
+    """
+    headers = {"Idempotency-Key": key}
+    response, content = _request(address, "GET", path, b"", headers, timeout_s)
+    status = response.status_code
+    if status not in (200, 404):
+        raise BrokenStreamError(f"lookup at {address} answered {status}")
+    return status, response.get("content-type", ""), content
+
+
+def _request(address, method, path, body, headers, timeout_s):
+    """Write one request on a new connection and read its answer."""
     request = _encode(address, method, path, body, headers)
     sock = _connect(address, timeout_s)
     try:
         with gevent.Timeout(timeout_s, BrokenStreamError(f"{timeout_s:.3f} s passed")):
             sock.sendall(request)
             response = HTTPSocketResponse(sock, block_size=_BLOCK_BYTES, method=method)
-            content = _read(response)
+            return response, _read(response)
     except (OSError, HTTPParseError, BrokenStreamError) as error:
         raise BrokenStreamError(
             f"{method} {path} at {address} may have run: {error!r}"
         ) from error
     finally:
         sock.close()
-    status = response.status_code
-    refused = status == 503 and response.get(NOT_RUN_HEADER) is not None
-    if refused or status in not_run_statuses:
-        raise EndpointRefusedError(f"service at {address} answered {status}")
-    content_type = response.get("content-type", "application/octet-stream")
-    return status, content_type, content
 
 
 def _connect(address, timeout_s):
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -101,7 +101,16 @@
         settings=settings,
         clock=clock,
         runtime=Runtime(state=state, clock=clock),
-        key_value=connect_key_value(settings.key_value),
+        key_value=connect_key_value(
+            settings.key_value,
+            writes_per_s=settings.key_value_writes_per_s,
+            reads_per_s=settings.key_value_reads_per_s,
+            clock=clock,
+            seed=incarnation,
+            report=lambda name, **fields: log_event(
+                name, level="WARNING", node=settings.node, **fields
+            ),
+        ),
         hybrid_clock=HybridClock(wall=clock.wall),
     )
     node.transport = peers.Transport(
@@ -157,9 +166,11 @@
 
 
 def _journal_settled(node):
-    """Tell whether no journal batch of this node waits to be written."""
-    shards = node.runtime.state.journal.shards_by_number.values()
-    return not any(shard.pending or shard.written for shard in shards)
+    """Tell whether no batch waits to be written and no ending to be confirmed."""
+    journal = node.runtime.state.journal
+    shards = journal.shards_by_number.values()
+    writing = any(shard.pending or shard.flight for shard in shards)
+    return not writing and not journal.endings_by_attempt
 
 
 def unfinished(node):
--- a/src/savoryhill/node/readers.py
+++ b/src/savoryhill/node/readers.py
@@ -13,7 +13,7 @@
 from savoryhill.node.runtime import submit
 from savoryhill.observability.logs import log_event
 from savoryhill.platform.hosts import read_hosts
-from savoryhill.platform.key_value import watch
+from savoryhill.platform.watch import watch
 
 # A watch that is silent this long is opened again, in case nothing ever changes.
 WATCH_TIMEOUT_S = 60.0
--- a/src/savoryhill/node/runtime.py
+++ b/src/savoryhill/node/runtime.py
@@ -74,7 +74,8 @@
     while True:
         runtime.clock.sleep(interval_s)
         try:
-            submit(runtime, Ticked(at=runtime.clock.monotonic()))
+            clock = runtime.clock
+            submit(runtime, Ticked(at=clock.monotonic(), wall_s=clock.wall()))
         except Exception as error:
             # Without ticks no deadline would be kept.
             log_event("runtime.tick_error", level="ERROR", detail=repr(error))
--- a/src/savoryhill/node/service_calls.py
+++ b/src/savoryhill/node/service_calls.py
@@ -6,7 +6,6 @@
 import falcon
 
 from savoryhill.core.messages import RequestSpec
-from savoryhill.core.requests.answers import unpack_response
 from savoryhill.node import admission
 from savoryhill.node.problems import write_finish, write_problem
 from savoryhill.node.relay import Relay
@@ -61,6 +60,7 @@
         idempotent=call.idempotent,
         journal_key=b"" if call.idempotent else sha256(identity).digest()[:16],
         body_digest=content.digest()[:16],
+        lookup_path="" if call.idempotent else call.lookup_path,
     )
     relay = Relay(
         spec=spec,
@@ -78,23 +78,9 @@
         admission.stop_watching(watchers)
     if finish is None:
         write_problem(resp, status=499, detail="caller gone", execution="unknown")
-    elif finish.execution == "completed":
-        _write_answer(resp, finish)
+    elif finish.execution == "completed" and not finish.answer_missing:
+        resp.status = falcon.code_to_http_status(finish.status)
+        resp.content_type = finish.content_type or "application/octet-stream"
+        resp.data = finish.response
     else:
         write_finish(resp, finish)
-
-
-def _write_answer(resp, finish):
-    status, content_type, body, kept = unpack_response(finish.response)
-    if not kept:
-        write_problem(
-            resp,
-            status=409,
-            detail=f"the earlier call ended with {status}; its answer was too large "
-            "to be kept",
-            execution="completed",
-        )
-        return
-    resp.status = falcon.code_to_http_status(status)
-    resp.content_type = content_type
-    resp.data = body
--- a/src/savoryhill/node/settings.py
+++ b/src/savoryhill/node/settings.py
@@ -14,6 +14,8 @@
 class NodeSettings:
     """Where a node runs and whom it talks to; addresses are ``ip:port``.
 
+    The ``key_value_*`` fields are this node's share of the calls that the
+    key-value service grants the whole deployment.
     ``seeds`` maps names of other nodes to their peer addresses; a node that cannot
     read the host list finds the others through them. Without an ``admin_key`` the
     admin address refuses every call.
@@ -30,6 +32,8 @@
     cluster_key: str = field(repr=False)
     admin_key: str = field(default="", repr=False)
     tick_s: float = 0.05
+    key_value_writes_per_s: float = 60.0
+    key_value_reads_per_s: float = 200.0
     seeds: dict = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
 
