standins: make the scripted engine of the tests a stand-in

Cause: the engine that breaks, hangs or crosses streams on command lived in a conftest, where other tests cannot use it.

--- /dev/null
+++ b/src/savoryhill/standins/scripted.py
@@ -0,0 +1,104 @@
+"""Engine that follows a script, for tests of one failure at a time.
+
+The script is a queue with one list of steps for each call. Engines may share it,
+so that it applies wherever a call is placed. A step is ``("chunk", offset,
+n_tokens)``, optionally followed by another request's id; ``"break"`` resets the
+connection, ``"hang"`` says nothing more and ``"done"`` ends the stream. A call
+beyond the script gets its whole answer.
+"""
+
+import json
+from collections import deque
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+
+@dataclass(kw_only=True)
+class ScriptedEngine:
+    """A running engine; ``calls`` holds request id and offset of each call."""
+
+    name: str
+    script: deque
+    address: str = ""
+    server: WSGIServer | None = None
+    calls: list[tuple[str, int]] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+
+
+def start_scripted_engine(name, script):
+    """Start an engine on a free loopback port.
+
+    Parameters
+    ----------
+    name : str
+        Its id, from which its incarnation is made.
+    script : collections.deque
+        The script; see the module.
+
+    Returns
+    -------
+    ScriptedEngine
+        The engine; stopping ``server`` ends it.
+    """
+    engine = ScriptedEngine(name=name, script=script)
+    engine.server = WSGIServer(
+        ("127.0.0.1", 0),
+        lambda environ, start: _serve(engine, environ, start),
+        log=None,
+        error_log=None,
+    )
+    engine.server.start()
+    engine.address = f"127.0.0.1:{engine.server.server_port}"
+    return engine
+
+
+def _serve(engine, environ, start_response):
+    path = environ["PATH_INFO"]
+    if path == "/v1/completions":
+        body = json.loads(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return _stream(engine, environ, body)
+    if path.startswith("/admin/cancel/"):
+        engine.cancelled.append(path.rsplit("/", 1)[1])
+    load = {
+        "incarnation": f"{engine.name}#1",
+        "warm": True,
+        "running": 0,
+        "memory_used_tokens": 0,
+        "streams": [],
+    }
+    start_response("200 OK", [("Content-Type", "application/json")])
+    return [json.dumps(load).encode()]
+
+
+def _stream(engine, environ, body):
+    request_id = environ["HTTP_X_REQUEST_ID"]
+    offset = int(environ.get("HTTP_X_RESUME_OFFSET") or 0)
+    engine.calls.append((request_id, offset))
+    if engine.script:
+        steps = engine.script.popleft()
+    else:
+        steps = [("chunk", n, 1) for n in range(offset, body["max_tokens"])] + ["done"]
+    for step in steps:
+        if step == "done":
+            yield b"data: [DONE]\n\n"
+        elif step == "break":
+            raise ConnectionResetError(104, "reset by the script")
+        elif step == "hang":
+            gevent.sleep(3600)
+        else:
+            _, start, n_tokens, *other = step
+            yield _event(other[0] if other else request_id, start, n_tokens)
+
+
+def _event(request_id, offset, n_tokens):
+    text = "".join(f"t{n} " for n in range(offset, offset + n_tokens))
+    event = {
+        "id": request_id,
+        "offset": offset,
+        "n_tokens": n_tokens,
+        "choices": [{"index": 0, "text": text, "finish_reason": None}],
+    }
+    return b"data: " + json.dumps(event).encode() + b"\n\n"
