node: stop the deadline timer of an ended request; count frames by channel

Cause: the deadline's timer fired every 10 ms while the rest of an ended answer was written to a slow caller; refused bodies had no Retry-After; peers had one counter.

Change: the timer stops at the end of the request; a 503 for too many bodies carries Retry-After; frames between nodes are counted by channel and by reason.

--- a/src/savoryhill/node/admission.py
+++ b/src/savoryhill/node/admission.py
@@ -94,13 +94,17 @@
     now = node.clock.monotonic()
     # One timer for the request is cheaper than a time limit on every wait.
     timer = loop.timer(max(0.0, relay.spec.deadline_at - now), repeat=DEADLINE_AGAIN_S)
-    timer.start(lambda: gevent.spawn(_on_deadline, node, relay), update=True)
+    timer.start(lambda: gevent.spawn(_on_deadline, node, relay, timer), update=True)
     submit(node.runtime, RequestArrived(at=now, spec=relay.spec))
     return [readable, timer]
 
 
-def _on_deadline(node, relay):
-    if relay.finish is None:
+def _on_deadline(node, relay, timer):
+    if relay.finish is not None or relay.caller_gone:
+        # The answer may still be on its way to a slow caller.
+        if timer.active:
+            timer.stop()
+    else:
         submit(
             node.runtime,
             DeadlineReached(
--- a/src/savoryhill/node/gauges.py
+++ b/src/savoryhill/node/gauges.py
@@ -31,7 +31,10 @@
         "draining": lambda: int(state.draining),
         "isolated": lambda: int(state.configuration.isolated),
         "key_value_calls": lambda: _by("status", node.runtime.n_answers_by_status),
-        "peer_frames_dropped": lambda: node.transport.n_dropped,
+        "peer_frames_dropped": lambda: _by(
+            "reason", node.transport.n_dropped_by_reason
+        ),
+        "peer_frames_sent": lambda: _by("channel", node.transport.n_sent_by_channel),
         "requests": phases,
         "retry_tokens": lambda: state.requests.retry_tokens,
     }
--- a/src/savoryhill/node/problems.py
+++ b/src/savoryhill/node/problems.py
@@ -66,6 +66,8 @@
 
 def _on_findings(req, resp, error, params):
     more = {"findings": error.findings} if len(error.findings) > 1 else {}
+    if error.status == 503:
+        more["retry_after_s"] = 1.0
     write_problem(resp, status=error.status, detail=str(error), **more)
 
 
