--- a/tests/node/test_front.py
+++ b/tests/node/test_front.py
@@ -140,25 +140,19 @@
         assert BEARER_KEY not in answer.decode()
 
     # Guards against a look-up whose cost grows with the number of workspaces.
-    def test_a_key_is_found_without_a_scan(self, stack):
+    def test_a_key_is_found_without_a_scan(self):
         class Table(dict):
             def __iter__(self):
                 raise AssertionError("the table was scanned")
 
             items = keys = values = __iter__
 
-        class Request:
-            auth = "Bearer secret"
-
-        class Node:
-            class runtime:
-                class state:
-                    class active:
-                        workspace_names_by_key_hash = Table(
-                            {sha256(b"secret").hexdigest(): "w"}
-                        )
-
-        assert workspace_of(Node, Request) == "w"
+        table = Table({sha256(b"secret").hexdigest(): "w"})
+        active = SimpleNamespace(workspace_names_by_key_hash=table)
+        state = SimpleNamespace(active=active)
+        node = SimpleNamespace(runtime=SimpleNamespace(state=state))
+        request = SimpleNamespace(auth="Bearer secret")
+        assert workspace_of(node, request) == "w"
 
 
 class TestServices:
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -42,7 +42,11 @@
         # An exception inside Cap'n Proto crashed the process when raised on a
         # greenlet, so the round trip runs on one.
         envelope = Envelope(
-            sender="node-é", incarnation=7, sequence=sequence, message=message
+            sender="node-é",
+            incarnation=7,
+            sequence=sequence,
+            message=message,
+            hlc=sequence,
         )
         decoded = gevent.spawn(lambda: decode(encode(envelope))).get()
         assert decoded == envelope
