--- a/src/savoryhill/errors.py
+++ b/src/savoryhill/errors.py
@@ -57,6 +57,10 @@
     """A stream broke, fell silent or carried unexpected content."""
 
 
+class SilentStreamError(EndpointError):
+    """A stream carried no content for longer than its limit."""
+
+
 class JournalFormatError(SavoryhillError):
     """A stored journal batch or segment cannot be decoded."""
 
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -11,14 +11,25 @@
 from savoryhill.core.membership.seeds import add_seed
 from savoryhill.core.state import new_state
 from savoryhill.httpapp import serve
+from savoryhill.node.admin import admin_application
+from savoryhill.node.callers import CallerServer, serve_callers
 from savoryhill.node.drivers import make_drivers
+from savoryhill.node.drivers.attempts import watch_silence
 from savoryhill.node.drivers.peers import on_peer_message, on_peer_unreachable
 from savoryhill.node.front import front_application
+from savoryhill.node.gauges import make_gauges
 from savoryhill.node.readers import read_hosts_forever
 from savoryhill.node.relay import Relay
 from savoryhill.node.runtime import Runtime, run_ticks, submit
 from savoryhill.node.settings import NodeSettings
+from savoryhill.observability import timeline
+from savoryhill.observability.hybrid_clock import (
+    HybridClock,
+    merge_stamp,
+    next_stamp,
+)
 from savoryhill.observability.logs import log_event
+from savoryhill.observability.metrics import Metrics, observe
 from savoryhill.peers import transport as peers
 from savoryhill.peers.operator import operator_address
 from savoryhill.platform.key_value import (
@@ -26,7 +37,8 @@
     connect_key_value,
 )
 
-N_TIME_LINE_EVENTS = 20_000
+SETTLE_S = 3.0
+_SETTLE_STEP_S = 0.02
 
 
 @dataclass(kw_only=True)
@@ -37,17 +49,24 @@
     clock: Clock
     runtime: Runtime
     key_value: KeyValueClient
+    hybrid_clock: HybridClock
     transport: peers.Transport | None = None
+    callers: CallerServer | None = None
     relays_by_request: dict[str, Relay] = field(default_factory=dict)
-    time_line: deque = field(default_factory=lambda: deque(maxlen=N_TIME_LINE_EVENTS))
-    values_by_metric: dict[str, list] = field(default_factory=dict)
+    time_line: deque = field(default_factory=lambda: deque(maxlen=timeline.N_EVENTS))
+    metrics: Metrics = field(default_factory=Metrics)
     stopped: Event = field(default_factory=Event)
     servers: list = field(default_factory=list)
     greenlets: list = field(default_factory=list)
 
     def observe(self, metric, value, labels):
-        """Keep a measurement."""
-        self.values_by_metric.setdefault(metric, []).append((value, labels))
+        """Record a measurement."""
+        observe(self.metrics, metric, value, labels)
+
+    def record(self, name, fields):
+        """Write one event to the log and the time line."""
+        log_event(name, node=self.settings.node, **fields)
+        timeline.add_event(self.time_line, self.hybrid_clock, name, fields)
 
 
 def start_node(settings, *, clock=None):
@@ -92,6 +111,7 @@
                 name, level="WARNING", node=settings.node, **fields
             ),
         ),
+        hybrid_clock=HybridClock(wall=clock.wall),
     )
     node.transport = peers.Transport(
         node=settings.node,
@@ -100,32 +120,65 @@
         address_of=lambda name: _address_of(state, name),
         on_message=lambda sender, message: on_peer_message(node, sender, message),
         on_unreachable=lambda name, message: on_peer_unreachable(node, name, message),
+        next_stamp=lambda: next_stamp(node.hybrid_clock),
+        merge_stamp=lambda stamp: merge_stamp(node.hybrid_clock, stamp),
     )
     node.runtime.drivers_by_effect = make_drivers(node)
     peers.listen(node.transport, settings.peer_listen)
-    server, _ = serve(front_application(node), settings.listen)
-    node.servers.append(server)
+    node.callers = serve_callers(
+        front_application(node),
+        settings.listen,
+        settings.limits,
+        monotonic=clock.monotonic,
+    )
+    admin, _ = serve(admin_application(node, drain), settings.admin_listen)
+    node.servers += [node.callers.wsgi, admin]
+    node.metrics.gauges.update(make_gauges(node))
     node.greenlets += [
         gevent.spawn(read_hosts_forever, node),
         gevent.spawn(run_ticks, node.runtime, settings.tick_s),
+        gevent.spawn(watch_silence, node),
     ]
-    log_event("node.started", node=settings.node, zone=settings.zone)
+    node.record("node.started", {"zone": settings.zone, "listen": settings.listen})
     return node
 
 
 def drain(node):
     """Stop accepting requests; ``node.stopped`` is set when none is left."""
+    node.callers.draining = True
     submit(node.runtime, DrainRequested(at=node.clock.monotonic()))
 
 
-def flush_endings(node, *, timeout_s):
-    """Wait until the journal has confirmed how this node's calls ended.
+def wait_drained(node):
+    """Wait until every request has ended and its answer is written.
 
-    What is not confirmed in time becomes an unknown outcome for repeated calls.
+    Every request has a deadline, and a caller that reads nothing is cut off, so
+    the wait is bounded.
     """
-    with gevent.Timeout(timeout_s, False):
-        while node.runtime.state.journal.endings_by_attempt:
-            gevent.sleep(0.01)
+    node.stopped.wait()
+    while node.callers.n_answering:
+        gevent.sleep(_SETTLE_STEP_S)
+    settled_by = node.clock.monotonic() + SETTLE_S
+    while not _journal_settled(node) and node.clock.monotonic() < settled_by:
+        gevent.sleep(_SETTLE_STEP_S)
+    # Releases, journal endings and handed-over groups need an acknowledgement.
+    peers.flush(node.transport, timeout_s=SETTLE_S)
+
+
+def _journal_settled(node):
+    """Tell whether no batch waits to be written and no ending to be confirmed."""
+    journal = node.runtime.state.journal
+    shards = journal.shards_by_number.values()
+    writing = any(shard.pending or shard.flight for shard in shards)
+    return not writing and not journal.endings_by_attempt
+
+
+def unfinished(node):
+    """Return what a stop at once would cut, by phase."""
+    counts = {"answers": node.callers.n_answering}
+    for request in node.runtime.state.requests.requests_by_id.values():
+        counts[request.phase] = counts.get(request.phase, 0) + 1
+    return counts
 
 
 def stop_node(node):
--- a/src/savoryhill/peers/connections.py
+++ b/src/savoryhill/peers/connections.py
@@ -174,6 +174,7 @@
         incarnation=transport.incarnation,
         sequence=peer.sequence,
         message=message,
+        hlc=transport.next_stamp(),
     )
     sealed = seal(transport.key, encode(envelope), tcp_context(peer.node))
     outgoing = Outgoing(
--- a/src/savoryhill/peers/datagrams.py
+++ b/src/savoryhill/peers/datagrams.py
@@ -63,6 +63,7 @@
         incarnation=transport.incarnation,
         sequence=sequence,
         message=message,
+        hlc=transport.next_stamp(),
     )
     data = seal(transport.key, encode(envelope), datagram_context(node))
     if len(data) > MAX_DATAGRAM_BYTES:
--- a/src/savoryhill/peers/transport.py
+++ b/src/savoryhill/peers/transport.py
@@ -24,6 +24,8 @@
     called with the sender's name and the message; ``on_unreachable`` with the
     node's name and the message that could not be delivered. A message reported
     as unreachable may still have arrived: only its acknowledgement is missing.
+    ``next_stamp`` and ``merge_stamp`` are those of the process's hybrid logical
+    clock.
     """
 
     node: str
@@ -32,6 +34,8 @@
     address_of: Callable[[str], str | None]
     on_message: Callable[[str, Message], None]
     on_unreachable: Callable[[str, Message], None]
+    next_stamp: Callable[[], int] = int
+    merge_stamp: Callable[[int], None] = bool
     n_dropped_by_reason: Counter = field(default_factory=Counter)
     n_sent_by_channel: Counter = field(default_factory=Counter)
     windows_by_sender: dict[tuple[str, str], ReplayWindow] = field(default_factory=dict)
@@ -133,6 +137,7 @@
         (envelope.sender, channel), ReplayWindow()
     )
     if admit(window, envelope.incarnation, envelope.sequence):
+        transport.merge_stamp(envelope.hlc)
         transport.on_message(envelope.sender, envelope.message)
     else:
         transport.n_dropped_by_reason["repeated"] += 1
--- a/tests/bench/test_orders.py
+++ b/tests/bench/test_orders.py
@@ -6,7 +6,7 @@
 from savoryhill.bench.orders import executions_of, run_orders, share_books
 from savoryhill.demo import deployment as demo
 from savoryhill.demo.run import order, wait_until_ready
-from savoryhill.node.process import drain, flush_endings, start_node, stop_node
+from savoryhill.node.process import drain, start_node, stop_node, wait_drained
 from savoryhill.standins.platform import set_faults
 
 
@@ -100,7 +100,7 @@
         place(deployment, 1, "drained")
         node = deployment.nodes[1]
         drain(node)
-        flush_endings(node, timeout_s=2.0)
+        wait_drained(node)
         assert not node.runtime.state.journal.endings_by_attempt
         stop_node(node)
         deployment.nodes[1] = start_node(node.settings)
