peers: carry the parts of an oversize prompt

Cause: `PlaceReply.export_from` named endpoints without the tokens each one prefills, so an entry node could not divide a prompt. A new coordinator could not rebuild oversize permits or workspace totals from `HeldPermit`.

Change: `PromptPart(endpoint, n_tokens, incarnation)`; `PlaceReply.parts` and `StartAttempt.parts` replace `export_from`; `HeldPermit` gains `workspace` and `parts`. New event `OrderAnswered`, new effect `SendOrder` and `LoadReported.version` for orders to engines.

--- a/src/savoryhill/core/effects.py
+++ b/src/savoryhill/core/effects.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from savoryhill.core.events import Event
-from savoryhill.core.messages import Message, RequestSpec
+from savoryhill.core.messages import Message, PromptPart, RequestSpec
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,7 +73,7 @@
     incarnation: str
     priority: int
     from_offset: int = 0
-    export_from: tuple[str, ...] = ()
+    parts: tuple[PromptPart, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -101,6 +101,22 @@
     address: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendOrder(Effect):
+    """Order an engine to load a model version; answered by `OrderAnswered`.
+
+    ``action`` is ``load_version``.
+    """
+
+    order_id: str
+    endpoint: str
+    address: str
+    fence: int
+    action: str
+    model: str
+    version: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FinishRequest(Effect):
     """Tell the caller how its request ended.
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -129,6 +129,23 @@
     memory_used_tokens: int
     streams: tuple[str, ...] = ()
     cached_prefixes: tuple[int, ...] = ()
+    version: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OrderAnswered(Event):
+    """An engine answered an order, or did not.
+
+    ``status`` is ``ok``, ``failed``, ``stale`` (the fencing number is too low)
+    or ``unknown`` (no answer; the engine may carry the order out).
+    """
+
+    order_id: str
+    endpoint: str
+    model: str
+    version: str
+    status: str
+    detail: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -50,9 +50,23 @@
     avoid: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptPart:
+    """The part of an oversize prompt that one endpoint prefills."""
+
+    endpoint: str
+    n_tokens: int
+    incarnation: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlaceReply(Message):
-    """A coordinator's answer: a permit (``granted``), ``refused`` or ``moved``."""
+    """A coordinator's answer: a permit (``granted``), ``refused`` or ``moved``.
+
+    ``parts`` is empty unless the prompt is divided over several endpoints. They
+    are in order of the prompt, and the last one is on ``endpoint``, which
+    streams the answer.
+    """
 
     request_id: str
     attempt: int
@@ -65,7 +79,7 @@
     cached_tokens: int = 0
     retry_after_s: float = 0.0
     detail: str = ""
-    export_from: tuple[str, ...] = ()
+    parts: tuple[PromptPart, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +99,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HeldPermit:
-    """A permit that an entry node holds."""
+    """A permit that an entry node holds.
+
+    ``workspace`` and ``parts`` let a new coordinator count the permit against
+    the workspace's limit and on every endpoint of an oversize prompt.
+    """
 
     request_id: str
     attempt: int
@@ -93,6 +111,8 @@
     prompt_tokens: int
     max_tokens: int
     first_token_seen: bool = False
+    workspace: str = ""
+    parts: tuple[PromptPart, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -40,6 +40,8 @@
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _ITEM_TYPES_BY_FIELD = {
+    (messages.PlaceReply, "parts"): messages.PromptPart,
+    (messages.HeldPermit, "parts"): messages.PromptPart,
     (messages.PermitReport, "permits"): messages.HeldPermit,
     (messages.Ping, "updates"): messages.MemberUpdate,
     (messages.Ping, "groups"): messages.GroupSummary,
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -13,6 +13,12 @@
   avoid @9 :List(Text);
 }
 
+struct PromptPart {
+  endpoint @0 :Text;
+  nTokens @1 :Int64;
+  incarnation @2 :Text;
+}
+
 struct PlaceReply {
   requestId @0 :Text;
   attempt @1 :Int64;
@@ -25,7 +31,7 @@
   cachedTokens @8 :Int64;
   retryAfterS @9 :Float64;
   detail @10 :Text;
-  exportFrom @11 :List(Text);
+  parts @11 :List(PromptPart);
 }
 
 struct PermitRelease {
@@ -47,6 +53,8 @@
   promptTokens @3 :Int64;
   maxTokens @4 :Int64;
   firstTokenSeen @5 :Bool;
+  workspace @6 :Text;
+  parts @7 :List(PromptPart);
 }
 
 struct PermitReport {
