routing: grant, renew and expire permits; ramp cold endpoints

Cause: the thin coordinator granted a second permit to a repeated question, never expired a permit, ignored reports, let completions raise the limit of an endpoint that said it was cold, and jumped to the full limit when it turned warm. After a takeover it granted on cold endpoints at once.

Change: `routing` is divided into permits, ramp, cost, admission, placement, boundary, fairness, queue, memory, oversize, baselines, groups, serving and summaries. Permits are idempotent per request and attempt, renewed by reports, expired 5 s after the last one, and stay counted until the endpoint no longer lists the stream. Endpoints ramp from the cold limit by doubling. Coordination gains trivial `took_over_at` and `is_provisional`.

--- /dev/null
+++ b/src/savoryhill/bench/routing_driver.py
@@ -0,0 +1,333 @@
+"""Drive the routing of one coordinator through the real reducer.
+
+Time is a number that the caller advances; no process, socket or clock is used.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from savoryhill.config import model
+from savoryhill.core.coordination.state import CoordinatorRecord
+from savoryhill.core.effects import SendPeer
+from savoryhill.core.events import (
+    ConfigurationRead,
+    HostsListed,
+    LoadPollFailed,
+    LoadReported,
+    PeerReceived,
+    Ticked,
+)
+from savoryhill.core.messages import (
+    HeldPermit,
+    PermitRelease,
+    PermitReport,
+    PlaceReply,
+    PlaceRequest,
+)
+from savoryhill.core.reducer import reduce
+from savoryhill.core.state import NodeState, new_state
+
+NODE = "node-0"
+ENTRY = "node-1"
+MODEL = "assistant"
+MAX_GROUP_SIZE = 8
+
+
+@dataclass(kw_only=True)
+class RoutingDriver:
+    """One coordinator, its virtual time and the replies that it sent."""
+
+    state: NodeState
+    now: float = 100.0
+    replies_by_key: dict[tuple[str, int], PlaceReply] = field(default_factory=dict)
+    effects: list = field(default_factory=list)
+    n_requests: int = 0
+
+
+def make_configuration(
+    *,
+    n_engines=8,
+    n_zones=3,
+    slots=8,
+    cold_slots=1,
+    memory_tokens=600_000,
+    prefill_tokens_per_s=100_000.0,
+    decode_tokens_per_s=100.0,
+    workspaces=(),
+    checks_incarnation=True,
+    group_size=MAX_GROUP_SIZE,
+    kinds=(),
+):
+    """Build a configuration of one model on equal engines.
+
+    Parameters
+    ----------
+    n_engines, n_zones, group_size : int
+        Engines, availability zones and the largest group.
+    slots, cold_slots, memory_tokens : int
+        Limits of every engine.
+    prefill_tokens_per_s, decode_tokens_per_s : float
+        Rates of every engine.
+    workspaces : tuple of Workspace
+        Workspaces with their weights and limits.
+    checks_incarnation : bool
+        Whether the engines refuse requests for another incarnation.
+    kinds : tuple of RequestKind
+        Kinds of requests.
+
+    Returns
+    -------
+    Configuration
+        Revision 1.
+    """
+    n_groups = -(-n_engines // group_size)
+    ids = [f"engine-{number}" for number in range(n_engines)]
+    return model.Configuration(
+        revision=1,
+        zones=tuple(
+            model.Zone(name=f"zone-{number}", region="south")
+            for number in range(n_zones)
+        ),
+        hardware=(
+            model.Hardware(
+                name="kind",
+                prefill_tokens_per_s=prefill_tokens_per_s,
+                decode_tokens_per_s=decode_tokens_per_s,
+                memory_tokens=memory_tokens,
+                slots=slots,
+                cold_slots=cold_slots,
+            ),
+        ),
+        endpoints=tuple(
+            model.Endpoint(
+                id=each,
+                address=f"10.0.0.{number % 250}:{8000 + number // 250}",
+                zone=f"zone-{number % n_zones}",
+                group=f"group-{number % n_groups}",
+                hardware="kind",
+                checks_incarnation=checks_incarnation,
+            )
+            for number, each in enumerate(ids)
+        ),
+        groups=tuple(
+            model.Group(
+                id=f"group-{number}",
+                target=MODEL,
+                region="south",
+                endpoints=tuple(ids[number::n_groups]),
+            )
+            for number in range(n_groups)
+        ),
+        models=(model.Model(name=MODEL, version="1"),),
+        workspaces=tuple(workspaces),
+        kinds=tuple(kinds),
+    )
+
+
+def make_driver(configuration, *, policy="savoryhill", seed=1, entries=(ENTRY,)):
+    """Build a coordinator of all groups with a configuration in force.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The configuration.
+    policy : str
+        Routing policy.
+    seed : int
+        Seed of the core's random numbers.
+    entries : tuple of str
+        Other live nodes.
+
+    Returns
+    -------
+    RoutingDriver
+        The driver; no endpoint has been heard yet.
+    """
+    state = new_state(
+        node=NODE,
+        zone="zone-0",
+        region="south",
+        address="10.1.0.0:7000",
+        incarnation=1,
+        seed=seed,
+        policy=policy,
+    )
+    driver = RoutingDriver(state=state)
+    nodes = (NODE, *entries)
+    apply(
+        driver,
+        HostsListed(
+            at=driver.now,
+            addresses_by_node={
+                node: f"10.1.0.{number}:7000" for number, node in enumerate(nodes)
+            },
+        ),
+    )
+    for group in configuration.groups:
+        state.coordination.records_by_group[group.id] = CoordinatorRecord(
+            holder=NODE, fence=1
+        )
+    configure(driver, configuration)
+    return driver
+
+
+def apply(driver, event):
+    """Apply an event, remember the replies and return all effects."""
+    effects = reduce(driver.state, event)
+    for effect in effects:
+        if type(effect) is SendPeer and type(effect.message) is PlaceReply:
+            key = effect.message.request_id, effect.message.attempt
+            driver.replies_by_key[key] = effect.message
+    driver.effects.extend(effects)
+    return effects
+
+
+def configure(driver, configuration):
+    """Bring a configuration into force."""
+    return apply(
+        driver,
+        ConfigurationRead(at=driver.now, configuration=configuration, source=ENTRY),
+    )
+
+
+def amend(configuration, *, withdrawn=(), leaving=(), **more):
+    """Return the next revision with withdrawn zones and leaving endpoints."""
+    return replace(
+        configuration,
+        revision=configuration.revision + 1,
+        zones=tuple(
+            replace(zone, withdrawn=zone.name in withdrawn)
+            for zone in configuration.zones
+        ),
+        endpoints=tuple(
+            replace(endpoint, leaving=endpoint.id in leaving)
+            for endpoint in configuration.endpoints
+        ),
+        **more,
+    )
+
+
+def advance(driver, seconds, *, step_s=0.25):
+    """Let time pass with a tick at every step."""
+    effects = []
+    end = driver.now + seconds
+    while driver.now < end - 1e-9:
+        driver.now = min(end, driver.now + step_s)
+        effects += apply(driver, Ticked(at=driver.now))
+    return effects
+
+
+def receive(driver, message, *, sender=ENTRY):
+    """Deliver a message from another node."""
+    return apply(driver, PeerReceived(at=driver.now, sender=sender, message=message))
+
+
+def load(driver, endpoint, *, incarnation="1", warm=True, streams=None, **more):
+    """Deliver a load report; by default it lists all streams with a permit."""
+    if streams is None:
+        account = account_of(driver, endpoint)
+        streams = (
+            tuple(request_id for request_id, _ in account.permits_by_key)
+            if account is not None
+            else ()
+        )
+    values = {"running": len(streams), "memory_used_tokens": 0, **more}
+    return apply(
+        driver,
+        LoadReported(
+            at=driver.now,
+            endpoint=endpoint,
+            incarnation=incarnation,
+            warm=warm,
+            streams=tuple(streams),
+            **values,
+        ),
+    )
+
+
+def load_all(driver, **more):
+    """Deliver a load report of every endpoint."""
+    effects = []
+    for endpoint in driver.state.active.endpoints_by_id:
+        effects += load(driver, endpoint, **more)
+    return effects
+
+
+def poll_failed(driver, endpoint):
+    """Report that an endpoint did not answer a load poll."""
+    return apply(driver, LoadPollFailed(at=driver.now, endpoint=endpoint))
+
+
+def account_of(driver, endpoint):
+    """Return the account of an endpoint, or None before its group is known."""
+    group_id = driver.state.active.endpoints_by_id[endpoint].group
+    group = driver.state.routing.groups_by_id.get(group_id)
+    return group.accounts_by_endpoint.get(endpoint) if group else None
+
+
+def place(driver, request_id=None, *, sender=ENTRY, **more):
+    """Ask for a permit.
+
+    Parameters
+    ----------
+    driver : RoutingDriver
+        The driver.
+    request_id : str, optional
+        Identity of the request, a new one if not given.
+    sender : str
+        The entry node.
+    **more
+        Other fields of `PlaceRequest`.
+
+    Returns
+    -------
+    PlaceReply or None
+        The reply, or None while the request waits.
+    """
+    if request_id is None:
+        driver.n_requests += 1
+        request_id = f"request-{driver.n_requests}"
+    values = {
+        "attempt": 1,
+        "group": "group-0",
+        "workspace": "one",
+        "kind": "completion",
+        "prompt_tokens": 1_000,
+        "max_tokens": 100,
+        "remaining_s": 30.0,
+        **more,
+    }
+    key = request_id, values["attempt"]
+    driver.replies_by_key.pop(key, None)
+    receive(driver, PlaceRequest(request_id=request_id, **values), sender=sender)
+    return driver.replies_by_key.get(key)
+
+
+def release(driver, reply, *, result="completed", sender=ENTRY, **more):
+    """Give a permit back."""
+    message = PermitRelease(
+        request_id=reply.request_id,
+        attempt=reply.attempt,
+        group=reply.group,
+        endpoint=reply.endpoint,
+        result=result,
+        **more,
+    )
+    return receive(driver, message, sender=sender)
+
+
+def held_of(reply, *, prompt_tokens=1_000, max_tokens=100, **more):
+    """Build what an entry node reports of a granted permit."""
+    return HeldPermit(
+        request_id=reply.request_id,
+        attempt=reply.attempt,
+        endpoint=reply.endpoint,
+        prompt_tokens=prompt_tokens,
+        max_tokens=max_tokens,
+        parts=reply.parts,
+        **more,
+    )
+
+
+def report(driver, *held, group="group-0", sender=ENTRY):
+    """Report the permits that an entry node holds."""
+    return receive(driver, PermitReport(group=group, permits=held), sender=sender)
--- a/src/savoryhill/core/coordination/view.py
+++ b/src/savoryhill/core/coordination/view.py
@@ -40,3 +40,16 @@
     """Return the fencing number of a group, 0 if none is known."""
     record = state.coordination.records_by_group.get(group)
     return record.fence if record is not None else 0
+
+
+def took_over_at(state, group):
+    """Return when this node became the group's coordinator, in seconds.
+
+    Minus infinity means that there was no earlier holder to wait for.
+    """
+    return float("-inf")
+
+
+def is_provisional(state, group):
+    """Return whether this node coordinates a group without its record."""
+    return False
--- a/src/savoryhill/core/routing/coordinator.py
+++ b/src/savoryhill/core/routing/coordinator.py
@@ -1,230 +1,301 @@
-"""Grant permits on the endpoints of the groups that this node coordinates."""
-
-from savoryhill.core.coordination.view import fence_of, holder_of
-from savoryhill.core.effects import PollLoad, SendPeer, record
-from savoryhill.core.events import LoadPollFailed, LoadReported, Ticked
-from savoryhill.core.messages import PermitRelease, PlaceReply, PlaceRequest
-from savoryhill.core.routing.state import (
-    EndpointAccount,
-    GroupState,
-    Permit,
-    Waiting,
+"""Handle the events of the groups that this node coordinates."""
+
+from savoryhill.core.effects import Observe, PollLoad, record
+from savoryhill.core.events import (
+    ConfigurationRead,
+    LoadPollFailed,
+    LoadReported,
+    Ticked,
+)
+from savoryhill.core.messages import PermitRelease, PermitReport, PlaceRequest
+from savoryhill.core.routing import (
+    admission,
+    boundary,
+    fairness,
+    memory,
+    permits,
+    placement,
+    ramp,
+    serving,
+    summaries,
 )
+from savoryhill.core.routing import queue as queues
+from savoryhill.core.routing.groups import own_group
 
 POLL_INTERVAL_S = 0.5
-SHORT_PRIORITY = 0
-LONG_PRIORITY = 1
+REVIEW_INTERVAL_S = 0.25
+# One lost poll is no sign of a dead endpoint.
+MAX_POLL_FAILURES = 2
+# Prefixes placed longer ago count as cached only if the endpoint lists them.
+PLACED_TRUST_S = 10.0
+MAX_IDLE_COUNTERS = 1_024
 
 
-def _group(state, group_id):
-    group = state.routing.groups_by_id.setdefault(group_id, GroupState())
-    for endpoint in state.active.groups_by_id[group_id].endpoints:
-        if endpoint not in group.accounts_by_endpoint:
-            hardware = _hardware(state, endpoint)
-            group.accounts_by_endpoint[endpoint] = EndpointAccount(
-                id=endpoint, limit=hardware.cold_slots
-            )
-    return group
-
-
-def _hardware(state, endpoint):
-    return state.active.hardware_by_name[
-        state.active.endpoints_by_id[endpoint].hardware
-    ]
-
-
-def _usable(state, account, message):
-    endpoint = state.active.endpoints_by_id.get(account.id)
-    if endpoint is None or endpoint.leaving or not account.reachable:
-        return False
-    if state.active.zones_by_name[endpoint.zone].withdrawn:
-        return False
-    if account.id in message.avoid or not account.incarnation:
-        return False
-    if len(account.permits_by_key) >= account.limit:
-        return False
-    used = sum(
-        permit.prompt_tokens + permit.max_tokens
-        for permit in account.permits_by_key.values()
-    )
-    memory = _hardware(state, account.id).memory_tokens
-    return used + message.prompt_tokens + message.max_tokens <= memory
-
-
-def _predicted_first_token_s(state, account, message):
-    hardware = _hardware(state, account.id)
-    tokens = message.prompt_tokens + sum(
-        permit.prompt_tokens for permit in account.permits_by_key.values()
-    )
-    return tokens / hardware.prefill_tokens_per_s
-
-
-def _refuse(waiting, group_id, detail, retry_after_s):
-    return SendPeer(
-        to=waiting.sender,
-        message=PlaceReply(
-            request_id=waiting.message.request_id,
-            attempt=waiting.message.attempt,
-            group=group_id,
-            status="refused",
-            retry_after_s=retry_after_s,
-            detail=detail,
-        ),
-    )
-
-
-def _serve(state, group_id):
-    """Grant permits to waiting placements in order while endpoints allow it."""
-    group = _group(state, group_id)
-    remaining = []
-    for waiting in group.queue:
-        message = waiting.message
-        if state.now - waiting.arrived_at >= message.remaining_s:
-            yield _refuse(waiting, group_id, "no endpoint free before deadline", 1.0)
-            continue
-        usable = [
-            account
-            for account in group.accounts_by_endpoint.values()
-            if _usable(state, account, message)
-        ]
-        if not usable:
-            remaining.append(waiting)
-            continue
-        account = min(
-            usable, key=lambda each: _predicted_first_token_s(state, each, message)
-        )
-        yield _grant(state, group_id, account, waiting)
-    group.queue = remaining
-
-
-def _grant(state, group_id, account, waiting):
-    message = waiting.message
-    account.permits_by_key[message.request_id, message.attempt] = Permit(
-        request_id=message.request_id,
-        attempt=message.attempt,
-        entry=waiting.sender,
-        prompt_tokens=message.prompt_tokens,
-        max_tokens=message.max_tokens,
-        granted_at=state.now,
-        reported_at=state.now,
-    )
-    short = message.prompt_tokens < state.active.policy.short_prompt_tokens
-    return SendPeer(
-        to=waiting.sender,
-        message=PlaceReply(
-            request_id=message.request_id,
-            attempt=message.attempt,
-            group=group_id,
-            status="granted",
-            endpoint=account.id,
-            fence=fence_of(state, group_id),
-            incarnation=account.incarnation,
-            priority=SHORT_PRIORITY if short else LONG_PRIORITY,
-        ),
-    )
+def _on_place_request(state, event):
+    message = event.message
+    group = own_group(state, message.group)
+    if group is None:
+        return [serving.reply(message, event.sender, None, "moved")]
+    key = message.request_id, message.attempt
+    if key in group.endpoints_by_permit:
+        return serving.repeat_grant(group, message, event.sender, event.at)
+    waiting = group.waiting_by_key.get(key)
+    if waiting is not None:
+        waiting.sender = event.sender
+        return ()
+    return serving.place_new(state, group, message, event.sender)
 
 
-def _on_place_request(state, event):
+def _on_permit_release(state, event):
     message = event.message
-    known = state.active is not None and message.group in state.active.groups_by_id
-    if not known or holder_of(state, message.group) != state.node:
-        yield SendPeer(
-            to=event.sender,
-            message=PlaceReply(
-                request_id=message.request_id,
-                attempt=message.attempt,
-                group=message.group,
-                status="moved",
-            ),
+    group = own_group(state, message.group)
+    if group is None:
+        return ()
+    key = message.request_id, message.attempt
+    waiting = group.waiting_by_key.get(key)
+    if waiting is not None:
+        # The entry node gave the request up; it must not get a permit later.
+        queues.remove(group, waiting)
+    if message.result == "unused" and _answered_again(group, key):
+        return ()
+    released = permits.release(group, message, event.at)
+    effects = []
+    for account, permit in released:
+        effects += _learn_from_release(group, account, permit, message)
+        if message.result == "completed":
+            ramp.count_good(account)
+    if released:
+        _refund(group, released[-1][1], message)
+    effects += serving.serve(state, group)
+    return effects
+
+
+def _answered_again(group, key):
+    """Whether another reply with the same permit may have been used.
+
+    The entry node returns a repeated grant as unused while it runs on the first
+    one, so the permit stays until a report or the endpoint's list decides.
+    """
+    accounts = permits.accounts_of(group, key)
+    for account in accounts:
+        account.permits_by_key[key].n_replies -= 1
+    return bool(accounts) and accounts[-1].permits_by_key[key].n_replies > 0
+
+
+def _refund(group, permit, message):
+    if message.result in ("unused", "refused", "not_sent"):
+        fairness.correct(group, permit.workspace, permit.charged_tokens)
+    elif message.result == "completed" and permit.max_tokens:
+        left = max(0, permit.max_tokens - message.n_tokens)
+        fairness.correct(group, permit.workspace, fairness.OUTPUT_WEIGHT * left)
+
+
+def _learn_from_release(group, account, permit, message):
+    result = message.result
+    if result == "completed":
+        # Adopted permits and parts of oversize prompts have no prediction.
+        predicted = permit.predicted_first_token_s > 0
+        if predicted and permits.learn(account, permit, message):
+            yield from _drop(group, account, "late_first_token")
+    elif result in ("refused", "not_sent", "broken", "silent"):
+        if result == "refused":
+            yield from _drop(group, account, "refused")
+        if result in ("refused", "not_sent"):
+            account.ready = False
+        yield PollLoad(endpoint=account.id, address=account.address)
+
+
+def _drop(group, account, reason):
+    if ramp.drop(account):
+        yield record(
+            "routing.limit_dropped",
+            group=group.id,
+            endpoint=account.id,
+            limit=account.limit,
+            reason=reason,
         )
-        return
-    group = _group(state, message.group)
-    waiting = Waiting(sender=event.sender, message=message, arrived_at=event.at)
-    needed = message.prompt_tokens + message.max_tokens
-    largest = max(
-        _hardware(state, each).memory_tokens for each in group.accounts_by_endpoint
-    )
-    if needed > largest:
-        yield _refuse(
-            waiting,
-            message.group,
-            f"{needed} tokens exceed the largest endpoint's {largest} tokens",
-            0.0,
+        yield Observe(
+            metric="limit_drops",
+            value=1.0,
+            labels=(("endpoint", account.id), ("reason", reason)),
         )
-        return
-    if not any(w.message.request_id == message.request_id for w in group.queue):
-        group.queue.append(waiting)
-    yield from _serve(state, message.group)
 
 
-def _on_permit_release(state, event):
+def _on_permit_report(state, event):
     message = event.message
-    group = state.routing.groups_by_id.get(message.group)
+    group = own_group(state, message.group)
     if group is None:
         return
-    account = group.accounts_by_endpoint.get(message.endpoint)
-    if account is None:
-        return
-    account.permits_by_key.pop((message.request_id, message.attempt), None)
-    if message.result == "completed":
-        account.n_good += 1
-        limit = _hardware(state, account.id).slots
-        if account.n_good >= 2 * account.limit and account.limit < limit:
-            account.limit = min(limit, account.limit * 2)
-            account.n_good = 0
-    yield from _serve(state, message.group)
+    for account in permits.apply_report(group, event.sender, message, event.at):
+        yield from _drop(group, account, "late_first_token")
+    yield from serving.serve(state, group)
+
+
+def _account_of(state, endpoint_id):
+    if state.active is None:
+        return None, None
+    endpoint = state.active.endpoints_by_id.get(endpoint_id)
+    group = endpoint and own_group(state, endpoint.group)
+    if not group:
+        return None, None
+    return group, group.accounts_by_endpoint[endpoint_id]
 
 
 def _on_load_reported(state, event):
-    endpoint = state.active.endpoints_by_id.get(event.endpoint)
-    if endpoint is None or holder_of(state, endpoint.group) != state.node:
+    group, account = _account_of(state, event.endpoint)
+    if group is None:
         return
-    account = _group(state, endpoint.group).accounts_by_endpoint[event.endpoint]
-    hardware = _hardware(state, event.endpoint)
-    if account.incarnation != event.incarnation or not event.warm:
-        if account.incarnation != event.incarnation:
-            account.n_good = 0
-            account.permits_by_key.clear()
-        account.limit = min(account.limit, hardware.cold_slots)
-        yield record("routing.endpoint_cold", endpoint=account.id, limit=account.limit)
-    elif event.warm and not account.warm:
-        account.limit = hardware.slots
-    account.incarnation = event.incarnation
-    account.warm = event.warm
-    account.reachable = True
-    yield from _serve(state, endpoint.group)
+    known = account.incarnation
+    change = ramp.on_load(account, event.incarnation, event.warm)
+    if change == "restarted":
+        permits.drop_for_restart(group, account, event.at)
+        account.placed_prefixes.clear()
+        account.first_listed_by_orphan.clear()
+        account.orphan_tokens = 0
+    if change:
+        yield record(
+            "routing.endpoint_cold",
+            endpoint=account.id,
+            reason=change,
+            limit=account.limit,
+            incarnation=event.incarnation,
+            earlier=known,
+        )
+    account.load_at = event.at
+    account.version = event.version
+    account.n_poll_failures = 0
+    account.ready = True
+    account.cached_prefixes = frozenset(event.cached_prefixes)
+    if account.cached_prefixes:
+        _distrust_old_prefixes(account, event.at)
+    if group.is_model:
+        yield from memory.reconcile(group, account, event)
+    yield from serving.serve(state, group)
+
+
+def _distrust_old_prefixes(account, now):
+    placed = account.placed_prefixes
+    while placed:
+        oldest = next(iter(placed))
+        if now - placed[oldest] < PLACED_TRUST_S:
+            return
+        del placed[oldest]
 
 
 def _on_load_poll_failed(state, event):
-    endpoint = state.active.endpoints_by_id.get(event.endpoint)
-    group = endpoint and state.routing.groups_by_id.get(endpoint.group)
-    if group and event.endpoint in group.accounts_by_endpoint:
-        group.accounts_by_endpoint[event.endpoint].reachable = False
+    group, account = _account_of(state, event.endpoint)
+    if group is None:
+        return
+    account.n_poll_failures += 1
+    if account.ready and account.n_poll_failures >= MAX_POLL_FAILURES:
+        account.ready = False
+        yield record(
+            "routing.endpoint_unreachable", endpoint=account.id, detail=event.detail
+        )
+
+
+def _review(state, group, now):
+    """Expire, age and refuse what time alone decides."""
+    group.reviewed_at = now
+    for permit in permits.expire(group, now):
+        key = permit.request_id, permit.attempt
+        yield record(
+            "routing.permit_expired",
+            group=group.id,
+            request=permit.request_id,
+            entry=permit.entry,
+            used=permit.phase != "granted",
+        )
+        if key not in group.endpoints_by_permit:
+            fairness.correct(group, permit.workspace, permit.charged_tokens)
+    permits.forget_dropped(group, now)
+    if state.routing.policy == "savoryhill":
+        queues.age(state, group, now)
+        for account in group.open_accounts:
+            placement.cost.settle_backlog(account, now)
+        boundary.adapt(group, now)
+        for waiting, predicted_s in admission.hopeless(group, now):
+            queues.remove(group, waiting)
+            yield from serving.refuse(
+                group,
+                waiting,
+                "cannot complete before its deadline any more",
+                admission.retry_after_s(predicted_s, waiting.deadline_at - now),
+                "deadline",
+            )
+    for waiting in tuple(group.waiting_by_key.values()):
+        if waiting.deadline_at <= now:
+            queues.remove(group, waiting)
+            yield from serving.refuse(
+                group, waiting, "no endpoint free before deadline", 1.0, "deadline"
+            )
+    summaries.update_summary(group, now)
+    if len(group.virtual_by_workspace) > MAX_IDLE_COUNTERS:
+        group.virtual_by_workspace = {
+            workspace: value
+            for workspace, value in group.virtual_by_workspace.items()
+            if value > group.virtual_floor
+        }
 
 
 def _on_tick(state, event):
     if state.active is None:
         return
-    own = [
-        group_id
-        for group_id in state.active.groups_by_id
-        if holder_of(state, group_id) == state.node
-    ]
-    for group_id in own:
-        if state.routing.groups_by_id.get(group_id, GroupState()).queue:
-            yield from _serve(state, group_id)
+    own = []
+    for group_id in state.active.groups_by_id:
+        group = own_group(state, group_id)
+        if group is not None:
+            own.append(group)
+    yield from _leave_groups(state, own)
+    for group in own:
+        if event.at - group.reviewed_at >= REVIEW_INTERVAL_S:
+            yield from _review(state, group, event.at)
+        yield from serving.serve(state, group)
     if event.at - state.routing.polled_at < POLL_INTERVAL_S:
         return
     state.routing.polled_at = event.at
-    for group_id in own:
-        for endpoint in state.active.groups_by_id[group_id].endpoints:
-            address = state.active.endpoints_by_id[endpoint].address
-            yield PollLoad(endpoint=endpoint, address=address)
+    for group in own:
+        for account in group.accounts_by_endpoint.values():
+            yield PollLoad(endpoint=account.id, address=account.address)
+
+
+def _leave_groups(state, own):
+    """Give up the groups that another node coordinates now."""
+    if len(own) == len(state.routing.groups_by_id):
+        return
+    kept = {group.id for group in own}
+    for group_id in tuple(state.routing.groups_by_id):
+        if group_id in kept:
+            continue
+        group = state.routing.groups_by_id.pop(group_id)
+        for waiting in group.waiting_by_key.values():
+            yield serving.reply(waiting.message, waiting.sender, None, "moved")
+
+
+def _on_configuration_read(state, event):
+    """Close withdrawn endpoints and refuse what no longer fits, at once."""
+    if state.active is None:
+        return
+    for group_id, group in tuple(state.routing.groups_by_id.items()):
+        if group.configuration is state.active:
+            continue
+        group = own_group(state, group_id)
+        if group is None:
+            continue
+        for waiting in group.waiting_by_key.values():
+            serving.set_predictions(group, waiting)
+        group.queued_service_s = sum(
+            waiting.service_s for waiting in group.waiting_by_key.values()
+        )
+        yield from _review(state, group, event.at)
+        yield from serving.serve(state, group)
 
 
 HANDLERS = {
+    ConfigurationRead: _on_configuration_read,
     PlaceRequest: _on_place_request,
     PermitRelease: _on_permit_release,
+    PermitReport: _on_permit_report,
     LoadReported: _on_load_reported,
     LoadPollFailed: _on_load_poll_failed,
     Ticked: _on_tick,
--- /dev/null
+++ b/src/savoryhill/core/routing/serving.py
@@ -0,0 +1,445 @@
+"""Grant, queue or refuse placements."""
+
+from math import inf
+
+from savoryhill.core.effects import Observe, SendPeer, record
+from savoryhill.core.messages import PlaceReply, PromptPart
+from savoryhill.core.routing import admission, baselines, fairness, oversize
+from savoryhill.core.routing import cost as costs
+from savoryhill.core.routing import placement as placing
+from savoryhill.core.routing import queue as queues
+from savoryhill.core.routing.groups import grant_limits
+from savoryhill.core.routing.permits import START_BY_S, accounts_of, add_permit
+from savoryhill.core.routing.state import Permit, Waiting
+
+# Placements looked at before the rest of the queue waits for the next event.
+MAX_SCANNED = 12
+
+
+def reply(waiting_or_message, sender, group, status, **more):
+    """Build the effect that answers a placement."""
+    message = waiting_or_message
+    return SendPeer(
+        to=sender,
+        message=PlaceReply(
+            request_id=message.request_id,
+            attempt=message.attempt,
+            group=message.group,
+            status=status,
+            fence=group.fence if group is not None else 0,
+            **more,
+        ),
+    )
+
+
+def refuse(group, waiting, detail, retry_after_s, reason):
+    """Refuse a placement as not run."""
+    return [
+        reply(
+            waiting.message,
+            waiting.sender,
+            group,
+            "refused",
+            detail=detail,
+            retry_after_s=retry_after_s,
+        ),
+        Observe(
+            metric="placements_refused",
+            value=1.0,
+            labels=(("group", group.id), ("reason", reason)),
+        ),
+    ]
+
+
+def repeat_grant(group, message, sender, now):
+    """Answer a repeated question for a permit that is already granted.
+
+    Returns
+    -------
+    list of Effect
+        The same permit again; a refusal if the permit has expired meanwhile.
+    """
+    key = message.request_id, message.attempt
+    accounts = accounts_of(group, key)
+    permit = accounts[-1].permits_by_key[key]
+    if permit.phase == "closing":
+        return [
+            reply(
+                message,
+                sender,
+                group,
+                "refused",
+                detail="the permit of this attempt has expired",
+                retry_after_s=1.0,
+            )
+        ]
+    for account in accounts:
+        each = account.permits_by_key[key]
+        each.entry = sender
+        each.use_by = now + START_BY_S
+        each.reported_at = max(each.reported_at, now)
+        each.n_replies += 1
+    parts = ()
+    if len(accounts) > 1:
+        parts = tuple(
+            PromptPart(
+                endpoint=account.id,
+                n_tokens=account.permits_by_key[key].prompt_tokens,
+                incarnation=account.incarnation,
+            )
+            for account in accounts
+        )
+    return [_granted(group, message, sender, accounts[-1], permit, parts)]
+
+
+def _granted(group, message, sender, account, permit, parts=()):
+    return SendPeer(
+        to=sender,
+        message=PlaceReply(
+            request_id=message.request_id,
+            attempt=message.attempt,
+            group=message.group,
+            status="granted",
+            endpoint=account.id,
+            fence=group.fence,
+            incarnation=account.incarnation,
+            priority=permit.priority,
+            cached_tokens=permit.cached_tokens,
+            parts=parts,
+        ),
+    )
+
+
+def place_new(state, group, message, sender):
+    """Place a new request at once, queue it or refuse it.
+
+    Returns
+    -------
+    list of Effect
+        The reply, if there is one already.
+    """
+    now = state.now
+    waiting = Waiting(
+        sender=sender,
+        message=message,
+        arrived_at=now,
+        deadline_at=now + message.remaining_s,
+        short=message.prompt_tokens < group.configuration.policy.short_prompt_tokens,
+    )
+    refused = _refuse_impossible(group, waiting)
+    if refused:
+        return refused
+    if not group.waiting_by_key:
+        granted = _try_place(state, group, waiting, *grant_limits(state, group))
+        if granted:
+            group.virtual_floor = max(
+                group.virtual_floor,
+                group.virtual_by_workspace.get(message.workspace, 0.0),
+            )
+            return granted
+    return _enqueue(state, group, waiting)
+
+
+def _refuse_impossible(group, waiting):
+    """Refuse what no endpoint of the group can hold, and mark oversize prompts."""
+    message = waiting.message
+    needed = message.prompt_tokens + message.max_tokens
+    configuration = group.configuration
+    share = fairness.workspace_share(configuration, message.workspace, group.id)
+    if share is not None and needed > share:
+        target = configuration.groups_by_id[group.id].target
+        others = fairness.groups_for(configuration, message.workspace, target, needed)
+        if others:
+            return [reply(message, waiting.sender, group, "moved", detail=others[0])]
+        limit = configuration.workspaces_by_name[
+            message.workspace
+        ].max_outstanding_tokens
+        return refuse(
+            group,
+            waiting,
+            f"{needed} tokens exceed what max_outstanding_tokens {limit} of "
+            f"workspace {message.workspace!r} allows one request of {target!r}",
+            0.0,
+            "workspace_limit",
+        )
+    largest = max(
+        (account.hardware.memory_tokens for account in group.open_accounts), default=0
+    )
+    if needed <= largest:
+        return None
+    if group.is_model and needed <= oversize.open_capacity_tokens(group):
+        waiting.oversize = True
+        return None
+    held = oversize.capacity_tokens(configuration, group.id)
+    if group.is_model:
+        target = configuration.groups_by_id[group.id].target
+        limit = oversize.target_capacity_tokens(configuration, target)
+    else:
+        limit = held
+    if needed > limit:
+        return refuse(
+            group,
+            waiting,
+            f"{needed} tokens exceed the limit of {limit} tokens that one group holds",
+            0.0,
+            "too_large",
+        )
+    if needed > held:
+        return [reply(message, waiting.sender, group, "moved")]
+    return refuse(
+        group,
+        waiting,
+        f"the open endpoints cannot hold {needed} tokens now",
+        admission.MAX_RETRY_AFTER_S,
+        "capacity",
+    )
+
+
+def set_predictions(group, waiting):
+    """Predict a placement's service time with and without other work."""
+    if waiting.oversize:
+        seconds = oversize.service_s(group, waiting.message)
+        waiting.min_service_s = waiting.service_s = seconds
+        return
+    waiting.min_service_s = admission.own_service_s(group, waiting.message, busy=False)
+    waiting.service_s = admission.own_service_s(group, waiting.message, busy=True)
+
+
+def _enqueue(state, group, waiting):
+    set_predictions(group, waiting)
+    if state.routing.policy == "savoryhill":
+        remaining_s = waiting.message.remaining_s
+        predicted_s = _predicted_completion_s(state, group, waiting)
+        if predicted_s > remaining_s:
+            return refuse(
+                group,
+                waiting,
+                f"predicted to complete in {predicted_s:.1f} s, after its deadline"
+                if predicted_s < inf
+                else "no endpoint is open for it",
+                admission.retry_after_s(predicted_s, remaining_s),
+                "deadline",
+            )
+    queues.push(state, group, waiting)
+    if waiting.oversize and group.oversize_key is None:
+        oversize.hold_for(group, waiting)
+    return serve(state, group) if len(group.waiting_by_key) > 1 else []
+
+
+def _predicted_completion_s(state, group, waiting):
+    """Predict the completion behind everything that is queued and granted."""
+    now = state.now
+    capacity = admission.capacity_of(group, now)
+    rank = queues.rank_of(state, waiting)
+    if rank[1] or not group.waiting_by_key:
+        ahead_s = group.queued_service_s
+    else:
+        ahead_s = sum(
+            each.service_s
+            for each in group.waiting_by_key.values()
+            if each.rank <= rank and each.deadline_at <= waiting.deadline_at
+        )
+    long_tokens = 0
+    if not waiting.short:
+        long_tokens = sum(
+            each.message.prompt_tokens
+            for each in group.waiting_by_key.values()
+            if not each.short
+        )
+    if not capacity.slots:
+        # Endpoints that are open but not heard yet may answer the next poll.
+        return waiting.service_s
+    wait = admission.wait_s(
+        capacity, ahead_s, short=waiting.short, long_tokens_ahead=long_tokens
+    )
+    if waiting.oversize:
+        return wait + waiting.service_s
+    message = waiting.message
+    needed = message.prompt_tokens + message.max_tokens
+    behind_s = inf
+    for account in group.open_accounts:
+        if not account.ready or needed > account.hardware.memory_tokens:
+            continue
+        ahead = account.short_backlog_tokens
+        if not waiting.short:
+            ahead += account.long_backlog_tokens
+        n_cached = placing.cached_tokens(
+            account, message.prefix_hashes, message.prompt_tokens
+        )
+        seconds = costs.first_token_s(
+            account.cost, ahead + message.prompt_tokens - n_cached
+        )
+        batch = len(account.permits_by_key) + 1
+        seconds += costs.decode_s(account.cost, message.max_tokens, batch)
+        behind_s = min(behind_s, seconds)
+    return max(behind_s, wait + waiting.min_service_s)
+
+
+def serve(state, group):
+    """Grant permits to waiting placements while endpoints allow it.
+
+    Returns
+    -------
+    list of Effect
+        The replies.
+    """
+    effects = []
+    if not group.waiting_by_key:
+        return effects
+    provisional, cold_hold = grant_limits(state, group)
+    fifo = state.routing.policy != "savoryhill"
+    progress = True
+    while progress and group.waiting_by_key and _has_free_slot(group):
+        progress = False
+        # A placement that does not fit rules out all larger ones of its class.
+        smallest_failed = {}
+        for n_scanned, waiting in enumerate(queues.in_order(group)):
+            if n_scanned >= MAX_SCANNED:
+                break
+            message = waiting.message
+            needed = message.prompt_tokens + message.max_tokens
+            shape = waiting.short, waiting.aged, message.avoid, message.workspace
+            if needed >= smallest_failed.get(shape, inf):
+                continue
+            granted = _try_place(state, group, waiting, provisional, cold_hold)
+            if granted:
+                queues.remove(group, waiting)
+                fairness.raise_floor(
+                    group,
+                    {each.message.workspace for each in group.waiting_by_key.values()}
+                    if len(group.waiting_by_key) < MAX_SCANNED
+                    else next(iter(group.heaps_by_rank.values()), {}),
+                )
+                effects += granted
+                progress = True
+                break
+            smallest_failed[shape] = needed
+            if fifo:
+                break
+            if waiting.oversize:
+                if group.oversize_key is None:
+                    oversize.hold_for(group, waiting)
+            elif waiting.aged:
+                oversize.hold_for(group, waiting, n_endpoints=1)
+    return effects
+
+
+def _has_free_slot(group):
+    for account in group.open_accounts:
+        if account.ready and len(account.permits_by_key) < account.limit:
+            return True
+    return False
+
+
+def _try_place(state, group, waiting, provisional, cold_hold):
+    """Return the effects of granting a permit, or None if none can be granted."""
+    message = waiting.message
+    now = state.now
+    needed = message.prompt_tokens + message.max_tokens
+    if not fairness.within_limit(group, message.workspace, needed):
+        return None
+    if waiting.oversize:
+        parts = oversize.plan(
+            group, message, provisional=provisional, cold_hold=cold_hold
+        )
+        return _grant_parts(state, group, waiting, parts) if parts else None
+    if state.routing.policy == "savoryhill":
+        candidate = placing.choose(
+            group,
+            message,
+            short=waiting.short,
+            aged=waiting.aged,
+            now=now,
+            remaining_s=waiting.deadline_at - now,
+            provisional=provisional,
+            cold_hold=cold_hold,
+            key=(message.request_id, message.attempt),
+        )
+    elif waiting.deadline_at <= now:
+        return None
+    else:
+        candidate = baselines.choose_baseline(
+            state, group, message, provisional=provisional, cold_hold=cold_hold
+        )
+    if candidate is None:
+        return None
+    return _grant(state, group, waiting, candidate)
+
+
+def _grant(state, group, waiting, candidate):
+    message = waiting.message
+    account = candidate.account
+    now = state.now
+    savoryhill = state.routing.policy == "savoryhill"
+    charged = fairness.charge_of(candidate.uncached_tokens, message.max_tokens)
+    permit = Permit(
+        request_id=message.request_id,
+        attempt=message.attempt,
+        entry=waiting.sender,
+        workspace=message.workspace,
+        prompt_tokens=message.prompt_tokens,
+        max_tokens=message.max_tokens,
+        granted_at=now,
+        reported_at=now,
+        use_by=now + START_BY_S,
+        short=waiting.short,
+        uncached_tokens=candidate.uncached_tokens,
+        ahead_tokens=candidate.ahead_tokens,
+        short_tokens_at_grant=account.short_tokens_granted,
+        predicted_first_token_s=candidate.first_token_s,
+        ends_at=now + candidate.completion_s,
+        batch_size=len(account.permits_by_key) + 1,
+        priority=placing.SHORT_PRIORITY
+        if waiting.short or not savoryhill
+        else placing.LONG_PRIORITY,
+        cached_tokens=message.prompt_tokens - candidate.uncached_tokens,
+        charged_tokens=charged,
+    )
+    group.dropped_at_by_key.pop((message.request_id, message.attempt), None)
+    add_permit(group, account, permit)
+    fairness.charge(group, message.workspace, charged)
+    if message.prefix_hashes and savoryhill:
+        placing.note_placed(account, message.prefix_hashes, now)
+    return [_granted(group, message, waiting.sender, account, permit)]
+
+
+def _grant_parts(state, group, waiting, parts):
+    """Grant one permit that counts on every endpoint of an oversize prompt."""
+    message = waiting.message
+    now = state.now
+    key = message.request_id, message.attempt
+    group.dropped_at_by_key.pop(key, None)
+    charged = fairness.charge_of(message.prompt_tokens, message.max_tokens)
+    ends_at = now + oversize.service_s(group, message)
+    for part in parts:
+        account = group.accounts_by_endpoint[part.endpoint]
+        last = part is parts[-1]
+        permit = Permit(
+            request_id=message.request_id,
+            attempt=message.attempt,
+            entry=waiting.sender,
+            workspace=message.workspace,
+            prompt_tokens=part.n_tokens,
+            max_tokens=message.max_tokens if last else 0,
+            granted_at=now,
+            reported_at=now,
+            use_by=now + START_BY_S,
+            short=False,
+            late_noted=True,
+            uncached_tokens=part.n_tokens,
+            ends_at=ends_at,
+            priority=placing.LONG_PRIORITY,
+            charged_tokens=charged if last else 0.0,
+        )
+        add_permit(group, account, permit)
+    group.oversize_key = key
+    fairness.charge(group, message.workspace, charged)
+    return [
+        _granted(group, message, waiting.sender, account, permit, parts),
+        record(
+            "routing.oversize_granted",
+            request=message.request_id,
+            endpoints=",".join(part.endpoint for part in parts),
+            tokens=message.prompt_tokens,
+        ),
+    ]
--- a/src/savoryhill/core/state.py
+++ b/src/savoryhill/core/state.py
@@ -42,7 +42,7 @@
         return self.configuration.active
 
 
-def new_state(*, node, zone, region, address, incarnation, seed):
+def new_state(*, node, zone, region, address, incarnation, seed, policy="savoryhill"):
     """Build the state of a node that has just started.
 
     Parameters
@@ -57,6 +57,9 @@
         A number above that of any earlier process of the same name.
     seed : int
         Seed of the core's random numbers.
+    policy : str
+        ``savoryhill`` or a baseline: ``random``, ``round-robin`` or
+        ``least-outstanding``.
 
     Returns
     -------
@@ -70,6 +73,7 @@
         address=address,
         incarnation=incarnation,
         random=Random(seed),
+        routing=RoutingState(policy=policy),
     )
     return state
 
--- /dev/null
+++ b/tests/core/routing/test_permits.py
@@ -0,0 +1,231 @@
+import pytest
+
+from savoryhill.bench import routing_driver as drive
+from savoryhill.core.events import PeerReceived
+from savoryhill.core.messages import PlaceRequest
+from savoryhill.core.routing import groups
+
+
+def one_engine(*, slots=1, warm=True, heard=True, **more):
+    driver = drive.make_driver(drive.make_configuration(n_engines=1, slots=slots))
+    if heard:
+        drive.load(driver, "engine-0", warm=warm, **more)
+    return driver
+
+
+def n_permits(driver, endpoint="engine-0"):
+    return len(drive.account_of(driver, endpoint).permits_by_key)
+
+
+class TestRepeatedQuestion:
+    def test_gets_the_same_permit(self):
+        # A lost reply made the entry node ask again and take a second slot.
+        driver = one_engine(slots=4)
+        first = drive.place(driver, "a")
+        again = drive.place(driver, "a")
+        assert again == first
+        assert n_permits(driver) == 1
+
+    def test_permit_returned_as_unused_still_counts_while_the_first_reply_is_used(self):
+        # The entry node runs on the first reply and gives the second one back.
+        driver = one_engine()
+        reply = drive.place(driver, "a")
+        drive.place(driver, "a")
+        drive.release(driver, reply, result="unused")
+        assert n_permits(driver) == 1
+        assert drive.place(driver, "b") is None
+
+    def test_waits_only_once(self):
+        driver = one_engine()
+        drive.place(driver, "a")
+        assert drive.place(driver, "b") is None
+        assert drive.place(driver, "b") is None
+        assert len(driver.state.routing.groups_by_id["group-0"].waiting_by_key) == 1
+
+
+class TestExpiry:
+    def test_unused_permit_is_free_again_after_start_by(self):
+        # An entry node that died before it started would keep the slot for good.
+        driver = one_engine()
+        drive.place(driver, "a")
+        drive.advance(driver, 2.5)
+        drive.load(driver, "engine-0", streams=())
+        assert n_permits(driver) == 1
+        drive.advance(driver, 0.6)
+        drive.load(driver, "engine-0", streams=())
+        drive.advance(driver, 0.3)
+        assert n_permits(driver) == 0
+
+    def test_report_without_a_permit_after_start_by_ends_it(self):
+        driver = one_engine()
+        drive.place(driver, "a")
+        drive.advance(driver, 1.0)
+        drive.report(driver)
+        assert n_permits(driver) == 1
+        drive.advance(driver, 1.6)
+        drive.report(driver)
+        assert n_permits(driver) == 0
+
+    def test_stream_on_the_engine_keeps_a_permit_that_was_not_reported_yet(self):
+        # Freeing it would let a second request onto a cold endpoint.
+        driver = one_engine()
+        drive.place(driver, "a")
+        for _ in range(4):
+            drive.advance(driver, 1.0)
+            drive.load(driver, "engine-0", streams=("a",))
+        assert n_permits(driver) == 1
+
+    def test_reports_renew_and_their_absence_expires_after_five_seconds(self):
+        driver = one_engine()
+        reply = drive.place(driver, "a")
+        for _ in range(8):
+            drive.advance(driver, 1.0)
+            drive.report(driver, drive.held_of(reply))
+            drive.load(driver, "engine-0")
+        drive.advance(driver, 4.7)
+        account = drive.account_of(driver, "engine-0")
+        assert [each.phase for each in account.permits_by_key.values()] == ["held"]
+        drive.advance(driver, 0.5)
+        assert [each.phase for each in account.permits_by_key.values()] == ["closing"]
+        drive.advance(driver, 1.0)
+        drive.load(driver, "engine-0", streams=())
+        assert n_permits(driver) == 0
+
+
+class TestRelease:
+    @pytest.mark.parametrize("result", ["completed", "not_sent", "refused", "unused"])
+    def test_ended_attempt_frees_the_slot_at_once(self, result):
+        driver = one_engine()
+        drive.release(driver, drive.place(driver, "a"), result=result)
+        assert n_permits(driver) == 0
+        assert drive.account_of(driver, "engine-0").used_tokens == 0
+
+    @pytest.mark.parametrize("result", ["broken", "silent", "cancelled"])
+    def test_slot_stays_taken_until_the_engine_no_longer_lists_the_stream(self, result):
+        # The engine goes on decoding after the connection has broken.
+        driver = one_engine()
+        drive.release(driver, drive.place(driver, "a"), result=result)
+        drive.advance(driver, 1.5)
+        drive.load(driver, "engine-0", streams=("a",))
+        assert n_permits(driver) == 1
+        drive.load(driver, "engine-0", streams=())
+        assert n_permits(driver) == 0
+
+    def test_delayed_report_does_not_revive_a_released_permit(self):
+        driver = one_engine()
+        reply = drive.place(driver, "a")
+        drive.release(driver, reply)
+        drive.report(driver, drive.held_of(reply))
+        assert n_permits(driver) == 0
+
+    def test_sum_over_entry_nodes_stays_within_the_limit(self):
+        driver = one_engine(slots=4)
+        replies = [drive.place(driver, sender=f"node-{i}") for i in range(1, 9)]
+        assert sum(reply is not None for reply in replies) == 4
+
+
+class TestTakeover:
+    @pytest.fixture
+    def taken_over(self, monkeypatch):
+        monkeypatch.setattr(groups, "took_over_at", lambda state, group: 100.0)
+        return one_engine(warm=False)
+
+    def test_cold_endpoint_gets_nothing_for_five_seconds(self, taken_over):
+        # The earlier coordinator's permit may still be used on the only slot.
+        assert drive.place(taken_over, "a") is None
+        drive.advance(taken_over, 4.5)
+        assert n_permits(taken_over) == 0
+        drive.advance(taken_over, 1.0)
+        assert n_permits(taken_over) == 1
+
+    def test_cold_endpoint_is_used_once_all_live_nodes_have_reported(self, taken_over):
+        assert drive.place(taken_over, "a") is None
+        drive.report(taken_over, sender=drive.NODE)
+        assert n_permits(taken_over) == 0
+        drive.report(taken_over, sender=drive.ENTRY)
+        assert n_permits(taken_over) == 1
+
+    def test_reported_permits_count_on_warm_endpoints(self, monkeypatch):
+        first = one_engine(slots=2)
+        held = [drive.held_of(drive.place(first, name)) for name in "ab"]
+        monkeypatch.setattr(groups, "took_over_at", lambda state, group: 100.0)
+        second = one_engine(slots=2)
+        drive.report(second, held[0])
+        assert drive.place(second, "c") is not None
+        assert drive.place(second, "d") is None
+        # One more permit becomes known late: it counts even above the limit.
+        drive.report(second, *held)
+        assert n_permits(second) == 3
+
+    def test_raised_fence_starts_the_accounting_anew(self):
+        driver = one_engine(slots=2)
+        drive.place(driver, "a")
+        driver.state.coordination.records_by_group["group-0"].fence = 5
+        drive.load(driver, "engine-0", streams=())
+        reply = drive.place(driver, "b")
+        assert reply.fence == 5
+        assert n_permits(driver) == 1
+
+    def test_provisional_coordinator_uses_half_of_warm_and_nothing_of_cold(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(groups, "is_provisional", lambda state, group: True)
+        warm, cold = one_engine(slots=6), one_engine(slots=6, warm=False)
+        assert sum(drive.place(warm) is not None for _ in range(6)) == 3
+        assert drive.place(cold) is None
+
+    def test_former_coordinator_sends_waiting_placements_elsewhere(self):
+        driver = one_engine()
+        drive.place(driver, "a")
+        drive.place(driver, "b")
+        driver.state.coordination.records_by_group["group-0"].holder = drive.ENTRY
+        drive.advance(driver, 0.25)
+        assert driver.replies_by_key["b", 1].status == "moved"
+        assert drive.place(driver, "c").status == "moved"
+
+
+class TestClosedEndpoints:
+    @pytest.mark.parametrize(
+        "change", [{"withdrawn": ("zone-0",)}, {"leaving": ("engine-0",)}]
+    )
+    def test_get_no_permit_from_the_moment_the_revision_is_in_force(self, change):
+        configuration = drive.make_configuration(n_engines=2, slots=1)
+        driver = drive.make_driver(configuration)
+        drive.load_all(driver)
+        drive.place(driver, "a")
+        drive.place(driver, "b")
+        drive.place(driver, "c")
+        drive.configure(driver, drive.amend(configuration, **change))
+        drive.release(driver, driver.replies_by_key["a", 1])
+        drive.release(driver, driver.replies_by_key["b", 1])
+        assert driver.replies_by_key["c", 1].endpoint == "engine-1"
+        assert drive.place(driver, "d") is None
+
+    def test_waiting_requests_are_refused_when_the_last_zone_is_withdrawn(self):
+        driver = one_engine()
+        drive.place(driver, "a")
+        drive.place(driver, "b")
+        drive.configure(driver, drive.amend(driver.state.active, withdrawn=("zone-0",)))
+        reply = driver.replies_by_key["b", 1]
+        assert (reply.status, reply.retry_after_s) == ("refused", 30.0)
+
+    def test_message_for_an_unknown_group_is_answered(self):
+        driver = one_engine()
+        drive.apply(
+            driver,
+            PeerReceived(
+                at=driver.now,
+                sender=drive.ENTRY,
+                message=PlaceRequest(
+                    request_id="x",
+                    attempt=1,
+                    group="no-such-group",
+                    workspace="one",
+                    kind="completion",
+                    prompt_tokens=1,
+                    max_tokens=1,
+                    remaining_s=1.0,
+                ),
+            ),
+        )
+        assert driver.replies_by_key["x", 1].status == "moved"
