routing: test cost model, admission, placement, fairness, memory, oversize

Cause: these rules had no tests of their own.

Change: a test for each failure named in the design. They found and this change fixes: a prefill backlog that was drained for the time in which nothing was placed, so that freshly granted work did not count; an oversize prompt that was never tried behind smaller prompts of its workspace; a queue total that became "not a number" once every endpoint was closed. `serving` is divided into serving, refusals and predictions.

Measured: each of the three tests failed before its fix.

--- a/src/savoryhill/core/routing/coordinator.py
+++ b/src/savoryhill/core/routing/coordinator.py
@@ -15,12 +15,14 @@
     memory,
     permits,
     placement,
+    predictions,
     ramp,
     serving,
     summaries,
 )
 from savoryhill.core.routing import queue as queues
 from savoryhill.core.routing.groups import own_group
+from savoryhill.core.routing.refusals import refuse, reply
 
 POLL_INTERVAL_S = 0.5
 REVIEW_INTERVAL_S = 0.25
@@ -35,7 +37,7 @@
     message = event.message
     group = own_group(state, message.group)
     if group is None:
-        return [serving.reply(message, event.sender, None, "moved")]
+        return [reply(message, event.sender, None, "moved")]
     key = message.request_id, message.attempt
     if key in group.endpoints_by_permit:
         return serving.repeat_grant(group, message, event.sender, event.at)
@@ -216,7 +218,7 @@
         boundary.adapt(group, now)
         for waiting, predicted_s in admission.hopeless(group, now):
             queues.remove(group, waiting)
-            yield from serving.refuse(
+            yield from refuse(
                 group,
                 waiting,
                 "cannot complete before its deadline any more",
@@ -226,7 +228,7 @@
     for waiting in tuple(group.waiting_by_key.values()):
         if waiting.deadline_at <= now:
             queues.remove(group, waiting)
-            yield from serving.refuse(
+            yield from refuse(
                 group, waiting, "no endpoint free before deadline", 1.0, "deadline"
             )
     summaries.update_summary(group, now)
@@ -269,7 +271,7 @@
             continue
         group = state.routing.groups_by_id.pop(group_id)
         for waiting in group.waiting_by_key.values():
-            yield serving.reply(waiting.message, waiting.sender, None, "moved")
+            yield reply(waiting.message, waiting.sender, None, "moved")
 
 
 def _on_configuration_read(state, event):
@@ -283,7 +285,7 @@
         if group is None:
             continue
         for waiting in group.waiting_by_key.values():
-            serving.set_predictions(group, waiting)
+            predictions.set_predictions(group, waiting)
         group.queued_service_s = sum(
             waiting.service_s for waiting in group.waiting_by_key.values()
         )
--- a/src/savoryhill/core/routing/fairness.py
+++ b/src/savoryhill/core/routing/fairness.py
@@ -21,7 +21,11 @@
 
 
 def charge(group, workspace, tokens):
-    """Advance a workspace's virtual counter by tokens divided by its weight."""
+    """Advance a workspace's virtual counter by tokens divided by its weight.
+
+    A counter below the floor starts from there. Without that, a workspace that
+    was idle could use the service it did not ask for and stop all others.
+    """
     counters = group.virtual_by_workspace
     weight = weight_of(group.configuration, workspace)
     value = max(counters.get(workspace, 0.0), group.virtual_floor)
@@ -35,17 +39,6 @@
         counters[workspace] -= tokens / weight_of(group.configuration, workspace)
 
 
-def enter(group, workspace):
-    """Lift a workspace's counter when it starts waiting.
-
-    Without it, a workspace that was idle could use the service it did not ask
-    for earlier and stop all others.
-    """
-    counters = group.virtual_by_workspace
-    if counters.get(workspace, 0.0) < group.virtual_floor:
-        counters[workspace] = group.virtual_floor
-
-
 def raise_floor(group, workspaces):
     """Set the floor to the lowest counter among waiting workspaces."""
     counters = group.virtual_by_workspace
--- a/src/savoryhill/core/routing/permits.py
+++ b/src/savoryhill/core/routing/permits.py
@@ -32,6 +32,8 @@
     """
     key = permit.request_id, permit.attempt
     n_tokens = permit.prompt_tokens + permit.max_tokens
+    # An empty backlog is not settled while nothing is placed.
+    cost.settle_backlog(account, permit.granted_at)
     account.permits_by_key[key] = permit
     account.used_tokens += n_tokens
     account.ends_sum += permit.ends_at
--- a/src/savoryhill/core/routing/queue.py
+++ b/src/savoryhill/core/routing/queue.py
@@ -8,8 +8,6 @@
 import heapq
 from dataclasses import replace
 
-from savoryhill.core.routing import fairness
-
 # A long request that has waited this long, or for this share of its time, is
 # served like a short one.
 AGING_S = 4.0
@@ -30,14 +28,14 @@
 
 def push(state, group, waiting):
     """Put a placement into the queue."""
-    workspace = waiting.message.workspace
     fifo = state.routing.policy != "savoryhill"
     waiting.rank = (0.0, 0) if fifo else rank_of(state, waiting)
     heaps = group.heaps_by_rank.setdefault(waiting.rank, {})
-    name = "" if fifo else workspace
+    # A separate heap, because smaller prompts that do not fit say nothing of one
+    # that is divided.
+    name = ("", False) if fifo else (waiting.message.workspace, waiting.oversize)
     if name not in heaps:
         heaps[name] = []
-        fairness.enter(group, workspace)
     group.n_queued += 1
     order = waiting.arrived_at if fifo else waiting.deadline_at
     heapq.heappush(heaps[name], (order, group.n_queued, waiting))
@@ -74,7 +72,7 @@
                 heapq.heappop(heap)
             if not heap:
                 del heaps[name]
-        for name in sorted(heaps, key=lambda each: counters.get(each, 0.0)):
+        for name in sorted(heaps, key=lambda each: counters.get(each[0], 0.0)):
             heap = heaps[name]
             if len(heap) == 1:
                 yield heap[0][2]
@@ -84,6 +82,13 @@
                     yield waiting
 
 
+def waiting_workspaces(group):
+    """Return the workspaces with placements in the queue."""
+    return {
+        workspace for heaps in group.heaps_by_rank.values() for workspace, _ in heaps
+    }
+
+
 def whole_order(group):
     """Return all waiting placements in the order of service, without fairness."""
     return sorted(
--- a/src/savoryhill/core/routing/serving.py
+++ b/src/savoryhill/core/routing/serving.py
@@ -2,55 +2,26 @@
 
 from math import inf
 
-from savoryhill.core.effects import Observe, SendPeer, record
+from savoryhill.core.effects import SendPeer, record
 from savoryhill.core.messages import PlaceReply, PromptPart
-from savoryhill.core.routing import admission, baselines, fairness, oversize
-from savoryhill.core.routing import cost as costs
+from savoryhill.core.routing import (
+    admission,
+    baselines,
+    fairness,
+    oversize,
+    predictions,
+)
 from savoryhill.core.routing import placement as placing
 from savoryhill.core.routing import queue as queues
 from savoryhill.core.routing.groups import grant_limits
 from savoryhill.core.routing.permits import START_BY_S, accounts_of, add_permit
+from savoryhill.core.routing.refusals import refuse, refuse_impossible, reply
 from savoryhill.core.routing.state import Permit, Waiting
 
 # Placements looked at before the rest of the queue waits for the next event.
 MAX_SCANNED = 12
 
 
-def reply(waiting_or_message, sender, group, status, **more):
-    """Build the effect that answers a placement."""
-    message = waiting_or_message
-    return SendPeer(
-        to=sender,
-        message=PlaceReply(
-            request_id=message.request_id,
-            attempt=message.attempt,
-            group=message.group,
-            status=status,
-            fence=group.fence if group is not None else 0,
-            **more,
-        ),
-    )
-
-
-def refuse(group, waiting, detail, retry_after_s, reason):
-    """Refuse a placement as not run."""
-    return [
-        reply(
-            waiting.message,
-            waiting.sender,
-            group,
-            "refused",
-            detail=detail,
-            retry_after_s=retry_after_s,
-        ),
-        Observe(
-            metric="placements_refused",
-            value=1.0,
-            labels=(("group", group.id), ("reason", reason)),
-        ),
-    ]
-
-
 def repeat_grant(group, message, sender, now):
     """Answer a repeated question for a permit that is already granted.
 
@@ -126,7 +97,7 @@
         deadline_at=now + message.remaining_s,
         short=message.prompt_tokens < group.configuration.policy.short_prompt_tokens,
     )
-    refused = _refuse_impossible(group, waiting)
+    refused = refuse_impossible(group, waiting)
     if refused:
         return refused
     if not group.waiting_by_key:
@@ -140,141 +111,25 @@
     return _enqueue(state, group, waiting)
 
 
-def _refuse_impossible(group, waiting):
-    """Refuse what no endpoint of the group can hold, and mark oversize prompts."""
-    message = waiting.message
-    needed = message.prompt_tokens + message.max_tokens
-    configuration = group.configuration
-    share = fairness.workspace_share(configuration, message.workspace, group.id)
-    if share is not None and needed > share:
-        target = configuration.groups_by_id[group.id].target
-        others = fairness.groups_for(configuration, message.workspace, target, needed)
-        if others:
-            return [reply(message, waiting.sender, group, "moved", detail=others[0])]
-        limit = configuration.workspaces_by_name[
-            message.workspace
-        ].max_outstanding_tokens
-        return refuse(
-            group,
-            waiting,
-            f"{needed} tokens exceed what max_outstanding_tokens {limit} of "
-            f"workspace {message.workspace!r} allows one request of {target!r}",
-            0.0,
-            "workspace_limit",
-        )
-    largest = max(
-        (account.hardware.memory_tokens for account in group.open_accounts), default=0
-    )
-    if needed <= largest:
-        return None
-    if group.is_model and needed <= oversize.open_capacity_tokens(group):
-        waiting.oversize = True
-        return None
-    held = oversize.capacity_tokens(configuration, group.id)
-    if group.is_model:
-        target = configuration.groups_by_id[group.id].target
-        limit = oversize.target_capacity_tokens(configuration, target)
-    else:
-        limit = held
-    if needed > limit:
-        return refuse(
-            group,
-            waiting,
-            f"{needed} tokens exceed the limit of {limit} tokens that one group holds",
-            0.0,
-            "too_large",
-        )
-    if needed > held:
-        return [reply(message, waiting.sender, group, "moved")]
-    return refuse(
-        group,
-        waiting,
-        f"the open endpoints cannot hold {needed} tokens now",
-        admission.MAX_RETRY_AFTER_S,
-        "capacity",
-    )
-
-
-def set_predictions(group, waiting):
-    """Predict a placement's service time with and without other work."""
-    if waiting.oversize:
-        seconds = oversize.service_s(group, waiting.message)
-        waiting.min_service_s = waiting.service_s = seconds
-        return
-    waiting.min_service_s = admission.own_service_s(group, waiting.message, busy=False)
-    waiting.service_s = admission.own_service_s(group, waiting.message, busy=True)
-
-
 def _enqueue(state, group, waiting):
-    set_predictions(group, waiting)
+    predictions.set_predictions(group, waiting)
     if state.routing.policy == "savoryhill":
         remaining_s = waiting.message.remaining_s
-        predicted_s = _predicted_completion_s(state, group, waiting)
+        predicted_s = predictions.predicted_completion_s(state, group, waiting)
         if predicted_s > remaining_s:
             return refuse(
                 group,
                 waiting,
                 f"predicted to complete in {predicted_s:.1f} s, after its deadline"
-                if predicted_s < inf
+                if predicted_s < predictions.NEVER_S
                 else "no endpoint is open for it",
                 admission.retry_after_s(predicted_s, remaining_s),
                 "deadline",
             )
     queues.push(state, group, waiting)
-    if waiting.oversize and group.oversize_key is None:
-        oversize.hold_for(group, waiting)
     return serve(state, group) if len(group.waiting_by_key) > 1 else []
 
 
-def _predicted_completion_s(state, group, waiting):
-    """Predict the completion behind everything that is queued and granted."""
-    now = state.now
-    capacity = admission.capacity_of(group, now)
-    rank = queues.rank_of(state, waiting)
-    if rank[1] or not group.waiting_by_key:
-        ahead_s = group.queued_service_s
-    else:
-        ahead_s = sum(
-            each.service_s
-            for each in group.waiting_by_key.values()
-            if each.rank <= rank and each.deadline_at <= waiting.deadline_at
-        )
-    long_tokens = 0
-    if not waiting.short:
-        long_tokens = sum(
-            each.message.prompt_tokens
-            for each in group.waiting_by_key.values()
-            if not each.short
-        )
-    if not capacity.slots:
-        # Endpoints that are open but not heard yet may answer the next poll.
-        return waiting.service_s
-    wait = admission.wait_s(
-        capacity, ahead_s, short=waiting.short, long_tokens_ahead=long_tokens
-    )
-    if waiting.oversize:
-        return wait + waiting.service_s
-    message = waiting.message
-    needed = message.prompt_tokens + message.max_tokens
-    behind_s = inf
-    for account in group.open_accounts:
-        if not account.ready or needed > account.hardware.memory_tokens:
-            continue
-        ahead = account.short_backlog_tokens
-        if not waiting.short:
-            ahead += account.long_backlog_tokens
-        n_cached = placing.cached_tokens(
-            account, message.prefix_hashes, message.prompt_tokens
-        )
-        seconds = costs.first_token_s(
-            account.cost, ahead + message.prompt_tokens - n_cached
-        )
-        batch = len(account.permits_by_key) + 1
-        seconds += costs.decode_s(account.cost, message.max_tokens, batch)
-        behind_s = min(behind_s, seconds)
-    return max(behind_s, wait + waiting.min_service_s)
-
-
 def serve(state, group):
     """Grant permits to waiting placements while endpoints allow it.
 
@@ -298,18 +153,19 @@
                 break
             message = waiting.message
             needed = message.prompt_tokens + message.max_tokens
-            shape = waiting.short, waiting.aged, message.avoid, message.workspace
+            shape = (
+                waiting.short,
+                waiting.aged,
+                waiting.oversize,
+                message.avoid,
+                message.workspace,
+            )
             if needed >= smallest_failed.get(shape, inf):
                 continue
             granted = _try_place(state, group, waiting, provisional, cold_hold)
             if granted:
                 queues.remove(group, waiting)
-                fairness.raise_floor(
-                    group,
-                    {each.message.workspace for each in group.waiting_by_key.values()}
-                    if len(group.waiting_by_key) < MAX_SCANNED
-                    else next(iter(group.heaps_by_rank.values()), {}),
-                )
+                fairness.raise_floor(group, queues.waiting_workspaces(group))
                 effects += granted
                 progress = True
                 break
--- a/src/savoryhill/core/routing/state.py
+++ b/src/savoryhill/core/routing/state.py
@@ -156,7 +156,7 @@
     dropped_at_by_key: dict[tuple[str, int], float] = field(default_factory=dict)
     reported_at_by_entry: dict[str, float] = field(default_factory=dict)
     waiting_by_key: dict[tuple[str, int], Waiting] = field(default_factory=dict)
-    heaps_by_rank: dict[tuple[float, int], dict[str, list]] = field(
+    heaps_by_rank: dict[tuple[float, int], dict[tuple[str, bool], list]] = field(
         default_factory=dict
     )
     n_queued: int = 0
--- /dev/null
+++ b/tests/core/routing/test_memory.py
@@ -0,0 +1,106 @@
+from savoryhill.bench import routing_driver as drive
+from savoryhill.core.effects import CancelStream
+
+
+def warm_driver(**more):
+    driver = drive.make_driver(drive.make_configuration(n_engines=1, **more))
+    drive.load_all(driver)
+    return driver, drive.account_of(driver, "engine-0")
+
+
+def cancelled(effects):
+    return [each.request_id for each in effects if type(each) is CancelStream]
+
+
+class TestOrphans:
+    def test_stream_without_a_permit_is_cancelled_after_a_grace_time(self):
+        # A dead entry node's streams held their memory until they ended.
+        driver, _ = warm_driver()
+        assert cancelled(drive.load(driver, "engine-0", streams=("lost",))) == []
+        drive.advance(driver, 2.5)
+        assert cancelled(drive.load(driver, "engine-0", streams=("lost",))) == []
+        drive.advance(driver, 0.5)
+        found = cancelled(drive.load(driver, "engine-0", streams=("lost",)))
+        assert found == ["lost"]
+
+    def test_takes_a_slot_and_memory_until_it_is_gone(self):
+        driver, account = warm_driver(slots=1, memory_tokens=10_000)
+        drive.load(driver, "engine-0", streams=("lost",), memory_used_tokens=9_500)
+        assert account.orphan_tokens == 9_500
+        assert drive.place(driver, "a") is None
+        drive.load(driver, "engine-0", streams=())
+        assert driver.replies_by_key["a", 1].status == "granted"
+
+    def test_late_report_of_its_holder_saves_a_stream(self):
+        driver, _ = warm_driver()
+        other, _ = warm_driver()
+        reply = drive.place(other, "kept")
+        drive.load(driver, "engine-0", streams=("kept",))
+        drive.advance(driver, 2.0)
+        drive.report(driver, drive.held_of(reply))
+        for _ in range(4):
+            drive.advance(driver, 1.0)
+            drive.report(driver, drive.held_of(reply))
+            assert cancelled(drive.load(driver, "engine-0", streams=("kept",))) == []
+
+    def test_streams_of_the_earlier_coordinator_get_time_to_be_reported(
+        self, monkeypatch
+    ):
+        from savoryhill.core.routing import groups
+
+        monkeypatch.setattr(groups, "took_over_at", lambda state, group: 100.0)
+        driver, _ = warm_driver()
+        for _ in range(7):
+            drive.advance(driver, 1.0)
+            assert cancelled(drive.load(driver, "engine-0", streams=("lost",))) == []
+        drive.advance(driver, 1.0)
+        found = cancelled(drive.load(driver, "engine-0", streams=("lost",)))
+        assert found == ["lost"]
+
+    def test_report_taken_before_a_release_does_not_cancel_or_block(self):
+        driver, account = warm_driver(slots=1)
+        drive.release(driver, drive.place(driver, "a"))
+        assert cancelled(drive.load(driver, "engine-0", streams=("a",))) == []
+        assert drive.place(driver, "b") is not None
+
+
+class TestClosingPermits:
+    def test_expired_permit_is_cancelled_before_its_memory_is_freed(self):
+        driver, account = warm_driver()
+        drive.place(driver, "a")
+        drive.load(driver, "engine-0", streams=("a",))
+        drive.advance(driver, 5.5)
+        assert cancelled(drive.load(driver, "engine-0", streams=("a",))) == []
+        drive.advance(driver, 3.0)
+        assert cancelled(drive.load(driver, "engine-0", streams=("a",))) == ["a"]
+        assert account.used_tokens == 1_100
+        drive.load(driver, "engine-0", streams=())
+        assert account.used_tokens == 0
+
+    def test_later_attempt_on_the_same_engine_is_not_cancelled(self):
+        # The engine lists both attempts under the same request identity.
+        driver, account = warm_driver()
+        drive.release(driver, drive.place(driver, "a"), result="broken")
+        drive.place(driver, "a", attempt=2)
+        for _ in range(5):
+            drive.advance(driver, 1.0)
+            drive.report(driver, drive.held_of(driver.replies_by_key["a", 2]))
+            assert cancelled(drive.load(driver, "engine-0", streams=("a",))) == []
+
+    def test_permit_of_a_plain_service_expires_without_a_stream_list(self):
+        from savoryhill.config.model import Service
+
+        configuration = drive.make_configuration(n_engines=1, slots=1)
+        service = Service(name=drive.MODEL, calls=())
+        driver = drive.make_driver(
+            drive.amend(configuration, models=(), services=(service,))
+        )
+        drive.load_all(driver)
+        reply = drive.place(driver, "a", prompt_tokens=0, max_tokens=0)
+        for _ in range(4):
+            drive.advance(driver, 1.0)
+            drive.load(driver, "engine-0", streams=())
+        assert drive.account_of(driver, "engine-0").permits_by_key
+        drive.advance(driver, 1.0)
+        assert not drive.account_of(driver, "engine-0").permits_by_key
+        assert reply.status == "granted"
