--- a/src/savoryhill/config/model.py
+++ b/src/savoryhill/config/model.py
@@ -124,6 +124,7 @@
 
     prefer: str = "short_slowdown"
     short_prompt_tokens: int = 4_000
+    weight_loads_per_s: float = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/savoryhill/config/questionnaire.py
+++ b/src/savoryhill/config/questionnaire.py
@@ -90,6 +90,7 @@
 
     prefer: str = "short_slowdown"
     short_prompt_tokens: int = 4_000
+    weight_loads_per_s: float = 0.5
 
 
 class JournalAnswers(_Answers):
--- a/src/savoryhill/core/routing/state.py
+++ b/src/savoryhill/core/routing/state.py
@@ -189,6 +189,7 @@
     outcomes_by_endpoint: dict[str, str] = field(default_factory=dict)
     ordered_at_by_endpoint: dict[str, float] = field(default_factory=dict)
     next_load_at: float = float("-inf")
+    polled_at: float = float("-inf")
 
 
 @dataclass(kw_only=True)
@@ -203,3 +204,4 @@
     polled_at: float = float("-inf")
     rollouts_by_model: dict[str, Rollout] = field(default_factory=dict)
     versions_by_endpoint: dict[str, str] = field(default_factory=dict)
+    orders_at: float = float("-inf")
