--- a/src/savoryhill/core/routing/serving.py
+++ b/src/savoryhill/core/routing/serving.py
@@ -44,6 +44,9 @@
                 retry_after_s=1.0,
             )
         ]
+    if not all(account.open for account in accounts):
+        # The entry node asks again; the permit expires unused meanwhile.
+        return []
     for account in accounts:
         each = account.permits_by_key[key]
         each.entry = sender
--- a/tests/core/routing/test_permits.py
+++ b/tests/core/routing/test_permits.py
@@ -201,6 +201,13 @@
         assert driver.replies_by_key["c", 1].endpoint == "engine-1"
         assert drive.place(driver, "d") is None
 
+    def test_repeated_question_does_not_bring_new_work_to_a_closed_endpoint(self):
+        # Each repetition extended the time in which the permit could be used.
+        driver = one_engine()
+        drive.place(driver, "a")
+        drive.configure(driver, drive.amend(driver.state.active, withdrawn=("zone-0",)))
+        assert drive.place(driver, "a") is None
+
     def test_waiting_requests_are_refused_when_the_last_zone_is_withdrawn(self):
         driver = one_engine()
         drive.place(driver, "a")
