--- a/src/savoryhill/bench/routing_cost.py
+++ b/src/savoryhill/bench/routing_cost.py
@@ -11,7 +11,6 @@
 from savoryhill.bench import routing_driver as drive
 from savoryhill.core.events import PeerReceived, Ticked
 from savoryhill.core.messages import PlaceRequest
-from savoryhill.core.reducer import reduce
 
 SIZES = (20, 600)
 N_DECISIONS = 4_000
@@ -59,7 +58,7 @@
         message = _request(random, number, random.choice(groups))
         event = PeerReceived(at=driver.now, sender=drive.ENTRY, message=message)
         start = perf_counter_ns()
-        effects = reduce(driver.state, event)
+        effects = drive.react(driver, event)
         place_us.append((perf_counter_ns() - start) / 1_000)
         for effect in effects:
             reply = getattr(effect, "message", None)
@@ -82,7 +81,7 @@
         ]
         if number % 200 == 0:
             start = perf_counter_ns()
-            reduce(driver.state, Ticked(at=driver.now))
+            drive.react(driver, Ticked(at=driver.now))
             tick_us.append((perf_counter_ns() - start) / 1_000)
     place_us, release_us = place_us[-N_DECISIONS:], release_us[-N_DECISIONS:]
     return {
@@ -110,7 +109,7 @@
         message = _request(random, number, "group-0")
         event = PeerReceived(at=driver.now, sender=drive.ENTRY, message=message)
         start = perf_counter_ns()
-        effects = reduce(driver.state, event)
+        effects = drive.react(driver, event)
         elapsed = perf_counter_ns() - start
         if len(held) > 100 and random.random() < 0.9:
             position = random.randrange(len(held))
--- a/src/savoryhill/bench/routing_driver.py
+++ b/src/savoryhill/bench/routing_driver.py
@@ -6,16 +6,17 @@
 from dataclasses import dataclass, field, replace
 
 from savoryhill.config import model
-from savoryhill.core.coordination.state import CoordinatorRecord
+from savoryhill.core import routing
+from savoryhill.core.coordination.state import CoordinatorRecord, Role
 from savoryhill.core.effects import SendPeer
 from savoryhill.core.events import (
     ConfigurationRead,
-    HostsListed,
     LoadPollFailed,
     LoadReported,
     PeerReceived,
     Ticked,
 )
+from savoryhill.core.membership.state import Member
 from savoryhill.core.messages import (
     HeldPermit,
     PermitRelease,
@@ -23,13 +24,14 @@
     PlaceReply,
     PlaceRequest,
 )
-from savoryhill.core.reducer import reduce
+from savoryhill.core.reducer import merge_handlers, reduce
 from savoryhill.core.state import NodeState, new_state
 
 NODE = "node-0"
 ENTRY = "node-1"
 MODEL = "assistant"
 MAX_GROUP_SIZE = 8
+HANDLERS_BY_TYPE = merge_handlers((routing,))
 
 
 @dataclass(kw_only=True)
@@ -152,27 +154,53 @@
         policy=policy,
     )
     driver = RoutingDriver(state=state)
-    nodes = (NODE, *entries)
-    apply(
-        driver,
-        HostsListed(
-            at=driver.now,
-            addresses_by_node={
-                node: f"10.1.0.{number}:7000" for number, node in enumerate(nodes)
-            },
-        ),
-    )
-    for group in configuration.groups:
-        state.coordination.records_by_group[group.id] = CoordinatorRecord(
-            holder=NODE, fence=1
+    for number, node in enumerate((NODE, *entries)):
+        state.membership.members_by_node[node] = Member(
+            node=node, address=f"10.1.0.{number}:7000"
         )
+    for group in configuration.groups:
+        hold(driver, group.id, fence=1)
     configure(driver, configuration)
     return driver
 
 
+def hold(driver, group_id, *, fence, tenure_ends_at=float("inf")):
+    """Make the driven node the coordinator of a group."""
+    never = float("-inf")
+    coordination = driver.state.coordination
+    coordination.records_by_group[group_id] = CoordinatorRecord(
+        holder=NODE, fence=fence
+    )
+    coordination.roles_by_group[group_id] = Role(
+        fence=fence,
+        identity="",
+        tenure_ends_at=tenure_ends_at,
+        held_since=never,
+        gained_at=never,
+        took_over_at=never,
+        confirmed=True,
+    )
+
+
+def lose(driver, group_id):
+    """Make another node the coordinator of a group."""
+    coordination = driver.state.coordination
+    fence = coordination.records_by_group[group_id].fence + 1
+    coordination.records_by_group[group_id] = CoordinatorRecord(
+        holder=ENTRY, fence=fence
+    )
+    del coordination.roles_by_group[group_id]
+
+
+def react(driver, event):
+    """Apply an event to the routing subject alone; time never jumps for it."""
+    driver.state.ticked_at = event.at
+    return reduce(driver.state, event, HANDLERS_BY_TYPE)
+
+
 def apply(driver, event):
     """Apply an event, remember the replies and return all effects."""
-    effects = reduce(driver.state, event)
+    effects = react(driver, event)
     for effect in effects:
         if type(effect) is SendPeer and type(effect.message) is PlaceReply:
             key = effect.message.request_id, effect.message.attempt
@@ -183,6 +211,7 @@
 
 def configure(driver, configuration):
     """Bring a configuration into force."""
+    driver.state.configuration.active = configuration
     return apply(
         driver,
         ConfigurationRead(at=driver.now, configuration=configuration, source=ENTRY),
--- /dev/null
+++ b/src/savoryhill/cli/bench.py
@@ -0,0 +1,48 @@
+"""``savoryhill bench``: load, faults and figures."""
+
+from savoryhill.cli.bench_config import config
+from savoryhill.cli.bench_orders import orders
+from savoryhill.errors import SavoryhillError
+
+SCENARIOS = (
+    "short-alone",
+    "short-beside-long",
+    "zone-withdrawal",
+    "cold-start",
+    "engine-deaths",
+    "oversize",
+)
+POLICIES = ("savoryhill", "random", "round-robin", "least-outstanding")
+
+
+def _scenario_command(name):
+    def command(*, seed=1, policy="savoryhill", output="text"):
+        from savoryhill.bench.report import print_report
+        from savoryhill.bench.scenarios import run_scenario
+        from savoryhill.observability.logs import configure_logs
+
+        if policy not in POLICIES:
+            raise SavoryhillError(
+                f"unknown policy {policy!r}; expected one of {', '.join(POLICIES)}"
+            )
+        configure_logs(level="ERROR")
+        print_report(run_scenario(name, seed=seed, policy=policy), output)
+
+    command.__doc__ = f"""Run {name} over real nodes and stand-ins in this process.
+
+    Parameters
+    ----------
+    seed : int
+        Decides the requests and the faults.
+    policy : str
+        savoryhill, random, round-robin or least-outstanding.
+    output : str
+        text or json.
+    """
+    return command
+
+
+COMMANDS = {name: _scenario_command(name) for name in SCENARIOS} | {
+    "config": config,
+    "orders": orders,
+}
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -18,7 +18,31 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ticked(Event):
-    """The periodic timer of the runtime fired."""
+    """The periodic timer of the runtime fired.
+
+    ``wall_s`` is the host's wall clock, in which the journal's retention is
+    measured; the journal writes nothing before it is known.
+    """
+
+    wall_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TimerFired(Event):
+    """A timer that the core has set fired."""
+
+    name: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProcessResumed(Event):
+    """The process was paused for ``gap_s``; applied before any other event.
+
+    Whatever the node held before may have passed to another one: every subject
+    drops its roles and unused permits.
+    """
+
+    gap_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,6 +92,21 @@
 
     configuration: Configuration
     source: str
+    content: bytes = field(default=b"", repr=False)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationHeadSeen(Event):
+    """The watch of the configuration delivered a new head."""
+
+    value: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationWatchEnded(Event):
+    """The watch of the configuration broke or ended."""
+
+    detail: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -116,6 +155,7 @@
     incarnation: str = ""
     detail: str = ""
     response: bytes = b""
+    content_type: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -162,13 +202,15 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class JournalAnswered(Event):
-    """The journal decided on a reservation.
+class CallLookedUp(Event):
+    """A service answered whether a key was executed.
 
-    ``status`` is ``reserved``, ``done``, ``running``, ``unknown``,
-    ``mismatch`` (same key, other body) or ``unavailable``.
+    ``result`` is ``executed``, ``not_found`` (not executed so far) or ``failed``.
     """
 
     request_id: str
-    status: str
+    result: str
+    status: int = 0
+    content_type: str = ""
     response: bytes = field(default=b"", repr=False)
+    detail: str = ""
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -18,6 +18,7 @@
     ``target`` names a model or a service. ``prefix_hashes`` are chained hashes
     of the prompt's leading blocks. ``deadline_at`` is in seconds of the entry
     node's runtime clock. ``journal_key`` is empty for repeatable calls.
+    ``lookup_path`` is where the service tells whether a key was executed.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     idempotent: bool = True
     journal_key: bytes = b""
     body_digest: bytes = b""
+    lookup_path: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -125,27 +127,38 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JournalReserve(Message):
-    """Ask the writer of a journal shard to reserve a key for one attempt."""
+    """Ask the writer of a journal shard to reserve a key for one attempt.
+
+    The attempt ends within ``remaining_s``, whatever becomes of it.
+    """
 
     request_id: str
     attempt: str
     key: bytes
     body_digest: bytes
+    remaining_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JournalReply(Message):
-    """The journal's decision on a reservation."""
+    """The journal's answer to a reservation or an ending.
+
+    ``status`` is ``reserved``, ``done``, ``running``, ``unknown``, ``mismatch``
+    (same key, other body), ``unavailable`` (not reserved, nor will it be) or
+    ``recorded`` (the answer to an ending). ``earlier`` is the attempt that holds
+    the key; ``response`` is a packed answer, see ``core.journal.answers``.
+    """
 
     request_id: str
     attempt: str
     status: str
     response: bytes = field(default=b"", repr=False)
+    earlier: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JournalFinish(Message):
-    """Record how a reserved call ended (``done`` or ``not_sent``)."""
+    """Record how a reserved call ended (``done``, ``not_sent`` or ``unknown``)."""
 
     attempt: str
     key: bytes
@@ -176,6 +189,22 @@
     content: bytes = field(repr=False)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigCheck(Message):
+    """Ask a node which revision it has in force and how recently confirmed."""
+
+    check: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigStatus(Message):
+    """The answer to a `ConfigCheck`; the age is in seconds."""
+
+    check: int
+    revision: int
+    confirmed_age_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MemberUpdate:
     """What a node believes of a member; ``status`` as in the membership page."""
@@ -197,11 +226,15 @@
     predicted_wait_s: float
     free_slots: int
     version: int
+    provisional: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ping(Message):
-    """A membership probe; ``target`` differs from the receiver if relayed."""
+    """A membership probe; ``origin`` differs from the sender if relayed.
+
+    ``heard`` is described in `savoryhill.core.membership.hearing`.
+    """
 
     probe: int
     target: str
@@ -211,6 +244,7 @@
     key_value_reached: bool = True
     updates: tuple[MemberUpdate, ...] = ()
     groups: tuple[GroupSummary, ...] = ()
+    heard: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -224,6 +258,7 @@
     key_value_reached: bool = True
     updates: tuple[MemberUpdate, ...] = ()
     groups: tuple[GroupSummary, ...] = ()
+    heard: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -232,3 +267,21 @@
 
     probe: int
     target: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandOver(Message):
+    """The holder of a group has stopped granting; the receiver may take over."""
+
+    group: str
+    fence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CoordinatorChanged(Message):
+    """A group has a new coordinator; passed on once by each node it is new to."""
+
+    group: str
+    holder: str
+    fence: int
+    provisional: bool = False
--- a/src/savoryhill/core/routing/coordinator.py
+++ b/src/savoryhill/core/routing/coordinator.py
@@ -5,6 +5,7 @@
     ConfigurationRead,
     LoadPollFailed,
     LoadReported,
+    ProcessResumed,
     Ticked,
 )
 from savoryhill.core.messages import PermitRelease, PermitReport, PlaceRequest
@@ -40,7 +41,7 @@
         return [reply(message, event.sender, None, "moved")]
     key = message.request_id, message.attempt
     if key in group.endpoints_by_permit:
-        return serving.repeat_grant(group, message, event.sender, event.at)
+        return serving.repeat_grant(state, group, message, event.sender)
     waiting = group.waiting_by_key.get(key)
     if waiting is not None:
         waiting.sender = event.sender
@@ -293,7 +294,15 @@
         yield from serving.serve(state, group)
 
 
+def _on_process_resumed(state, event):
+    """Forget every group: another node may have granted permits meanwhile."""
+    state.routing.groups_by_id.clear()
+    state.routing.rollouts_by_model.clear()
+    return ()
+
+
 HANDLERS = {
+    ProcessResumed: _on_process_resumed,
     ConfigurationRead: _on_configuration_read,
     PlaceRequest: _on_place_request,
     PermitRelease: _on_permit_release,
--- a/src/savoryhill/core/routing/groups.py
+++ b/src/savoryhill/core/routing/groups.py
@@ -4,6 +4,7 @@
     fence_of,
     holder_of,
     is_provisional,
+    may_grant,
     took_over_at,
 )
 from savoryhill.core.membership.view import live_nodes
@@ -38,28 +39,17 @@
     if holder_of(state, group_id) != state.node:
         return None
     group = state.routing.groups_by_id.get(group_id)
-    fence = fence_of(state, group_id)
-    if group is None or group.fence != fence:
-        group = _take_over(state, group_id, fence, group)
+    if group is None:
+        group = state.routing.groups_by_id[group_id] = GroupState(id=group_id)
+    # After a raised fence the permits known so far stay counted: they end by
+    # reports or expire, and counting one too many only delays a grant.
+    group.fence = fence_of(state, group_id)
+    group.took_over_at = took_over_at(state, group_id)
     if group.configuration is not active:
         refresh(group, active)
     return group
 
 
-def _take_over(state, group_id, fence, earlier):
-    """Start accounting anew; only what was learned of costs is kept."""
-    group = GroupState(
-        id=group_id, fence=fence, took_over_at=took_over_at(state, group_id)
-    )
-    state.routing.groups_by_id[group_id] = group
-    if earlier is not None:
-        refresh(group, state.active)
-        for endpoint, account in earlier.accounts_by_endpoint.items():
-            if endpoint in group.accounts_by_endpoint:
-                group.accounts_by_endpoint[endpoint].cost = account.cost
-    return group
-
-
 def refresh(group, configuration):
     """Bring a group's accounts in line with the configuration in force.
 
@@ -122,9 +112,11 @@
 
     Returns
     -------
-    tuple of (bool, bool)
-        ``provisional`` and ``cold_hold``.
+    tuple of (bool, bool) or None
+        ``provisional`` and ``cold_hold``; None while it may grant nothing.
     """
+    if not may_grant(state, group.id):
+        return None
     provisional = is_provisional(state, group.id)
     since = group.took_over_at
     if state.now >= since + TAKEOVER_WAIT_S:
--- a/src/savoryhill/core/routing/orders.py
+++ b/src/savoryhill/core/routing/orders.py
@@ -10,6 +10,7 @@
     fence_of,
     holder_of,
     is_provisional,
+    may_grant,
     took_over_at,
 )
 from savoryhill.core.effects import PollLoad, SendOrder, record
@@ -173,7 +174,8 @@
         if node != state.node or is_provisional(state, group_id):
             routing.rollouts_by_model.pop(model.name, None)
             continue
-        yield from _advance(state, model, group_id)
+        if may_grant(state, group_id):
+            yield from _advance(state, model, group_id)
 
 
 def _on_load_reported(state, event):
--- a/src/savoryhill/core/routing/serving.py
+++ b/src/savoryhill/core/routing/serving.py
@@ -22,7 +22,7 @@
 MAX_SCANNED = 12
 
 
-def repeat_grant(group, message, sender, now):
+def repeat_grant(state, group, message, sender):
     """Answer a repeated question for a permit that is already granted.
 
     Returns
@@ -30,6 +30,7 @@
     list of Effect
         The same permit again; a refusal if the permit has expired meanwhile.
     """
+    now = state.now
     key = message.request_id, message.attempt
     accounts = accounts_of(group, key)
     permit = accounts[-1].permits_by_key[key]
@@ -44,7 +45,8 @@
                 retry_after_s=1.0,
             )
         ]
-    if not all(account.open for account in accounts):
+    may_repeat = grant_limits(state, group) is not None
+    if not may_repeat or not all(account.open for account in accounts):
         # The entry node asks again; the permit expires unused meanwhile.
         return []
     for account in accounts:
@@ -103,8 +105,9 @@
     refused = refuse_impossible(group, waiting)
     if refused:
         return refused
-    if not group.waiting_by_key:
-        granted = _try_place(state, group, waiting, *grant_limits(state, group))
+    limits = grant_limits(state, group)
+    if limits and not group.waiting_by_key:
+        granted = _try_place(state, group, waiting, *limits)
         if granted:
             group.virtual_floor = max(
                 group.virtual_floor,
@@ -144,7 +147,10 @@
     effects = []
     if not group.waiting_by_key:
         return effects
-    provisional, cold_hold = grant_limits(state, group)
+    limits = grant_limits(state, group)
+    if limits is None:
+        return effects
+    provisional, cold_hold = limits
     fifo = state.routing.policy != "savoryhill"
     progress = True
     while progress and group.waiting_by_key and _has_free_slot(group):
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -8,21 +8,19 @@
 
 from savoryhill.clock import Clock, system_clock
 from savoryhill.core.events import DrainRequested
+from savoryhill.core.membership.seeds import add_seed
 from savoryhill.core.state import new_state
 from savoryhill.httpapp import serve
 from savoryhill.node.drivers import make_drivers
-from savoryhill.node.drivers.peers import on_peer_message
+from savoryhill.node.drivers.peers import on_peer_message, on_peer_unreachable
 from savoryhill.node.front import front_application
-from savoryhill.node.readers import (
-    re_read_configuration,
-    read_hosts_forever,
-    watch_configuration,
-)
+from savoryhill.node.readers import read_hosts_forever
 from savoryhill.node.relay import Relay
 from savoryhill.node.runtime import Runtime, run_ticks, submit
 from savoryhill.node.settings import NodeSettings
 from savoryhill.observability.logs import log_event
 from savoryhill.peers import transport as peers
+from savoryhill.peers.operator import operator_address
 from savoryhill.platform.key_value import (
     KeyValueClient,
     connect_key_value,
@@ -77,11 +75,23 @@
         incarnation=incarnation,
         seed=incarnation,
     )
+    state.now = clock.monotonic()
+    for seed, address in settings.seeds.items():
+        add_seed(state, seed, address)
     node = Node(
         settings=settings,
         clock=clock,
         runtime=Runtime(state=state, clock=clock),
-        key_value=connect_key_value(settings.key_value),
+        key_value=connect_key_value(
+            settings.key_value,
+            writes_per_s=settings.key_value_writes_per_s,
+            reads_per_s=settings.key_value_reads_per_s,
+            clock=clock,
+            seed=incarnation,
+            report=lambda name, **fields: log_event(
+                name, level="WARNING", node=settings.node, **fields
+            ),
+        ),
     )
     node.transport = peers.Transport(
         node=settings.node,
@@ -89,7 +99,7 @@
         key=settings.cluster_key.encode(),
         address_of=lambda name: _address_of(state, name),
         on_message=lambda sender, message: on_peer_message(node, sender, message),
-        on_unreachable=lambda name, message: None,
+        on_unreachable=lambda name, message: on_peer_unreachable(node, name, message),
     )
     node.runtime.drivers_by_effect = make_drivers(node)
     peers.listen(node.transport, settings.peer_listen)
@@ -97,8 +107,6 @@
     node.servers.append(server)
     node.greenlets += [
         gevent.spawn(read_hosts_forever, node),
-        gevent.spawn(watch_configuration, node),
-        gevent.spawn(re_read_configuration, node),
         gevent.spawn(run_ticks, node.runtime, settings.tick_s),
     ]
     log_event("node.started", node=settings.node, zone=settings.zone)
@@ -120,4 +128,4 @@
 
 def _address_of(state, name):
     member = state.membership.members_by_node.get(name)
-    return member.address if member is not None else None
+    return member.address if member is not None else operator_address(name)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -67,6 +67,7 @@
   attempt @1 :Text;
   key @2 :Data;
   bodyDigest @3 :Data;
+  remainingS @4 :Float64;
 }
 
 struct JournalReply {
@@ -74,6 +75,7 @@
   attempt @1 :Text;
   status @2 :Text;
   response @3 :Data;
+  earlier @4 :Text;
 }
 
 struct JournalFinish {
@@ -112,6 +114,7 @@
   predictedWaitS @3 :Float32;
   freeSlots @4 :Int64;
   version @5 :Int64;
+  provisional @6 :Bool;
 }
 
 struct Ping {
@@ -123,6 +126,7 @@
   keyValueReached @5 :Bool;
   updates @6 :List(MemberUpdate);
   groups @7 :List(GroupSummary);
+  heard @8 :Data;
 }
 
 struct Ack {
@@ -133,9 +137,32 @@
   keyValueReached @4 :Bool;
   updates @5 :List(MemberUpdate);
   groups @6 :List(GroupSummary);
+  heard @7 :Data;
 }
 
 struct PingRequest {
   probe @0 :Int64;
   target @1 :Text;
 }
+
+struct HandOver {
+  group @0 :Text;
+  fence @1 :Int64;
+}
+
+struct CoordinatorChanged {
+  group @0 :Text;
+  holder @1 :Text;
+  fence @2 :Int64;
+  provisional @3 :Bool;
+}
+
+struct ConfigCheck {
+  check @0 :Int64;
+}
+
+struct ConfigStatus {
+  check @0 :Int64;
+  revision @1 :Int64;
+  confirmedAgeS @2 :Float64;
+}
--- a/tests/core/routing/test_machine.py
+++ b/tests/core/routing/test_machine.py
@@ -76,7 +76,7 @@
         return self.granted()
 
     def group(self):
-        return self.driver.state.routing.groups_by_id["group-0"]
+        return groups.own_group(self.driver.state, "group-0")
 
     def granted(self):
         """Check every reply since the last call; return the new grants."""
@@ -249,7 +249,8 @@
         elif what == "take over":
             # Another process of the same name becomes the coordinator.
             self.taken_over_at = self.driver.now
-            self.driver.state.coordination.records_by_group["group-0"].fence += 1
+            self.driver.state.routing.groups_by_id.clear()
+            self.group()
         else:
             # The permits of an entry node are never reported or released again.
             sender = ENTRIES[number % len(ENTRIES)]
--- a/tests/core/routing/test_orders.py
+++ b/tests/core/routing/test_orders.py
@@ -58,13 +58,13 @@
 
     def test_every_order_carries_the_fence_of_the_first_group(self):
         driver = outdated_driver()
-        driver.state.coordination.records_by_group["group-0"].fence = 9
+        drive.hold(driver, "group-0", fence=9)
         (first,) = sent(drive.advance(driver, 2.0))
         assert first.fence == 9
 
     def test_only_the_coordinator_of_the_first_group_issues(self):
         driver = outdated_driver()
-        driver.state.coordination.records_by_group["group-0"].holder = drive.ENTRY
+        drive.lose(driver, "group-0")
         assert sent(drive.advance(driver, 10.0)) == []
 
     def test_rate_of_the_weight_store_is_kept(self):
@@ -75,7 +75,7 @@
 
     def test_engines_of_other_coordinators_are_polled_only_while_outdated(self):
         driver = outdated_driver()
-        driver.state.coordination.records_by_group["group-2"].holder = drive.ENTRY
+        drive.lose(driver, "group-2")
         others = set(driver.state.active.groups_by_id["group-2"].endpoints)
 
         def polled(seconds):
--- a/tests/core/routing/test_permits.py
+++ b/tests/core/routing/test_permits.py
@@ -1,7 +1,7 @@
 import pytest
 
 from savoryhill.bench import routing_driver as drive
-from savoryhill.core.events import PeerReceived
+from savoryhill.core.events import PeerReceived, ProcessResumed
 from savoryhill.core.messages import PlaceRequest
 from savoryhill.core.routing import groups
 
@@ -157,14 +157,38 @@
         drive.report(second, *held)
         assert n_permits(second) == 3
 
-    def test_raised_fence_starts_the_accounting_anew(self):
+    def test_raised_fence_keeps_the_known_permits_counted(self):
+        # A provisional coordinator that gets the record forgot its own permits.
         driver = one_engine(slots=2)
         drive.place(driver, "a")
-        driver.state.coordination.records_by_group["group-0"].fence = 5
-        drive.load(driver, "engine-0", streams=())
-        reply = drive.place(driver, "b")
-        assert reply.fence == 5
-        assert n_permits(driver) == 1
+        drive.hold(driver, "group-0", fence=5)
+        assert drive.place(driver, "b").fence == 5
+        assert drive.place(driver, "c") is None
+
+    def test_nothing_is_granted_or_repeated_after_the_tenure(self):
+        # Another node may have taken over and counts without these permits.
+        driver = one_engine(slots=3)
+        drive.place(driver, "a")
+        drive.hold(driver, "group-0", fence=1, tenure_ends_at=driver.now)
+        assert drive.place(driver, "a") is None
+        assert drive.place(driver, "b") is None
+        drive.hold(driver, "group-0", fence=1)
+        drive.advance(driver, 0.25)
+        assert driver.replies_by_key["b", 1].status == "granted"
+
+    def test_unconfirmed_holder_keeps_waiting_on_cold_endpoints(self, monkeypatch):
+        # Its wait starts only when the earlier holder has certainly stopped.
+        monkeypatch.setattr(groups, "took_over_at", lambda state, group: state.now)
+        driver = one_engine(warm=False)
+        drive.place(driver, "a")
+        drive.advance(driver, 10.0)
+        assert n_permits(driver) == 0
+
+    def test_resumed_process_forgets_its_permits(self):
+        driver = one_engine()
+        drive.place(driver, "a")
+        drive.apply(driver, ProcessResumed(at=driver.now, gap_s=3.0))
+        assert driver.state.routing.groups_by_id == {}
 
     def test_provisional_coordinator_uses_half_of_warm_and_nothing_of_cold(
         self, monkeypatch
@@ -178,7 +202,7 @@
         driver = one_engine()
         drive.place(driver, "a")
         drive.place(driver, "b")
-        driver.state.coordination.records_by_group["group-0"].holder = drive.ENTRY
+        drive.lose(driver, "group-0")
         drive.advance(driver, 0.25)
         assert driver.replies_by_key["b", 1].status == "moved"
         assert drive.place(driver, "c").status == "moved"
