routing: keep short prompts from long prefills; repeat the question's time

Cause: short prompts did not prefer engines without a long prefill, whose steps slow their decoding. Entry nodes measure `start_by` from their own question, so a grant after more than 2 s in the queue has to name the latest question.

Change: half of a short request's decode time counts against an engine with a long prefill. `PlaceRequest.asked_at` is repeated in `PlaceReply`, a repeated question updates the waiting one, and `withdrawn` ends a permit at once.

--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -38,7 +38,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlaceRequest(Message):
-    """An entry node asks a group's coordinator for a permit."""
+    """An entry node asks a group's coordinator for a permit.
+
+    ``asked_at`` is in seconds of the entry node's clock. A repeated question for
+    the same attempt carries a new one.
+    """
 
     request_id: str
     attempt: int
@@ -50,6 +54,7 @@
     remaining_s: float
     prefix_hashes: tuple[int, ...] = ()
     avoid: tuple[str, ...] = ()
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,7 +72,7 @@
 
     ``parts`` is empty unless the prompt is divided over several endpoints. They
     are in order of the prompt, and the last one is on ``endpoint``, which
-    streams the answer.
+    streams the answer. ``asked_at`` repeats that of the latest question.
     """
 
     request_id: str
@@ -82,6 +87,7 @@
     retry_after_s: float = 0.0
     detail: str = ""
     parts: tuple[PromptPart, ...] = ()
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/routing/coordinator.py
+++ b/src/savoryhill/core/routing/coordinator.py
@@ -44,7 +44,9 @@
         return serving.repeat_grant(state, group, message, event.sender)
     waiting = group.waiting_by_key.get(key)
     if waiting is not None:
+        # The grant must repeat the time of the latest question.
         waiting.sender = event.sender
+        waiting.message = message
         return ()
     return serving.place_new(state, group, message, event.sender)
 
@@ -86,7 +88,7 @@
 
 
 def _refund(group, permit, message):
-    if message.result in ("unused", "refused", "not_sent"):
+    if message.result in ("unused", "withdrawn", "refused", "not_sent"):
         fairness.correct(group, permit.workspace, permit.charged_tokens)
     elif message.result == "completed" and permit.max_tokens:
         left = max(0, permit.max_tokens - message.n_tokens)
--- a/src/savoryhill/core/routing/permits.py
+++ b/src/savoryhill/core/routing/permits.py
@@ -14,7 +14,7 @@
 # A report that left the entry node before `use_by` may arrive this much later.
 REPORT_LAG_S = 0.5
 # Results after which the endpoint certainly does not run the request.
-ENDED_RESULTS = frozenset(("completed", "not_sent", "refused", "unused"))
+ENDED_RESULTS = frozenset(("completed", "not_sent", "refused", "unused", "withdrawn"))
 REMEMBER_DROPPED_S = 10.0
 
 
--- a/src/savoryhill/core/routing/placement.py
+++ b/src/savoryhill/core/routing/placement.py
@@ -18,6 +18,8 @@
 SHORT_MEMORY_SHARE = 0.05
 # How strongly a slower decode batch counts beside the first token.
 DECODE_SCORE_WEIGHT = 0.2
+# Share of its decode time that a short request loses beside a long prefill.
+LONG_PREFILL_SCORE = 0.5
 
 
 @dataclass(kw_only=True, slots=True)
@@ -159,6 +161,8 @@
             not account.warm or account.limit < account.hardware.slots
         )
         score = first_s + DECODE_SCORE_WEIGHT * slope * n_running
+        if short and account.long_backlog_tokens:
+            score += LONG_PREFILL_SCORE * decoding_s
         # Equal predictions are told apart by occupancy.
         score += 1e-4 * n_running / limit
         if warms < best_warms or (warms == best_warms and score >= best_score):
--- a/src/savoryhill/core/routing/refusals.py
+++ b/src/savoryhill/core/routing/refusals.py
@@ -14,6 +14,7 @@
             attempt=message.attempt,
             group=message.group,
             status=status,
+            asked_at=message.asked_at,
             fence=group.fence if group is not None else 0,
             **more,
         ),
--- a/src/savoryhill/core/routing/serving.py
+++ b/src/savoryhill/core/routing/serving.py
@@ -82,6 +82,7 @@
             priority=permit.priority,
             cached_tokens=permit.cached_tokens,
             parts=parts,
+            asked_at=message.asked_at,
         ),
     )
 
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -11,6 +11,7 @@
   remainingS @7 :Float64;
   prefixHashes @8 :List(UInt64);
   avoid @9 :List(Text);
+  askedAt @10 :Float64;
 }
 
 struct PromptPart {
@@ -32,6 +33,7 @@
   retryAfterS @9 :Float64;
   detail @10 :Text;
   parts @11 :List(PromptPart);
+  askedAt @12 :Float64;
 }
 
 struct PermitRelease {
--- a/tests/core/routing/test_permits.py
+++ b/tests/core/routing/test_permits.py
@@ -35,6 +35,29 @@
         assert n_permits(driver) == 1
         assert drive.place(driver, "b") is None
 
+    def test_grant_repeats_the_time_of_the_latest_question(self):
+        # Measured from the first question, every grant after 2 s in the queue
+        # would be given back as too late.
+        driver = one_engine()
+        first = drive.place(driver, "a", asked_at=1.0)
+        drive.place(driver, "b", asked_at=2.0)
+        drive.place(driver, "b", asked_at=5.0)
+        drive.release(driver, first)
+        assert driver.replies_by_key["b", 1].asked_at == 5.0
+        assert drive.place(driver, "b", asked_at=6.0).asked_at == 6.0
+
+    def test_withdrawn_placement_leaves_the_queue_and_frees_its_permit(self):
+        driver = one_engine()
+        first = drive.place(driver, "a")
+        drive.place(driver, "b")
+        waiting = drive.PlaceReply(
+            request_id="b", attempt=1, group="group-0", status="", endpoint=""
+        )
+        drive.release(driver, waiting, result="withdrawn")
+        drive.release(driver, first, result="withdrawn")
+        assert ("b", 1) not in driver.replies_by_key
+        assert n_permits(driver) == 0
+
     def test_waits_only_once(self):
         driver = one_engine()
         drive.place(driver, "a")
