--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -3,6 +3,7 @@
 import sys
 
 from savoryhill.cli import bench, questionnaire
+from savoryhill.cli.commands import EXIT_OK, Deferred
 from savoryhill.errors import SavoryhillError
 
 # A leaving node hands its groups over; the messages need an acknowledgement.
@@ -31,7 +32,7 @@
 
     import gevent
 
-    from savoryhill.node.process import drain, start_node, stop_node
+    from savoryhill.node.process import drain, flush_endings, start_node, stop_node
     from savoryhill.node.settings import load_settings
     from savoryhill.observability.logs import configure_logs
     from savoryhill.peers.transport import flush
@@ -40,6 +41,7 @@
     running = start_node(load_settings(settings))
     gevent.signal_handler(signal.SIGTERM, drain, running)
     running.stopped.wait()
+    flush_endings(running, timeout_s=FLUSH_TIMEOUT_S)
     flush(running.transport, timeout_s=FLUSH_TIMEOUT_S)
     stop_node(running)
 
@@ -52,12 +54,18 @@
 }
 
 
+def _shown(result):
+    return None if isinstance(result, Deferred) else result
+
+
 def main():
     """Run the command line."""
     import fire
 
     try:
-        fire.Fire(COMMANDS, name="savoryhill")
+        result = fire.Fire(COMMANDS, name="savoryhill", serialize=_shown)
+        if isinstance(result, Deferred):
+            sys.exit(result._start() or EXIT_OK)
     except SavoryhillError as error:
         print(f"savoryhill: {error}", file=sys.stderr)
         sys.exit(2)
