--- a/src/savoryhill/config/answers.py
+++ b/src/savoryhill/config/answers.py
@@ -117,6 +117,7 @@
 
     prefer: Literal["short_slowdown", "answered_weighted"] = Policy().prefer
     short_prompt_tokens: Annotated[int, Field(gt=0)] = Policy().short_prompt_tokens
+    weight_loads_per_s: Annotated[float, Field(gt=0)] = Policy().weight_loads_per_s
 
 
 class JournalAnswers(Answers):
--- a/src/savoryhill/core/messages.py
+++ b/src/savoryhill/core/messages.py
@@ -57,11 +57,22 @@
     asked_at: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptPart:
+    """The part of an oversize prompt that one endpoint prefills."""
+
+    endpoint: str
+    n_tokens: int
+    incarnation: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlaceReply(Message):
     """A coordinator's answer: a permit (``granted``), ``refused`` or ``moved``.
 
-    ``asked_at`` repeats that of the latest question; 0.0 if it is not known.
+    ``parts`` is empty unless the prompt is divided over several endpoints. They
+    are in order of the prompt, and the last one is on ``endpoint``, which
+    streams the answer. ``asked_at`` repeats that of the latest question.
     """
 
     request_id: str
@@ -75,7 +86,7 @@
     cached_tokens: int = 0
     retry_after_s: float = 0.0
     detail: str = ""
-    export_from: tuple[str, ...] = ()
+    parts: tuple[PromptPart, ...] = ()
     asked_at: float = 0.0
 
 
@@ -96,7 +107,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HeldPermit:
-    """A permit that an entry node holds."""
+    """A permit that an entry node holds.
+
+    ``workspace`` and ``parts`` let a new coordinator count the permit against
+    the workspace's limit and on every endpoint of an oversize prompt.
+    """
 
     request_id: str
     attempt: int
@@ -104,6 +119,8 @@
     prompt_tokens: int
     max_tokens: int
     first_token_seen: bool = False
+    workspace: str = ""
+    parts: tuple[PromptPart, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/requests/permits.py
+++ b/src/savoryhill/core/requests/permits.py
@@ -189,10 +189,10 @@
     request.incarnation = reply.incarnation
     request.priority = reply.priority
     request.resumed_here = False
-    yield from send(state, request, export_from=reply.export_from)
+    yield from send(state, request, parts=reply.parts)
 
 
-def send(state, request, *, export_from=()):
+def send(state, request, *, parts=()):
     """Send the request to the endpoint of the permit it holds."""
     request.n_tries += 1
     request.started_at = state.now
@@ -216,7 +216,7 @@
         incarnation=request.incarnation,
         priority=request.priority,
         from_offset=request.n_emitted,
-        export_from=export_from,
+        parts=parts,
         start_by=min(deadline_at, state.now + START_BY_S),
         first_token_limit_s=limits.first_token_limit_s(state, request),
         gap_limit_s=limits.gap_limit_s(state, request),
--- a/src/savoryhill/endpoints/engine.py
+++ b/src/savoryhill/endpoints/engine.py
@@ -10,6 +10,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
+# Loading a model takes minutes.
+ORDER_TIMEOUT_S = 600.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,17 +125,6 @@
         )
 
 
-def read_load(address):
-    """Read the load of an engine or service as a dictionary.
-
-    Raises
-    ------
-    BrokenStreamError
-        If it did not answer.
-    """
-    return _control(address, "GET", "/admin/load")
-
-
 def prefill_part(
     address,
     *,
@@ -188,6 +179,53 @@
         raise EndpointRefusedError(f"part on {address}: {status} {detail}")
 
 
+def send_order(address, *, fence, action, value):
+    """Order an engine to load a version or an adapter, or to change its role.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the engine.
+    fence : int
+        Fencing number of the model's issuer of orders; it is counted apart from
+        that of requests.
+    action : str
+        ``load_version``, ``load_adapter`` or ``change_role``.
+    value : str
+        The version, adapter or role.
+
+    Returns
+    -------
+    bool
+        Whether the engine carried the order out.
+
+    Raises
+    ------
+    NotSentError
+        If the engine provably did not receive the order.
+    EndpointRefusedError
+        If the fencing number is too low.
+    BrokenStreamError
+        If there was no answer, so the order may be carried out.
+    """
+    http = _http(address, timeout_s=ORDER_TIMEOUT_S)
+    body = json.dumps({"what": action, "value": value}).encode()
+    try:
+        headers = _headers(order_fence=fence)
+        response = http.post("/admin/orders", body=body, headers=headers)
+        detail = bytes(response.read()).decode("utf-8", "replace")
+        status = response.status_code
+    except ConnectionRefusedError as error:
+        raise NotSentError(f"engine at {address} refused the connection") from error
+    except Exception as error:
+        raise BrokenStreamError(f"order at {address}: {error!r}") from error
+    finally:
+        http.close()
+    if status == 409:
+        raise EndpointRefusedError(f"order at {address}: {detail}")
+    return status == 200
+
+
 def cancel_stream(address, request_id):
     """Cancel a stream on an engine; one that does not exist is no error."""
     return _control(address, "POST", f"/admin/cancel/{quote(request_id, safe='')}")
--- a/src/savoryhill/node/drivers/attempts.py
+++ b/src/savoryhill/node/drivers/attempts.py
@@ -4,7 +4,8 @@
 from geventhttpclient.response import HTTPParseError
 
 from savoryhill.core import effects, events
-from savoryhill.endpoints.engine import cancel_stream, read_load, stream_completion
+from savoryhill.endpoints.engine import cancel_stream, stream_completion
+from savoryhill.endpoints.load import connect_monitor, poll_load
 from savoryhill.endpoints.service import call_service, look_up_call
 from savoryhill.errors import (
     BrokenStreamError,
@@ -13,6 +14,7 @@
     NotSentError,
     SilentStreamError,
 )
+from savoryhill.node.drivers.oversize import import_parts, release_parts
 from savoryhill.node.relay import accept, put_chunk, put_finish
 from savoryhill.node.runtime import submit
 from savoryhill.observability.logs import log_event
@@ -58,7 +60,7 @@
     def look_up(effect):
         gevent.spawn(_look_up, node, effect, now)
 
-    def poll_load(effect):
+    def poll(effect):
         gevent.spawn(_poll_load, node, effect, now)
 
     return {
@@ -66,7 +68,7 @@
         effects.CancelAttempt: cancel_attempt,
         effects.CancelStream: cancel_on_endpoint,
         effects.FinishRequest: finish_request,
-        effects.PollLoad: poll_load,
+        effects.PollLoad: poll,
         effects.LookUpCall: look_up,
     }
 
@@ -126,13 +128,25 @@
 
 
 def _run_completion(node, relay, effect, now):
+    if not effect.parts:
+        return _relay_completion(node, relay, effect, now, relay.body)
+    try:
+        remaining_s = effect.spec.deadline_at - now()
+        n_imported = import_parts(node, effect, timeout_s=remaining_s)
+        body = {**relay.body, "imported_tokens": n_imported}
+        return _relay_completion(node, relay, effect, now, body)
+    finally:
+        release_parts(node, effect)
+
+
+def _relay_completion(node, relay, effect, now, body):
     serial = relay.serial
     relay.heard_at = now()
     relay.silence_limit_s = effect.first_token_limit_s
     started = False
     chunks = stream_completion(
         effect.address,
-        body=relay.body,
+        body=body,
         request_id=relay.spec.request_id,
         fence=effect.fence,
         incarnation=effect.incarnation,
@@ -223,8 +237,12 @@
 
 
 def _poll_load(node, effect, now):
+    monitors = node.monitors_by_endpoint
+    monitor = monitors.get(effect.endpoint)
+    if monitor is None or monitor.address != effect.address:
+        monitor = monitors[effect.endpoint] = connect_monitor(effect.address)
     try:
-        load = read_load(effect.address)
+        load = poll_load(monitor)
         event = events.LoadReported(
             at=now(),
             endpoint=effect.endpoint,
@@ -233,6 +251,8 @@
             running=load["running"],
             memory_used_tokens=load["memory_used_tokens"],
             streams=tuple(load["streams"]),
+            cached_prefixes=tuple(monitor.cache.prefixes),
+            version=load.get("version", ""),
         )
     except (EndpointError, KeyError, TypeError) as error:
         event = events.LoadPollFailed(
--- a/src/savoryhill/node/process.py
+++ b/src/savoryhill/node/process.py
@@ -10,6 +10,7 @@
 from savoryhill.core.events import DrainRequested
 from savoryhill.core.membership.seeds import add_seed
 from savoryhill.core.state import new_state
+from savoryhill.endpoints.load import EndpointMonitor
 from savoryhill.httpapp import serve
 from savoryhill.node.admin import admin_application
 from savoryhill.node.callers import CallerServer, serve_callers
@@ -53,6 +54,7 @@
     transport: peers.Transport | None = None
     callers: CallerServer | None = None
     relays_by_request: dict[str, Relay] = field(default_factory=dict)
+    monitors_by_endpoint: dict[str, EndpointMonitor] = field(default_factory=dict)
     time_line: deque = field(default_factory=lambda: deque(maxlen=timeline.N_EVENTS))
     metrics: Metrics = field(default_factory=Metrics)
     stopped: Event = field(default_factory=Event)
--- a/src/savoryhill/standins/engine/state.py
+++ b/src/savoryhill/standins/engine/state.py
@@ -77,6 +77,7 @@
     adapters: set[str] = field(default_factory=set)
     fail_orders: bool = False
     highest_fence: int = 0
+    highest_order_fence: int = 0
     n_finished_cold: int = 0
     n_cold_violations: int = 0
     n_started: int = 0
