--- a/specs/check_journal.py
+++ b/specs/check_journal.py
@@ -7,9 +7,8 @@
 import sys
 import time
 
-from minicheck import Protocol, check_safety
-
 from journal_model import INITIAL, INVARIANTS, NO_FAULTS, State, transitions
+from minicheck import Protocol, check_safety
 
 # Checked by the tests.
 SCENARIOS = {
@@ -42,7 +41,7 @@
     "a fold deletes batches it has not read": ("a done answer is kept", FOLDED),
 }
 MAX_STATES = 2_000_000
-MUTATION_BOUNDS = (2_000, 10_000, 50_000)
+MUTATION_BOUNDS = (4_500, 16_000, 100_000)
 
 
 def check(limits, *, mutation="", max_states=MAX_STATES):
