--- /dev/null
+++ b/src/savoryhill/standins/world_checks.py
@@ -0,0 +1,67 @@
+"""What must hold in every state of a world."""
+
+from savoryhill.core.journal.codec import decode_meta, decode_rows
+from savoryhill.core.journal.judge import apply_row, put_entry
+from savoryhill.core.journal.state import Shard
+
+
+def durable_entries(world):
+    """Read the log as the key-value service holds it.
+
+    Returns
+    -------
+    Shard
+        With the entries that follow from meta key, segments and batches.
+    """
+    shard = Shard()
+    rows = {key.decode(): value for key, (value, _) in world.store.rows_by_key.items()}
+    if "/journal/0/meta" in rows:
+        shard.meta = decode_meta(rows["/journal/0/meta"])
+    for segment in shard.meta.segments:
+        value = rows[f"/journal/0/segment/{segment.last_position:012d}"]
+        for row in decode_rows(value)[1]:
+            put_entry(shard, row)
+    shard.position = shard.meta.folded_through
+    batches = sorted(key for key in rows if key.startswith("/journal/0/batch/"))
+    for key in batches:
+        shard.position += 1
+        assert key.endswith(f"{shard.position:012d}"), f"gap in the log: {batches}"
+        for row in decode_rows(rows[key])[1]:
+            apply_row(shard, row)
+    return shard
+
+
+def check(world, done_responses_by_key):
+    """Check what must hold in every state of a world.
+
+    Parameters
+    ----------
+    world : World
+        The world.
+    done_responses_by_key : dict of bytes to bytes
+        Answers seen as done earlier; updated.
+
+    Returns
+    -------
+    list of str
+        What does not hold.
+    """
+    findings = [
+        f"key {key} ran {count} times"
+        for key, count in world.executions_by_key.items()
+        if count > 1
+    ]
+    findings += [
+        f"request {request_id} was called not run but ran: {finish.detail}"
+        for request_id, finish in world.finishes.items()
+        if finish.execution == "not_run" and request_id in world.executed_requests
+    ]
+    entries = durable_entries(world).entries_by_key
+    for key, response in done_responses_by_key.items():
+        entry = entries.get(key)
+        if entry is None or (entry.status, entry.response) != ("done", response):
+            findings.append(f"the answer of key {key} was done and is {entry}")
+    for key, entry in entries.items():
+        if entry.status == "done":
+            done_responses_by_key.setdefault(key, entry.response)
+    return findings
--- a/tests/core/journal/test_machine.py
+++ b/tests/core/journal/test_machine.py
@@ -14,6 +14,7 @@
 
 from savoryhill.core.journal import log
 from savoryhill.standins import world as w
+from savoryhill.standins import world_checks as checks
 
 KEYS = st.sampled_from(["a", "b"])
 NODES = st.integers(min_value=0, max_value=2)
@@ -100,14 +101,14 @@
     @invariant()
     def every_property_holds(self):
         if hasattr(self, "world"):
-            assert w.check(self.world, self.done) == []
+            assert checks.check(self.world, self.done) == []
 
     def teardown(self):
         if not hasattr(self, "world"):
             return
         try:
             w.settle(self.world, n_rounds=160)
-            assert w.check(self.world, self.done) == []
+            assert checks.check(self.world, self.done) == []
             unfinished = [
                 request_id
                 for node in self.world.nodes.values()
--- a/tests/core/journal/test_walk.py
+++ b/tests/core/journal/test_walk.py
@@ -7,6 +7,7 @@
 
 from savoryhill.core.journal import entry, judge, log, replies, writer
 from savoryhill.standins import world as w
+from savoryhill.standins import world_checks as checks
 
 N_STEPS = 1_500
 KEYS = [f"key-{number}" for number in range(40)]
@@ -58,11 +59,11 @@
     w.pass_time(world, 0.05)
     for _ in range(n_steps):
         step(world, rng)
-        findings = w.check(world, done)
+        findings = checks.check(world, done)
         if findings:
             return findings, world
     w.settle(world, n_rounds=120)
-    return w.check(world, done), world
+    return checks.check(world, done), world
 
 
 class TestWalk:
--- a/tests/core/journal/test_writer.py
+++ b/tests/core/journal/test_writer.py
@@ -6,6 +6,7 @@
 from savoryhill.core.journal.answers import MAX_STORED_BODY_BYTES
 from savoryhill.core.journal.keys import writer_of
 from savoryhill.standins import world as w
+from savoryhill.standins import world_checks as checks
 
 
 @pytest.fixture
@@ -48,7 +49,11 @@
 
 
 def status_of(world, key):
-    return w.durable_entries(world).entries_by_key[key.encode().ljust(16, b".")].status
+    return (
+        checks.durable_entries(world)
+        .entries_by_key[key.encode().ljust(16, b".")]
+        .status
+    )
 
 
 class TestLostAnswers:
@@ -68,7 +73,7 @@
         w.arrive_late(world, 0)
         run(world, writer, other)
         assert execution(world, order) == "completed"
-        assert w.check(world, {}) == []
+        assert checks.check(world, {}) == []
 
     def test_a_batch_in_doubt_is_not_called_unavailable(self, world):
         # It may still be written, so the key would stay reserved for nobody.
@@ -115,8 +120,8 @@
         assert world.recorded["journal.folded"] > 0
         world.nodes[writer].paused = False
         run(world, *world.nodes)
-        assert w.check(world, {}) == []
-        assert len(w.durable_entries(world).entries_by_key) == 6
+        assert checks.check(world, {}) == []
+        assert len(checks.durable_entries(world).entries_by_key) == 6
 
     def test_only_the_attempts_own_node_may_free_a_key(self, world):
         writer, other = nodes_by_role(world)
@@ -248,7 +253,7 @@
         for key in "bcd":
             w.place_order(world, other, key)
             run(world, writer, other)
-        keys = {key[:1] for key in w.durable_entries(world).entries_by_key}
+        keys = {key[:1] for key in checks.durable_entries(world).entries_by_key}
         assert keys == {b"b", b"c", b"d"}
         assert len(world.nodes[writer].state.journal.shards_by_number) == 1
 
@@ -258,7 +263,7 @@
         w.place_order(world, "node-0", "a")
         assert world.nodes["node-0"].calls == []
         run(world, "node-0")
-        (entry,) = w.durable_entries(world).entries_by_key.values()
+        (entry,) = checks.durable_entries(world).entries_by_key.values()
         assert entry.at_s > 1e6
 
 
