--- a/specs/check_coordination.py
+++ b/specs/check_coordination.py
@@ -5,10 +5,9 @@
 
 import time
 
-from minicheck import check_safety
-
 import outage
 import permits
+from minicheck import check_safety
 
 MAX_STATES = 600_000
 
