--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -3,47 +3,24 @@
 import sys
 
 from savoryhill.cli import bench, questionnaire
-from savoryhill.cli.commands import EXIT_OK, Deferred
+from savoryhill.cli.commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Deferred, deferred
+from savoryhill.cli.daemon import node
+from savoryhill.cli.inspection import status, timeline
+from savoryhill.cli.standins import STANDINS
 from savoryhill.errors import SavoryhillError
 
-# A leaving node hands its groups over; the messages need an acknowledgement.
-FLUSH_TIMEOUT_S = 2.0
-
 
 def demo():
     """Start a whole deployment in one process, use it and check the results."""
-    from savoryhill.demo.run import print_report, run_demo
-    from savoryhill.observability.logs import configure_logs
-
-    configure_logs(level="WARNING")
-    if not print_report(*run_demo()):
-        sys.exit(1)
-
-
-def node(settings):
-    """Run a node.
 
-    Parameters
-    ----------
-    settings : str
-        Path of the node's YAML settings.
-    """
-    import signal
-
-    import gevent
+    def start():
+        from savoryhill.demo.run import print_report, run_demo
+        from savoryhill.observability.logs import configure_logs
 
-    from savoryhill.node.process import drain, flush_endings, start_node, stop_node
-    from savoryhill.node.settings import load_settings
-    from savoryhill.observability.logs import configure_logs
-    from savoryhill.peers.transport import flush
+        configure_logs(level="WARNING")
+        return EXIT_OK if print_report(*run_demo()) else EXIT_FAILED
 
-    configure_logs()
-    running = start_node(load_settings(settings))
-    gevent.signal_handler(signal.SIGTERM, drain, running)
-    running.stopped.wait()
-    flush_endings(running, timeout_s=FLUSH_TIMEOUT_S)
-    flush(running.transport, timeout_s=FLUSH_TIMEOUT_S)
-    stop_node(running)
+    return deferred(start)
 
 
 COMMANDS = {
@@ -51,6 +28,9 @@
     "demo": demo,
     "node": node,
     "questionnaire": questionnaire.COMMANDS,
+    "standin": STANDINS,
+    "status": status,
+    "timeline": timeline,
 }
 
 
@@ -59,7 +39,11 @@
 
 
 def main():
-    """Run the command line."""
+    """Run the command line and exit with its code.
+
+    The code is 0 if all went well, 1 if something failed, and 2 for wrong
+    arguments or settings.
+    """
     import fire
 
     try:
@@ -68,4 +52,6 @@
             sys.exit(result._start() or EXIT_OK)
     except SavoryhillError as error:
         print(f"savoryhill: {error}", file=sys.stderr)
-        sys.exit(2)
+        sys.exit(EXIT_USAGE)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_FAILED)
--- a/src/savoryhill/core/events.py
+++ b/src/savoryhill/core/events.py
@@ -131,6 +131,13 @@
     request_id: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DeadlineReached(Event):
+    """The deadline of a request has come; ticks notice it only later."""
+
+    request_id: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AttemptStarted(Event):
     """The endpoint delivered the first content of an attempt."""
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -1,9 +1,10 @@
 """Encode messages between nodes.
 
 A frame is a fixed header (protocol version, message type, incarnation, sequence
-number, sender) and a Cap'n Proto struct. The header is checked before the struct
-is touched: an exception inside the Cap'n Proto library takes a native stack
-trace, which crashes the process when it runs on a greenlet's stack.
+number, hybrid logical clock, sender) and a Cap'n Proto struct. The header is
+checked before the struct is touched: an exception inside the Cap'n Proto library
+takes a native stack trace, which crashes the process when it runs on a greenlet's
+stack.
 """
 
 import dataclasses
@@ -20,7 +21,7 @@
 PROTOCOL_VERSION = 1
 # A frame must hold a configuration of one megabyte and some more.
 TRAVERSAL_LIMIT_WORDS = 8 * 1024 * 1024
-_HEADER = struct.Struct("!BBQQB")
+_HEADER = struct.Struct("!BBQQQB")
 
 # The position is the message's type number, so new types are appended.
 MESSAGE_TYPES = (
@@ -60,6 +61,7 @@
     incarnation: int
     sequence: int
     message: messages.Message
+    hlc: int = 0
 
 
 @cache
@@ -130,6 +132,7 @@
         _NUMBERS_BY_TYPE[message_type],
         envelope.incarnation,
         envelope.sequence,
+        envelope.hlc,
         len(sender),
     )
     struct_type = getattr(_schema(), message_type.__name__)
@@ -158,7 +161,7 @@
     """
     if len(data) < _HEADER.size:
         raise PeerError(f"message of {len(data)} bytes is truncated")
-    version, number, incarnation, sequence, n_sender = _HEADER.unpack_from(data)
+    version, number, incarnation, sequence, hlc, n_sender = _HEADER.unpack_from(data)
     if version != PROTOCOL_VERSION:
         raise PeerError(f"unknown protocol version {version}")
     if number >= len(MESSAGE_TYPES):
@@ -179,4 +182,5 @@
         incarnation=incarnation,
         sequence=sequence,
         message=_build(message_type, reader),
+        hlc=hlc,
     )
