requests: report workspace and parts of permits; refuse grants older than the report

Cause: a new coordinator could not count a reported permit against its workspace or on the other endpoints of an oversize prompt, and a late grant of the old coordinator passed after its successor had been told of all permits. Change: HeldPermit carries both; reporting to a new holder raises the highest fence known of the group; a limited workspace asks only groups that can hold its request.

--- a/src/savoryhill/core/requests/permits.py
+++ b/src/savoryhill/core/requests/permits.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from savoryhill.core.coordination.view import holder_of
+from savoryhill.core.coordination.view import fence_of, holder_of
 from savoryhill.core.effects import SendPeer, StartAttempt, record
 from savoryhill.core.messages import (
     HeldPermit,
@@ -12,6 +12,7 @@
 )
 from savoryhill.core.requests import limits
 from savoryhill.core.requests.outcome import fail, refuse
+from savoryhill.core.routing.fairness import groups_for
 
 # A permit not used this long after it was asked for is given back unused.
 START_BY_S = 2.0
@@ -47,7 +48,12 @@
 
 def choose_group(state, request):
     """Choose the better of two random groups that have not refused yet."""
-    groups = groups_of(state, request.spec.target)
+    spec = request.spec
+    groups = groups_of(state, spec.target)
+    if spec.is_model:
+        n_tokens = spec.prompt_tokens + spec.max_tokens
+        allowed = groups_for(state.active, spec.workspace, spec.target, n_tokens)
+        groups = [group for group in groups if group in allowed] or groups
     candidates = [g for g in groups if g not in request.refused_groups] or groups
     if not candidates:
         return ""
@@ -189,6 +195,7 @@
     request.incarnation = reply.incarnation
     request.priority = reply.priority
     request.resumed_here = False
+    request.parts = reply.parts
     yield from send(state, request, parts=reply.parts)
 
 
@@ -282,6 +289,8 @@
                     prompt_tokens=request.spec.prompt_tokens,
                     max_tokens=request.spec.max_tokens,
                     first_token_seen=request.attempt_first_token_at > 0.0,
+                    workspace=request.spec.workspace,
+                    parts=request.parts,
                 )
             )
     for group, details in state.active.groups_by_id.items():
@@ -292,6 +301,10 @@
         held = held_by_group.get(group, ())
         if holder and (held or changed or group in requests.reported_groups):
             requests.reported_holder_by_group[group] = holder
+            # The new coordinator counts on this report, so a grant of an earlier
+            # one that is still on its way must not be used any more.
+            known = requests.max_fence_by_group.get(group, 0)
+            requests.max_fence_by_group[group] = max(known, fence_of(state, group))
             yield SendPeer(
                 to=holder, message=PermitReport(group=group, permits=tuple(held))
             )
--- a/src/savoryhill/core/requests/state.py
+++ b/src/savoryhill/core/requests/state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from savoryhill.core.messages import RequestSpec
+from savoryhill.core.messages import PromptPart, RequestSpec
 
 INITIAL_RETRY_TOKENS = 10.0
 
@@ -32,6 +32,7 @@
     group: str = ""
     coordinator: str = ""
     endpoint: str = ""
+    parts: tuple[PromptPart, ...] = ()
     last_endpoint: str = ""
     fence: int = 0
     incarnation: str = ""
