requests: count attempts that were refused without running apart

Parallel runs failed at start when a port found free was given to an outgoing connection. Ruled out: lag of the load reports as such; the refusal already reaches the coordinator with the release. Change: a refused attempt takes no attempt and no retry token; at most 8 a request, with growing pauses. Test addresses come from ports below the system's own range.

--- a/src/savoryhill/core/requests/attempts.py
+++ b/src/savoryhill/core/requests/attempts.py
@@ -95,7 +95,16 @@
     here = request.spec.is_model and not request.resumed_here
     interrupted = event.result in ("broken", "silent")
     connected = event.result != "not_sent"
-    if request.resumed_here and not connected:
+    if event.result == "refused":
+        # The endpoint has not run it, so it costs neither an attempt nor a token;
+        # after several engines restarted at once, three such answers in a row
+        # used up all attempts.
+        request.n_tries -= 1
+        request.n_refused += 1
+        if request.n_refused > limits.MAX_REFUSED:
+            yield from _give_up(state, request, event, "refused")
+            return
+    elif request.resumed_here and not connected:
         # A refused connection after a break costs the endpoint nothing.
         request.n_tries -= 1
     elif request.n_tries >= limits.MAX_TRIES:
@@ -120,7 +129,7 @@
         incarnation=event.incarnation,
     )
     # The first new placement starts at once; a further one waits.
-    if request.n_tries < 2:
+    if request.n_tries + request.n_refused < 2:
         yield from permits.place(state, request)
     else:
         permits.pause(state, request)
--- a/src/savoryhill/core/requests/limits.py
+++ b/src/savoryhill/core/requests/limits.py
@@ -3,6 +3,7 @@
 from savoryhill.core.effects import Observe
 
 MAX_TRIES = 3
+MAX_REFUSED = 8
 RETRY_TOKENS_PER_REQUEST = 0.1
 # Enough for every stream that one node has on a failed engine of 16 slots.
 MAX_RETRY_TOKENS = 20.0
--- a/src/savoryhill/core/requests/state.py
+++ b/src/savoryhill/core/requests/state.py
@@ -16,8 +16,8 @@
     ``pausing`` (waits before it asks again), ``running`` or ``detached`` (its
     caller has got an answer, but a call that must not be repeated still runs).
     ``attempt`` numbers the placements, ``n_tries`` counts the attempts sent to
-    endpoints. ``wake_at`` is the time of the next step that does not depend on an
-    answer.
+    endpoints, ``n_refused`` those that were refused without being run.
+    ``wake_at`` is the time of the next step that does not depend on an answer.
     """
 
     spec: RequestSpec
@@ -28,6 +28,7 @@
     attempt: int = 0
     n_tries: int = 0
     n_refusals: int = 0
+    n_refused: int = 0
     n_moves: int = 0
     group: str = ""
     coordinator: str = ""
--- a/src/savoryhill/demo/deployment.py
+++ b/src/savoryhill/demo/deployment.py
@@ -1,5 +1,7 @@
 """Start stand-ins and nodes in one process, over loopback TCP."""
 
+import itertools
+import os
 import time
 import uuid
 from dataclasses import dataclass, field
@@ -60,11 +62,25 @@
     greenlets: list = field(default_factory=list)
 
 
+# Below the ports that the system gives to outgoing connections: one of those was
+# taken between the check and its use.
+_FIRST_PORT, _LAST_PORT = 10_000, 32_000
+_ports = itertools.count(os.getpid() * 61)
+
+
 def free_address():
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address with a port that is free now.
+
+    Ports are taken in turn, from a start that differs between processes.
+    """
+    while True:
+        port = _FIRST_PORT + next(_ports) % (_LAST_PORT - _FIRST_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
 
 
 def start_deployment(
