capacity: measure every role, report tables, check ratios; benches start after their arguments

Change: `savoryhill capacity measure` and `report`, the key-value budget from the code's own intervals, `make bench-control` with ratios between the smallest and the largest size; bench commands return deferred work like the others.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 format: $(VENV)/.installed
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+bench-control: $(VENV)/.installed
+	PYTHONPATH=src $(BIN)/python -m savoryhill.bench.capacity.regression
--- /dev/null
+++ b/src/savoryhill/bench/capacity/budget.py
@@ -0,0 +1,87 @@
+"""Calls to the key-value service a second, by cause, at a fleet's size.
+
+The rates come from the intervals and numbers that the code itself uses.
+"""
+
+from savoryhill.core.configuration.watch import (
+    MAX_NODES_ALL_WATCH,
+    RE_READ_S,
+    WATCHERS_PER_ZONE,
+)
+from savoryhill.core.coordination.handlers import (
+    READ_INTERVAL_S,
+    SLOW_READ_INTERVAL_S,
+)
+from savoryhill.core.journal.writer import MIN_WRITE_INTERVAL_S
+
+SECONDS_PER_DAY = 86_400.0
+# A change reads the record, writes it and is read by the watchers of every zone.
+WRITES_PER_CHANGE = 1
+# A lost or restarted coordinator costs one write for each of its groups.
+WRITES_PER_TAKEOVER = 1
+
+
+def n_watchers(target):
+    """Return how many nodes hold a watch on the configuration."""
+    if target.n_nodes <= MAX_NODES_ALL_WATCH:
+        return target.n_nodes
+    return WATCHERS_PER_ZONE * target.n_zones
+
+
+def key_value_rates(target, *, n_shards=8):
+    """Return calls a second by cause.
+
+    Parameters
+    ----------
+    target : Target
+        Size of the fleet.
+    n_shards : int
+        Journal shards.
+
+    Returns
+    -------
+    dict of str to tuple of (float, float)
+        Reads and writes a second.
+    """
+    watchers = n_watchers(target)
+    n_coordinators = min(target.n_nodes, target.n_groups + target.n_models)
+    gone_per_s = (
+        target.host_failures_per_day + target.restarts_per_day
+    ) / SECONDS_PER_DAY
+    groups_per_node = max(1.0, target.n_groups / target.n_nodes)
+    changes_per_s = target.configuration_changes_per_day / SECONDS_PER_DAY
+    return {
+        "waiting watches": (float(watchers), 0.0),
+        "reading the configuration's head again": (watchers / RE_READ_S, 0.0),
+        "coordinator records": (
+            n_coordinators / READ_INTERVAL_S + target.n_nodes / SLOW_READ_INTERVAL_S,
+            0.0,
+        ),
+        "configuration changes": (
+            changes_per_s * (watchers + 2),
+            changes_per_s * WRITES_PER_CHANGE,
+        ),
+        "takeovers after failures and restarts": (
+            gone_per_s * groups_per_node,
+            gone_per_s * groups_per_node * WRITES_PER_TAKEOVER,
+        ),
+        "journal, at most": (0.0, n_shards / MIN_WRITE_INTERVAL_S),
+    }
+
+
+def worst_minute(target):
+    """Return the writes that the loss of an availability zone causes.
+
+    Returns
+    -------
+    dict of str to float
+        Nodes and groups lost at once, and takeovers a second if they are spread
+        over ten seconds.
+    """
+    n_nodes = target.n_nodes / target.n_zones
+    n_groups = target.n_groups * n_nodes / target.n_nodes
+    return {
+        "nodes_lost": round(n_nodes, 1),
+        "groups_without_coordinator": round(n_groups, 1),
+        "writes_per_s_over_10_s": round(n_groups / 10.0, 2),
+    }
--- a/src/savoryhill/cli/bench.py
+++ b/src/savoryhill/cli/bench.py
@@ -2,7 +2,7 @@
 
 from savoryhill.cli.bench_config import config
 from savoryhill.cli.bench_orders import orders
-from savoryhill.errors import SavoryhillError
+from savoryhill.cli.commands import EXIT_OK, UsageError, check_output, deferred
 
 SCENARIOS = (
     "short-alone",
@@ -17,16 +17,22 @@
 
 def _scenario_command(name):
     def command(*, seed=1, policy="savoryhill", output="text"):
-        from savoryhill.bench.report import print_report
-        from savoryhill.bench.scenarios import run_scenario
-        from savoryhill.observability.logs import configure_logs
-
+        check_output(output)
         if policy not in POLICIES:
-            raise SavoryhillError(
-                f"unknown policy {policy!r}; expected one of {', '.join(POLICIES)}"
+            raise UsageError(
+                f"--policy: expected one of {', '.join(POLICIES)}, not {policy!r}"
             )
-        configure_logs(level="ERROR")
-        print_report(run_scenario(name, seed=seed, policy=policy), output)
+
+        def start():
+            from savoryhill.bench.report import print_report
+            from savoryhill.bench.scenarios import run_scenario
+            from savoryhill.observability.logs import configure_logs
+
+            configure_logs(level="ERROR")
+            print_report(run_scenario(name, seed=seed, policy=policy), output)
+            return EXIT_OK
+
+        return deferred(start)
 
     command.__doc__ = f"""Run {name} over real nodes and stand-ins in this process.
 
--- a/src/savoryhill/cli/bench_config.py
+++ b/src/savoryhill/cli/bench_config.py
@@ -1,5 +1,7 @@
 """The command ``savoryhill bench config``."""
 
+from savoryhill.cli.commands import EXIT_OK, check_output, deferred
+
 
 def config(*, nodes=9, seed=1, changes=30, large=False, output="text"):
     """Measure how fast configuration changes are in force, with faults in between.
@@ -17,8 +19,16 @@
     output : str
         text or json.
     """
-    from savoryhill.bench.configuration import bench_config
-    from savoryhill.observability.logs import configure_logs
+    check_output(output)
+
+    def start():
+        from savoryhill.bench.configuration import bench_config
+        from savoryhill.observability.logs import configure_logs
+
+        configure_logs(level="ERROR")
+        bench_config(
+            nodes=nodes, seed=seed, changes=changes, large=large, output=output
+        )
+        return EXIT_OK
 
-    configure_logs(level="ERROR")
-    bench_config(nodes=nodes, seed=seed, changes=changes, large=large, output=output)
+    return deferred(start)
--- a/src/savoryhill/cli/bench_orders.py
+++ b/src/savoryhill/cli/bench_orders.py
@@ -1,7 +1,8 @@
 """The command ``savoryhill bench orders``."""
 
 import json
-import sys
+
+from savoryhill.cli.commands import EXIT_FAILED, EXIT_OK, check_output, deferred
 
 
 def orders(seed=1, seeds=1, faults="all", count=60, rate=30.0, nodes=3, output="text"):
@@ -24,20 +25,24 @@
     output : str
         ``text`` or ``json`` (one document per seed and line).
     """
-    from savoryhill.bench.orders import run_orders
-    from savoryhill.observability.logs import configure_logs
-
-    configure_logs(level="ERROR")
-    failed = False
-    for each in range(seed, seed + seeds):
-        result = run_orders(
-            seed=each, faults=faults, n_orders=count, rate_per_s=rate, n_nodes=nodes
-        )
-        failed = failed or bool(result["duplicates"] or result["false_not_run"])
-        if output == "json":
-            print(json.dumps(result), flush=True)
-        else:
-            pairs = (f"{name}={value}" for name, value in result.items())
-            print(" ".join(pairs), flush=True)
-    if failed:
-        sys.exit(1)
+    check_output(output)
+
+    def start():
+        from savoryhill.bench.orders import run_orders
+        from savoryhill.observability.logs import configure_logs
+
+        configure_logs(level="ERROR")
+        failed = False
+        for each in range(seed, seed + seeds):
+            result = run_orders(
+                seed=each, faults=faults, n_orders=count, rate_per_s=rate, n_nodes=nodes
+            )
+            failed = failed or bool(result["duplicates"] or result["false_not_run"])
+            if output == "json":
+                print(json.dumps(result), flush=True)
+            else:
+                pairs = (f"{name}={value}" for name, value in result.items())
+                print(" ".join(pairs), flush=True)
+        return EXIT_FAILED if failed else EXIT_OK
+
+    return deferred(start)
--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from savoryhill.cli import bench, questionnaire
+from savoryhill.cli import bench, capacity, questionnaire
 from savoryhill.cli.commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Deferred, deferred
 from savoryhill.cli.daemon import node
 from savoryhill.cli.inspection import status, timeline
@@ -25,6 +25,7 @@
 
 COMMANDS = {
     "bench": bench.COMMANDS,
+    "capacity": capacity.COMMANDS,
     "demo": demo,
     "node": node,
     "questionnaire": questionnaire.COMMANDS,
