--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -4,7 +4,7 @@
 from copy import deepcopy
 from dataclasses import asdict, dataclass
 
-from savoryhill.config.findings import QuestionnaireError, dump_yaml
+from savoryhill.config.findings import Finding, QuestionnaireError, dump_yaml
 from savoryhill.config.merge import Change, compare, merge, value_at
 from savoryhill.config.model import dump_configuration, load_configuration
 from savoryhill.config.questionnaire import (
@@ -252,6 +252,7 @@
     answers = load_questionnaire(merged_text, place=place)
     revision = max(known, above) + 1
     previous = load_configuration(current.configuration) if current else None
+    _refuse_other_shards(answers, previous, place)
     configuration = dump_configuration(
         generate(answers, revision=revision, author=author, previous=previous)
     )
@@ -274,6 +275,22 @@
     return _Prepared(accepted=accepted, record=record)
 
 
+def _refuse_other_shards(answers, previous, place):
+    """Refuse another number of journal shards while entries may exist.
+
+    The number decides in which shard a key is looked for; with another one a
+    repeated call would not be found and would run a second time.
+    """
+    if previous is None or previous.journal.n_shards == answers.journal.n_shards:
+        return
+    message = (
+        f"{answers.journal.n_shards} cannot replace {previous.journal.n_shards}: "
+        "repeated calls would no longer be found in the journal"
+    )
+    path = "journal.n_shards"
+    raise QuestionnaireError([Finding(place=place, line=0, path=path, message=message)])
+
+
 def _merge(store, mine, theirs, *, base, known):
     ancestor = None
     if base > 0:
--- a/tests/config/test_apply.py
+++ b/tests/config/test_apply.py
@@ -70,6 +70,15 @@
             apply_to(service, with_deadline(-1), taken_from=1)
         assert service.n_writes == n_writes
 
+    # Guards against a repeated order that is looked for in another shard.
+    def test_the_number_of_journal_shards_cannot_change(self):
+        service = make_service()
+        answers = make_answers(n_engines=4, n_workspaces=2)
+        answers["journal"] = {"n_shards": 4}
+        with pytest.raises(QuestionnaireError, match="4 cannot replace 8"):
+            apply_to(service, answers, taken_from=1)
+        assert read_current(memory_store(service)).record.revision == 1
+
 
 class TestRaces:
     def test_disjoint_changes_of_two_operators_are_merged(self):
