peers: do not pack messages with dense content

Cause: packing reserves the plain size, content without zero bytes needs more, and the exception inside Cap'n Proto takes a native stack trace that crashes the process on a greenlet. Ruled out: the size as such (1 MB passed in the main greenlet, where the library catches its own exception) and the compression added before. Change: messages that carry bytes, and those over 2 kB, are sent plain; a flag in the type number tells which.

--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -22,6 +22,15 @@
 PROTOCOL_VERSION = 2
 # A frame must hold a configuration of one megabyte and some more.
 TRAVERSAL_LIMIT_WORDS = 8 * 1024 * 1024
+# Packing first reserves the room that the plain message takes. Content without zero
+# bytes needs more, and the exception by which the library notices it crashed the
+# process: a configuration of 250 kB did so in each run. Other messages have enough
+# zero bytes in pointers and numbers.
+_DENSE_TYPES = frozenset(
+    {messages.ConfigValue, messages.JournalReply, messages.JournalFinish}
+)
+MAX_PACKED_BYTES = 2_048
+_PACKED = 0x80
 _HEADER = struct.Struct("!BBQQQB")
 
 # The position is the message's type number, so new types are appended.
@@ -151,16 +160,23 @@
     """
     message_type = type(envelope.message)
     sender = envelope.sender.encode()
+    struct_type = getattr(_schema(), message_type.__name__)
+    builder = struct_type.new_message(**_plain(envelope.message))
+    number = _NUMBERS_BY_TYPE[message_type]
+    plain_bytes = 8 * builder.total_size.word_count
+    if message_type not in _DENSE_TYPES and plain_bytes <= MAX_PACKED_BYTES:
+        body = builder.to_bytes_packed()
+        number |= _PACKED
+    else:
+        body = builder.to_bytes()
     header = _HEADER.pack(
         PROTOCOL_VERSION,
-        _NUMBERS_BY_TYPE[message_type],
+        number,
         envelope.incarnation,
         envelope.sequence,
         envelope.hlc,
         len(sender),
     )
-    struct_type = getattr(_schema(), message_type.__name__)
-    body = struct_type.new_message(**_plain(envelope.message)).to_bytes_packed()
     return header + sender + body
 
 
@@ -188,6 +204,7 @@
     version, number, incarnation, sequence, hlc, n_sender = _HEADER.unpack_from(data)
     if version != PROTOCOL_VERSION:
         raise PeerError(f"unknown protocol version {version}")
+    packed, number = number & _PACKED, number & ~_PACKED
     if number >= len(MESSAGE_TYPES):
         raise PeerError(f"unknown message type {number}")
     start = _HEADER.size + n_sender
@@ -198,13 +215,21 @@
     except UnicodeDecodeError as error:
         raise PeerError(f"sender's name is not UTF-8: {error}") from error
     message_type = MESSAGE_TYPES[number]
-    reader = getattr(_schema(), message_type.__name__).from_bytes_packed(
-        data[start:], traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
-    )
+    struct_type = getattr(_schema(), message_type.__name__)
+    if packed:
+        reader = struct_type.from_bytes_packed(
+            data[start:], traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        )
+        message = _build(message_type, reader)
+    else:
+        with struct_type.from_bytes(
+            data[start:], traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as reader:
+            message = _build(message_type, reader)
     return Envelope(
         sender=sender,
         incarnation=incarnation,
         sequence=sequence,
-        message=_build(message_type, reader),
+        message=message,
         hlc=hlc,
     )
