requests: give a silent attempt of a short prompt up sooner

Cause: a dead engine answers nothing; a short request waited up to 10 s for its first token there, longer than its deadline of 8 s, and a broken stream was resumed on the dead engine with the same limit. New work went to it until a load poll had failed after 2 s. Change: 1.5 s, or eight times the prediction, for short prompts and 1.5 s for a resume, as long as a retry token is left; a load poll fails after 1 s.

--- a/src/savoryhill/core/requests/limits.py
+++ b/src/savoryhill/core/requests/limits.py
@@ -15,6 +15,9 @@
 # factor: other prompts may be prefilled before it.
 FIRST_TOKEN_FACTOR = 8.0
 MIN_FIRST_TOKEN_LIMIT_S = 10.0
+# Short prompts go before long ones in an engine, and a stream that is resumed where
+# it broke has been prefilled there, so a longer silence means a dead engine.
+MIN_SHORT_FIRST_TOKEN_LIMIT_S = 1.5
 # 50 times the usual gap of 74 ms or less is beyond any batch step.
 GAP_FACTOR = 50.0
 MIN_GAP_LIMIT_S = 3.0
@@ -73,9 +76,20 @@
 
 
 def first_token_limit_s(state, request):
-    """Return how long an attempt may be silent before its first content."""
+    """Return how long an attempt may be silent before its first content.
+
+    Without a retry token a silent attempt is not given up early, because it could
+    not be repeated.
+    """
     predicted = unloaded_first_token_s(state, request)
-    limit = max(MIN_FIRST_TOKEN_LIMIT_S, FIRST_TOKEN_FACTOR * predicted)
+    short = request.spec.prompt_tokens < state.active.policy.short_prompt_tokens
+    quick = (short or request.resumed_here) and state.requests.retry_tokens >= 1.0
+    if quick:
+        limit = MIN_SHORT_FIRST_TOKEN_LIMIT_S
+        if not request.resumed_here:
+            limit = max(limit, FIRST_TOKEN_FACTOR * predicted)
+    else:
+        limit = max(MIN_FIRST_TOKEN_LIMIT_S, FIRST_TOKEN_FACTOR * predicted)
     return min(limit, max(0.0, request.spec.deadline_at - state.now))
 
 
--- a/src/savoryhill/endpoints/load.py
+++ b/src/savoryhill/endpoints/load.py
@@ -7,7 +7,8 @@
 
 from savoryhill.errors import BrokenStreamError
 
-POLL_TIMEOUT_S = 2.0
+# New work goes to a dead endpoint until a poll of it has failed.
+POLL_TIMEOUT_S = 1.0
 
 
 @dataclass(kw_only=True)
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -151,6 +151,31 @@
         assert len(world.sent(PlaceRequest, request_id=name)) == 2
 
 
+class TestSilenceLimit:
+    # Guards against a short request that waits for its deadline on a dead engine.
+    @pytest.mark.parametrize(("prompt", "limit_s"), [(100, 1.5), (12_000, 10.0)])
+    def test_a_short_prompt_waits_less_for_its_first_token(
+        self, world, prompt, limit_s
+    ):
+        name = world.arrive(prompt=prompt, deadline_s=60.0)
+        world.grant(name)
+        assert world.of(StartAttempt, name)[-1].first_token_limit_s == limit_s
+
+    # Guards against a slow first token that fails a request whose attempt cannot be
+    # repeated any more.
+    def test_without_retry_tokens_the_limit_is_long(self, world):
+        world.state.requests.retry_tokens = 0.0
+        name = world.arrive(deadline_s=60.0)
+        world.grant(name)
+        assert world.of(StartAttempt, name)[-1].first_token_limit_s == 10.0
+
+    def test_a_resumed_stream_is_given_up_soon(self, world):
+        name = world.arrive(prompt=50_000, deadline_s=60.0)
+        world.grant(name)
+        world.end(name, "broken", n_tokens=2)
+        assert world.of(StartAttempt, name)[-1].first_token_limit_s == 1.5
+
+
 class TestRetries:
     # Guards against a fourth attempt and against a "not run" after a break.
     def test_three_attempts_and_then_unknown(self, world):
