--- a/src/savoryhill/bench/capacity/control.py
+++ b/src/savoryhill/bench/capacity/control.py
@@ -26,6 +26,7 @@
 from savoryhill.config.store import connect_store
 from savoryhill.core.coordination.view import rendezvous_order
 from savoryhill.demo.deployment import free_address
+from savoryhill.demo.run import wait_until_address_ready
 from savoryhill.httpapp import serve
 from savoryhill.standins.engine import EngineState, engine_application
 from savoryhill.standins.platform import PlatformState, platform_application
@@ -209,29 +210,11 @@
         env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
         stderr=subprocess.DEVNULL,
     )
-    _wait_until_ready(listen)
+    wait_until_address_ready(listen, timeout_s=20.0)
     os.unlink(file.name)
     return process, time.monotonic() - started
 
 
-def _wait_until_ready(listen, limit_s=20.0):
-    from geventhttpclient import HTTPClient
-
-    host, port = listen.rsplit(":", 1)
-    ends_at = time.monotonic() + limit_s
-    while time.monotonic() < ends_at:
-        client = HTTPClient(host, int(port))
-        try:
-            if client.get("/readyz").status_code == 200:
-                return
-        except OSError:
-            pass
-        finally:
-            client.close()
-        gevent.sleep(0.05)
-    raise TimeoutError(f"the node at {listen} is not ready after {limit_s} s")
-
-
 def _measure(process, fleet, meter, window_s):
     """Measure a window; the peak is that of its busiest second."""
     watched = psutil.Process(process.pid)
--- a/src/savoryhill/demo/run.py
+++ b/src/savoryhill/demo/run.py
@@ -46,7 +46,12 @@
 
 
 def wait_until_ready(node, *, timeout_s=10.0):
-    """Wait until a node answers its readiness check.
+    """Wait until a node of this process answers its readiness check."""
+    wait_until_address_ready(node.settings.listen, timeout_s=timeout_s)
+
+
+def wait_until_address_ready(address, *, timeout_s=10.0):
+    """Wait until the node at ``ip:port`` answers its readiness check.
 
     Raises
     ------
@@ -55,7 +60,7 @@
     """
     ends_at = time.monotonic() + timeout_s
     while time.monotonic() < ends_at:
-        client = _client(node.settings.listen)
+        client = _client(address)
         try:
             if client.get("/readyz").status_code == 200:
                 return
@@ -64,7 +69,7 @@
         finally:
             client.close()
         gevent.sleep(0.05)
-    raise TimeoutError(f"node {node.settings.node} is not ready after {timeout_s} s")
+    raise TimeoutError(f"the node at {address} is not ready after {timeout_s} s")
 
 
 def complete(address, *, prompt, max_tokens, deadline_ms=None):
--- a/src/savoryhill/endpoints/engine.py
+++ b/src/savoryhill/endpoints/engine.py
@@ -168,21 +168,13 @@
     BrokenStreamError
         If it did not answer.
     """
-    http = _http(address, timeout_s=timeout_s)
-    body = json.dumps({"n_tokens": n_tokens, "imported_tokens": imported_tokens})
+    body = {"n_tokens": n_tokens, "imported_tokens": imported_tokens}
     headers = _headers(
         request_id=request_id, fence=fence, incarnation=incarnation, priority=priority
     )
-    try:
-        response = http.post("/admin/prefill", body=body.encode(), headers=headers)
-        detail = bytes(response.read()).decode("utf-8", "replace")
-        status = response.status_code
-    except ConnectionRefusedError as error:
-        raise NotSentError(f"engine at {address} refused the connection") from error
-    except Exception as error:
-        raise BrokenStreamError(f"part on {address}: {error!r}") from error
-    finally:
-        http.close()
+    status, detail = _post(
+        address, "/admin/prefill", body, headers=headers, timeout_s=timeout_s
+    )
     if status != 200:
         raise EndpointRefusedError(f"part on {address}: {status} {detail}")
 
@@ -216,22 +208,31 @@
     BrokenStreamError
         If there was no answer, so the order may be carried out.
     """
-    http = _http(address, timeout_s=ORDER_TIMEOUT_S)
-    body = json.dumps({"what": action, "value": value}).encode()
+    status, detail = _post(
+        address,
+        "/admin/orders",
+        {"what": action, "value": value},
+        headers=_headers(order_fence=fence),
+        timeout_s=ORDER_TIMEOUT_S,
+    )
+    if status == 409:
+        raise EndpointRefusedError(f"order at {address}: {detail}")
+    return status == 200
+
+
+def _post(address, path, body, *, headers, timeout_s):
+    """Call an engine once; return status and body."""
+    http = _http(address, timeout_s=timeout_s)
     try:
-        headers = _headers(order_fence=fence)
-        response = http.post("/admin/orders", body=body, headers=headers)
+        response = http.post(path, body=json.dumps(body).encode(), headers=headers)
         detail = bytes(response.read()).decode("utf-8", "replace")
-        status = response.status_code
+        return response.status_code, detail
     except ConnectionRefusedError as error:
         raise NotSentError(f"engine at {address} refused the connection") from error
     except Exception as error:
-        raise BrokenStreamError(f"order at {address}: {error!r}") from error
+        raise BrokenStreamError(f"POST {path} at {address}: {error!r}") from error
     finally:
         http.close()
-    if status == 409:
-        raise EndpointRefusedError(f"order at {address}: {detail}")
-    return status == 200
 
 
 def cancel_stream(address, request_id):
--- a/src/savoryhill/standins/engine/state.py
+++ b/src/savoryhill/standins/engine/state.py
@@ -69,6 +69,7 @@
     checks_fencing: bool = True
     checks_incarnation: bool = True
     random: Random = field(default_factory=lambda: Random(0))
+    address: str = ""
     start_number: int = 1
     warm: bool = True
     dead: bool = False
