demo: print refusals and duplicates; order the timeline by causes

Cause: the table showed only answered requests, a refusal counted as any failure, and the excerpt was sorted by wall clocks. Change: answered, refused as not run, unknown and duplicates are printed; the request that cannot meet its deadline must be refused as not run; events are merged by their hybrid clock.

--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -18,7 +18,7 @@
         from savoryhill.observability.logs import configure_logs
 
         configure_logs(level="WARNING")
-        return EXIT_OK if print_report(*run_demo()) else EXIT_FAILED
+        return EXIT_OK if print_report(run_demo()) else EXIT_FAILED
 
     return deferred(start)
 
--- a/src/savoryhill/demo/run.py
+++ b/src/savoryhill/demo/run.py
@@ -15,8 +15,10 @@
     start_deployment,
     stop_deployment,
 )
-from savoryhill.standins.engine import token_text
+from savoryhill.observability.timeline import merge_timelines
+from savoryhill.standins.engine import memory_used, token_text
 
+N_SHOWN_EVENTS = 8
 BANDS = ((4_000, "under 4k"), (100_000, "4k to 100k"), (10**9, "over 100k"))
 
 
@@ -151,13 +153,26 @@
     return "".join(token_text(digest, offset) for offset in range(max_tokens))
 
 
+@dataclass(frozen=True, kw_only=True)
+class DemoResult:
+    """Answers, checks with their results, and the merged timeline of a demo.
+
+    ``n_duplicates`` counts executions of an order beyond its first.
+    """
+
+    answers: list[Answer]
+    checks: list[tuple[str, bool]]
+    time_line: list[dict]
+    n_duplicates: int
+
+
 def run_demo():
     """Run the demo.
 
     Returns
     -------
-    tuple of (list of Answer, list of (str, bool), list of dict)
-        Answers, the checks with their results, and the merged time line.
+    DemoResult
+        What was answered and whether every check holds.
     """
     deployment = start_deployment()
     try:
@@ -200,49 +215,57 @@
     )
     checks = [
         ("every prompt is answered in full", texts_right),
-        ("the request with a 5 ms deadline fails", late.get().execution != "completed"),
+        (
+            "the request with a 5 ms deadline is refused as not run",
+            late.get().execution == "not_run",
+        ),
         ("the order ran once", executions["workspace-one:order-1"] == 1),
         ("every repeat got an answer", all(o.status in (200, 409) for o in orders)),
         ("no memory is left in use", _memory_is_free(deployment)),
     ]
-    time_line = sorted(
-        (
-            {"node": node.settings.node, **event}
-            for node in deployment.nodes
-            for event in node.time_line
-        ),
-        key=lambda event: event["wall_s"],
+    time_line = merge_timelines(
+        [{"node": node.settings.node, **event} for event in node.time_line]
+        for node in deployment.nodes
+    )
+    return DemoResult(
+        answers=answers + orders,
+        checks=checks,
+        time_line=time_line,
+        n_duplicates=sum(count - 1 for count in executions.values()),
     )
-    return answers + orders, checks, time_line
 
 
 def _memory_is_free(deployment):
     for _ in range(40):
-        if not any(engine.jobs_by_id for engine in deployment.engines_by_id.values()):
+        if not any(map(memory_used, deployment.engines_by_id.values())):
             return True
         gevent.sleep(0.05)
     return False
 
 
-def print_report(answers, checks, time_line):
+def print_report(result):
     """Print the table of the demo; return whether every check holds."""
     lower = 0
-    print(f"{'prompt':<12} {'n':>4} {'p50 ms':>8} {'max ms':>8}")
+    print(f"{'prompt':<12} {'n':>4} {'p50 ms':>8} {'max ms':>8}   time to first token")
     for upper, label in BANDS:
         times = sorted(
             answer.first_token_s * 1000
-            for answer in answers
+            for answer in result.answers
             if answer.first_token_s and lower <= answer.prompt_tokens < upper
         )
         lower = upper
         if times:
             middle = times[len(times) // 2]
             print(f"{label:<12} {len(times):>4} {middle:>8.1f} {times[-1]:>8.1f}")
-    n_answered = sum(answer.execution == "completed" for answer in answers)
-    print(f"answered {n_answered} of {len(answers)}")
-    print("time line:")
-    for event in time_line[-8:]:
+    executions = Counter(answer.execution for answer in result.answers)
+    print(
+        f"answered {executions['completed']} of {len(result.answers)}, "
+        f"refused as not run {executions['not_run']}, "
+        f"unknown {executions['unknown']}, duplicates {result.n_duplicates}"
+    )
+    print("timeline:")
+    for event in result.time_line[-N_SHOWN_EVENTS:]:
         print("  " + " ".join(f"{key}={value}" for key, value in event.items()))
-    for name, holds in checks:
+    for name, holds in result.checks:
         print(f"{'ok' if holds else 'FAILED':<7} {name}")
-    return all(holds for _, holds in checks)
+    return all(holds for _, holds in result.checks)
