relay: give another engine the text so far; bench: plot, same short prompts in both parts

Cause: a stream continued on another engine was told only its offset, which works only for engines that answer alike. Change: the text emitted so far goes along as the continuation, and the engine stand-in refuses one that is not its own beginning. Arrivals are drawn the same way with and without long prompts. A plot of first-token times by prompt length and policy.

--- a/src/savoryhill/bench/client.py
+++ b/src/savoryhill/bench/client.py
@@ -9,7 +9,7 @@
 
 from savoryhill.bench.plan import Planned, prompt_text
 from savoryhill.demo.deployment import BEARER_KEY, MODEL, SERVICE
-from savoryhill.standins.engine import token_text
+from savoryhill.standins.engine import answer_text
 
 CONNECT_TIMEOUT_S = 2.0
 
@@ -146,7 +146,7 @@
         first_token_s = first_token_s or time.monotonic() - started_at
         texts.append(json.loads(data)["choices"][0]["text"])
     digest = blake2b(prompt.encode(), digest_size=16).digest()
-    wanted = "".join(token_text(digest, each) for each in range(planned.max_tokens))
+    wanted = answer_text(digest, planned.max_tokens)
     return {
         "outcome": "answered",
         "status": 200,
--- a/src/savoryhill/bench/plan.py
+++ b/src/savoryhill/bench/plan.py
@@ -76,8 +76,8 @@
     requests_per_s : float
         Model requests a second; orders come on top.
     with_long : bool
-        Whether middle and long prompts are sent beside the short ones. Without
-        them the short ones come at the rate that they have in the mix.
+        Whether middle and long prompts are sent beside the short ones, which are
+        the same either way.
     first_number : int
         Number of the first request.
 
@@ -101,6 +101,7 @@
         shares = random.random() < SHARED_PREFIX_SHARE
         prefix = random.randrange(N_SHARED_PREFIXES) if shares else -1
         entry = random.randrange(1 << 30)
+        max_tokens = random.randint(4, 16)
         if band == "short" or with_long:
             plan.append(
                 Planned(
@@ -108,7 +109,7 @@
                     at_s=at_s,
                     band="order" if is_order and band == "short" else band,
                     prompt_tokens=prompt_tokens,
-                    max_tokens=random.randint(4, 16),
+                    max_tokens=max_tokens,
                     kind="completion",
                     prefix=prefix,
                     entry=entry,
--- a/src/savoryhill/cli/bench.py
+++ b/src/savoryhill/cli/bench.py
@@ -48,7 +48,28 @@
     return command
 
 
+def plot(*reports, to):
+    """Plot first-token times of several runs by prompt length and policy.
+
+    Parameters
+    ----------
+    reports : str
+        Files with the JSON that scenarios printed, one report a line.
+    to : str
+        PNG file to write.
+    """
+
+    def start():
+        from savoryhill.bench.plot import plot as draw
+
+        draw(reports, to)
+        return EXIT_OK
+
+    return deferred(start)
+
+
 COMMANDS = {name: _scenario_command(name) for name in SCENARIOS} | {
     "config": config,
     "orders": orders,
+    "plot": plot,
 }
--- a/src/savoryhill/demo/run.py
+++ b/src/savoryhill/demo/run.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass
+from hashlib import blake2b
 
 import gevent
 from geventhttpclient import HTTPClient
@@ -16,7 +17,7 @@
     stop_deployment,
 )
 from savoryhill.observability.timeline import merge_timelines
-from savoryhill.standins.engine import memory_used, token_text
+from savoryhill.standins.engine import answer_text, memory_used
 
 N_SHOWN_EVENTS = 8
 BANDS = ((4_000, "under 4k"), (100_000, "4k to 100k"), (10**9, "over 100k"))
@@ -147,10 +148,8 @@
 
 def expected_text(prompt, max_tokens):
     """Return the text that every engine stand-in gives for a prompt."""
-    from hashlib import blake2b
-
     digest = blake2b(prompt.encode(), digest_size=16).digest()
-    return "".join(token_text(digest, offset) for offset in range(max_tokens))
+    return answer_text(digest, max_tokens)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/savoryhill/node/drivers/attempts.py
+++ b/src/savoryhill/node/drivers/attempts.py
@@ -141,6 +141,8 @@
 
 def _relay_completion(node, relay, effect, now, body):
     serial = relay.serial
+    if effect.from_offset:
+        body = {**body, "continuation": "".join(relay.emitted)}
     relay.heard_at = now()
     relay.silence_limit_s = effect.first_token_limit_s
     started = False
--- a/src/savoryhill/node/relay.py
+++ b/src/savoryhill/node/relay.py
@@ -24,6 +24,7 @@
     ``serial`` numbers the connections to endpoints; only the latest may deliver.
     ``heard_at`` and ``silence_limit_s`` are those of the latest connection, in
     seconds of the runtime clock; a limit of 0 means that it is not watched.
+    ``emitted`` is the text so far, which another engine needs to continue it.
     """
 
     spec: RequestSpec
@@ -41,6 +42,7 @@
     silence_limit_s: float = 0.0
     greenlet: Greenlet | None = None
     n_queued_bytes: int = 0
+    emitted: list[str] = field(default_factory=list)
     chunks: deque[Chunk] = field(default_factory=deque)
     finish: FinishRequest | None = None
     caller_gone: bool = False
@@ -75,6 +77,7 @@
         relay.n_dropped += 1
         return False
     relay.next_offset += chunk.n_tokens
+    relay.emitted.append(chunk.text)
     return True
 
 
--- a/src/savoryhill/standins/engine/application.py
+++ b/src/savoryhill/standins/engine/application.py
@@ -10,6 +10,7 @@
 from savoryhill.httpapp import make_resource
 from savoryhill.prompts import BYTES_PER_TOKEN, prefix_chain
 from savoryhill.standins.engine.batching import (
+    answer_text,
     cached_tokens,
     emit,
     evict,
@@ -101,6 +102,11 @@
     imported = int(body.get("imported_tokens", 0))
     max_tokens = int(body.get("max_tokens", 16))
     _check_room(state, prompt_tokens - imported + max_tokens)
+    digest = blake2b(prompt, digest_size=16).digest()
+    if offset and body.get("continuation") != answer_text(digest, offset):
+        raise falcon.HTTPBadRequest(
+            description=f"the continuation is not the answer's first {offset} tokens"
+        )
     prefixes = prefix_chain(prompt) if not imported else ()
     cached = max(cached_tokens(state, prefixes), imported)
     job = Job(
@@ -108,7 +114,7 @@
         priority=int(req.get_header("X-Priority") or 0),
         prompt_tokens=prompt_tokens - imported,
         max_tokens=max_tokens,
-        digest=blake2b(prompt, digest_size=16).digest(),
+        digest=digest,
         prefixes=prefixes,
         next_offset=offset,
         prefill_left=float(prompt_tokens + offset - cached),
--- a/src/savoryhill/standins/engine/batching.py
+++ b/src/savoryhill/standins/engine/batching.py
@@ -17,6 +17,11 @@
     return blake2b(digest + offset.to_bytes(4, "big"), digest_size=2).hexdigest() + " "
 
 
+def answer_text(digest, n_tokens):
+    """Return the beginning of an answer."""
+    return "".join(token_text(digest, offset) for offset in range(n_tokens))
+
+
 def run_engine(state):
     """Run the engine's steps until the greenlet is killed."""
     last = state.clock()
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -103,6 +103,21 @@
         assert engine.incarnation == "e#2"
 
 
+class TestContinuation:
+    # Guards against an answer that another engine continues without knowing it.
+    @pytest.mark.parametrize("continuation", [None, "something else "])
+    def test_a_continuation_must_hold_the_text_so_far(
+        self, engine, client, continuation
+    ):
+        response = client.simulate_post(
+            "/v1/completions",
+            json={"prompt": "x", "max_tokens": 8, "continuation": continuation},
+            headers={"X-Request-Id": "r", "X-Resume-Offset": "3"},
+        )
+        assert response.status_code == 400
+        assert engine.jobs_by_id == {}
+
+
 class TestReports:
     def test_the_load_is_published_with_a_lag(self, engine, client):
         assert client.simulate_get("/admin/load").json["running"] == 0
