platform: ask the weight store before an engine is told to load a version

Cause: the weight store had a stand-in and a rate limit in the policy, but no client; an engine ordered to load a version that does not exist drops the one it serves. Change: a client with one call, used by the driver of orders where the settings name the store; a store that cannot be asked holds nothing back.

--- a/src/savoryhill/node/drivers/orders.py
+++ b/src/savoryhill/node/drivers/orders.py
@@ -4,8 +4,15 @@
 
 from savoryhill.core import effects, events
 from savoryhill.endpoints.engine import send_order
-from savoryhill.errors import BrokenStreamError, EndpointRefusedError, NotSentError
+from savoryhill.errors import (
+    BrokenStreamError,
+    EndpointRefusedError,
+    NotSentError,
+    PlatformUnreachableError,
+)
 from savoryhill.node.runtime import submit
+from savoryhill.observability.logs import log_event
+from savoryhill.platform.weights import has_weights, weights_name
 
 
 def make_order_drivers(node):
@@ -17,9 +24,28 @@
     return {effects.SendOrder: send}
 
 
+def _check_weights(node, effect):
+    """Refuse an order for weights that the store does not have.
+
+    The engine would drop the version it serves before it finds that out. A store
+    that cannot be asked is no reason to hold the order back.
+    """
+    name = weights_name(effect.model, effect.version)
+    if not node.settings.weights:
+        return
+    try:
+        found = has_weights(node.settings.weights, name)
+    except PlatformUnreachableError as error:
+        log_event("weights.unreachable", level="WARNING", detail=str(error))
+        return
+    if not found:
+        raise NotSentError(f"the weight store has no {name!r}")
+
+
 def _send(node, effect):
     status, detail = "ok", ""
     try:
+        _check_weights(node, effect)
         accepted = send_order(
             effect.address,
             fence=effect.fence,
--- a/src/savoryhill/node/settings.py
+++ b/src/savoryhill/node/settings.py
@@ -16,6 +16,7 @@
 
     The ``key_value_*`` fields are this node's share of the calls that the
     key-value service grants the whole deployment.
+    ``weights`` is the weight store; without it, orders are not checked against it.
     ``seeds`` maps names of other nodes to their peer addresses; a node that cannot
     read the host list finds the others through them. Without an ``admin_key`` the
     admin address refuses every call.
@@ -31,6 +32,7 @@
     hosts: str
     cluster_key: str = field(repr=False)
     admin_key: str = field(default="", repr=False)
+    weights: str = ""
     tick_s: float = 0.05
     key_value_writes_per_s: float = 60.0
     key_value_reads_per_s: float = 200.0
--- a/src/savoryhill/standins/platform.py
+++ b/src/savoryhill/standins/platform.py
@@ -240,7 +240,7 @@
     add("/v3/lease/{action}", make_resource(state, post=_on_lease))
     add("/v3/watch", make_resource(state, post=_on_watch))
     add("/hosts", make_resource(state, get=_on_hosts))
-    add("/weights/{name}", make_resource(state, get=_on_weights))
+    add("/weights/{name}", make_resource(state, get=_on_weights, head=_on_weights))
     add("/control/fault", make_resource(state, post=_on_fault))
     add("/control/counts", make_resource(state, get=_on_counts))
     return application
