--- a/specs/configuration.py
+++ b/specs/configuration.py
@@ -15,7 +15,7 @@
 BOUND = 3
 NODES = (0, 1, 2)
 # Only this node loses its connections; it is a minority of the three.
-LONELY = 2
+ISOLATED = 2
 
 
 class Acceptance(NamedTuple):
@@ -43,7 +43,7 @@
     ``revision`` is the accepted one, ``withdrawn`` the first that withdraws the zone
     and ``since`` the seconds since it was accepted. Per node: the revision in force
     and the age of its confirmation, both in seconds up to the bound. ``read`` is a
-    read under way on the lonely node: its age and what it will show.
+    read under way on the isolated node: its age and what it will show.
     """
 
     revision: int = 1
@@ -206,7 +206,7 @@
         return state._replace(ages=_put(state.ages, node, age))
 
     def reachable(state, node):
-        return not (state.cut and node == LONELY)
+        return not (state.cut and node == ISOLATED)
 
     def transitions(state):
         if not state.down and state.revision < n_revisions:
@@ -236,15 +236,18 @@
         if not state.down:
             after = adopt(state, 0, state.revision)
             yield "read_by_0", confirm(after, 0, state.revision, 0)
-            if state.read == () and reachable(state, LONELY):
+            if state.read == () and reachable(state, ISOLATED):
                 yield "start_read", state._replace(read=(0, state.revision))
         # The answer may have been under way when the connections were lost.
         if state.read:
             age, revision = state.read
             if mutation == "confirm_at_end_of_read":
                 age = 0
-            after = adopt(state, LONELY, revision)
-            yield "end_read", confirm(after, LONELY, revision, age)._replace(read=())
+            after = adopt(state, ISOLATED, revision)
+            yield (
+                "end_read",
+                confirm(after, ISOLATED, revision, age)._replace(read=()),
+            )
 
     def _gossip(state, peer, node):
         # The age is taken before the content is fetched, so it may confirm nothing.
