clean up: drop four names that nothing uses

Cause: a second reading of the change listed every top-level name that occurs only once in source, tests and models. Change: findings_of, largest_endpoint_tokens, BASELINES and revoke_lease are removed; no behaviour changes. The other listed pairs are calls of the same shape with other values and stay.

--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -363,12 +363,3 @@
     author = found.author if found is not None else "unknown"
     revision = found.revision if found is not None else known
     return ConflictWith(author=author, revision=revision, **asdict(conflict))
-
-
-def findings_of(text, *, place):
-    """Return the findings in answers, an empty tuple if there are none."""
-    try:
-        load_questionnaire(text, place=place)
-    except QuestionnaireError as error:
-        return error.findings
-    return ()
--- a/src/savoryhill/core/routing/baselines.py
+++ b/src/savoryhill/core/routing/baselines.py
@@ -6,8 +6,6 @@
 from savoryhill.core.routing import cost
 from savoryhill.core.routing.placement import Candidate, effective_limit, n_occupied
 
-BASELINES = ("random", "round-robin", "least-outstanding")
-
 
 def choose_baseline(state, group, message, *, provisional, cold_hold):
     """Choose an endpoint by the baseline named in the routing state.
--- a/src/savoryhill/core/routing/oversize.py
+++ b/src/savoryhill/core/routing/oversize.py
@@ -11,14 +11,6 @@
 from savoryhill.core.routing.state import Hold
 
 
-def largest_endpoint_tokens(group):
-    """Return the memory of the group's largest endpoint in tokens."""
-    return max(
-        account.hardware.memory_tokens
-        for account in group.accounts_by_endpoint.values()
-    )
-
-
 def _most_tokens(memories):
     largest = sorted(memories, reverse=True)
     return sum(largest[: max(1, len(largest) // 2)])
--- a/src/savoryhill/platform/watch.py
+++ b/src/savoryhill/platform/watch.py
@@ -141,12 +141,6 @@
     return int(answer.get("TTL", 0))
 
 
-def revoke_lease(client, lease):
-    """End a lease and delete its keys."""
-    spend(client, client.writes, "write")
-    _lease_call(client, "/v3/lease/revoke", {"ID": str(lease)})
-
-
 def _lease_call(client, path, body):
     try:
         return call_once(client, "write", path, body)
