--- /dev/null
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -0,0 +1,337 @@
+"""Places generations jointly over the engines of one service.
+
+The scheduler holds the queue and the accounts of the engines. Every method takes the
+time and returns decisions; drivers deliver them.
+"""
+
+from dataclasses import dataclass, field
+
+from savoryhill.core.scheduling.accounts import (
+    EngineAccount,
+    Job,
+    PlacedJob,
+    alone_read_s,
+)
+
+# Reading may take this share of the time to the first event; the rest covers the wait
+# for a running pass, the first pass of writing and the network.
+FIRST_SHARE = 0.6
+# The platform takes at most 16 helpers beside the first engine.
+MAX_PARTS = 17
+# Slots that short streams leave free on an engine.
+SPARE_SLOTS = 1
+FIRST_EJECTION_S = 0.5
+MAX_EJECTION_S = 4.0
+FULL_EJECTION_S = 0.2
+# Part of a service's engines that waiting long prompts may keep free of new streams.
+MAX_CLAIMED_SHARE = 0.6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """A job may run: the first endpoint writes, the others help to read."""
+
+    job_id: str
+    endpoint_ids: tuple[str, ...]
+    part_s: float
+    predicted_first_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rejection:
+    """A job can't be served in time and has not been placed."""
+
+    job_id: str
+    reason: str
+    retry_after_s: float
+
+
+@dataclass(kw_only=True)
+class ServiceScheduler:
+    """Queue and accounts of one service.
+
+    ``cold_per_s`` bounds the grants that one engine gets in a second, so that a cold
+    start is never overrun; 0 means no bound.
+    """
+
+    service: str
+    cold_per_s: float = 0.0
+    engines_by_id: dict[str, EngineAccount] = field(default_factory=dict)
+    placed_by_id: dict[str, PlacedJob] = field(default_factory=dict)
+    waiting_by_id: dict[str, Job] = field(default_factory=dict)
+    claimed_by_id: dict[str, frozenset] = field(default_factory=dict)
+
+    def set_engines(self, endpoints, figures):
+        """Take the endpoints that may be used; others are kept until they are free.
+
+        Parameters
+        ----------
+        endpoints : iterable of Endpoint
+            Endpoints of the service to which new work may go.
+        figures : EngineFigures
+            Of the service.
+        """
+        usable = {endpoint.id: endpoint for endpoint in endpoints}
+        for engine_id, account in list(self.engines_by_id.items()):
+            account.is_usable = engine_id in usable
+            if not account.is_usable and not account.jobs_by_id:
+                del self.engines_by_id[engine_id]
+        for endpoint in usable.values():
+            account = self.engines_by_id.get(endpoint.id)
+            if account is None or account.address != endpoint.address:
+                self.engines_by_id[endpoint.id] = EngineAccount(
+                    id=endpoint.id,
+                    address=endpoint.address,
+                    zone=endpoint.zone,
+                    slots=endpoint.slots,
+                    figures=figures,
+                )
+
+    def submit(self, job, now):
+        """Queue a job and return the decisions that follow."""
+        self.waiting_by_id[job.id] = job
+        return self.place_waiting(now)
+
+    def cancel(self, job_id, now):
+        """Forget a job whose client has left, and return the decisions that follow."""
+        self.waiting_by_id.pop(job_id, None)
+        self.claimed_by_id.pop(job_id, None)
+        return self.finish(job_id, now)
+
+    def note_first_event(self, job_id, now):
+        """Take note that a job's prompt has been read."""
+        placed = self.placed_by_id.get(job_id)
+        if placed is None:
+            return ()
+        placed.first_at = now
+        for engine_id in placed.engine_ids:
+            account = self.engines_by_id.get(engine_id)
+            if account is not None:
+                account.finish_reading(job_id, now)
+        first = self.engines_by_id.get(placed.engine_ids[0])
+        if first is not None:
+            first.n_failures = 0
+        return self.place_waiting(now)
+
+    def finish(self, job_id, now):
+        """Take note that a job has ended on its engines."""
+        placed = self.placed_by_id.pop(job_id, None)
+        if placed is None:
+            return ()
+        for engine_id in placed.engine_ids:
+            account = self.engines_by_id.get(engine_id)
+            if account is not None:
+                account.finish(job_id, now)
+                if not account.is_usable and not account.jobs_by_id:
+                    del self.engines_by_id[engine_id]
+        return self.place_waiting(now)
+
+    def note_failure(self, engine_id, now, *, is_full=False):
+        """Avoid an engine that failed, longer each time until it succeeds."""
+        account = self.engines_by_id.get(engine_id)
+        if account is None:
+            return
+        if is_full:
+            pause_s = FULL_EJECTION_S
+        else:
+            pause_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**account.n_failures)
+            account.n_failures += 1
+        account.ejected_until = max(account.ejected_until, now + pause_s)
+
+    def adopt(self, job, engine_ids, *, has_started, now):
+        """Account for a job that another scheduler placed."""
+        self.waiting_by_id.pop(job.id, None)
+        if job.id in self.placed_by_id:
+            return
+        placed = PlacedJob(
+            job=job,
+            engine_ids=engine_ids,
+            part_s=0.0,
+            granted_at=now,
+            predicted_first_at=now,
+            first_at=now if has_started else None,
+        )
+        known = [e for e in engine_ids if e in self.engines_by_id]
+        if known and not has_started:
+            account = self.engines_by_id[known[0]]
+            placed.part_s = alone_read_s(account, job) / len(engine_ids)
+        self._account(placed, now)
+
+    def place_waiting(self, now):
+        """Place what fits, reject what is hopeless, leave the rest waiting.
+
+        Load pattern: a burst of short prompts beside a few very long ones. Jobs are
+        taken in the order in which their first events are due. A long prompt that
+        fits nowhere claims the engines that are freed first, so that short streams
+        don't refill them.
+        """
+        decisions = []
+        waiting = sorted(
+            self.waiting_by_id.values(), key=lambda j: (j.priority, j.due_at)
+        )
+        blocked_sizes = {}
+        for job in waiting:
+            # What is at least as large as a job that did not fit won't fit either.
+            smallest = blocked_sizes.get(job.pause_s)
+            if smallest is not None and job.prompt_tokens >= smallest and not job.avoid:
+                continue
+            decision = self._decide(job, now)
+            if decision is None:
+                if not job.avoid:
+                    blocked_sizes[job.pause_s] = job.prompt_tokens
+                continue
+            del self.waiting_by_id[job.id]
+            self.claimed_by_id.pop(job.id, None)
+            decisions.append(decision)
+        return decisions
+
+    def _usable(self, job, now):
+        limit = self.cold_per_s
+        return [
+            account
+            for account in self.engines_by_id.values()
+            if account.is_usable
+            and account.id not in job.avoid
+            and account.ejected_until <= now
+            and (not limit or account.grants_in_last_second(now) < limit)
+        ]
+
+    def _decide(self, job, now):
+        if now >= job.ends_at:
+            return self._reject(job, "deadline passed")
+        engines = self._usable(job, now)
+        if not engines:
+            return None
+        alone_s = alone_read_s(engines[0], job)
+        needed = job.prompt_tokens + job.answer_tokens
+        if needed > engines[0].figures.memory_tokens:
+            return self._reject(job, "prompt is larger than the memory of an engine")
+        fastest_s = alone_s / min(len(engines), MAX_PARTS)
+        if now + fastest_s >= job.ends_at:
+            return self._reject(job, "cannot be read before the deadline")
+        is_late = now + fastest_s > job.due_at
+        chosen = self._choose(job, engines, alone_s, now, is_late=is_late)
+        if chosen is None:
+            self._claim(job, engines, alone_s, now)
+            return None
+        return self._grant(job, chosen, alone_s / len(chosen), now)
+
+    def _choose(self, job, engines, alone_s, now, *, is_late):
+        """Choose the fewest engines on which equal parts of the prompt fit."""
+        if is_late:
+            # The first event is late anyway: only the pauses of others count.
+            job = _with_due_at(job, now + 2.0 * alone_s + 1.0)
+        claimed = self._claimed_by_others(job)
+        rooms = []
+        for account in engines:
+            if account.id in claimed:
+                continue
+            room_s = account.room_s(now, job, share=FIRST_SHARE)
+            if room_s > 0.0:
+                rooms.append((room_s, account))
+        writers = [item for item in rooms if self._can_write(item[1], job)]
+        if not writers:
+            return None
+        singles = [item for item in writers if item[0] >= alone_s]
+        if singles:
+            return (self._pack(singles, now),)
+        rooms.sort(key=lambda item: -item[0])
+        for n_parts in range(2, min(len(rooms), MAX_PARTS) + 1):
+            if alone_s / n_parts > rooms[n_parts - 1][0]:
+                continue
+            members = [account for _, account in rooms[:n_parts]]
+            first = next((a for a in members if self._can_write(a, job)), None)
+            if first is not None:
+                return (first, *(a for a in members if a is not first))
+        return None
+
+    def _can_write(self, account, job):
+        if len(account.jobs_by_id) >= account.slots - SPARE_SLOTS:
+            return False
+        needed = job.prompt_tokens + job.answer_tokens
+        return account.memory_tokens + needed <= account.figures.memory_tokens
+
+    def _pack(self, singles, now):
+        """Prefer engines that write already, so that others stay free for reading."""
+        return min(
+            singles,
+            key=lambda item: (
+                item[1].pending_s(now),
+                -len(item[1].jobs_by_id),
+                item[1].id,
+            ),
+        )[1]
+
+    def _claimed_by_others(self, job):
+        claimed = set()
+        for job_id, engine_ids in self.claimed_by_id.items():
+            if job_id != job.id and job_id in self.waiting_by_id:
+                claimed |= engine_ids
+        return claimed
+
+    def _claim(self, job, engines, alone_s, now):
+        """Keep engines free of new streams for a long prompt that waits."""
+        if alone_s < job.pause_s or job.id in self.claimed_by_id:
+            return
+        claimed = self._claimed_by_others(job)
+        limit = int(len(engines) * MAX_CLAIMED_SHARE) - len(claimed)
+        budget_s = max(job.due_at - now, 0.5) * FIRST_SHARE
+        n_parts = min(limit, max(1, round(alone_s / budget_s)))
+        if n_parts < 1:
+            return
+        free_first = sorted(
+            (a for a in engines if a.id not in claimed),
+            key=lambda a: (len(a.jobs_by_id), a.pending_s(now)),
+        )
+        self.claimed_by_id[job.id] = frozenset(a.id for a in free_first[:n_parts])
+
+    def _grant(self, job, chosen, part_s, now):
+        wait_s = max(account.pending_s(now) for account in chosen)
+        predicted_s = wait_s + part_s + chosen[0].pass_s()
+        placed = PlacedJob(
+            job=job,
+            engine_ids=tuple(account.id for account in chosen),
+            part_s=part_s,
+            granted_at=now,
+            predicted_first_at=now + predicted_s,
+        )
+        self._account(placed, now)
+        return Grant(
+            job_id=job.id,
+            endpoint_ids=placed.engine_ids,
+            part_s=part_s,
+            predicted_first_s=predicted_s,
+        )
+
+    def _account(self, placed, now):
+        self.placed_by_id[placed.job.id] = placed
+        for index, engine_id in enumerate(placed.engine_ids):
+            account = self.engines_by_id.get(engine_id)
+            if account is None:
+                continue
+            account.add(placed, now=now, is_writer=index == 0)
+            if placed.first_at is not None:
+                account.finish_reading(placed.job.id, now)
+
+    def _reject(self, job, reason):
+        """Reject with the time after which a quarter of the writers will have ended."""
+        n_waiting = len(self.waiting_by_id)
+        n_slots = sum(account.slots for account in self.engines_by_id.values()) or 1
+        return Rejection(
+            job_id=job.id, reason=reason, retry_after_s=0.5 + 2.0 * n_waiting / n_slots
+        )
+
+
+def _with_due_at(job, due_at):
+    return Job(
+        id=job.id,
+        service=job.service,
+        workspace=job.workspace,
+        prompt_tokens=job.prompt_tokens,
+        answer_tokens=job.answer_tokens,
+        due_at=max(job.due_at, due_at),
+        ends_at=job.ends_at,
+        pause_s=job.pause_s,
+        priority=job.priority,
+        avoid=job.avoid,
+    )
--- a/src/savoryhill/errors.py
+++ b/src/savoryhill/errors.py
@@ -67,3 +67,26 @@
 
 class PeerError(SavoryhillError):
     """A message between nodes could not be sent, decoded or authenticated."""
+
+
+class MalformedMessageError(SavoryhillError):
+    """Bytes on a connection are no message of the protocol."""
+
+
+class StoreRefusedError(PlatformError):
+    """The store refused a call without executing it.
+
+    ``status`` is the status of the answer.
+    """
+
+    def __init__(self, message, *, status):
+        super().__init__(message)
+        self.status = status
+
+
+class HistoryLostError(PlatformError):
+    """The store no longer holds the history that a watch asked for."""
+
+
+class ClientGoneError(SavoryhillError):
+    """The client closed its connection before its answer was complete."""
--- a/src/savoryhill/observability/logs.py
+++ b/src/savoryhill/observability/logs.py
@@ -22,6 +22,14 @@
     return text
 
 
+def format_fields(fields):
+    """Return fields as ``key=value`` pairs, without those that may hold a secret."""
+    return " ".join(
+        f"{key}={_format_value(value)}"
+        for key, value in without_secrets(fields).items()
+    )
+
+
 def log_event(name, *, level="INFO", **fields):
     """Write one event to the log.
 
@@ -34,10 +42,7 @@
     **fields : object
         Values of the event; none may be a secret.
     """
-    pairs = " ".join(
-        f"{key}={_format_value(value)}"
-        for key, value in without_secrets(fields).items()
-    )
+    pairs = format_fields(fields)
     # The line is an argument, so that braces in a value are not format fields.
     logger.log(level, "{}", f"event={name} {pairs}" if pairs else f"event={name}")
 
--- a/src/savoryhill/observability/metrics.py
+++ b/src/savoryhill/observability/metrics.py
@@ -10,7 +10,7 @@
 _HIGHEST = 3_600_000
 _SIGNIFICANT_DIGITS = 2
 QUANTILES = (50.0, 95.0, 99.0)
-HISTOGRAMS = frozenset(("first_token_s", "slowdown"))
+HISTOGRAMS = frozenset(("first_token_s", "slowdown", "request_s", "store_call_s"))
 # Further values of a label are counted together as "other".
 MAX_VALUES_BY_LABEL = {"workspace": 40, "kind": 16, "reason": 40, "status": 30}
 DEFAULT_MAX_VALUES = 16
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -16,6 +16,7 @@
 import capnp
 
 from savoryhill.core import messages
+from savoryhill.core.scheduling import messages as jobs
 from savoryhill.errors import PeerError
 
 _SCHEMA_PATH = Path(__file__).parent / "schema" / "messages.capnp"
@@ -27,7 +28,12 @@
 # process: a configuration of 250 kB did so in each run. Other messages have enough
 # zero bytes in pointers and numbers.
 _DENSE_TYPES = frozenset(
-    {messages.ConfigValue, messages.JournalReply, messages.JournalFinish}
+    {
+        messages.ConfigValue,
+        messages.JournalReply,
+        messages.JournalFinish,
+        jobs.StoreUpdate,
+    }
 )
 MAX_PACKED_BYTES = 2_048
 _PACKED = 0x80
@@ -52,6 +58,13 @@
     messages.CoordinatorChanged,
     messages.ConfigCheck,
     messages.ConfigStatus,
+    jobs.NodeHello,
+    jobs.JobSubmit,
+    jobs.JobPlaced,
+    jobs.JobRejected,
+    jobs.JobReport,
+    jobs.StoreUpdate,
+    jobs.NodeBeat,
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _ITEM_TYPES_BY_FIELD = {
@@ -62,6 +75,7 @@
     (messages.Ping, "groups"): messages.GroupSummary,
     (messages.Ack, "updates"): messages.MemberUpdate,
     (messages.Ack, "groups"): messages.GroupSummary,
+    (jobs.StoreUpdate, "rows"): jobs.StoreItem,
 }
 
 
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -169,3 +169,59 @@
   revision @1 :Int64;
   confirmedAgeS @2 :Float64;
 }
+
+struct NodeHello {
+  node @0 :Text;
+  revision @1 :Int64;
+}
+
+struct JobSubmit {
+  jobId @0 :Text;
+  service @1 :Text;
+  workspace @2 :Text;
+  promptTokens @3 :Int64;
+  answerTokens @4 :Int64;
+  dueS @5 :Float64;
+  endsS @6 :Float64;
+  pauseS @7 :Float64;
+  priority @8 :Int64;
+  avoid @9 :List(Text);
+  endpoints @10 :List(Text);
+  hasStarted @11 :Bool;
+}
+
+struct JobPlaced {
+  jobId @0 :Text;
+  endpoints @1 :List(Text);
+  predictedFirstS @2 :Float64;
+}
+
+struct JobRejected {
+  jobId @0 :Text;
+  reason @1 :Text;
+  retryAfterS @2 :Float64;
+}
+
+struct JobReport {
+  jobId @0 :Text;
+  what @1 :Text;
+  endpoint @2 :Text;
+}
+
+struct StoreItem {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :Int64;
+  isDeleted @3 :Bool;
+}
+
+struct StoreUpdate {
+  revision @0 :Int64;
+  isComplete @1 :Bool;
+  rows @2 :List(StoreItem);
+}
+
+struct NodeBeat {
+  revision @0 :Int64;
+  contactAgeS @1 :Float64;
+}
--- /dev/null
+++ b/src/savoryhill/platform/decode.py
@@ -0,0 +1,224 @@
+"""Decode what the store holds into the project's types.
+
+Rows may come from another writer, so every decoder returns None, or leaves out an
+item, where a field is missing or of another type.
+"""
+
+import json
+
+from savoryhill.core.scheduling.figures import EngineFigures
+from savoryhill.platform.names import (
+    CONFIGURATION_KEY,
+    ENDPOINT_PREFIX,
+    EVACUATION_PREFIX,
+    NODE_PREFIX,
+)
+from savoryhill.serving.model import (
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    STREAM,
+    ClientLimits,
+    Endpoint,
+    NodeRecord,
+    Route,
+    Service,
+    ServingConfiguration,
+    Workspace,
+)
+
+_KINDS = {
+    "idempotent": IDEMPOTENT,
+    "non_idempotent": NON_IDEMPOTENT,
+    "streaming": STREAM,
+}
+MS = 0.001
+# The platform gives the cost of reading in milliseconds per million pairs.
+_PAIR_S = 0.001 / 1e6
+
+
+def _json(value):
+    try:
+        content = json.loads(value)
+    except (ValueError, UnicodeDecodeError):
+        return None
+    return content if isinstance(content, dict) else None
+
+
+def _is_number(value):
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def decode_route(item):
+    """Decode a route, or return None."""
+    kind = _KINDS.get(item.get("kind"))
+    host, prefix = item.get("host"), item.get("pathPrefix")
+    if kind is None or not isinstance(host, str) or not isinstance(prefix, str):
+        return None
+    split = item.get("trafficSplit")
+    if split:
+        targets = tuple((part["service"], float(part["weight"])) for part in split)
+    else:
+        targets = ((item.get("service"), 1.0),)
+    return Route(
+        name=str(item.get("name", "")),
+        host=host.lower(),
+        path_prefix=prefix,
+        kind=kind,
+        timeout_s=item.get("timeoutMs", 10_000) * MS,
+        first_piece_s=item.get("targetLatencyMs", 1000) * MS,
+        pause_s=item.get("targetGapMs", 1000) * MS,
+        priority=item.get("priority", 1),
+        targets=targets,
+        max_attempts=item.get("attempts", 1),
+        is_public=item.get("publicAccess") is True,
+        is_resumable=item.get("resumable") is True,
+    )
+
+
+def decode_engine(item):
+    """Decode the figures of an engine, or return None for a plain service."""
+    if not isinstance(item, dict):
+        return None
+    return EngineFigures(
+        slots=item["slots"],
+        memory_tokens=item["kvTokens"],
+        stride=item["stride"],
+        step_s=item["step_ms"] * MS,
+        sequence_step_s=item["per_seq_ms"] * MS,
+        context_step_s_per_token=item["context_per_k"] * MS / 1000,
+        read_tokens_per_s=item["read_per_s"],
+        pair_s=item["pairs_per_m"] * _PAIR_S,
+        chunk_tokens=item["chunk"],
+        usual_answer_tokens=item.get("usual", {}).get("answer", 0.0),
+    )
+
+
+def decode_configuration(value):
+    """Decode the newest configuration.
+
+    Returns
+    -------
+    ServingConfiguration or None
+        None if the bytes hold no configuration.
+    """
+    content = _json(value)
+    if content is None:
+        return None
+    try:
+        return _configuration(content)
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+
+
+def _configuration(content):
+    routes_by_host = {}
+    for item in content["routes"]:
+        route = decode_route(item)
+        if route is not None:
+            routes_by_host.setdefault(route.host, []).append(route)
+    services = (
+        Service(
+            name=item["name"],
+            cold_per_s=item.get("coldPerS") or 0.0,
+            engine=decode_engine(item.get("engine")),
+        )
+        for item in content["services"]
+    )
+    workspaces_by_key = {}
+    for item in content.get("tenants") or ():
+        workspace = Workspace(name=item["name"], priority=item.get("priority"))
+        workspaces_by_key.update(dict.fromkeys(item.get("keys", ()), workspace))
+    limits = content.get("limits") or {}
+    return ServingConfiguration(
+        version=content["version"],
+        routes_by_host={
+            host: tuple(sorted(routes, key=lambda r: -len(r.path_prefix)))
+            for host, routes in routes_by_host.items()
+        },
+        services_by_name={service.name: service for service in services},
+        workspaces_by_key=workspaces_by_key,
+        limits=ClientLimits(
+            max_header_bytes=limits.get("maxHeaderBytes", 16_384),
+            max_body_bytes=limits.get("maxBodyBytes", 4_194_304),
+            header_timeout_s=limits.get("headerTimeoutMs", 3000) * MS,
+            idle_timeout_s=limits.get("idleTimeoutMs", 15_000) * MS,
+        ),
+    )
+
+
+def decode_endpoint(row):
+    """Decode the row of an endpoint, or return None.
+
+    ``sequence`` is a heartbeat's count and says nothing of the endpoint; ``version``
+    is that of its software.
+    """
+    content = _json(row.value)
+    if content is None:
+        return None
+    service, address = content.get("service"), content.get("address")
+    state, slots = content.get("state"), content.get("slots")
+    if not isinstance(service, str) or not isinstance(address, str):
+        return None
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or state not in ("ready", "draining"):
+        return None
+    if not _is_number(slots) or not isinstance(content.get("zone"), str):
+        return None
+    cold_ms, born_ms = content.get("coldRemainingMs", 0), content.get("born", 0)
+    if not _is_number(cold_ms) or not _is_number(born_ms):
+        return None
+    return Endpoint(
+        id=row.key[len(ENDPOINT_PREFIX) :],
+        service=service,
+        address=address,
+        zone=content["zone"],
+        slots=int(slots),
+        is_draining=state == "draining",
+        cold_s=cold_ms * MS,
+        born_ms=int(born_ms),
+        revision=row.revision,
+    )
+
+
+def decode_node(row):
+    """Decode the row of a node, or return None."""
+    content = _json(row.value)
+    if content is None or not isinstance(content.get("address"), str):
+        return None
+    return NodeRecord(
+        name=row.key[len(NODE_PREFIX) :],
+        address=content["address"],
+        zone=str(content.get("zone", "")),
+        revision=row.revision,
+    )
+
+
+def encode_node(*, address, zone):
+    """Encode the row of a node."""
+    return json.dumps({"address": address, "zone": zone}).encode()
+
+
+def node_key(name):
+    """Return the key of a node's row."""
+    return NODE_PREFIX + name
+
+
+def subject_of(key):
+    """Return what a row describes: ``(subject, name)``; other rows are ignored.
+
+    Returns
+    -------
+    tuple of (str, str)
+        The subject is ``configuration``, ``evacuation``, ``endpoint``, ``node`` or
+        ``other``.
+    """
+    if key == CONFIGURATION_KEY:
+        return "configuration", ""
+    for prefix, subject in (
+        (EVACUATION_PREFIX, "evacuation"),
+        (ENDPOINT_PREFIX, "endpoint"),
+        (NODE_PREFIX, "node"),
+    ):
+        if key.startswith(prefix):
+            return subject, key[len(prefix) :]
+    return "other", key
--- /dev/null
+++ b/src/savoryhill/platform/names.py
@@ -0,0 +1,26 @@
+"""Header names and paths of the platform's wire."""
+
+ATTEMPT_ID = b"x-attempt-id"
+TIME_REMAINING = b"x-time-remaining"
+EXPECTED_ENDPOINT = b"x-expected-instance"
+WORKSPACE = b"x-tenant"
+URGENCY = b"x-request-urgency"
+# Engines that read parts of the prompt, each with the reservation it fills.
+HELPERS = b"x-helpers"
+TOKEN_COUNTS = b"x-token-counts"
+LAST_EVENT_ID = b"last-event-id"
+SIGNATURE = b"x-response-signature"
+NOT_RUN = b"x-not-executed"
+LOAD = b"x-server-load"
+# Names the endpoint at fault in a refusal that another endpoint caused.
+FAULTY_ENDPOINT = b"at-server"
+AUTHORIZATION = b"authorization"
+
+READINESS_PATH = b"/savoryhill/readiness"
+ORDER_PATH = b"/savoryhill/order"
+SETTINGS_VARIABLE = "SAVORYHILL_NODE_FILE"
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+ENDPOINT_PREFIX = "servers/"
+NODE_PREFIX = "nodes/"
--- /dev/null
+++ b/src/savoryhill/platform/store.py
@@ -0,0 +1,191 @@
+"""Client of the platform's metadata store."""
+
+import json
+from base64 import b64decode, b64encode
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from savoryhill.errors import (
+    HistoryLostError,
+    MalformedMessageError,
+    NotConnectedError,
+    OutcomeUnknownError,
+    PlatformUnreachableError,
+    StoreRefusedError,
+)
+from savoryhill.serving.http import encode_request, open_connection
+
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreRow:
+    """One row; a deleted one has no value."""
+
+    key: str
+    value: bytes
+    revision: int
+    is_deleted: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreRows:
+    """Rows and the revision of the store to which they are complete."""
+
+    rows: tuple[StoreRow, ...]
+    revision: int
+
+
+def _row(item):
+    if item.get("deleted"):
+        return StoreRow(
+            key=item["key"], value=b"", revision=item["revision"], is_deleted=True
+        )
+    return StoreRow(
+        key=item["key"], value=b64decode(item["value"]), revision=item["revision"]
+    )
+
+
+def _rows(items):
+    rows = []
+    for item in items:
+        try:
+            rows.append(_row(item))
+        except (KeyError, TypeError, ValueError):
+            continue
+    return tuple(rows)
+
+
+class Store:
+    """Calls to the store at ``address``, each on a connection of its own.
+
+    ``observe(operation, seconds, outcome)`` is called after each call.
+    """
+
+    def __init__(self, *, address, clock, observe):
+        self.address = address
+        self._clock = clock
+        self._observe = observe
+
+    def _call(self, method, target, body=None, *, timeout_s=CALL_TIMEOUT_S):
+        """Send one call and return ``(status, content)``.
+
+        Raises
+        ------
+        PlatformUnreachableError
+            If nothing was sent.
+        OutcomeUnknownError
+            If no answer came.
+        """
+        operation = target.split("?")[0].rsplit("/", 1)[-1]
+        started = self._clock.monotonic()
+        outcome = "lost"
+        try:
+            status, content = self._exchange(method, target, body, timeout_s)
+            outcome = str(status)
+            return status, content
+        except NotConnectedError as error:
+            outcome = "unreachable"
+            raise PlatformUnreachableError(f"store: {error}") from error
+        except (OSError, MalformedMessageError, ValueError) as error:
+            raise OutcomeUnknownError(f"store: {target}: {error!r}") from error
+        finally:
+            self._observe(operation, self._clock.monotonic() - started, outcome)
+
+    def _exchange(self, method, target, body, timeout_s):
+        headers = [(b"host", self.address.encode())]
+        content = b""
+        if body is not None:
+            headers.append((b"content-type", b"application/json"))
+            content = json.dumps(body).encode()
+        message = encode_request(method, target.encode(), headers, content)
+        connection = open_connection(self.address, timeout_s=CONNECT_TIMEOUT_S)
+        try:
+            connection.send(message, timeout_s=timeout_s)
+            reader = connection.reader
+            while not reader.complete:
+                if not connection.receive(timeout_s=timeout_s) and not reader.complete:
+                    raise MalformedMessageError("connection ended before the answer")
+            answer = reader.take_body()
+            return reader.head.status, json.loads(answer) if answer else {}
+        finally:
+            connection.close()
+
+    def read_prefix(self, prefix, *, after=""):
+        """Read all rows whose keys start with ``prefix``.
+
+        Returns
+        -------
+        StoreRows
+            Pages are not a snapshot: a row may be newer than ``revision``, which is
+            that of the first page, so a watch from there misses nothing.
+
+        Raises
+        ------
+        PlatformError
+            If a page could not be read.
+        """
+        rows, revision = [], None
+        while True:
+            target = f"/savoryhill/kv-range?pathPrefix={quote(prefix, safe='')}"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            content = self._expect(self._call(b"GET", target))
+            items = content.get("items", [])
+            rows += _rows(items)
+            revision = content["asOf"] if revision is None else revision
+            if not content.get("truncated") or not items:
+                return StoreRows(rows=tuple(rows), revision=revision)
+            after = items[-1]["key"]
+
+    def watch(self, prefix, *, after_revision, wait_s):
+        """Wait for changes after a revision.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store no longer holds that history.
+        PlatformError
+            If the call failed.
+        """
+        target = (
+            f"/savoryhill/kv-watch?pathPrefix={quote(prefix, safe='')}"
+            f"&after={after_revision}&waitMs={int(wait_s * 1000)}"
+        )
+        answer = self._call(b"GET", target, timeout_s=wait_s + CALL_TIMEOUT_S)
+        if answer[0] == 410:
+            raise HistoryLostError(f"history after {after_revision} is gone")
+        content = self._expect(answer)
+        return StoreRows(
+            rows=_rows(content.get("events", [])), revision=content["asOf"]
+        )
+
+    def grant_lease(self, *, ttl_s):
+        """Take a lease and return its number."""
+        body = {"ttlMs": int(ttl_s * 1000)}
+        return self._expect(self._call(b"POST", "/savoryhill/kv-lease", body))["lease"]
+
+    def renew_lease(self, lease):
+        """Renew a lease; return False if it has ended."""
+        answer = self._call(b"POST", f"/savoryhill/kv-keep/{lease}")
+        if answer[0] == 404:
+            return False
+        self._expect(answer)
+        return True
+
+    def end_lease(self, lease):
+        """End a lease, which removes its rows."""
+        self._call(b"DELETE", f"/savoryhill/kv-lease-end/{lease}")
+
+    def put(self, key, value, *, lease=0):
+        """Write a row without a condition and return its revision."""
+        row = {"key": key, "value": b64encode(value).decode(), "lease": lease}
+        body = {"precondition": [], "writes": [row], "remove": []}
+        return self._expect(self._call(b"POST", "/savoryhill/kv-txn", body))["revision"]
+
+    def _expect(self, answer):
+        status, content = answer
+        if status != 200 or not isinstance(content, dict):
+            raise StoreRefusedError(f"store answered {status}", status=status)
+        return content
--- /dev/null
+++ b/src/savoryhill/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The serving path of a node on the platform."""
--- /dev/null
+++ b/src/savoryhill/serving/dispatch.py
@@ -0,0 +1,279 @@
+"""Asks the scheduling node for engines, or this node itself if there is none."""
+
+import gevent
+from gevent.event import AsyncResult
+
+from savoryhill.core.scheduling.messages import (
+    CANCELLED,
+    FIRST_EVENT,
+    JobPlaced,
+    JobRejected,
+    JobReport,
+    JobSubmit,
+    NodeBeat,
+    NodeHello,
+    StoreItem,
+    StoreUpdate,
+)
+from savoryhill.errors import NotConnectedError, PeerError
+from savoryhill.serving.leadership import SUSPICION_S, choose_leader
+from savoryhill.serving.links import Link, open_link
+
+BEAT_S = 0.25
+CHECK_S = 0.1
+PLACE_INTERVAL_S = 0.02
+
+
+class Ticket:
+    """One job of this node, from its submission to its end."""
+
+    def __init__(self, *, submit, submitted_at):
+        self.submit = submit
+        self.submitted_at = submitted_at
+        self.decision = AsyncResult()
+        self.placed = None
+        self.has_started = False
+
+
+class Dispatcher:
+    """The jobs of this node and the link to the scheduling node."""
+
+    def __init__(self, *, node, address, clock, knowledge, scheduling, record):
+        self._node = node
+        self._address = address
+        self._clock = clock
+        self._knowledge = knowledge
+        self._scheduling = scheduling
+        self._record = record
+        self._suspected_until = {}
+        self._link = None
+        self._leader_address = None
+        self._tickets_by_job = {}
+        self._follower_links = set()
+
+    # Jobs of this node.
+
+    def submit(self, message):
+        """Submit a job and return its ticket."""
+        ticket = Ticket(submit=message, submitted_at=self._clock.monotonic())
+        self._tickets_by_job[message.job_id] = ticket
+        self._send_submit(ticket)
+        return ticket
+
+    def started(self, ticket):
+        """Report the first event of a job."""
+        ticket.has_started = True
+        self._report(ticket, FIRST_EVENT, "")
+
+    def finish(self, ticket, what, endpoint=""):
+        """Report the end of a job."""
+        if self._tickets_by_job.pop(ticket.submit.job_id, None) is not None:
+            self._report(ticket, what, endpoint)
+
+    def cancel(self, ticket):
+        """Report that the job is no longer wanted."""
+        self.finish(ticket, CANCELLED)
+
+    def _report(self, ticket, what, endpoint):
+        report = JobReport(job_id=ticket.submit.job_id, what=what, endpoint=endpoint)
+        if self._link is not None:
+            self._link.send(report)
+        else:
+            self._scheduling.report(report)
+
+    def _send_submit(self, ticket):
+        message = ticket.submit
+        elapsed_s = self._clock.monotonic() - ticket.submitted_at
+        if elapsed_s > 0.0 or ticket.placed is not None:
+            message = JobSubmit(
+                job_id=message.job_id,
+                service=message.service,
+                workspace=message.workspace,
+                prompt_tokens=message.prompt_tokens,
+                answer_tokens=message.answer_tokens,
+                due_s=message.due_s - elapsed_s,
+                ends_s=message.ends_s - elapsed_s,
+                pause_s=message.pause_s,
+                priority=message.priority,
+                avoid=message.avoid,
+                endpoints=ticket.placed.endpoints if ticket.placed else (),
+                has_started=ticket.has_started,
+            )
+        if self._link is not None:
+            self._link.send(message)
+        else:
+            self._scheduling.submit(message, self._take_decision)
+
+    def _take_decision(self, decision):
+        ticket = self._tickets_by_job.get(decision.job_id)
+        if ticket is None or ticket.decision.ready():
+            return
+        if isinstance(decision, JobPlaced):
+            ticket.placed = decision
+        ticket.decision.set(decision)
+
+    # The link to the scheduling node.
+
+    def is_leader(self):
+        """Tell whether this node schedules for others as far as it knows."""
+        return self._leader_address == self._address
+
+    def is_alone(self):
+        """Tell whether this node schedules only for itself."""
+        return self._link is None and not self.is_leader()
+
+    def follow(self):
+        """Keep a link to the scheduling node until the greenlet is killed."""
+        while True:
+            leader = choose_leader(
+                self._knowledge.nodes_by_name.values(),
+                suspected_until=self._suspected_until,
+                now=self._clock.monotonic(),
+            )
+            address = leader.address if leader is not None else None
+            if address != self._leader_address:
+                self._leader_address = address
+                self._record("leader.chosen", {"address": address or "none"})
+            if address is None or address == self._address:
+                gevent.sleep(CHECK_S)
+                continue
+            self._follow_one(address)
+
+    def _follow_one(self, address):
+        try:
+            link = open_link(address, node=self._node)
+        except NotConnectedError as error:
+            self._suspect(address, str(error))
+            return
+        link.send(NodeHello(node=self._node, revision=self._knowledge.revision))
+        beats = gevent.spawn(self._beat, link)
+        self._scheduling.forget_all(self._tickets_by_job)
+        self._link = link
+        self._resubmit()
+        try:
+            while self._leader_address == address:
+                self._take_message(link.receive())
+                if not self._is_still_first(address):
+                    break
+        except PeerError as error:
+            self._suspect(address, str(error))
+        finally:
+            self._link = None
+            beats.kill(block=False)
+            link.close()
+            self._resubmit()
+
+    def _is_still_first(self, address):
+        leader = choose_leader(
+            self._knowledge.nodes_by_name.values(),
+            suspected_until=self._suspected_until,
+            now=self._clock.monotonic(),
+        )
+        return leader is None or leader.address == address
+
+    def _suspect(self, address, cause):
+        self._suspected_until[address] = self._clock.monotonic() + SUSPICION_S
+        self._record("leader.lost", {"address": address, "cause": cause})
+
+    def _resubmit(self):
+        for ticket in list(self._tickets_by_job.values()):
+            self._send_submit(ticket)
+
+    def _take_message(self, message):
+        if isinstance(message, JobPlaced | JobRejected):
+            self._take_decision(message)
+        elif isinstance(message, StoreUpdate):
+            self._knowledge.apply(
+                message.rows, message.revision, is_complete=message.is_complete
+            )
+        elif isinstance(message, NodeBeat):
+            self._take_beat(message)
+
+    def _take_beat(self, beat):
+        # A beat about a revision that has not arrived says nothing of this node.
+        if beat.revision <= self._knowledge.revision:
+            at = self._clock.monotonic() - beat.contact_age_s
+            self._knowledge.note_contact(at)
+
+    # Links of other nodes, for which this node schedules.
+
+    def serve_link(self, sock, _address):
+        """Serve a node that follows this one."""
+        link = Link(sock=sock, node=self._node)
+        job_ids = set()
+
+        def deliver(decision):
+            if isinstance(decision, JobRejected):
+                job_ids.discard(decision.job_id)
+            link.send(decision)
+
+        beats = gevent.spawn(self._beat, link)
+        try:
+            while True:
+                message = link.receive()
+                if isinstance(message, NodeHello):
+                    self._send_snapshot(link, message.revision)
+                    self._follower_links.add(link)
+                elif isinstance(message, JobSubmit):
+                    job_ids.add(message.job_id)
+                    self._scheduling.submit(message, deliver)
+                elif isinstance(message, JobReport):
+                    if message.what != FIRST_EVENT:
+                        job_ids.discard(message.job_id)
+                    self._scheduling.report(message)
+        except PeerError as error:
+            self._record("follower.lost", {"cause": str(error)})
+        finally:
+            self._follower_links.discard(link)
+            beats.kill(block=False)
+            link.close()
+            sock.close()
+            self._scheduling.forget_all(job_ids)
+
+    def _send_snapshot(self, link, known_revision):
+        if known_revision >= self._knowledge.revision:
+            return
+        rows = self._knowledge.rows_by_key.values()
+        link.send(_update(rows, self._knowledge.revision, is_complete=True))
+
+    def _beat(self, link):
+        while link.is_open:
+            link.send(
+                NodeBeat(
+                    revision=self._knowledge.revision,
+                    contact_age_s=min(1e9, self._knowledge.contact_age_s()),
+                )
+            )
+            gevent.sleep(BEAT_S)
+
+    def publish(self, rows, revision, is_complete):
+        """Pass rows of the store on to the nodes that follow this one."""
+        if not self._follower_links:
+            return
+        if not is_complete and not rows:
+            return
+        update = _update(rows, revision, is_complete=is_complete)
+        for link in self._follower_links:
+            link.send(update)
+
+    def place_regularly(self):
+        """Place waiting jobs until the greenlet is killed."""
+        while True:
+            gevent.sleep(PLACE_INTERVAL_S)
+            self._scheduling.place_waiting()
+
+
+def _update(rows, revision, *, is_complete):
+    return StoreUpdate(
+        revision=revision,
+        is_complete=is_complete,
+        rows=tuple(
+            StoreItem(
+                key=row.key,
+                value=row.value,
+                revision=row.revision,
+                is_deleted=row.is_deleted,
+            )
+            for row in rows
+        ),
+    )
--- /dev/null
+++ b/src/savoryhill/serving/events.py
@@ -0,0 +1,51 @@
+"""Splits a stream of server-sent events into whole events."""
+
+import re
+
+_SEPARATOR = re.compile(rb"\r?\n\r?\n")
+_ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+# A longer event is no event of an engine.
+MAX_EVENT_BYTES = 1_048_576
+
+
+class EventSplitter:
+    """Collects bytes until an event is whole; ``last_id`` is that of the last one.
+
+    Parameters
+    ----------
+    last_id : int or None
+        Events up to this id have been delivered by an earlier run and are dropped.
+    """
+
+    def __init__(self, *, last_id=None):
+        self._buffer = b""
+        self.last_id = last_id
+
+    def feed(self, data):
+        """Return the whole events that these bytes complete."""
+        self._buffer += data
+        events = []
+        while True:
+            match = _SEPARATOR.search(self._buffer)
+            if match is None:
+                break
+            event = self._buffer[: match.end()]
+            self._buffer = self._buffer[match.end() :]
+            if self._is_new(event):
+                events.append(event)
+        return events
+
+    def _is_new(self, event):
+        match = _ID_LINE.search(event)
+        if match is None:
+            return True
+        event_id = int(match.group(1))
+        if self.last_id is not None and event_id <= self.last_id:
+            return False
+        self.last_id = event_id
+        return True
+
+    @property
+    def has_rest(self):
+        """Tell whether part of an event is left."""
+        return bool(self._buffer)
--- /dev/null
+++ b/src/savoryhill/serving/knowledge.py
@@ -0,0 +1,180 @@
+"""What a node believes of the configuration, the endpoints and the other nodes."""
+
+from dataclasses import dataclass, field
+
+from savoryhill.platform.decode import (
+    decode_configuration,
+    decode_endpoint,
+    decode_node,
+    subject_of,
+)
+from savoryhill.serving.model import Endpoint, NodeRecord, ServingConfiguration
+
+# A contact older than this counts as an outage of the store.
+OUTAGE_S = 1.0
+# Endpoints whose rows lapsed in an outage are back within two seconds of its end.
+LAPSE_GRACE_S = 2.3
+
+
+@dataclass(kw_only=True)
+class Knowledge:
+    """Rows of the store, decoded, with the revision and time of the last contact.
+
+    ``lapsed_until`` maps endpoints whose rows lapsed in an outage to the time until
+    which they are still used. ``record(event, fields)`` is called when a belief
+    changes, ``on_change`` functions after each change.
+    """
+
+    clock: object
+    record: object
+    revision: int = 0
+    contact_at: float = float("-inf")
+    outage_ended_at: float = float("-inf")
+    configuration: ServingConfiguration | None = None
+    endpoints_by_id: dict[str, Endpoint] = field(default_factory=dict)
+    evacuated_zones: set[str] = field(default_factory=set)
+    nodes_by_name: dict[str, NodeRecord] = field(default_factory=dict)
+    lapsed_until: dict[str, float] = field(default_factory=dict)
+    rows_by_key: dict = field(default_factory=dict)
+    on_change: list = field(default_factory=list)
+
+    def contact_age_s(self):
+        """Return the seconds since the store was known to be reached."""
+        return self.clock.monotonic() - self.contact_at
+
+    def note_contact(self, at):
+        """Take note that everything up to ``revision`` was known at a time."""
+        if at - self.contact_at > OUTAGE_S and self.contact_at > float("-inf"):
+            self.outage_ended_at = self.clock.monotonic()
+            self.record("store.regained", {"after_s": round(at - self.contact_at, 3)})
+        self.contact_at = max(self.contact_at, at)
+
+    def apply(self, rows, revision, *, is_complete=False):
+        """Take rows up to a revision.
+
+        Parameters
+        ----------
+        rows : sequence of StoreRow
+            Changes in the order of their revisions.
+        revision : int
+            What is known afterwards; lower ones are ignored.
+        is_complete : bool
+            Whether rows that are not named are absent.
+        """
+        if is_complete and revision >= self.revision:
+            named = {row.key for row in rows}
+            for key in [key for key in self.rows_by_key if key not in named]:
+                self._remove(key)
+        changed = is_complete
+        for row in rows:
+            known = self.rows_by_key.get(row.key)
+            if known is not None and known.revision >= row.revision:
+                continue
+            if row.is_deleted:
+                self._remove(row.key)
+            else:
+                self._take(row)
+            changed = True
+        self.revision = max(self.revision, revision)
+        if changed:
+            self.notify()
+
+    def notify(self):
+        """Call the functions that follow changes."""
+        for function in self.on_change:
+            function()
+
+    def drop_lapsed(self):
+        """Forget endpoints that did not come back after an outage."""
+        now = self.clock.monotonic()
+        expired = [e for e, until in self.lapsed_until.items() if until <= now]
+        for endpoint_id in expired:
+            del self.lapsed_until[endpoint_id]
+            self.endpoints_by_id.pop(endpoint_id, None)
+            self.record("endpoint.gone", {"endpoint": endpoint_id, "cause": "lapsed"})
+        if expired:
+            self.notify()
+
+    def usable_endpoints(self, service):
+        """Return the endpoints to which new work of a service may go."""
+        return [
+            endpoint
+            for endpoint in self.endpoints_by_id.values()
+            if endpoint.service == service
+            and not endpoint.is_draining
+            and endpoint.zone not in self.evacuated_zones
+        ]
+
+    def _take(self, row):
+        subject, name = subject_of(row.key)
+        if subject == "other":
+            return
+        self.rows_by_key[row.key] = row
+        if subject == "configuration":
+            self._take_configuration(row)
+        elif subject == "evacuation":
+            self.evacuated_zones.add(name)
+            self.record("zone.evacuated", {"zone": name, "revision": row.revision})
+        elif subject == "endpoint":
+            self._take_endpoint(name, row)
+        else:
+            node = decode_node(row)
+            if node is not None:
+                self.nodes_by_name[name] = node
+
+    def _take_configuration(self, row):
+        configuration = decode_configuration(row.value)
+        if configuration is None:
+            self.record("configuration.unreadable", {"revision": row.revision})
+            return
+        if self.configuration and configuration.version < self.configuration.version:
+            self.record(
+                "configuration.older",
+                {
+                    "version": configuration.version,
+                    "in_force": self.configuration.version,
+                },
+            )
+            return
+        self.configuration = configuration
+        self.record("configuration.in_force", {"version": configuration.version})
+
+    def _take_endpoint(self, name, row):
+        endpoint = decode_endpoint(row)
+        if endpoint is None:
+            self.endpoints_by_id.pop(name, None)
+            self.record("endpoint.unreadable", {"endpoint": name})
+            return
+        self.lapsed_until.pop(name, None)
+        before = self.endpoints_by_id.get(name)
+        self.endpoints_by_id[name] = endpoint
+        if before is None or before.is_draining != endpoint.is_draining:
+            self.record(
+                "endpoint.registered",
+                {
+                    "endpoint": name,
+                    "zone": endpoint.zone,
+                    "draining": endpoint.is_draining,
+                    "revision": row.revision,
+                },
+            )
+
+    def _remove(self, key):
+        self.rows_by_key.pop(key, None)
+        subject, name = subject_of(key)
+        if subject == "evacuation":
+            self.evacuated_zones.discard(name)
+            self.record("zone.restored", {"zone": name})
+        elif subject == "node":
+            self.nodes_by_name.pop(name, None)
+        elif subject == "endpoint" and name in self.endpoints_by_id:
+            self._remove_endpoint(name)
+
+    def _remove_endpoint(self, name):
+        grace_ends_at = self.outage_ended_at + LAPSE_GRACE_S
+        if self.clock.monotonic() < grace_ends_at:
+            self.lapsed_until[name] = grace_ends_at
+            self.record("endpoint.lapsed", {"endpoint": name})
+            return
+        del self.endpoints_by_id[name]
+        self.record("endpoint.gone", {"endpoint": name, "cause": "removed"})
--- /dev/null
+++ b/src/savoryhill/serving/links.py
@@ -0,0 +1,131 @@
+"""Framed messages between nodes over TCP."""
+
+import struct
+from collections import deque
+
+import gevent
+from gevent import socket as gsocket
+from gevent.event import Event
+
+from savoryhill.errors import NotConnectedError, PeerError
+from savoryhill.peers.codec import Envelope, decode, encode
+from savoryhill.serving.http import open_connection
+
+_LENGTH = struct.Struct("!I")
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+# A link that can't be written for this long, or is silent for this long, is broken.
+SEND_TIMEOUT_S = 1.0
+SILENCE_S = 1.0
+CONNECT_TIMEOUT_S = 0.3
+RECV_BYTES = 65_536
+MAX_QUEUED_MESSAGES = 10_000
+
+
+class Link:
+    """One connection to another node.
+
+    Messages are queued and written by a greenlet of the link, so that no caller
+    waits for the other node.
+    """
+
+    def __init__(self, *, sock, node):
+        sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
+        self._sock = sock
+        self._node = node
+        self._queue = deque()
+        self._wake = Event()
+        self._buffer = bytearray()
+        self.is_open = True
+        self._writer = gevent.spawn(self._write)
+
+    def send(self, message):
+        """Queue a message; a link whose queue is full is closed."""
+        if not self.is_open:
+            return
+        if len(self._queue) >= MAX_QUEUED_MESSAGES:
+            self.close()
+            return
+        self._queue.append(message)
+        self._wake.set()
+
+    def _write(self):
+        sequence = 0
+        while self.is_open:
+            self._wake.wait()
+            self._wake.clear()
+            parts = []
+            while self._queue:
+                sequence += 1
+                envelope = Envelope(
+                    sender=self._node,
+                    incarnation=0,
+                    sequence=sequence,
+                    message=self._queue.popleft(),
+                )
+                content = encode(envelope)
+                parts += (_LENGTH.pack(len(content)), content)
+            try:
+                self._sock.settimeout(SEND_TIMEOUT_S)
+                self._sock.sendall(b"".join(parts))
+            except OSError:
+                self.close()
+
+    def receive(self):
+        """Return the next message.
+
+        Raises
+        ------
+        PeerError
+            If the link ended, was silent too long or carried no message.
+        """
+        while True:
+            if len(self._buffer) >= _LENGTH.size:
+                (length,) = _LENGTH.unpack_from(self._buffer)
+                if length > MAX_FRAME_BYTES:
+                    raise PeerError(f"frame of {length} bytes is too large")
+                end = _LENGTH.size + length
+                if len(self._buffer) >= end:
+                    content = bytes(self._buffer[_LENGTH.size : end])
+                    del self._buffer[:end]
+                    return decode(content).message
+            self._receive_more()
+
+    def _receive_more(self):
+        try:
+            gevent.socket.wait_read(
+                self._sock.fileno(),
+                timeout=SILENCE_S,
+                timeout_exc=TimeoutError(f"silent for {SILENCE_S:g} s"),
+            )
+            data = self._sock.recv(RECV_BYTES)
+        except (OSError, ValueError) as error:
+            raise PeerError(f"link broke: {error!r}") from error
+        if not data:
+            raise PeerError("link was closed")
+        self._buffer += data
+
+    def close(self):
+        """Close the link; the greenlet that receives sees the end."""
+        if self.is_open:
+            self.is_open = False
+            self._wake.set()
+            try:
+                self._sock.shutdown(gsocket.SHUT_RDWR)
+            except OSError:
+                # The connection is gone already, which is what is wanted.
+                return
+
+
+def open_link(address, *, node):
+    """Connect to another node.
+
+    Raises
+    ------
+    NotConnectedError
+        If no connection could be made.
+    """
+    connection = open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+    try:
+        return Link(sock=connection.sock, node=node)
+    except OSError as error:
+        raise NotConnectedError(f"{address}: {error!r}") from error
--- /dev/null
+++ b/src/savoryhill/serving/process.py
@@ -0,0 +1,242 @@
+"""Starts, drains and stops the serving process of a node."""
+
+import os
+import signal
+import sys
+from random import Random
+
+import gevent
+import gevent.event
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from savoryhill.clock import system_clock
+from savoryhill.errors import MalformedMessageError, SettingsError
+from savoryhill.observability.metrics import Metrics, observe, prometheus_text
+from savoryhill.platform.boot_settings import load_settings, settings_path
+from savoryhill.platform.names import READINESS_PATH
+from savoryhill.platform.store import Store
+from savoryhill.serving.balancing import Balancer
+from savoryhill.serving.context import NodeContext
+from savoryhill.serving.dispatch import Dispatcher
+from savoryhill.serving.front import serve_client
+from savoryhill.serving.http import RequestReader, encode_head, split_address
+from savoryhill.serving.knowledge import Knowledge
+from savoryhill.serving.log_lines import LogLines
+from savoryhill.serving.registration import keep_registered
+from savoryhill.serving.scheduling import Scheduling
+from savoryhill.serving.watching import Watcher
+
+BACKLOG = 1024
+MAX_CLIENTS = 3000
+METRICS_PORT = 9464
+METRICS_PATH = b"/metrics"
+# What is left of the grace period when the last streams are ended.
+GRACE_MARGIN_S = 0.6
+DRAIN_CHECK_S = 0.05
+STOP_ACCEPT_S = 3.0
+
+
+class ServingNode:
+    """The serving process of one node."""
+
+    def __init__(self, *, settings, clock, lines):
+        self._settings = settings
+        self._lines = lines
+        self._greenlets = []
+        self._servers = []
+        metrics = Metrics()
+
+        def record(event, fields):
+            lines.write(event, fields)
+
+        def log(event, **fields):
+            lines.write(event, fields)
+
+        def observe_call(operation, seconds, outcome):
+            labels = {"operation": operation, "outcome": outcome}
+            observe(metrics, "store_calls", 1.0, labels)
+            observe(metrics, "store_call_s", seconds, {"operation": operation})
+
+        self._record = record
+        knowledge = Knowledge(clock=clock, record=record)
+        store = Store(address=settings.store_address, clock=clock, observe=observe_call)
+
+        def cold_share():
+            if not dispatcher.is_alone():
+                return 1.0
+            return 1.0 / max(1, len(knowledge.nodes_by_name))
+
+        scheduling = Scheduling(
+            clock=clock, knowledge=knowledge, record=record, cold_share=cold_share
+        )
+        dispatcher = Dispatcher(
+            node=settings.node,
+            address=settings.peer_address,
+            clock=clock,
+            knowledge=knowledge,
+            scheduling=scheduling,
+            record=record,
+        )
+        self._watcher = Watcher(
+            store=store,
+            knowledge=knowledge,
+            must_watch=dispatcher.is_leader,
+            publish=dispatcher.publish,
+            clock=clock,
+        )
+        self._store = store
+        self._dispatcher = dispatcher
+        random = Random(f"{settings.node}/{os.getpid()}")
+        self.context = NodeContext(
+            settings=settings,
+            clock=clock,
+            random=random,
+            knowledge=knowledge,
+            dispatcher=dispatcher,
+            balancer=Balancer(clock=clock, random=random, knowledge=knowledge),
+            metrics=metrics,
+            log=log,
+        )
+        self._set_gauges(metrics, scheduling)
+
+    def _set_gauges(self, metrics, scheduling):
+        knowledge, context = self.context.knowledge, self.context
+        metrics.gauges.update(
+            requests_running=lambda: context.n_running,
+            configuration_version=lambda: (
+                knowledge.configuration.version if knowledge.configuration else 0
+            ),
+            store_contact_age_s=lambda: min(1e9, knowledge.contact_age_s()),
+            nodes_known=lambda: len(knowledge.nodes_by_name),
+            endpoints_known=lambda: len(knowledge.endpoints_by_id),
+            jobs_waiting=lambda: sum(
+                len(s.waiting_by_id) for s in scheduling.schedulers_by_service.values()
+            ),
+            log_lines_dropped=lambda: self._lines.n_dropped,
+        )
+
+    def start(self):
+        """Listen and start the background work."""
+        settings, context = self._settings, self.context
+        self._listen(
+            settings.client_address,
+            lambda sock, _: serve_client(context, sock),
+            pool=Pool(MAX_CLIENTS),
+        )
+        self._listen(settings.readiness_address, self._serve_readiness)
+        self._listen(settings.peer_address, self._dispatcher.serve_link)
+        metrics_host = split_address(settings.client_address)[0]
+        self._listen(f"{metrics_host}:{METRICS_PORT}", self._serve_metrics)
+        for work in (
+            self._watcher.run,
+            self._dispatcher.follow,
+            self._dispatcher.place_regularly,
+            self._keep_registered,
+        ):
+            self._greenlets.append(gevent.spawn(work))
+        self._record("node.started", {"node": settings.node, "zone": settings.zone})
+
+    def _keep_registered(self):
+        keep_registered(
+            store=self._store,
+            node=self._settings.node,
+            address=self._settings.peer_address,
+            zone=self._settings.zone,
+            record=self._record,
+        )
+
+    def _listen(self, address, handle, pool="default"):
+        server = StreamServer(
+            split_address(address), handle, spawn=pool, backlog=BACKLOG
+        )
+        server.start()
+        self._servers.append(server)
+
+    def _serve_readiness(self, sock, _address):
+        self._serve_text(sock, READINESS_PATH, self._readiness)
+
+    def _readiness(self):
+        return (200, b"ready\n") if self.context.is_ready() else (503, b"not ready\n")
+
+    def _serve_metrics(self, sock, _address):
+        self._serve_text(
+            sock,
+            METRICS_PATH,
+            lambda: (200, prometheus_text(self.context.metrics).encode()),
+        )
+
+    def _serve_text(self, sock, path, content):
+        reader = RequestReader(max_header_bytes=8192, max_body_bytes=8192)
+        try:
+            while True:
+                while not reader.requests:
+                    sock.settimeout(30.0)
+                    data = sock.recv(8192)
+                    if not data:
+                        return
+                    reader.feed(data)
+                request = reader.requests.popleft()
+                status, body = content() if request.target == path else (404, b"")
+                length = str(len(body)).encode()
+                sock.sendall(encode_head(status, [(b"content-length", length)]) + body)
+                if not request.keep_alive:
+                    return
+        except (OSError, MalformedMessageError) as error:
+            self._record("inspection.broken", {"cause": repr(error)})
+        finally:
+            sock.close()
+
+    def reload(self):
+        """Read the settings file again; what can't change keeps its value."""
+        try:
+            settings = load_settings(settings_path())
+        except SettingsError as error:
+            self._record("settings.invalid", {"cause": str(error)})
+            return
+        changed = settings != self._settings
+        self._settings = self.context.settings = settings
+        self._record("settings.reloaded", {"changed": changed})
+
+    def drain(self):
+        """Finish what runs, within the grace period, then stop."""
+        context = self.context
+        if context.is_draining():
+            return
+        started = context.clock.monotonic()
+        context.draining_since = started
+        self._record("node.draining", {"running": context.n_running})
+        ends_at = started + self._settings.grace_s - GRACE_MARGIN_S
+        accept_until = min(ends_at, started + STOP_ACCEPT_S)
+        while context.clock.monotonic() < ends_at:
+            gevent.sleep(DRAIN_CHECK_S)
+            if context.n_running == 0 and context.clock.monotonic() >= accept_until:
+                break
+        self._record("node.stopped", {"unfinished": context.n_running})
+
+
+def main():
+    """Run the process until SIGTERM has been carried out."""
+    lines = LogLines(stream=sys.stdout)
+    try:
+        settings = load_settings(settings_path())
+    except SettingsError as error:
+        lines.write("settings.invalid", {"cause": str(error)})
+        lines.flush()
+        return 2
+    node = ServingNode(settings=settings, clock=system_clock(), lines=lines)
+    stopped = gevent.event.Event()
+
+    def stop():
+        node.drain()
+        stopped.set()
+
+    gevent.signal_handler(signal.SIGTERM, lambda: gevent.spawn(stop))
+    gevent.signal_handler(signal.SIGINT, lambda: gevent.spawn(stop))
+    gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(node.reload))
+    flusher = gevent.spawn(lines.run)
+    node.start()
+    stopped.wait()
+    flusher.kill()
+    lines.flush()
+    return 0
--- /dev/null
+++ b/src/savoryhill/serving/registration.py
@@ -0,0 +1,30 @@
+"""Registers this node in the store, so that the others find it."""
+
+import gevent
+
+from savoryhill.errors import PlatformError
+from savoryhill.platform.decode import encode_node, node_key
+
+LEASE_TTL_S = 4.0
+RENEW_S = 1.3
+RETRY_S = 0.5
+
+
+def keep_registered(*, store, node, address, zone, record):
+    """Keep the node's row under a lease until the greenlet is killed."""
+    lease = None
+    while True:
+        try:
+            if lease is not None and store.renew_lease(lease):
+                gevent.sleep(RENEW_S)
+                continue
+            lease = None
+            granted = store.grant_lease(ttl_s=LEASE_TTL_S)
+            value = encode_node(address=address, zone=zone)
+            revision = store.put(node_key(node), value, lease=granted)
+            lease = granted
+            record("node.registered", {"revision": revision, "address": address})
+            gevent.sleep(RENEW_S)
+        except PlatformError as error:
+            record("node.registration_failed", {"cause": str(error)})
+            gevent.sleep(RETRY_S)
--- /dev/null
+++ b/src/savoryhill/serving/scheduling.py
@@ -0,0 +1,152 @@
+"""Runs the schedulers of a node, for its own jobs and for those of other nodes."""
+
+from dataclasses import dataclass
+
+from savoryhill.core.scheduling.accounts import Job
+from savoryhill.core.scheduling.messages import (
+    CANCELLED,
+    ENDPOINT_FAILED,
+    ENDPOINT_FULL,
+    FINISHED,
+    FIRST_EVENT,
+    JobPlaced,
+    JobRejected,
+)
+from savoryhill.core.scheduling.scheduler import Grant, ServiceScheduler
+
+
+@dataclass(kw_only=True)
+class _Owner:
+    service: str
+    deliver: object
+
+
+class Scheduling:
+    """Schedulers by service, fed with jobs and with the endpoints of the knowledge.
+
+    ``record(event, fields)`` is called for each decision.
+    """
+
+    def __init__(self, *, clock, knowledge, record, cold_share):
+        self._clock = clock
+        self._knowledge = knowledge
+        self._record = record
+        self._cold_share = cold_share
+        self._owners_by_job = {}
+        self.schedulers_by_service = {}
+        knowledge.on_change.append(self.refresh)
+
+    def refresh(self):
+        """Take the services and endpoints that are in force."""
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return
+        for service in configuration.services_by_name.values():
+            if service.engine is None:
+                continue
+            scheduler = self.schedulers_by_service.get(service.name)
+            if scheduler is None:
+                scheduler = ServiceScheduler(service=service.name)
+                self.schedulers_by_service[service.name] = scheduler
+            scheduler.cold_per_s = service.cold_per_s * self._cold_share()
+            scheduler.set_engines(
+                self._knowledge.usable_endpoints(service.name), service.engine
+            )
+        self.place_waiting()
+
+    def submit(self, message, deliver):
+        """Take a job; ``deliver`` is called with its decision, maybe at once."""
+        now = self._clock.monotonic()
+        scheduler = self.schedulers_by_service.get(message.service)
+        if scheduler is None:
+            deliver(
+                JobRejected(
+                    job_id=message.job_id,
+                    reason="no engines of the service are known",
+                    retry_after_s=1.0,
+                )
+            )
+            return
+        job = Job(
+            id=message.job_id,
+            service=message.service,
+            workspace=message.workspace,
+            prompt_tokens=message.prompt_tokens,
+            answer_tokens=message.answer_tokens,
+            due_at=now + message.due_s,
+            ends_at=now + message.ends_s,
+            pause_s=message.pause_s,
+            priority=message.priority,
+            avoid=frozenset(message.avoid),
+        )
+        self._owners_by_job[job.id] = _Owner(service=message.service, deliver=deliver)
+        if message.endpoints:
+            scheduler.adopt(
+                job, message.endpoints, has_started=message.has_started, now=now
+            )
+            return
+        self._deliver(scheduler, scheduler.submit(job, now))
+
+    def report(self, message):
+        """Take what became of a job."""
+        owner = self._owners_by_job.get(message.job_id)
+        if owner is None:
+            return
+        scheduler = self.schedulers_by_service[owner.service]
+        now = self._clock.monotonic()
+        if message.what == FIRST_EVENT:
+            self._deliver(scheduler, scheduler.note_first_event(message.job_id, now))
+            return
+        if message.what in (ENDPOINT_FAILED, ENDPOINT_FULL):
+            scheduler.note_failure(
+                message.endpoint, now, is_full=message.what == ENDPOINT_FULL
+            )
+        if message.what in (FINISHED, CANCELLED, ENDPOINT_FAILED, ENDPOINT_FULL):
+            del self._owners_by_job[message.job_id]
+            self._deliver(scheduler, scheduler.cancel(message.job_id, now))
+
+    def forget_all(self, job_ids):
+        """Forget the jobs of a node whose link broke."""
+        for job_id in list(job_ids):
+            owner = self._owners_by_job.pop(job_id, None)
+            if owner is not None:
+                scheduler = self.schedulers_by_service[owner.service]
+                now = self._clock.monotonic()
+                self._deliver(scheduler, scheduler.cancel(job_id, now))
+
+    def place_waiting(self):
+        """Place what now fits; called regularly while jobs wait."""
+        now = self._clock.monotonic()
+        for scheduler in self.schedulers_by_service.values():
+            if scheduler.waiting_by_id:
+                self._deliver(scheduler, scheduler.place_waiting(now))
+
+    def _deliver(self, scheduler, decisions):
+        for decision in decisions:
+            owner = self._owners_by_job.get(decision.job_id)
+            if isinstance(decision, Grant):
+                answer = JobPlaced(
+                    job_id=decision.job_id,
+                    endpoints=decision.endpoint_ids,
+                    predicted_first_s=decision.predicted_first_s,
+                )
+            else:
+                self._owners_by_job.pop(decision.job_id, None)
+                answer = JobRejected(
+                    job_id=decision.job_id,
+                    reason=decision.reason,
+                    retry_after_s=decision.retry_after_s,
+                )
+            self._record(
+                "job.decided",
+                {
+                    "request": decision.job_id,
+                    "decision": type(decision).__name__.lower(),
+                    "endpoints": ",".join(getattr(decision, "endpoint_ids", ())),
+                    "reason": getattr(decision, "reason", ""),
+                    "waiting": len(scheduler.waiting_by_id),
+                    "revision": self._knowledge.revision,
+                },
+            )
+            if owner is not None:
+                owner.deliver(answer)
--- /dev/null
+++ b/src/savoryhill/serving/watching.py
@@ -0,0 +1,82 @@
+"""Keeps a node's knowledge current, from the store or from the scheduling node."""
+
+import gevent
+
+from savoryhill.errors import HistoryLostError, PlatformError
+
+# Short, so that an answer proves twice a second that nothing newer is missing.
+WATCH_WAIT_S = 0.5
+# Changes that come together are taken in one answer.
+BATCH_S = 0.1
+RETRY_S = 0.25
+# A node that hears nothing current from the scheduling node for this long watches
+# the store itself.
+FALLBACK_AGE_S = 1.2
+CHECK_S = 0.2
+
+
+class Watcher:
+    """Watches the store while ``must_watch()`` holds.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    knowledge : Knowledge
+        Where rows go.
+    must_watch : callable
+        Whether this node watches, called before each call.
+    publish : callable
+        Called with the rows and the revision of each answer.
+    clock : Clock
+        The runtime's clock.
+    """
+
+    def __init__(self, *, store, knowledge, must_watch, publish, clock):
+        self._store = store
+        self._knowledge = knowledge
+        self._must_watch = must_watch
+        self._publish = publish
+        self._clock = clock
+        self._needs_snapshot = True
+        self._is_lost = False
+
+    def run(self):
+        """Watch until the greenlet is killed."""
+        while True:
+            self._knowledge.drop_lapsed()
+            fresh = self._knowledge.contact_age_s() <= FALLBACK_AGE_S
+            if not self._needs_snapshot and fresh and not self._must_watch():
+                gevent.sleep(CHECK_S)
+                continue
+            try:
+                self._step()
+            except HistoryLostError as error:
+                self._needs_snapshot = True
+                self._knowledge.record("store.history_lost", {"cause": str(error)})
+            except PlatformError as error:
+                if not self._is_lost:
+                    self._knowledge.record("store.lost", {"cause": str(error)})
+                self._is_lost = True
+                gevent.sleep(RETRY_S)
+
+    def _step(self):
+        started = self._clock.monotonic()
+        if self._needs_snapshot:
+            answer = self._store.read_prefix("")
+            self._needs_snapshot = False
+            self._take(answer, started, is_complete=True)
+            return
+        answer = self._store.watch(
+            "", after_revision=self._knowledge.revision, wait_s=WATCH_WAIT_S
+        )
+        self._take(answer, self._clock.monotonic(), is_complete=False)
+        if answer.rows:
+            gevent.sleep(BATCH_S)
+
+    def _take(self, answer, at, *, is_complete):
+        if self._is_lost:
+            self._is_lost = False
+        self._knowledge.note_contact(at)
+        self._knowledge.apply(answer.rows, answer.revision, is_complete=is_complete)
+        self._publish(answer.rows, answer.revision, is_complete)
