--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -216,6 +216,8 @@
         except NotConnectedError as error:
             return Failure(cause=f"no connection: {error}", was_run=False, at=first.id)
         history.n_runs += 1
+        # What an earlier run left of an event belongs to no other run.
+        self._splitter = EventSplitter(last_id=self._splitter.last_id)
         try:
             self._send(connection, first, helpers=[e.address for e in endpoints[1:]])
             failure = self._relay(connection, ticket, first, now + silence_s)
