serving: stand-ins of the store and endpoints, tests of requests over sockets

Change: savoryhill.standins.serving holds a metadata store and an endpoint that speak the platform's protocol through the adapter's names; tests of streams, calls, refusals and connections use them over loopback.

--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -13,6 +13,7 @@
     PlatformUnreachableError,
     StoreRefusedError,
 )
+from savoryhill.platform import names
 from savoryhill.serving.http import encode_request, open_connection
 
 CONNECT_TIMEOUT_S = 0.5
@@ -128,7 +129,7 @@
         """
         rows, revision = [], None
         while True:
-            target = f"/savoryhill/kv-range?pathPrefix={quote(prefix, safe='')}"
+            target = f"{names.STORE_RANGE_PATH}?pathPrefix={quote(prefix, safe='')}"
             if after:
                 target += f"&after={quote(after, safe='')}"
             content = self._expect(self._call(b"GET", target))
@@ -150,7 +151,7 @@
             If the call failed.
         """
         target = (
-            f"/savoryhill/kv-watch?pathPrefix={quote(prefix, safe='')}"
+            f"{names.STORE_WATCH_PATH}?pathPrefix={quote(prefix, safe='')}"
             f"&after={after_revision}&waitMs={int(wait_s * 1000)}"
         )
         answer = self._call(b"GET", target, timeout_s=wait_s + CALL_TIMEOUT_S)
@@ -164,11 +165,11 @@
     def grant_lease(self, *, ttl_s):
         """Take a lease and return its number."""
         body = {"ttlMs": int(ttl_s * 1000)}
-        return self._expect(self._call(b"POST", "/savoryhill/kv-lease", body))["lease"]
+        return self._expect(self._call(b"POST", names.STORE_LEASE_PATH, body))["lease"]
 
     def renew_lease(self, lease):
         """Renew a lease; return False if it has ended."""
-        answer = self._call(b"POST", f"/savoryhill/kv-keep/{lease}")
+        answer = self._call(b"POST", f"{names.STORE_RENEW_PATH}{lease}")
         if answer[0] == 404:
             return False
         self._expect(answer)
@@ -176,13 +177,15 @@
 
     def end_lease(self, lease):
         """End a lease, which removes its rows."""
-        self._call(b"DELETE", f"/savoryhill/kv-lease-end/{lease}")
+        self._call(b"DELETE", f"{names.STORE_END_LEASE_PATH}{lease}")
 
     def put(self, key, value, *, lease=0):
         """Write a row without a condition and return its revision."""
         row = {"key": key, "value": b64encode(value).decode(), "lease": lease}
         body = {"precondition": [], "writes": [row], "remove": []}
-        return self._expect(self._call(b"POST", "/savoryhill/kv-txn", body))["revision"]
+        return self._expect(self._call(b"POST", names.STORE_TRANSACTION_PATH, body))[
+            "revision"
+        ]
 
     def _expect(self, answer):
         status, content = answer
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -137,6 +137,12 @@
             self._greenlets.append(gevent.spawn(work))
         self._record("node.started", {"node": settings.node, "zone": settings.zone})
 
+    def stop(self):
+        """Stop listening and end the background work at once."""
+        for server in self._servers:
+            server.stop(timeout=0)
+        gevent.killall(self._greenlets)
+
     def _keep_registered(self):
         keep_registered(
             store=self._store,
@@ -209,7 +215,7 @@
         ends_at = started + self._settings.grace_s - GRACE_MARGIN_S
         accept_until = min(ends_at, started + STOP_ACCEPT_S)
         while context.clock.monotonic() < ends_at:
-            gevent.sleep(DRAIN_CHECK_S)
+            context.clock.sleep(DRAIN_CHECK_S)
             if context.n_running == 0 and context.clock.monotonic() >= accept_until:
                 break
         self._record("node.stopped", {"unfinished": context.n_running})
--- /dev/null
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -0,0 +1,122 @@
+"""Stand-in of an endpoint: streams of events or whole answers, and faults.
+
+A fault is a word that applies to the next requests:
+
+- ``cut``: the stream is reset within its third event
+- ``silent``: nothing more is sent after the request
+- ``full``: the request is refused without running
+- ``failing``: the endpoint runs the request and answers 500
+- ``truncated``: the stream ends in order, but within an event
+- ``foreign``: the answer bears the id of another request
+- ``extra``: bytes follow the answer
+"""
+
+import struct
+from collections import deque
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket as gsocket
+
+from savoryhill.platform import names
+from savoryhill.serving.http import LAST_CHUNK, encode_chunk, encode_head
+from savoryhill.standins.serving.server import start_server
+
+N_EVENTS = 6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A request as the endpoint saw it; ``was_run`` is False for a refused one."""
+
+    attempt_id: str
+    headers: tuple
+    body: bytes
+    at: float
+    was_run: bool
+
+
+@dataclass(kw_only=True)
+class EndpointStandIn:
+    """One endpoint; ``faults`` is consumed by the next requests."""
+
+    id: str
+    clock: object
+    n_events: int = N_EVENTS
+    event_s: float = 0.005
+    answer_s: float = 0.005
+    faults: deque = field(default_factory=deque)
+    arrivals: list = field(default_factory=list)
+    n_cancelled: int = 0
+
+    def handle(self, sock, request):
+        """Answer one request; return whether the connection stays open."""
+        fault = self.faults.popleft() if self.faults else None
+        expected = request.header(names.EXPECTED_ENDPOINT)
+        refused = expected != self.id.encode() or fault == "full"
+        attempt = request.header(names.ATTEMPT_ID) or b""
+        self.arrivals.append(
+            Arrival(
+                attempt_id=attempt.decode(),
+                headers=tuple(request.headers),
+                body=request.body,
+                at=self.clock.monotonic(),
+                was_run=not refused,
+            )
+        )
+        if expected != self.id.encode():
+            return _send(sock, 421, [(names.ATTEMPT_ID, attempt)], b"")
+        if fault == "full":
+            headers = [(names.ATTEMPT_ID, attempt), (names.NOT_RUN, b"1")]
+            return _send(sock, 503, headers, b"")
+        if fault == "silent":
+            gevent.sleep(3600.0)
+        if fault == "foreign":
+            attempt = b"of-another-request"
+        headers = [(names.ATTEMPT_ID, attempt), (names.SIGNATURE, self.id.encode())]
+        if fault == "failing":
+            return _send(sock, 500, headers, b"failed")
+        if request.header(names.TOKEN_COUNTS) is not None:
+            return self._stream(sock, request, headers, fault)
+        gevent.sleep(self.answer_s)
+        _send(sock, 200, headers, b"done by " + self.id.encode())
+        if fault == "extra":
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
+        return True
+
+    def _stream(self, sock, request, headers, fault):
+        last = int(request.header(names.LAST_EVENT_ID) or b"0")
+        headers = [*headers, (b"transfer-encoding", b"chunked")]
+        try:
+            sock.sendall(encode_head(200, headers))
+            for number in range(last + 1, self.n_events + 1):
+                gevent.sleep(self.event_s)
+                event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+                if fault in ("cut", "truncated") and number == last + 3:
+                    sock.sendall(encode_chunk(event[:9]))
+                    return self._break(sock, fault)
+                sock.sendall(encode_chunk(event))
+            sock.sendall(LAST_CHUNK)
+        except OSError:
+            self.n_cancelled += 1
+            return False
+        return True
+
+    def _break(self, sock, fault):
+        if fault == "truncated":
+            sock.sendall(LAST_CHUNK)
+            return True
+        # Closing with this option resets the connection.
+        sock.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_LINGER, struct.pack("ii", 1, 0))
+        return False
+
+
+def _send(sock, status, headers, body):
+    headers = [*headers, (b"content-length", str(len(body)).encode())]
+    sock.sendall(encode_head(status, headers) + body)
+    return True
+
+
+def start_endpoint(endpoint, *, address=("127.0.0.1", 0)):
+    """Serve an endpoint and return its server."""
+    return start_server(address, endpoint.handle)
--- /dev/null
+++ b/src/savoryhill/standins/serving/store.py
@@ -0,0 +1,182 @@
+"""Stand-in of the platform's metadata store."""
+
+import json
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import gevent
+from gevent.event import Event
+
+from savoryhill.platform import names
+from savoryhill.serving.http import encode_head
+from savoryhill.standins.serving.server import start_server
+
+# What the store does with a call while a fault is set.
+SILENT = "silent"
+BUSY = "busy"
+RESET = "reset"
+LOST = "lost"
+
+
+@dataclass(kw_only=True)
+class MetadataStore:
+    """Rows, leases and history; ``fault`` is None or one of this module's words.
+
+    ``delay_s`` delays every answer. ``n_calls`` counts calls by operation.
+    """
+
+    clock: object
+    rows_by_key: dict = field(default_factory=dict)
+    revision: int = 1
+    history: list = field(default_factory=list)
+    first_kept: int = 0
+    ends_by_lease: dict = field(default_factory=dict)
+    ttl_by_lease: dict = field(default_factory=dict)
+    fault: str | None = None
+    delay_s: float = 0.0
+    n_calls: dict = field(default_factory=dict)
+    changed: Event = field(default_factory=Event)
+
+    def put(self, key, value, *, lease=0):
+        """Write a row as the operator or an endpoint does."""
+        self.revision += 1
+        created = self.rows_by_key.get(key, {}).get("created", self.revision)
+        row = {
+            "key": key,
+            "value": b64encode(value).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self.rows_by_key[key] = row
+        self._remember(row)
+
+    def remove(self, key):
+        """Remove a row."""
+        if self.rows_by_key.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._remember({"key": key, "revision": self.revision, "deleted": True})
+
+    def _remember(self, event):
+        self.history.append(event)
+        self.changed.set()
+        self.changed.clear()
+
+    def forget_history(self):
+        """Discard the history, as a compaction does."""
+        self.first_kept = self.revision
+        self.history.clear()
+
+    def expire_leases(self):
+        """Remove the rows of leases that have ended."""
+        now = self.clock.monotonic()
+        ended = [lease for lease, end in self.ends_by_lease.items() if end <= now]
+        for lease in ended:
+            del self.ends_by_lease[lease]
+            rows = [k for k, r in self.rows_by_key.items() if r["lease"] == lease]
+            for key in rows:
+                self.remove(key)
+
+    # Calls.
+
+    def handle(self, sock, request):
+        """Answer one call; return whether the connection stays open."""
+        target = urlsplit(request.target.decode())
+        self.n_calls[target.path] = self.n_calls.get(target.path, 0) + 1
+        if self.fault == SILENT:
+            gevent.sleep(3600.0)
+        if self.fault == RESET:
+            return False
+        if self.delay_s:
+            gevent.sleep(self.delay_s)
+        if self.fault == BUSY:
+            return self._answer(sock, 503, {})
+        self.expire_leases()
+        query = {k: v[0] for k, v in parse_qs(target.query, True).items()}
+        body = json.loads(request.body) if request.body else {}
+        status, content = self._dispatch(target.path, query, body)
+        if self.fault == LOST:
+            return False
+        return self._answer(sock, status, content)
+
+    def _answer(self, sock, status, content):
+        body = json.dumps(content).encode()
+        headers = [(b"content-length", str(len(body)).encode())]
+        sock.sendall(encode_head(status, headers) + body)
+        return True
+
+    def _dispatch(self, path, query, body):
+        if path == names.STORE_RANGE_PATH:
+            return self._range(query)
+        if path == names.STORE_WATCH_PATH:
+            return self._watch(query)
+        if path == names.STORE_TRANSACTION_PATH:
+            return self._transact(body)
+        if path == names.STORE_LEASE_PATH:
+            return self._grant(body)
+        if path.startswith(names.STORE_RENEW_PATH):
+            return self._renew(int(path[len(names.STORE_RENEW_PATH) :]))
+        if path.startswith(names.STORE_END_LEASE_PATH):
+            self.ends_by_lease[int(path[len(names.STORE_END_LEASE_PATH) :])] = 0.0
+            self.expire_leases()
+            return 200, {}
+        return 404, {}
+
+    def _range(self, query):
+        prefix = query["pathPrefix"]
+        items = [
+            row
+            for key, row in sorted(self.rows_by_key.items())
+            if key[: len(prefix)] == prefix
+        ]
+        return 200, {"items": items, "truncated": False, "asOf": self.revision}
+
+    def _watch(self, query):
+        after, prefix = int(query["after"]), query["pathPrefix"]
+        ends_at = self.clock.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.first_kept:
+                return 410, {}
+            events = [
+                event
+                for event in self.history
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+            left_s = ends_at - self.clock.monotonic()
+            if events or left_s <= 0:
+                return 200, {"events": events, "asOf": self.revision}
+            self.changed.wait(left_s)
+            self.expire_leases()
+
+    def _transact(self, body):
+        for condition in body.get("precondition", ()):
+            row = self.rows_by_key.get(condition["key"])
+            if (row["revision"] if row else 0) != condition["revision"]:
+                return 412, {"items": [row] if row else []}
+        for write in body.get("writes", ()):
+            if write["lease"] and write["lease"] not in self.ends_by_lease:
+                return 404, {}
+            self.put(write["key"], b64decode(write["value"]), lease=write["lease"])
+        for key in body.get("remove", ()):
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+    def _grant(self, body):
+        lease = len(self.ttl_by_lease) + 1
+        self.ttl_by_lease[lease] = body["ttlMs"] / 1000
+        self.ends_by_lease[lease] = self.clock.monotonic() + body["ttlMs"] / 1000
+        return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+
+    def _renew(self, lease):
+        if lease not in self.ends_by_lease:
+            return 404, {}
+        ttl_s = self.ttl_by_lease[lease]
+        self.ends_by_lease[lease] = self.clock.monotonic() + ttl_s
+        return 200, {"ttlMs": ttl_s * 1000}
+
+
+def start_store(store, *, address=("127.0.0.1", 0)):
+    """Serve a store and return its server."""
+    return start_server(address, store.handle)
--- /dev/null
+++ b/tests/serving/conftest.py
@@ -0,0 +1,224 @@
+"""A store, endpoints and nodes in one process, over loopback sockets."""
+
+import json
+from dataclasses import dataclass, field
+from itertools import count
+
+import gevent
+import pytest
+
+from savoryhill.clock import system_clock
+from savoryhill.platform.boot_settings import ServingSettings
+from savoryhill.serving.http import encode_request, open_connection
+from savoryhill.serving.process import ServingNode
+from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
+from savoryhill.standins.serving.store import MetadataStore, start_store
+
+_HOSTS = count(2)
+ENGINE_FIGURES = {
+    "slots": 4,
+    "kvTokens": 405_000,
+    "stride": 34,
+    "step_ms": 1.31,
+    "per_seq_ms": 0.0018,
+    "context_per_k": 0.00213,
+    "read_per_s": 154_000.0,
+    "pairs_per_m": 0.162,
+    "chunk": 2048,
+}
+
+
+def route(name, path, kind, service, **fields):
+    """Return a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": "site.example",
+        "pathPrefix": path,
+        "kind": kind,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 300,
+        "targetGapMs": 250,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **fields,
+    }
+
+
+def configuration(version=1, routes=None, keys=("key-a",)):
+    """Return a configuration as the operator writes it."""
+    if routes is None:
+        routes = [
+            route("chat", "/chat/", "streaming", "pool", resumable=True),
+            route("once", "/once/", "streaming", "pool", resumable=False),
+            route("order", "/order/", "non_idempotent", "app", attempts=1),
+            route("stock", "/stock/", "idempotent", "app"),
+        ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "pool", "coldPerS": 26.0, "engine": ENGINE_FIGURES},
+            {"name": "app", "coldPerS": 0.0},
+        ],
+        "limits": {"idleTimeoutMs": 15_000, "headerTimeoutMs": 3000},
+        "tenants": [{"name": "ws-a", "keys": list(keys), "priority": 1}],
+    }
+
+
+class Lines:
+    """Collects log lines in place of standard output."""
+
+    def __init__(self):
+        self.events = []
+        self.n_dropped = 0
+
+    def write(self, event, fields):
+        """Keep a line."""
+        self.events.append((event, fields))
+
+    def of(self, event):
+        """Return the fields of all lines of an event."""
+        return [fields for name, fields in self.events if name == event]
+
+
+@dataclass(kw_only=True)
+class Deployment:
+    """What a test runs."""
+
+    store: MetadataStore
+    store_address: str
+    endpoints_by_id: dict = field(default_factory=dict)
+    nodes: list = field(default_factory=list)
+    lines: list = field(default_factory=list)
+    servers: list = field(default_factory=list)
+    n_requests: int = 0
+
+    def configure(self, **fields):
+        """Write a configuration."""
+        value = json.dumps(configuration(**fields)).encode()
+        self.store.put("op/config", value)
+
+    def add_endpoint(self, endpoint_id, *, service, zone="zone-a", **fields):
+        """Start and register an endpoint."""
+        endpoint = EndpointStandIn(id=endpoint_id, clock=system_clock(), **fields)
+        server = start_endpoint(endpoint)
+        self.servers.append(server)
+        self.endpoints_by_id[endpoint_id] = endpoint
+        endpoint.address = f"127.0.0.1:{server.server_port}"
+        self.register(endpoint_id, service=service, zone=zone)
+        return endpoint
+
+    def register(self, endpoint_id, *, service, zone="zone-a", state="ready"):
+        """Write the row of an endpoint."""
+        row = {
+            "service": service,
+            "address": self.endpoints_by_id[endpoint_id].address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        self.store.put(f"servers/{endpoint_id}", json.dumps(row).encode())
+
+    def add_node(self):
+        """Start a node and wait until it is ready."""
+        host = f"127.0.1.{next(_HOSTS)}"
+        settings = ServingSettings(
+            node=f"node-{host}",
+            zone="zone-a",
+            client_address=f"{host}:18080",
+            readiness_address=f"{host}:18081",
+            peer_address=f"{host}:18082",
+            store_address=self.store_address,
+            grace_s=3.0,
+            drain_s=2.0,
+            repeat_ratio=0.2,
+            repeat_slack=100.0,
+            repeat_window_s=10.0,
+            cold_overage=1.5,
+            max_hold_s=20.0,
+            lease_min_s=1.0,
+        )
+        lines = Lines()
+        node = ServingNode(settings=settings, clock=system_clock(), lines=lines)
+        node.start()
+        self.nodes.append(node)
+        self.lines.append(lines)
+        wait_until(node.context.is_ready)
+        return node
+
+    def ask(self, path, *, node=0, method=b"POST", body=b"", **headers):
+        """Send a request and return ``(status, headers, body, is_complete)``."""
+        connection = self.open(path, node=node, method=method, body=body, **headers)
+        return self.finish(connection)
+
+    def open(self, path, *, node=0, method=b"POST", body=b"", **headers):
+        """Send a request and return its connection."""
+        self.n_requests += 1
+        values = {
+            "host": "site.example",
+            "x-attempt-id": f"a{self.n_requests}",
+            "x-time-remaining": "4000",
+            "authorization": "Bearer key-a",
+        }
+        if path.startswith(("/chat/", "/once/")):
+            values["x-token-counts"] = "1000,100"
+        values.update({k.replace("_", "-"): v for k, v in headers.items()})
+        pairs = [(k.encode(), v.encode()) for k, v in values.items() if v is not None]
+        address = self.nodes[node].context.settings.client_address
+        connection = open_connection(address, timeout_s=1.0)
+        message = encode_request(method, path.encode(), pairs, body)
+        connection.send(message, timeout_s=1.0)
+        return connection
+
+    def finish(self, connection):
+        """Read the answer of a connection."""
+        reader = connection.reader
+        try:
+            while not reader.complete and connection.receive(timeout_s=6.0):
+                pass
+        except ConnectionError:
+            # The node broke the answer off; the reader is then not complete.
+            pass
+        finally:
+            connection.close()
+        status = reader.head.status if reader.head else None
+        headers = dict(reader.head.headers) if reader.head else {}
+        return status, headers, reader.take_body(), reader.complete
+
+    def wait_until(self, condition, *, limit_s=5.0):
+        """Wait until a condition holds."""
+        wait_until(condition, limit_s=limit_s)
+
+    def stop(self):
+        """Stop everything."""
+        for node in self.nodes:
+            node.stop()
+        for server in self.servers:
+            server.stop(timeout=0)
+
+
+def wait_until(condition, *, limit_s=5.0):
+    """Wait until a condition holds."""
+    with gevent.Timeout(limit_s, AssertionError(f"{condition} did not hold in time")):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+@pytest.fixture
+def deployment():
+    """A store with a configuration and one node; the test adds endpoints."""
+    store = MetadataStore(clock=system_clock())
+    server = start_store(store)
+    running = Deployment(
+        store=store,
+        store_address=f"127.0.0.1:{server.server_port}",
+        servers=[server],
+    )
+    running.configure()
+    yield running
+    running.stop()
