serving: serve new connections while the node drains

Cause: a draining node closed each new connection before it had read its request, while the platform still sends connections for up to two seconds after readiness fails.

--- a/src/savoryhill/serving/front.py
+++ b/src/savoryhill/serving/front.py
@@ -60,6 +60,7 @@
         self._context = context
         self._sock = sock
         configuration = context.knowledge.configuration
+        self._has_served = False
         self._limits = configuration.limits if configuration else ClientLimits()
         self._reader = RequestReader(
             max_header_bytes=self._limits.max_header_bytes,
@@ -91,6 +92,7 @@
                 return False
             finally:
                 self._context.n_running -= 1
+        self._has_served = True
         if watch.ahead:
             self._feed(bytes(watch.ahead))
         return exchange.keep_alive
@@ -113,7 +115,9 @@
             now = self._context.clock.monotonic()
             if not reader.started:
                 started_at = now
-                if self._context.is_draining():
+                # A new connection still brings a request that was sent before the
+                # platform noticed the shutdown.
+                if self._has_served and self._context.is_draining():
                     return None
                 wait_s = idle_since + self._limits.idle_timeout_s - now
             else:
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -28,7 +28,7 @@
 from savoryhill.serving.watching import Watcher
 
 BACKLOG = 1024
-MAX_CLIENTS = 3000
+MAX_CONNECTIONS = 3000
 METRICS_PORT = 9464
 METRICS_PATH = b"/metrics"
 # What is left of the grace period when the last streams are ended.
@@ -122,7 +122,6 @@
         self._listen(
             settings.client_address,
             lambda sock, _: serve_client(context, sock),
-            pool=Pool(MAX_CLIENTS),
         )
         self._listen(settings.readiness_address, self._serve_readiness)
         self._listen(settings.peer_address, self._dispatcher.serve_link)
@@ -141,6 +140,7 @@
         """Stop listening and end the background work at once."""
         for server in self._servers:
             server.stop(timeout=0)
+            server.pool.kill()
         gevent.killall(self._greenlets)
 
     def _keep_registered(self):
@@ -152,7 +152,8 @@
             record=self._record,
         )
 
-    def _listen(self, address, handle, pool="default"):
+    def _listen(self, address, handle):
+        pool = Pool(MAX_CONNECTIONS)
         server = StreamServer(
             split_address(address), handle, spawn=pool, backlog=BACKLOG
         )
