scheduling: give a waiting prompt more engines when its time runs short

Cause: reading could take 0.6 of the time to the first event; a prompt that waited past that point fitted nowhere until it was late.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -13,9 +13,10 @@
     alone_read_s,
 )
 
-# Reading may take this share of the time to the first event; the rest covers the wait
-# for a running pass, the first pass of writing and the network.
-FIRST_SHARE = 0.6
+# Shares of the time to the first event that reading may take, in the order in which
+# they are tried; the rest covers the wait for a running pass, the first pass of
+# writing and the network.
+FIRST_SHARES = (0.6, 0.9)
 # The platform takes at most 16 helpers beside the first engine.
 MAX_PARTS = 17
 # Slots that short streams leave free on an engine.
@@ -222,11 +223,17 @@
             # The first event is late anyway: only the pauses of others count.
             job = _with_due_at(job, now + 2.0 * alone_s + 1.0)
         claimed = self._claimed_by_others(job)
+        free = [account for account in engines if account.id not in claimed]
+        for share in FIRST_SHARES:
+            chosen = self._choose_within(job, free, alone_s, now, share=share)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _choose_within(self, job, engines, alone_s, now, *, share):
         rooms = []
         for account in engines:
-            if account.id in claimed:
-                continue
-            room_s = account.room_s(now, job, share=FIRST_SHARE)
+            room_s = account.room_s(now, job, share=share)
             if room_s > 0.0:
                 rooms.append((room_s, account))
         writers = [item for item in rooms if self._can_write(item[1], job)]
@@ -275,7 +282,7 @@
             return
         claimed = self._claimed_by_others(job)
         limit = int(len(engines) * MAX_CLAIMED_SHARE) - len(claimed)
-        budget_s = max(job.due_at - now, 0.5) * FIRST_SHARE
+        budget_s = max(job.due_at - now, 0.5) * FIRST_SHARES[0]
         n_parts = min(limit, max(1, round(alone_s / budget_s)))
         if n_parts < 1:
             return
