scheduling: keep prompts over one engine's memory on several; place long ones before a few pauses

A long prompt that fits nowhere is placed where the streams made late weigh less than a share of it; the share grows as its time runs out. Short prompts are not split into parts under 20 ms.

--- a/src/savoryhill/core/scheduling/accounts.py
+++ b/src/savoryhill/core/scheduling/accounts.py
@@ -41,6 +41,13 @@
     granted_at: float
     predicted_first_at: float
     first_at: float | None = None
+    reserved_tokens: tuple[int, ...] = ()
+
+    @property
+    def first_tokens(self):
+        """Tokens that the first engine holds."""
+        whole = self.job.prompt_tokens + self.job.answer_tokens
+        return whole - sum(self.reserved_tokens)
 
 
 @dataclass(kw_only=True)
@@ -48,7 +55,8 @@
     """One engine.
 
     ``jobs_by_id`` holds the jobs that it writes, ``parts_by_id`` the seconds of
-    reading of each job that it has not finished reading. ``reads_end_at`` is when
+    reading of each job that it has not finished reading, ``reserved_by_id`` the
+    memory that it holds for jobs of other engines. ``reads_end_at`` is when
     the reading is predicted to end.
     """
 
@@ -59,18 +67,26 @@
     figures: EngineFigures
     jobs_by_id: dict[str, PlacedJob] = field(default_factory=dict)
     parts_by_id: dict[str, float] = field(default_factory=dict)
+    reserved_by_id: dict[str, int] = field(default_factory=dict)
     reads_end_at: float = 0.0
     is_usable: bool = True
     ejected_until: float = 0.0
     n_failures: int = 0
     grants: deque = field(default_factory=deque)
 
-    @property
-    def memory_tokens(self):
-        """Tokens that the jobs of the engine may come to hold."""
+    def free_tokens(self, share):
+        """Return the tokens of memory, up to a share, that no job may come to hold."""
+        held = sum(placed.first_tokens for placed in self.jobs_by_id.values())
+        held += sum(self.reserved_by_id.values())
+        return int(share * self.figures.memory_tokens) - held
+
+    def harm_tokens(self, now, part_s, base_tokens):
+        """Return the weight of the streams that a part of reading would make late."""
+        pending_s = self.pending_s(now) + self.pass_s()
         return sum(
-            placed.job.prompt_tokens + placed.job.answer_tokens
+            placed.job.prompt_tokens + base_tokens
             for placed in self.jobs_by_id.values()
+            if pending_s < placed.job.pause_s < pending_s + part_s
         )
 
     def pending_s(self, now):
@@ -134,6 +150,7 @@
     def finish(self, job_id, now):
         """Forget a job."""
         self.jobs_by_id.pop(job_id, None)
+        self.reserved_by_id.pop(job_id, None)
         self.finish_reading(job_id, now)
 
     def grants_in_last_second(self, now):
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -35,10 +35,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobPlaced:
-    """The engines of a job, first the one that writes."""
+    """The engines of a job, first the one that writes.
+
+    ``reserved_tokens`` is the memory to reserve at each of them first, 0 for none.
+    """
 
     job_id: str
     endpoints: tuple[str, ...]
+    reserved_tokens: tuple[int, ...]
     predicted_first_s: float
 
 
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -19,6 +19,16 @@
 FIRST_SHARES = (0.6, 0.9)
 # The platform takes at most 16 helpers beside the first engine.
 MAX_PARTS = 17
+# A part that one engine reads is not made shorter than this.
+MIN_PART_S = 0.02
+# A prompt that fits nowhere may make streams late whose weight is this share of its
+# own when its time is about to run out; it starts at the first share.
+HARM_SHARES = (0.05, 0.5)
+# Weight of a stream beside its prompt tokens.
+BASE_WEIGHT_TOKENS = 2_000
+HARM_INTERVAL_S = 0.05
+# Share of an engine's memory that may be planned for one prompt.
+MEMORY_SHARE = 0.95
 # Slots that short streams leave free on an engine.
 SPARE_SLOTS = 1
 FIRST_EJECTION_S = 0.5
@@ -30,10 +40,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
-    """A job may run: the first endpoint writes, the others help to read."""
+    """A job may run: the first endpoint writes, the others help to read.
+
+    ``reserved_tokens`` has one number for each endpoint: the memory that must be
+    reserved there before the request is sent, 0 for none.
+    """
 
     job_id: str
     endpoint_ids: tuple[str, ...]
+    reserved_tokens: tuple[int, ...]
     part_s: float
     predicted_first_s: float
 
@@ -61,6 +76,7 @@
     placed_by_id: dict[str, PlacedJob] = field(default_factory=dict)
     waiting_by_id: dict[str, Job] = field(default_factory=dict)
     claimed_by_id: dict[str, frozenset] = field(default_factory=dict)
+    harm_tried_at: dict[str, float] = field(default_factory=dict)
 
     def set_engines(self, endpoints, figures):
         """Take the endpoints that may be used; others are kept until they are free.
@@ -97,6 +113,7 @@
         """Forget a job whose client has left, and return the decisions that follow."""
         self.waiting_by_id.pop(job_id, None)
         self.claimed_by_id.pop(job_id, None)
+        self.harm_tried_at.pop(job_id, None)
         return self.finish(job_id, now)
 
     def note_first_event(self, job_id, now):
@@ -183,19 +200,21 @@
                 continue
             del self.waiting_by_id[job.id]
             self.claimed_by_id.pop(job.id, None)
+            self.harm_tried_at.pop(job.id, None)
             decisions.append(decision)
         return decisions
 
     def _usable(self, job, now):
         limit = self.cold_per_s
-        return [
+        usable = [
             account
             for account in self.engines_by_id.values()
             if account.is_usable
-            and account.id not in job.avoid
             and account.ejected_until <= now
             and (not limit or account.grants_in_last_second(now) < limit)
         ]
+        # An engine that failed this job before is better than none.
+        return [a for a in usable if a.id not in job.avoid] or usable
 
     def _decide(self, job, now):
         if now >= job.ends_at:
@@ -204,14 +223,16 @@
         if not engines:
             return None
         alone_s = alone_read_s(engines[0], job)
-        needed = job.prompt_tokens + job.answer_tokens
-        if needed > engines[0].figures.memory_tokens:
-            return self._reject(job, "prompt is larger than the memory of an engine")
+        memory_tokens = MEMORY_SHARE * sum(a.figures.memory_tokens for a in engines)
+        if _needed_tokens(job) > memory_tokens:
+            return self._reject(job, "prompt is larger than the memory of all engines")
         fastest_s = alone_s / min(len(engines), MAX_PARTS)
         if now + fastest_s >= job.ends_at:
             return self._reject(job, "cannot be read before the deadline")
         is_late = now + fastest_s > job.due_at
         chosen = self._choose(job, engines, alone_s, now, is_late=is_late)
+        if chosen is None:
+            chosen = self._choose_with_harm(job, engines, alone_s, now)
         if chosen is None:
             self._claim(job, engines, alone_s, now)
             return None
@@ -236,27 +257,80 @@
             room_s = account.room_s(now, job, share=share)
             if room_s > 0.0:
                 rooms.append((room_s, account))
-        writers = [item for item in rooms if self._can_write(item[1], job)]
+        writers = [item for item in rooms if self._can_write(item[1])]
         if not writers:
             return None
-        singles = [item for item in writers if item[0] >= alone_s]
+        singles = [
+            item for item in writers if item[0] >= alone_s and _fits(job, (item[1],))
+        ]
         if singles:
             return (self._pack(singles, now),)
         rooms.sort(key=lambda item: -item[0])
-        for n_parts in range(2, min(len(rooms), MAX_PARTS) + 1):
+        most = min(len(rooms), MAX_PARTS, int(alone_s / MIN_PART_S))
+        for n_parts in range(2, most + 1):
             if alone_s / n_parts > rooms[n_parts - 1][0]:
                 continue
-            members = [account for _, account in rooms[:n_parts]]
-            first = next((a for a in members if self._can_write(a, job)), None)
-            if first is not None:
-                return (first, *(a for a in members if a is not first))
+            chosen = self._with_writer(job, [a for _, a in rooms[:n_parts]])
+            if chosen is not None:
+                return chosen
         return None
 
-    def _can_write(self, account, job):
-        if len(account.jobs_by_id) >= account.slots - SPARE_SLOTS:
-            return False
-        needed = job.prompt_tokens + job.answer_tokens
-        return account.memory_tokens + needed <= account.figures.memory_tokens
+    def _with_writer(self, job, members):
+        """Return the members with one that can write first, or None."""
+        first = next((a for a in members if self._can_write(a)), None)
+        if first is None:
+            return None
+        chosen = (first, *(a for a in members if a is not first))
+        return chosen if _fits(job, chosen) else None
+
+    def _choose_with_harm(self, job, engines, alone_s, now):
+        """Choose engines whose streams will be late for the sake of a larger prompt.
+
+        Load pattern: a very long prompt in a burst of short ones, when every engine
+        writes. Waiting until enough engines are drained takes longer than the prompt
+        has. The streams made late must weigh less than a share of the prompt, and
+        the share grows as its time runs out.
+        """
+        if alone_s < job.pause_s or now < self.harm_tried_at.get(job.id, now):
+            return None
+        self.harm_tried_at[job.id] = now + HARM_INTERVAL_S
+        left_s = job.due_at - now
+        claimed = self._claimed_by_others(job)
+        free = [account for account in engines if account.id not in claimed]
+        best, best_harm = None, None
+        for n_parts in range(1, min(len(free), MAX_PARTS) + 1):
+            part_s = alone_s / n_parts
+            room_s = FIRST_SHARES[-1] * left_s - part_s
+            harms = sorted(
+                (
+                    (
+                        account.harm_tokens(now, part_s, BASE_WEIGHT_TOKENS),
+                        index,
+                        account,
+                    )
+                    for index, account in enumerate(free)
+                    if account.pending_s(now) + account.pass_s() <= room_s
+                ),
+                key=lambda item: item[:2],
+            )[:n_parts]
+            if len(harms) < n_parts:
+                continue
+            harm = sum(tokens for tokens, _, _ in harms)
+            if best_harm is not None and harm >= best_harm:
+                continue
+            chosen = self._with_writer(job, [account for _, _, account in harms])
+            if chosen is not None:
+                best, best_harm = chosen, harm
+        if best is None:
+            return None
+        used = 1.0 - max(0.0, left_s - alone_s / len(best)) / max(left_s, 1e-6)
+        share = HARM_SHARES[0] + (HARM_SHARES[1] - HARM_SHARES[0]) * used
+        if best_harm > share * (job.prompt_tokens + BASE_WEIGHT_TOKENS):
+            return None
+        return best
+
+    def _can_write(self, account):
+        return len(account.jobs_by_id) < account.slots - SPARE_SLOTS
 
     def _pack(self, singles, now):
         """Prefer engines that write already, so that others stay free for reading."""
@@ -293,6 +367,7 @@
         self.claimed_by_id[job.id] = frozenset(a.id for a in free_first[:n_parts])
 
     def _grant(self, job, chosen, part_s, now):
+        reservations = _reservations(job, chosen)
         wait_s = max(account.pending_s(now) for account in chosen)
         predicted_s = wait_s + part_s + chosen[0].pass_s()
         placed = PlacedJob(
@@ -301,11 +376,13 @@
             part_s=part_s,
             granted_at=now,
             predicted_first_at=now + predicted_s,
+            reserved_tokens=reservations,
         )
         self._account(placed, now)
         return Grant(
             job_id=job.id,
             endpoint_ids=placed.engine_ids,
+            reserved_tokens=reservations,
             part_s=part_s,
             predicted_first_s=predicted_s,
         )
@@ -317,6 +394,8 @@
             if account is None:
                 continue
             account.add(placed, now=now, is_writer=index == 0)
+            if index and placed.reserved_tokens[index : index + 1] not in ((), (0,)):
+                account.reserved_by_id[placed.job.id] = placed.reserved_tokens[index]
             if placed.first_at is not None:
                 account.finish_reading(placed.job.id, now)
 
@@ -329,6 +408,29 @@
         )
 
 
+def _needed_tokens(job):
+    return job.prompt_tokens + job.answer_tokens
+
+
+def _reservations(job, chosen):
+    """Return the tokens to reserve on each engine, or None if they don't fit.
+
+    The first engine holds what no reservation holds. Reservations are made only for
+    a prompt that the first engine can't hold.
+    """
+    left = _needed_tokens(job) - chosen[0].free_tokens(MEMORY_SHARE)
+    reserved = [0]
+    for account in chosen[1:]:
+        part = max(0, min(left, account.free_tokens(MEMORY_SHARE)))
+        reserved.append(part)
+        left -= part
+    return tuple(reserved) if left <= 0 else None
+
+
+def _fits(job, chosen):
+    return _reservations(job, chosen) is not None
+
+
 def _with_due_at(job, due_at):
     return Job(
         id=job.id,
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -194,6 +194,7 @@
   jobId @0 :Text;
   endpoints @1 :List(Text);
   predictedFirstS @2 :Float64;
+  reservedTokens @3 :List(Int64);
 }
 
 struct JobRejected {
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -12,7 +12,12 @@
     JobSubmit,
 )
 from savoryhill.core.serving import AttemptHistory
-from savoryhill.errors import ClientGoneError, MalformedMessageError, NotConnectedError
+from savoryhill.errors import (
+    ClientGoneError,
+    EndpointError,
+    MalformedMessageError,
+    NotConnectedError,
+)
 from savoryhill.platform import exchange as wire
 from savoryhill.serving.events import EventSplitter
 from savoryhill.serving.http import (
@@ -23,6 +28,7 @@
     open_connection,
 )
 from savoryhill.serving.model import STREAM
+from savoryhill.serving.reservations import Reservations
 
 CONNECT_TIMEOUT_S = 0.5
 # Bodies up to this size fit the connection's buffers.
@@ -44,10 +50,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Failure:
-    """A send that brought no answer: what was seen, and whether it may have run."""
+    """A send that brought no answer: what was seen, and whether it may have run.
+
+    ``has_arrived`` is False if nothing reached an endpoint; such a send is not
+    counted as a repeat.
+    """
 
     cause: str
     was_run: bool
+    has_arrived: bool = True
     is_full: bool = False
     at: str | None = None
     head: object = None
@@ -206,20 +217,52 @@
         endpoints = [knowledge.endpoints_by_id.get(e) for e in decision.endpoints]
         if None in endpoints:
             missing = decision.endpoints[endpoints.index(None)]
-            return Failure(cause="endpoint is unknown", was_run=False, at=missing)
+            return Failure(
+                cause="endpoint is unknown",
+                was_run=False,
+                has_arrived=False,
+                at=missing,
+            )
+        first = endpoints[0]
+        silence_s = FIRST_SILENCE_S + FIRST_SILENCE_FACTOR * decision.predicted_first_s
+        reservations = Reservations(
+            request_id=ticket.submit.job_id, log=self._context.log
+        )
+        with reservations.renewed():
+            try:
+                helpers = reservations.take(endpoints[1:], decision.reserved_tokens[1:])
+            except (EndpointError, NotConnectedError) as error:
+                return Failure(
+                    cause=f"no memory was reserved: {error}",
+                    was_run=False,
+                    has_arrived=False,
+                    is_full=True,
+                    at=reservations.last_endpoint_id,
+                )
+            try:
+                connection = open_connection(first.address, timeout_s=CONNECT_TIMEOUT_S)
+            except NotConnectedError as error:
+                return Failure(
+                    cause=f"no connection: {error}",
+                    was_run=False,
+                    has_arrived=False,
+                    at=first.id,
+                )
+            return self._run_connected(
+                connection, ticket, endpoints, helpers, history, silence_s
+            )
+
+    def _run_connected(
+        self, connection, ticket, endpoints, helpers, history, silence_s
+    ):
         first = endpoints[0]
         ids_by_address = {e.address: e.id for e in endpoints}
         now = self._clock.monotonic()
-        silence_s = FIRST_SILENCE_S + FIRST_SILENCE_FACTOR * decision.predicted_first_s
-        try:
-            connection = open_connection(first.address, timeout_s=CONNECT_TIMEOUT_S)
-        except NotConnectedError as error:
-            return Failure(cause=f"no connection: {error}", was_run=False, at=first.id)
         history.n_runs += 1
         # What an earlier run left of an event belongs to no other run.
         self._splitter = EventSplitter(last_id=self._splitter.last_id)
         try:
-            self._send(connection, first, helpers=[e.address for e in endpoints[1:]])
+            self._send(connection, first, helpers=helpers)
             failure = self._relay(connection, ticket, first, now + silence_s)
         except (OSError, MalformedMessageError) as error:
             failure = Failure(cause=f"broken: {error!r}", was_run=True, at=first.id)
@@ -373,7 +416,9 @@
                     endpoint.address, timeout_s=CONNECT_TIMEOUT_S
                 )
             except NotConnectedError as error:
-                return Failure(cause=f"no connection: {error}", was_run=False)
+                return Failure(
+                    cause=f"no connection: {error}", was_run=False, has_arrived=False
+                )
             history.n_runs += 1
             try:
                 self._send(connection, endpoint)
@@ -467,8 +512,7 @@
         )
         if now >= self._ends_at or not history.may_send():
             return False
-        if failure.cause.startswith("no connection") or "unknown" in failure.cause:
-            # Nothing arrived anywhere, so the budget of repeats is not touched.
+        if not failure.has_arrived:
             return True
         return self._context.try_repeat(self._service.name, now)
 
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -128,6 +128,7 @@
                 answer = JobPlaced(
                     job_id=decision.job_id,
                     endpoints=decision.endpoint_ids,
+                    reserved_tokens=decision.reserved_tokens,
                     predicted_first_s=decision.predicted_first_s,
                 )
             else:
