serving: bounded log lines that drop routine ones first; savoryhill explain

Cause: lines were dropped oldest first, so a flood of routine lines could push out the one that states why a request failed, and nobody could put the lines of several nodes together. Change: routine events are dropped first and counted by event; explain reads logs of several nodes and prints a request's story with its cause last. Measured: tests with a reader that takes nothing, 20,000 lines written.

--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -5,6 +5,7 @@
 from savoryhill.cli import bench, capacity, questionnaire
 from savoryhill.cli.commands import EXIT_FAILED, EXIT_OK, EXIT_USAGE, Deferred, deferred
 from savoryhill.cli.daemon import node
+from savoryhill.cli.explain import explain
 from savoryhill.cli.inspection import status, timeline
 from savoryhill.cli.standins import STANDINS
 from savoryhill.errors import SavoryhillError
@@ -27,6 +28,7 @@
     "bench": bench.COMMANDS,
     "capacity": capacity.COMMANDS,
     "demo": demo,
+    "explain": explain,
     "node": node,
     "questionnaire": questionnaire.COMMANDS,
     "standin": STANDINS,
--- /dev/null
+++ b/src/savoryhill/observability/explain.py
@@ -0,0 +1,124 @@
+"""The story of one request, from the log lines of several nodes."""
+
+import shlex
+from dataclasses import dataclass
+
+from savoryhill.errors import SavoryhillError
+
+FINAL_EVENTS = ("request.finished", "request.client_gone")
+
+
+class UnknownRequestError(SavoryhillError):
+    """No log line names the request."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogLine:
+    """One parsed line; ``fields`` holds its values as text."""
+
+    at: float
+    node: str
+    event: str
+    fields: dict
+
+
+def parse_line(text):
+    """Parse a line, or return None if it is none of the project's."""
+    try:
+        pairs = dict(part.partition("=")[::2] for part in shlex.split(text))
+        return LogLine(
+            at=float(pairs.pop("time")),
+            node=pairs.pop("node"),
+            event=pairs.pop("event"),
+            fields=pairs,
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+def _is_about(line, request_id):
+    named = line.fields.get("request", "")
+    # The jobs of a request bear its id and the number of the send.
+    return named == request_id or named.rpartition(".")[0] == request_id
+
+
+def lines_of(request_id, texts):
+    """Return the lines about a request in the order of their times.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    texts : iterable of str
+        Lines of all nodes, in any order.
+
+    Returns
+    -------
+    tuple of (list of LogLine, int)
+        The lines, and the number of lines that name the request but can't be read.
+    """
+    lines, n_unreadable = [], 0
+    for text in texts:
+        if request_id not in text:
+            continue
+        # A collector may put columns of its own before the line.
+        start = text.find("time=")
+        line = parse_line(text[start:]) if start >= 0 else None
+        if line is None:
+            n_unreadable += 1
+        elif _is_about(line, request_id):
+            lines.append(line)
+    return sorted(lines, key=lambda line: line.at), n_unreadable
+
+
+def explain(request_id, texts):
+    """Tell the story of a request; the last line states the cause of its end.
+
+    Raises
+    ------
+    UnknownRequestError
+        If no line names the request.
+    """
+    lines, n_unreadable = lines_of(request_id, texts)
+    if not lines:
+        raise UnknownRequestError(
+            f"no log line names request {request_id!r}"
+            + (f"; {n_unreadable} lines can't be read" if n_unreadable else "")
+        )
+    story = [_shown(line, lines[0].at) for line in lines]
+    if n_unreadable:
+        story.append(f"{n_unreadable} lines about the request can't be read")
+    story.append(_cause(lines))
+    return story
+
+
+def _shown(line, start):
+    values = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name != "request" and value not in ("", "null")
+    )
+    return f"{line.at - start:+9.4f} s  {line.node:<20} {line.event:<22} {values}"
+
+
+def _cause(lines):
+    final = next((line for line in reversed(lines) if line.event in FINAL_EVENTS), None)
+    if final is None:
+        last = lines[-1]
+        return (
+            f"cause: node {last.node} logged no end; last seen {last.event}: the node "
+            "ended, or its lines were dropped (look for node.started and log.dropped)"
+        )
+    if final.event == "request.client_gone":
+        return f"cause: the client left: {final.fields.get('cause', '')}"
+    outcome, status = final.fields.get("outcome"), final.fields.get("status")
+    if outcome == "answered":
+        return f"cause: none, it was answered with {status}"
+    failures = [line for line in lines if line.event == "request.send_failed"]
+    earlier = "; ".join(
+        f"send {line.fields.get('send')} to {line.fields.get('endpoint') or 'none'}: "
+        f"{line.fields.get('cause')}"
+        for line in failures
+    )
+    text = f"cause: {outcome} with {status}: {final.fields.get('cause')}"
+    return f"{text} ({earlier})" if earlier else text
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -27,6 +27,7 @@
     log: object
     draining_since: float | None = None
     n_running: int = 0
+    n_started: int = 0
     budgets_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
 
     def is_draining(self):
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -502,6 +502,7 @@
 
     def _may_go_on(self, history, failure):
         now = self._clock.monotonic()
+        self._context.observe("sends_failed", 1.0, self._route)
         self._context.log(
             "request.send_failed",
             request=self.request_id,
@@ -573,6 +574,8 @@
     def _finished(self, outcome, status, endpoint_id, cause=""):
         took_s = self._clock.monotonic() - self._arrived_at
         self._context.observe("request_s", took_s, self._route, outcome=outcome)
+        self._context.observe("requests", 1.0, self._route, outcome=outcome)
+        configuration = self._context.knowledge.configuration
         self._context.log(
             "request.finished",
             request=self.request_id,
@@ -583,6 +586,7 @@
             sends=self._n_sends,
             route=self._route.name if self._route else "",
             prompt_tokens=self._facts.prompt_tokens,
+            configuration=configuration.version if configuration else 0,
             took_s=round(took_s, 4),
         )
 
--- a/src/savoryhill/serving/front.py
+++ b/src/savoryhill/serving/front.py
@@ -80,6 +80,7 @@
         exchange = Exchange(context=self._context, sock=self._sock, request=request)
         with DepartureWatch(sock=self._sock, greenlet=gevent.getcurrent()) as watch:
             self._context.n_running += 1
+            self._context.n_started += 1
             try:
                 exchange.run()
             except ClientGoneError as error:
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -34,6 +34,7 @@
 # What is left of the grace period when the last streams are ended.
 GRACE_MARGIN_S = 0.6
 DRAIN_CHECK_S = 0.05
+EXIT_SETTINGS = 2
 STOP_ACCEPT_S = 3.0
 
 
@@ -114,6 +115,7 @@
                 len(s.waiting_by_id) for s in scheduling.schedulers_by_service.values()
             ),
             log_lines_dropped=lambda: self._lines.n_dropped,
+            requests_started=lambda: context.n_started,
         )
 
     def start(self):
@@ -224,13 +226,14 @@
 
 def main():
     """Run the process until SIGTERM has been carried out."""
-    lines = LogLines(stream=sys.stdout)
     try:
         settings = load_settings(settings_path())
     except SettingsError as error:
+        lines = LogLines(fd=sys.stdout.fileno(), node="unknown")
         lines.write("settings.invalid", {"cause": str(error)})
         lines.flush()
-        return 2
+        return EXIT_SETTINGS
+    lines = LogLines(fd=sys.stdout.fileno(), node=settings.node)
     node = ServingNode(settings=settings, clock=system_clock(), lines=lines)
     stopped = gevent.event.Event()
 
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -72,6 +72,7 @@
     def __init__(self):
         self.events = []
         self.n_dropped = 0
+        self.n_dropped = 0
 
     def write(self, event, fields):
         """Keep a line."""
--- /dev/null
+++ b/tests/serving/test_log_lines.py
@@ -0,0 +1,91 @@
+"""Bounded log lines and the story of a request."""
+
+import os
+
+import pytest
+
+from savoryhill.observability.explain import UnknownRequestError, explain
+from savoryhill.serving.log_lines import LogLines
+
+
+@pytest.fixture
+def pipe():
+    """A pipe whose reader takes nothing until the test reads."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def read_all(fd):
+    parts = []
+    while True:
+        try:
+            data = os.read(fd, 65_536)
+        except BlockingIOError:
+            return b"".join(parts).decode()
+        if not data:
+            return b"".join(parts).decode()
+        parts.append(data)
+
+
+class TestLogLines:
+    def test_blocked_reader_blocks_nobody_and_keeps_failures(self, pipe):
+        # Guards against a node that stands still because nobody reads its log.
+        reader, writer = pipe
+        lines = LogLines(fd=writer, node="n1", max_lines=1_000)
+        lines.write("request.finished", {"request": "bad", "outcome": "refused"})
+        for number in range(20_000):
+            lines.write("request.sent", {"request": f"r{number}", "send": 1})
+            if number % 1_000 == 0:
+                lines.flush()
+        assert lines.n_dropped > 0
+        assert set(lines.dropped_by_event) == {"request.sent"}
+        text = ""
+        while not lines.flush():
+            text += read_all(reader)
+        text += read_all(reader)
+        assert "request=bad outcome=refused" in text
+        assert "event=log.dropped" in text
+
+    def test_keys_are_not_logged(self, pipe):
+        reader, writer = pipe
+        lines = LogLines(fd=writer, node="n1")
+        lines.write("request.sent", {"request": "r", "key": "secret-key"})
+        lines.flush()
+        assert "secret-key" not in read_all(reader)
+
+
+class TestExplain:
+    LINES = (
+        "time=10.5 node=n2 event=job.decided request=r1.1 decision=grant endpoints=e1",
+        "time=10.0 node=n1 event=request.sent request=r1 endpoint=e1 send=1",
+        "time=11.0 node=n1 event=request.send_failed request=r1 endpoint=e1 "
+        'cause="stream broke" send=1',
+        "  11.2 n1 time=11.1 node=n1 event=request.finished request=r1 "
+        'outcome=failed status=502 cause="stream broke"',
+        "time=11.1 node=n1 event=request.finished request=r11 outcome=answered",
+    )
+
+    def test_story_is_in_order_and_ends_with_the_cause(self):
+        story = explain("r1", self.LINES)
+        assert [line.split()[3] for line in story[:-1]] == [
+            "request.sent",
+            "job.decided",
+            "request.send_failed",
+            "request.finished",
+        ]
+        assert story[-1] == (
+            "cause: failed with 502: stream broke (send 1 to e1: stream broke)"
+        )
+
+    def test_request_without_an_end(self):
+        assert "logged no end" in explain("r1", self.LINES[:2])[-1]
+
+    def test_unknown_request(self):
+        with pytest.raises(UnknownRequestError, match="r9"):
+            explain("r9", self.LINES)
+
+    def test_unreadable_line_is_counted(self):
+        assert "1 lines" in explain("r1", (*self.LINES, "time=x r1 'open"))[-2]
