scheduling: leave the engines that small streams need free of long reading

Change: the engines that the running and waiting small streams need are not blocked by long reading; a prompt whose first event is late anyway takes at most a sixth of the engines, or is rejected when that can't end in time; all slots are used; jobs that are late go behind those that are not.

--- a/src/savoryhill/core/scheduling/accounts.py
+++ b/src/savoryhill/core/scheduling/accounts.py
@@ -80,15 +80,6 @@
         held += sum(self.reserved_by_id.values())
         return int(share * self.figures.memory_tokens) - held
 
-    def harm_tokens(self, now, part_s, base_tokens):
-        """Return the weight of the streams that a part of reading would make late."""
-        pending_s = self.pending_s(now) + self.pass_s()
-        return sum(
-            placed.job.prompt_tokens + base_tokens
-            for placed in self.jobs_by_id.values()
-            if pending_s < placed.job.pause_s < pending_s + part_s
-        )
-
     def pending_s(self, now):
         """Predict the seconds of reading that are ahead."""
         pending_s = max(0.0, self.reads_end_at - now)
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -4,7 +4,8 @@
 time and returns decisions; drivers deliver them.
 """
 
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass, field, replace
 
 from savoryhill.core.scheduling.accounts import (
     EngineAccount,
@@ -21,21 +22,21 @@
 MAX_PARTS = 17
 # A part that one engine reads is not made shorter than this.
 MIN_PART_S = 0.02
-# A prompt that fits nowhere may make streams late whose weight is this share of its
-# own when its time is about to run out; it starts at the first share.
-HARM_SHARES = (0.05, 0.5)
-# Weight of a stream beside its prompt tokens.
-BASE_WEIGHT_TOKENS = 2_000
-HARM_INTERVAL_S = 0.05
 # Share of an engine's memory that may be planned for one prompt.
 MEMORY_SHARE = 0.95
-# Slots that short streams leave free on an engine.
-SPARE_SLOTS = 1
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
 FULL_EJECTION_S = 0.2
-# Part of a service's engines that waiting long prompts may keep free of new streams.
-MAX_CLAIMED_SHARE = 0.6
+# Reading for longer than this holds up new streams of an engine.
+BLOCK_S = 0.2
+# Share of an engine's slots that small streams are planned to fill.
+PACKED_SHARE = 0.6
+# Engines that long prompts may always block, however many streams there are.
+MIN_BLOCKED = 2
+# Share of the engines that a prompt whose first event is late anyway may block.
+LATE_SHARE = 1 / 6
+# Reading of a late prompt may take this share of the time to its deadline.
+LATE_READ_SHARE = 0.75
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,6 +63,14 @@
     retry_after_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Blockable:
+    """Engines that long reading may block, in all and beside those blocked now."""
+
+    in_all: int
+    now: int
+
+
 @dataclass(kw_only=True)
 class ServiceScheduler:
     """Queue and accounts of one service.
@@ -76,7 +85,6 @@
     placed_by_id: dict[str, PlacedJob] = field(default_factory=dict)
     waiting_by_id: dict[str, Job] = field(default_factory=dict)
     claimed_by_id: dict[str, frozenset] = field(default_factory=dict)
-    harm_tried_at: dict[str, float] = field(default_factory=dict)
 
     def set_engines(self, endpoints, figures):
         """Take the endpoints that may be used; others are kept until they are free.
@@ -113,7 +121,6 @@
         """Forget a job whose client has left, and return the decisions that follow."""
         self.waiting_by_id.pop(job_id, None)
         self.claimed_by_id.pop(job_id, None)
-        self.harm_tried_at.pop(job_id, None)
         return self.finish(job_id, now)
 
     def note_first_event(self, job_id, now):
@@ -185,7 +192,8 @@
         """
         decisions = []
         waiting = sorted(
-            self.waiting_by_id.values(), key=lambda j: (j.priority, j.due_at)
+            self.waiting_by_id.values(),
+            key=lambda j: (j.priority, j.due_at <= now, j.due_at),
         )
         blocked_sizes = {}
         for job in waiting:
@@ -200,7 +208,6 @@
                 continue
             del self.waiting_by_id[job.id]
             self.claimed_by_id.pop(job.id, None)
-            self.harm_tried_at.pop(job.id, None)
             decisions.append(decision)
         return decisions
 
@@ -226,32 +233,76 @@
         memory_tokens = MEMORY_SHARE * sum(a.figures.memory_tokens for a in engines)
         if _needed_tokens(job) > memory_tokens:
             return self._reject(job, "prompt is larger than the memory of all engines")
-        fastest_s = alone_s / min(len(engines), MAX_PARTS)
-        if now + fastest_s >= job.ends_at:
-            return self._reject(job, "cannot be read before the deadline")
-        is_late = now + fastest_s > job.due_at
-        chosen = self._choose(job, engines, alone_s, now, is_late=is_late)
+        may_block = self._engines_to_block(job, engines, alone_s, now)
+        n_largest = min(len(engines), MAX_PARTS)
+        if alone_s / n_largest > BLOCK_S:
+            n_largest = min(n_largest, max(may_block.in_all, 1))
+        fastest_s = alone_s / n_largest
+        is_late = now + fastest_s / FIRST_SHARES[-1] > job.due_at
+        if is_late:
+            return self._decide_late(job, engines, alone_s, now, may_block)
+        chosen = self._choose(job, engines, alone_s, now, may_block.now)
         if chosen is None:
-            chosen = self._choose_with_harm(job, engines, alone_s, now)
+            self._claim(job, engines, alone_s, now, may_block.now)
+            return None
+        return self._grant(job, chosen, alone_s / len(chosen), now)
+
+    def _decide_late(self, job, engines, alone_s, now, may_block):
+        """Place a job whose first event is late anyway, on few engines.
+
+        Load pattern: the longest prompts, whose reading takes all engines for
+        seconds. Once such a prompt is late it may use a small part of the engines
+        only, so that the prompts behind it are not late as well; if that can't end
+        before its deadline it is rejected at once.
+        """
+        self.claimed_by_id.pop(job.id, None)
+        left_s = (job.ends_at - now) * LATE_READ_SHARE
+        most = max(1, int(len(self.engines_by_id) * LATE_SHARE))
+        if alone_s / most > left_s:
+            return self._reject(job, "cannot be read before the deadline")
+        late = replace(job, due_at=now + left_s)
+        limit = min(most, may_block.now)
+        chosen = self._choose(late, engines, alone_s, now, limit)
         if chosen is None:
-            self._claim(job, engines, alone_s, now)
             return None
         return self._grant(job, chosen, alone_s / len(chosen), now)
 
-    def _choose(self, job, engines, alone_s, now, *, is_late):
+    def _engines_to_block(self, job, engines, alone_s, now):
+        """Return how many engines long reading may block, in all and now.
+
+        Load pattern: the share of long prompts swings within seconds. The engines
+        that the small streams need at this moment stay free of long reading.
+        """
+        if alone_s <= BLOCK_S:
+            return _Blockable(in_all=len(engines), now=len(engines))
+        n_small = sum(
+            1
+            for account in engines
+            for placed in account.jobs_by_id.values()
+            if alone_read_s(account, placed.job) <= BLOCK_S
+        ) + sum(
+            1
+            for waiting in self.waiting_by_id.values()
+            if alone_read_s(engines[0], waiting) <= BLOCK_S
+        )
+        needed = math.ceil(n_small / (PACKED_SHARE * engines[0].slots))
+        in_all = max(MIN_BLOCKED, len(engines) - needed)
+        n_blocked = sum(1 for account in engines if account.pending_s(now) > BLOCK_S)
+        return _Blockable(in_all=in_all, now=max(0, in_all - n_blocked))
+
+    def _choose(self, job, engines, alone_s, now, n_to_block):
         """Choose the fewest engines on which equal parts of the prompt fit."""
-        if is_late:
-            # The first event is late anyway: only the pauses of others count.
-            job = _with_due_at(job, now + 2.0 * alone_s + 1.0)
         claimed = self._claimed_by_others(job)
         free = [account for account in engines if account.id not in claimed]
         for share in FIRST_SHARES:
-            chosen = self._choose_within(job, free, alone_s, now, share=share)
+            chosen = self._choose_within(
+                job, free, alone_s, now, n_to_block, share=share
+            )
             if chosen is not None:
                 return chosen
         return None
 
-    def _choose_within(self, job, engines, alone_s, now, *, share):
+    def _choose_within(self, job, engines, alone_s, now, n_to_block, *, share):
         rooms = []
         for account in engines:
             room_s = account.room_s(now, job, share=share)
@@ -263,12 +314,15 @@
         singles = [
             item for item in writers if item[0] >= alone_s and _fits(job, (item[1],))
         ]
-        if singles:
+        if singles and (alone_s <= BLOCK_S or n_to_block >= 1):
             return (self._pack(singles, now),)
         rooms.sort(key=lambda item: -item[0])
         most = min(len(rooms), MAX_PARTS, int(alone_s / MIN_PART_S))
         for n_parts in range(2, most + 1):
-            if alone_s / n_parts > rooms[n_parts - 1][0]:
+            part_s = alone_s / n_parts
+            if part_s > rooms[n_parts - 1][0]:
+                continue
+            if part_s > BLOCK_S and n_parts > n_to_block:
                 continue
             chosen = self._with_writer(job, [a for _, a in rooms[:n_parts]])
             if chosen is not None:
@@ -283,54 +337,8 @@
         chosen = (first, *(a for a in members if a is not first))
         return chosen if _fits(job, chosen) else None
 
-    def _choose_with_harm(self, job, engines, alone_s, now):
-        """Choose engines whose streams will be late for the sake of a larger prompt.
-
-        Load pattern: a very long prompt in a burst of short ones, when every engine
-        writes. Waiting until enough engines are drained takes longer than the prompt
-        has. The streams made late must weigh less than a share of the prompt, and
-        the share grows as its time runs out.
-        """
-        if alone_s < job.pause_s or now < self.harm_tried_at.get(job.id, now):
-            return None
-        self.harm_tried_at[job.id] = now + HARM_INTERVAL_S
-        left_s = job.due_at - now
-        claimed = self._claimed_by_others(job)
-        free = [account for account in engines if account.id not in claimed]
-        best, best_harm = None, None
-        for n_parts in range(1, min(len(free), MAX_PARTS) + 1):
-            part_s = alone_s / n_parts
-            room_s = FIRST_SHARES[-1] * left_s - part_s
-            harms = sorted(
-                (
-                    (
-                        account.harm_tokens(now, part_s, BASE_WEIGHT_TOKENS),
-                        index,
-                        account,
-                    )
-                    for index, account in enumerate(free)
-                    if account.pending_s(now) + account.pass_s() <= room_s
-                ),
-                key=lambda item: item[:2],
-            )[:n_parts]
-            if len(harms) < n_parts:
-                continue
-            harm = sum(tokens for tokens, _, _ in harms)
-            if best_harm is not None and harm >= best_harm:
-                continue
-            chosen = self._with_writer(job, [account for _, _, account in harms])
-            if chosen is not None:
-                best, best_harm = chosen, harm
-        if best is None:
-            return None
-        used = 1.0 - max(0.0, left_s - alone_s / len(best)) / max(left_s, 1e-6)
-        share = HARM_SHARES[0] + (HARM_SHARES[1] - HARM_SHARES[0]) * used
-        if best_harm > share * (job.prompt_tokens + BASE_WEIGHT_TOKENS):
-            return None
-        return best
-
     def _can_write(self, account):
-        return len(account.jobs_by_id) < account.slots - SPARE_SLOTS
+        return len(account.jobs_by_id) < account.slots
 
     def _pack(self, singles, now):
         """Prefer engines that write already, so that others stay free for reading."""
@@ -350,14 +358,13 @@
                 claimed |= engine_ids
         return claimed
 
-    def _claim(self, job, engines, alone_s, now):
+    def _claim(self, job, engines, alone_s, now, n_to_block):
         """Keep engines free of new streams for a long prompt that waits."""
         if alone_s < job.pause_s or job.id in self.claimed_by_id:
             return
         claimed = self._claimed_by_others(job)
-        limit = int(len(engines) * MAX_CLAIMED_SHARE) - len(claimed)
         budget_s = max(job.due_at - now, 0.5) * FIRST_SHARES[0]
-        n_parts = min(limit, max(1, round(alone_s / budget_s)))
+        n_parts = min(n_to_block - len(claimed), max(1, math.ceil(alone_s / budget_s)))
         if n_parts < 1:
             return
         free_first = sorted(
@@ -429,18 +436,3 @@
 
 def _fits(job, chosen):
     return _reservations(job, chosen) is not None
-
-
-def _with_due_at(job, due_at):
-    return Job(
-        id=job.id,
-        service=job.service,
-        workspace=job.workspace,
-        prompt_tokens=job.prompt_tokens,
-        answer_tokens=job.answer_tokens,
-        due_at=max(job.due_at, due_at),
-        ends_at=job.ends_at,
-        pause_s=job.pause_s,
-        priority=job.priority,
-        avoid=job.avoid,
-    )
