soak: random faults against real node processes

Change: savoryhill soak starts nodes as processes, stand-ins of the store and the endpoints, and proxies on the links; a seeded plan kills, pauses, stops and reloads nodes, disturbs links, store and endpoints, and lets operators revoke keys, drain, evacuate and configure; what clients and endpoints saw is checked against the promises. An engine that failed gets one job until it has answered; connecting to an endpoint takes at most 0.2 s.

--- a/src/savoryhill/cli/main.py
+++ b/src/savoryhill/cli/main.py
@@ -7,6 +7,7 @@
 from savoryhill.cli.daemon import node
 from savoryhill.cli.explain import explain
 from savoryhill.cli.inspection import status, timeline
+from savoryhill.cli.soak import soak
 from savoryhill.cli.standins import STANDINS
 from savoryhill.errors import SavoryhillError
 
@@ -31,6 +32,7 @@
     "explain": explain,
     "node": node,
     "questionnaire": questionnaire.COMMANDS,
+    "soak": soak,
     "standin": STANDINS,
     "status": status,
     "timeline": timeline,
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -133,9 +133,7 @@
             account = self.engines_by_id.get(engine_id)
             if account is not None:
                 account.finish_reading(job_id, now)
-        first = self.engines_by_id.get(placed.engine_ids[0])
-        if first is not None:
-            first.n_failures = 0
+                account.n_failures = 0
         return self.place_waiting(now)
 
     def finish(self, job_id, now):
@@ -218,6 +216,8 @@
             for account in self.engines_by_id.values()
             if account.is_usable
             and account.ejected_until <= now
+            # One job finds out whether an engine that failed works again.
+            and not (account.n_failures and account.jobs_by_id)
             and (not limit or account.grants_in_last_second(now) < limit)
         ]
         # An engine that failed this job before is better than none.
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -30,7 +30,10 @@
 from savoryhill.serving.model import STREAM
 from savoryhill.serving.reservations import Reservations
 
-CONNECT_TIMEOUT_S = 0.5
+# A round trip and the handshake take a few milliseconds; a lost packet is sent again
+# after a second, which is too late for most objectives.
+CONNECT_TIMEOUT_S = 0.2
+UNROUTED_TIMEOUT_S = 0.5
 # Bodies up to this size fit the connection's buffers.
 INLINE_BODY_BYTES = 16_384
 # An engine is silent if its first event takes this much longer than predicted.
@@ -88,7 +91,7 @@
         self._route = None
         self._service = None
         self._workspace = None
-        self._ends_at = self._arrived_at + CONNECT_TIMEOUT_S
+        self._ends_at = self._arrived_at + UNROUTED_TIMEOUT_S
         self._client_ends_at = self._ends_at
         self._is_head_sent = False
         self._splitter = None
--- /dev/null
+++ b/src/savoryhill/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real node processes on one machine."""
--- /dev/null
+++ b/src/savoryhill/soak/deployment.py
@@ -0,0 +1,219 @@
+"""Real node processes, stand-ins and proxies of one soak."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from savoryhill.clock import system_clock
+from savoryhill.platform import names
+from savoryhill.soak.proxy import FaultProxy
+from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
+from savoryhill.standins.serving.store import MetadataStore, start_store
+
+ROOT = Path(__file__).resolve().parents[3]
+N_EVENTS = 8
+EVENT_S = 0.05
+SETTINGS = """\
+node={name}
+zone=zone-a
+ipAddress={host}
+listen.frontend={host}:18080
+listen.readiness={host}:18081
+internalPorts=18082,18090
+platform.address={store}
+bounds.graceS=4
+bounds.budgetSlack=100
+"""
+ENGINE = {
+    "slots": 8,
+    "kvTokens": 405_000,
+    "stride": 34,
+    "step_ms": 1.31,
+    "per_seq_ms": 0.0018,
+    "context_per_k": 0.00213,
+    "read_per_s": 154_000.0,
+    "pairs_per_m": 0.162,
+    "chunk": 2048,
+}
+
+
+def _route(name, kind, service, **fields):
+    return {
+        "name": name,
+        "host": "site.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 300,
+        "targetGapMs": 250,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **fields,
+    }
+
+
+ROUTES = [
+    _route("chat", "streaming", "pool", resumable=True),
+    _route("huge", "streaming", "pool", resumable=True, targetLatencyMs=3000),
+    _route("once", "streaming", "pool", resumable=False),
+    _route("order", "non_idempotent", "app", attempts=1),
+    _route("stock", "idempotent", "app"),
+]
+
+
+@dataclass(kw_only=True)
+class NodeProcess:
+    """One node; ``incarnation`` counts its starts."""
+
+    name: str
+    host: str
+    settings_path: Path
+    store_proxy: FaultProxy
+    log_path: Path
+    process: subprocess.Popen | None = None
+    incarnation: int = 0
+    is_stopping: bool = False
+
+    @property
+    def address(self):
+        """Return where clients connect."""
+        return f"{self.host}:18080"
+
+    def start(self):
+        """Start the process."""
+        self.incarnation += 1
+        self.is_stopping = False
+        environment = {
+            **os.environ,
+            names.SETTINGS_VARIABLE: str(self.settings_path),
+        }
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "serve.py")],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def send(self, number):
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def has_ended(self):
+        """Tell whether the process has ended."""
+        return self.process is not None and self.process.poll() is not None
+
+    def stop(self):
+        """End the process for good."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+
+@dataclass(kw_only=True)
+class SoakDeployment:
+    """A store, endpoints behind proxies and nodes with a proxy to the store each."""
+
+    folder: Path
+    n_nodes: int
+    n_engines: int
+    first_host: int
+    clock: object = field(default_factory=system_clock)
+    nodes: list = field(default_factory=list)
+    endpoints: list = field(default_factory=list)
+    endpoint_proxies: list = field(default_factory=list)
+    services: list = field(default_factory=list)
+    version: int = 0
+    keys: list = field(default_factory=lambda: ["key-0", "key-1", "key-2"])
+
+    def start(self):
+        """Start everything; nodes become ready by themselves."""
+        self.store = MetadataStore(clock=self.clock)
+        self._store_server = start_store(self.store)
+        self._servers = [self._store_server]
+        self.configure()
+        for number in range(self.n_engines):
+            self._add_endpoint(f"engine-{number}", "pool", f"zone-{number % 3}")
+        for number in range(3):
+            self._add_endpoint(f"app-{number}", "app", f"zone-{number % 3}")
+        for number in range(self.n_nodes):
+            self._add_node(number)
+
+    def configure(self):
+        """Write a new version of the configuration."""
+        self.version += 3
+        content = {
+            "version": self.version,
+            "routes": ROUTES,
+            "services": [
+                {"name": "pool", "coldPerS": 26.0, "engine": ENGINE},
+                {"name": "app", "coldPerS": 0.0},
+            ],
+            "limits": {"idleTimeoutMs": 15_000, "headerTimeoutMs": 3000},
+            "tenants": [{"name": "ws", "keys": self.keys, "priority": 1}],
+        }
+        self.store.put(names.CONFIGURATION_KEY, json.dumps(content).encode())
+
+    def _add_endpoint(self, name, service, zone):
+        endpoint = EndpointStandIn(
+            id=name, clock=self.clock, n_events=N_EVENTS, event_s=EVENT_S
+        )
+        server = start_endpoint(endpoint)
+        self._servers.append(server)
+        proxy = FaultProxy(target=f"127.0.0.1:{server.server_port}")
+        self.endpoints.append(endpoint)
+        self.endpoint_proxies.append(proxy)
+        self.services.append((service, zone))
+        self.register(len(self.endpoints) - 1)
+
+    def register(self, index, *, state="ready"):
+        """Write the row of an endpoint."""
+        service, zone = self.services[index]
+        row = {
+            "service": service,
+            "address": self.endpoint_proxies[index].address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        key = names.ENDPOINT_PREFIX + self.endpoints[index].id
+        self.store.put(key, json.dumps(row).encode())
+
+    def _add_node(self, number):
+        host = f"127.0.{self.first_host}.{number + 1}"
+        store = f"127.0.0.1:{self._store_server.server_port}"
+        proxy = FaultProxy(target=store)
+        path = self.folder / f"node-{number}.conf"
+        path.write_text(
+            SETTINGS.format(name=f"node-{number}", host=host, store=proxy.address)
+        )
+        node = NodeProcess(
+            name=f"node-{number}",
+            host=host,
+            settings_path=path,
+            store_proxy=proxy,
+            log_path=self.folder / f"node-{number}.log",
+        )
+        node.start()
+        self.nodes.append(node)
+
+    def stop(self):
+        """End every process that was started, and the stand-ins."""
+        for node in self.nodes:
+            node.stop()
+            node.store_proxy.stop()
+        for proxy in self.endpoint_proxies:
+            proxy.stop()
+        for server in self._servers:
+            server.stop(timeout=0)
--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -11,6 +11,7 @@
 - ``extra``: bytes follow the answer
 """
 
+import json
 import struct
 from collections import deque
 from dataclasses import dataclass, field
@@ -48,9 +49,13 @@
     faults: deque = field(default_factory=deque)
     arrivals: list = field(default_factory=list)
     n_cancelled: int = 0
+    ended_at_by_attempt: dict = field(default_factory=dict)
+    held_until_by_reservation: dict = field(default_factory=dict)
 
     def handle(self, sock, request):
         """Answer one request; return whether the connection stays open."""
+        if request.target == names.ORDER_PATH:
+            return self._order(sock, json.loads(request.body))
         fault = self.faults.popleft() if self.faults else None
         expected = request.header(names.EXPECTED_ENDPOINT)
         refused = expected != self.id.encode() or fault == "full"
@@ -84,6 +89,21 @@
             sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
         return True
 
+    def _order(self, sock, order):
+        held = self.held_until_by_reservation
+        if order["operation"] == "reserve":
+            held[order["id"]] = self.clock.monotonic() + order["holdMs"] / 1000
+        elif order["operation"] == "release":
+            held.pop(order["id"], None)
+        else:
+            return _send(sock, 400, [], b"")
+        return _send(sock, 200, [], b'{"unused":0}')
+
+    def held_reservations(self):
+        """Return the ids of reservations that hold memory now."""
+        now = self.clock.monotonic()
+        return [r for r, end in self.held_until_by_reservation.items() if end > now]
+
     def _stream(self, sock, request, headers, fault):
         last = int(request.header(names.LAST_EVENT_ID) or b"0")
         headers = [*headers, (b"transfer-encoding", b"chunked")]
@@ -100,6 +120,9 @@
         except OSError:
             self.n_cancelled += 1
             return False
+        finally:
+            attempt = (request.header(names.ATTEMPT_ID) or b"").decode()
+            self.ended_at_by_attempt[attempt] = self.clock.monotonic()
         return True
 
     def _break(self, sock, fault):
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -183,6 +183,22 @@
         assert scheduler.submit(job("s", 10), 0.0) == []
         assert len(scheduler.place_waiting(0.6)) == 1
 
+    def test_failed_engine_gets_one_job_until_it_has_answered(self):
+        # Guards against a dead engine that attracts many jobs whenever its ejection
+        # ends, because it looks idle.
+        scheduler = scheduler_of(2)
+        scheduler.note_failure("e00", 0.0)
+        grants = [
+            grant
+            for n in range(4)
+            for grant in scheduler.submit(job(f"s{n}", 5_000, now=0.6), 0.6)
+        ]
+        chosen = [grant.endpoint_ids[0] for grant in grants]
+        assert chosen.count("e00") == 1
+        scheduler.note_first_event(grants[chosen.index("e00")].job_id, 0.7)
+        (grant,) = scheduler.submit(job("s9", 5_000, now=0.7), 0.7)
+        assert grant.endpoint_ids == ("e00",)
+
     def test_adopted_job_counts_on_its_engine(self):
         scheduler = scheduler_of(2)
         scheduler.adopt(long_job("l"), ("e00",), has_started=False, now=0.0)
