serving: replace a scheduling node that lost the store; send updates once encoded

Change: a node that reaches the store while the scheduling node's contact is older than 1.5 s follows the next one, and the node that was left follows too; renewals of the registration back off; rows are compressed and an update is encoded once for all links; placement prefers engines in the zone of the node that relays the answer.

--- a/src/savoryhill/core/scheduling/accounts.py
+++ b/src/savoryhill/core/scheduling/accounts.py
@@ -16,7 +16,8 @@
 
     Times are of the scheduler's clock. ``due_at`` is when the first event is due,
     ``ends_at`` when the client stops waiting; ``pause_s`` is the longest pause
-    between events that is still on time. ``avoid`` names engines not to use.
+    between events that is still on time. ``avoid`` names engines not to use, ``zone``
+    is that of the node that relays the answer.
     """
 
     id: str
@@ -29,6 +30,7 @@
     pause_s: float
     priority: int
     avoid: frozenset[str] = frozenset()
+    zone: str = ""
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -13,14 +13,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobSubmit:
-    """Asks for engines; ``due_s`` and ``ends_s`` count from the sending.
+    """Asks for engines, preferably in ``zone``.
 
+    ``due_s`` and ``ends_s`` count from the sending.
     ``endpoints`` is empty, or names the engines on which the job runs already;
     ``has_started`` tells whether its first event has come.
     """
 
     job_id: str
     service: str
+    zone: str
     workspace: str
     prompt_tokens: int
     answer_tokens: int
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -315,7 +315,7 @@
             item for item in writers if item[0] >= alone_s and _fits(job, (item[1],))
         ]
         if singles and (alone_s <= BLOCK_S or n_to_block >= 1):
-            return (self._pack(singles, now),)
+            return (self._pack(job, singles, now),)
         rooms.sort(key=lambda item: -item[0])
         most = min(len(rooms), MAX_PARTS, int(alone_s / MIN_PART_S))
         for n_parts in range(2, most + 1):
@@ -340,12 +340,17 @@
     def _can_write(self, account):
         return len(account.jobs_by_id) < account.slots
 
-    def _pack(self, singles, now):
-        """Prefer engines that write already, so that others stay free for reading."""
+    def _pack(self, job, singles, now):
+        """Prefer engines that write already, so that others stay free for reading.
+
+        Among engines without reading ahead, those of the job's zone go first, as
+        every event of the answer crosses the link to the engine.
+        """
         return min(
             singles,
             key=lambda item: (
                 item[1].pending_s(now),
+                item[1].zone != job.zone,
                 -len(item[1].jobs_by_id),
                 item[1].id,
             ),
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -115,7 +115,9 @@
 
 # A configuration of full size shrinks to a quarter; 2,600 changes a day would
 # otherwise take most of a node's share of control traffic.
-_COMPRESSED_FIELDS = frozenset({(messages.ConfigValue, "content")})
+_COMPRESSED_FIELDS = frozenset(
+    {(messages.ConfigValue, "content"), (jobs.StoreItem, "value")}
+)
 MAX_DECOMPRESSED_BYTES = 16 * 1024 * 1024
 
 
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -188,6 +188,7 @@
   avoid @9 :List(Text);
   endpoints @10 :List(Text);
   hasStarted @11 :Bool;
+  zone @12 :Text;
 }
 
 struct JobPlaced {
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -1,5 +1,7 @@
 """Asks the scheduling node for engines, or this node itself if there is none."""
 
+from dataclasses import replace
+
 import gevent
 from gevent.event import AsyncResult
 
@@ -17,10 +19,13 @@
 )
 from savoryhill.errors import NotConnectedError, PeerError
 from savoryhill.serving.leadership import SUSPICION_S, choose_leader
-from savoryhill.serving.links import Link, open_link
+from savoryhill.serving.links import Link, encode_frame, open_link
 
 BEAT_S = 0.25
 CHECK_S = 0.1
+# A scheduling node whose store contact is older than this is replaced by one that
+# reaches the store.
+STALE_LEADER_S = 1.5
 PLACE_INTERVAL_S = 0.02
 
 
@@ -48,6 +53,7 @@
         self._suspected_until = {}
         self._link = None
         self._leader_address = None
+        self._leader_contact_age_s = 0.0
         self._tickets_by_job = {}
         self._follower_links = set()
 
@@ -85,17 +91,10 @@
         message = ticket.submit
         elapsed_s = self._clock.monotonic() - ticket.submitted_at
         if elapsed_s > 0.0 or ticket.placed is not None:
-            message = JobSubmit(
-                job_id=message.job_id,
-                service=message.service,
-                workspace=message.workspace,
-                prompt_tokens=message.prompt_tokens,
-                answer_tokens=message.answer_tokens,
+            message = replace(
+                message,
                 due_s=message.due_s - elapsed_s,
                 ends_s=message.ends_s - elapsed_s,
-                pause_s=message.pause_s,
-                priority=message.priority,
-                avoid=message.avoid,
                 endpoints=ticket.placed.endpoints if ticket.placed else (),
                 has_started=ticket.has_started,
             )
@@ -122,6 +121,26 @@
         """Tell whether this node schedules only for itself."""
         return self._link is None and not self.is_leader()
 
+    def note_own_contact(self):
+        """Take note that this node has just reached the store by itself.
+
+        A scheduling node that has not reached it for a while is then cut off from
+        the store alone, and the next one takes its place.
+        """
+        if self._link is None or self._leader_contact_age_s < STALE_LEADER_S:
+            return
+        self._suspect(self._leader_address, "it has lost the store")
+        self._link.close()
+
+    def _step_aside(self):
+        """Let another node schedule if this one alone has lost the store.
+
+        While the store is away for all, the others keep following this node.
+        """
+        is_cut_off = self._knowledge.contact_age_s() > STALE_LEADER_S
+        if is_cut_off and not self._follower_links and self._knowledge.nodes_by_name:
+            self._suspect(self._address, "this node has lost the store")
+
     def follow(self):
         """Keep a link to the scheduling node until the greenlet is killed."""
         while True:
@@ -135,6 +154,8 @@
                 self._leader_address = address
                 self._record("leader.chosen", {"address": address or "none"})
             if address is None or address == self._address:
+                if address is not None:
+                    self._step_aside()
                 gevent.sleep(CHECK_S)
                 continue
             self._follow_one(address)
@@ -149,6 +170,7 @@
         beats = gevent.spawn(self._beat, link)
         self._scheduling.forget_all(self._tickets_by_job)
         self._link = link
+        self._leader_contact_age_s = 0.0
         self._resubmit()
         try:
             while self._leader_address == address:
@@ -190,6 +212,7 @@
             self._take_beat(message)
 
     def _take_beat(self, beat):
+        self._leader_contact_age_s = beat.contact_age_s
         # A beat about a revision that has not arrived says nothing of this node.
         if beat.revision <= self._knowledge.revision:
             at = self._clock.monotonic() - beat.contact_age_s
@@ -253,8 +276,9 @@
         if not is_complete and not rows:
             return
         update = _update(rows, revision, is_complete=is_complete)
+        frame = encode_frame(update, node=self._node)
         for link in self._follower_links:
-            link.send(update)
+            link.send_frame(frame)
 
     def place_regularly(self):
         """Place waiting jobs until the greenlet is killed."""
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -194,6 +194,7 @@
             JobSubmit(
                 job_id=f"{self.request_id}.{self._n_sends}",
                 service=self._service.name,
+                zone=self._context.settings.zone,
                 workspace=self._workspace.name if self._workspace else "",
                 prompt_tokens=self._facts.prompt_tokens,
                 answer_tokens=self._facts.answer_tokens,
--- a/src/savoryhill/serving/links.py
+++ b/src/savoryhill/serving/links.py
@@ -18,7 +18,14 @@
 SILENCE_S = 1.0
 CONNECT_TIMEOUT_S = 0.3
 RECV_BYTES = 65_536
-MAX_QUEUED_MESSAGES = 10_000
+MAX_QUEUED_FRAMES = 10_000
+
+
+def encode_frame(message, *, node):
+    """Encode a message as a frame, which may be sent on several links."""
+    envelope = Envelope(sender=node, incarnation=0, sequence=0, message=message)
+    content = encode(envelope)
+    return _LENGTH.pack(len(content)) + content
 
 
 class Link:
@@ -40,33 +47,27 @@
 
     def send(self, message):
         """Queue a message; a link whose queue is full is closed."""
+        self.send_frame(encode_frame(message, node=self._node))
+
+    def send_frame(self, frame):
+        """Queue an encoded frame; a link whose queue is full is closed."""
         if not self.is_open:
             return
-        if len(self._queue) >= MAX_QUEUED_MESSAGES:
+        if len(self._queue) >= MAX_QUEUED_FRAMES:
             self.close()
             return
-        self._queue.append(message)
+        self._queue.append(frame)
         self._wake.set()
 
     def _write(self):
-        sequence = 0
         while self.is_open:
             self._wake.wait()
             self._wake.clear()
-            parts = []
-            while self._queue:
-                sequence += 1
-                envelope = Envelope(
-                    sender=self._node,
-                    incarnation=0,
-                    sequence=sequence,
-                    message=self._queue.popleft(),
-                )
-                content = encode(envelope)
-                parts += (_LENGTH.pack(len(content)), content)
+            data = b"".join(self._queue)
+            self._queue.clear()
             try:
                 self._sock.settimeout(SEND_TIMEOUT_S)
-                self._sock.sendall(b"".join(parts))
+                self._sock.sendall(data)
             except OSError:
                 self.close()
 
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -84,6 +84,7 @@
             knowledge=knowledge,
             must_watch=dispatcher.is_leader,
             publish=dispatcher.publish,
+            on_contact=dispatcher.note_own_contact,
             clock=clock,
         )
         self._store = store
--- a/src/savoryhill/serving/registration.py
+++ b/src/savoryhill/serving/registration.py
@@ -8,14 +8,16 @@
 LEASE_TTL_S = 4.0
 RENEW_S = 1.3
 RETRY_S = 0.5
+MAX_RETRY_S = 2.0
 
 
 def keep_registered(*, store, node, address, zone, record):
     """Keep the node's row under a lease until the greenlet is killed."""
-    lease = None
+    lease, pause_s = None, RETRY_S
     while True:
         try:
             if lease is not None and store.renew_lease(lease):
+                pause_s = RETRY_S
                 gevent.sleep(RENEW_S)
                 continue
             lease = None
@@ -27,4 +29,5 @@
             gevent.sleep(RENEW_S)
         except PlatformError as error:
             record("node.registration_failed", {"cause": str(error)})
-            gevent.sleep(RETRY_S)
+            gevent.sleep(pause_s)
+            pause_s = min(MAX_RETRY_S, 2.0 * pause_s)
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -78,6 +78,7 @@
             pause_s=message.pause_s,
             priority=message.priority,
             avoid=frozenset(message.avoid),
+            zone=message.zone,
         )
         self._owners_by_job[job.id] = _Owner(service=message.service, deliver=deliver)
         if message.endpoints:
--- a/src/savoryhill/serving/watching.py
+++ b/src/savoryhill/serving/watching.py
@@ -9,6 +9,7 @@
 # Changes that come together are taken in one answer.
 BATCH_S = 0.1
 RETRY_S = 0.25
+MAX_RETRY_S = 0.5
 # A node that hears nothing current from the scheduling node for this long watches
 # the store itself.
 FALLBACK_AGE_S = 1.2
@@ -28,18 +29,22 @@
         Whether this node watches, called before each call.
     publish : callable
         Called with the rows and the revision of each answer.
+    on_contact : callable
+        Called after each answer of the store.
     clock : Clock
         The runtime's clock.
     """
 
-    def __init__(self, *, store, knowledge, must_watch, publish, clock):
+    def __init__(self, *, store, knowledge, must_watch, publish, on_contact, clock):
         self._store = store
         self._knowledge = knowledge
         self._must_watch = must_watch
         self._publish = publish
+        self._on_contact = on_contact
         self._clock = clock
         self._needs_snapshot = True
         self._is_lost = False
+        self._pause_s = RETRY_S / 2
 
     def run(self):
         """Watch until the greenlet is killed."""
@@ -58,7 +63,8 @@
                 if not self._is_lost:
                     self._knowledge.record("store.lost", {"cause": str(error)})
                 self._is_lost = True
-                gevent.sleep(RETRY_S)
+                self._pause_s = min(MAX_RETRY_S, 2.0 * self._pause_s)
+                gevent.sleep(self._pause_s)
 
     def _step(self):
         started = self._clock.monotonic()
@@ -75,8 +81,9 @@
             gevent.sleep(BATCH_S)
 
     def _take(self, answer, at, *, is_complete):
-        if self._is_lost:
-            self._is_lost = False
+        self._is_lost = False
+        self._pause_s = RETRY_S / 2
         self._knowledge.note_contact(at)
         self._knowledge.apply(answer.rows, answer.revision, is_complete=is_complete)
         self._publish(answer.rows, answer.revision, is_complete)
+        self._on_contact()
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -125,7 +125,7 @@
         }
         self.store.put(f"servers/{endpoint_id}", json.dumps(row).encode())
 
-    def add_node(self):
+    def add_node(self, *, store_address=None):
         """Start a node and wait until it is ready."""
         host = f"127.0.1.{next(_HOSTS)}"
         settings = ServingSettings(
@@ -134,7 +134,7 @@
             client_address=f"{host}:18080",
             readiness_address=f"{host}:18081",
             peer_address=f"{host}:18082",
-            store_address=self.store_address,
+            store_address=store_address or self.store_address,
             grace_s=3.0,
             drain_s=2.0,
             repeat_ratio=0.2,
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from savoryhill.soak.proxy import FaultProxy
 from savoryhill.standins.serving import store as faults
 
 
@@ -51,6 +52,34 @@
         assert (status, complete) == (200, True)
 
 
+class TestLostStore:
+    def test_node_that_lost_the_store_is_replaced(self, deployment):
+        # Guards against a scheduling node that is turned away by the store, so that
+        # every other node watches the store by itself.
+        proxy = FaultProxy(target=deployment.store_address)
+        first = deployment.add_node(store_address=proxy.address)
+        deployment.wait_until(first._dispatcher.is_leader)
+        second = deployment.add_node()
+        deployment.wait_until(lambda: second._dispatcher._link is not None)
+        proxy.set_mode("reset")
+        deployment.wait_until(second._dispatcher.is_leader)
+        deployment.wait_until(lambda: first._dispatcher._link is not None)
+        deployment.configure(version=7)
+        knowledge = first.context.knowledge
+        deployment.wait_until(lambda: knowledge.configuration.version == 7)
+        proxy.stop()
+
+    def test_scheduling_node_stays_when_the_store_is_away_for_all(self, deployment):
+        first = deployment.add_node()
+        deployment.wait_until(first._dispatcher.is_leader)
+        second = deployment.add_node()
+        deployment.wait_until(lambda: second._dispatcher._link is not None)
+        deployment.store.fault = faults.BUSY
+        gevent.sleep(2.5)
+        assert second._dispatcher._link is not None
+        assert first._dispatcher.is_leader()
+
+
 class TestStoreOutage:
     @pytest.mark.parametrize("fault", [faults.SILENT, faults.BUSY, faults.RESET])
     def test_requests_are_served_while_the_store_is_away(self, deployment, fault):
