--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,11 @@
 $(VENV)/.installed: requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --require-hashes -r requirements-dev.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $@
 
 demo: $(VENV)/.installed
-	PYTHONPATH=src $(BIN)/python -m savoryhill demo
+	$(BIN)/savoryhill demo
 
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest
--- a/src/savoryhill/platform/exchange.py
+++ b/src/savoryhill/platform/exchange.py
@@ -76,7 +76,6 @@
     endpoint_id,
     workspace,
     remaining_s,
-    urgency,
     helpers=(),
     last_event_id=None,
 ):
@@ -97,8 +96,6 @@
     headers.append((names.EXPECTED_ENDPOINT, endpoint_id.encode()))
     if workspace is not None:
         headers.append((names.WORKSPACE, workspace.encode()))
-    if urgency is not None:
-        headers.append((names.URGENCY, str(urgency).encode()))
     if helpers:
         headers.append((names.HELPERS, ",".join(helpers).encode()))
     if last_event_id is not None:
@@ -123,6 +120,13 @@
     ]
 
 
+def own_headers(facts):
+    """Return the headers of an answer that this node gives itself."""
+    if facts.attempt_id is None:
+        return []
+    return [(names.ATTEMPT_ID, facts.attempt_id)]
+
+
 def was_not_run(head):
     """Tell whether an answer states that the endpoint did not run the request."""
     return head.status == 421 or head.header(names.NOT_RUN) is not None
--- a/src/savoryhill/serving/balancing.py
+++ b/src/savoryhill/serving/balancing.py
@@ -13,7 +13,6 @@
     n_running: int = 0
     n_failures: int = 0
     ejected_until: float = 0.0
-    answer_s: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -62,11 +61,9 @@
         finally:
             load.n_running -= 1
 
-    def note_success(self, endpoint, seconds):
+    def note_success(self, endpoint):
         """Take note of an answer."""
-        load = self._load(endpoint.id)
-        load.n_failures = 0
-        load.answer_s = seconds
+        self._load(endpoint.id).n_failures = 0
 
     def note_failure(self, endpoint, *, is_full):
         """Avoid an endpoint, longer with each failure in a row."""
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from dataclasses import fields
 from random import Random
 
 import gevent
@@ -35,6 +36,17 @@
 GRACE_MARGIN_S = 0.6
 DRAIN_CHECK_S = 0.05
 EXIT_SETTINGS = 2
+SETTINGS_CHECK_S = 1.0
+# Settings that take effect at the next start only.
+FIXED_SETTINGS = frozenset(
+    (
+        "node",
+        "client_address",
+        "readiness_address",
+        "peer_address",
+        "store_address",
+    )
+)
 STOP_ACCEPT_S = 3.0
 
 
@@ -204,9 +216,28 @@
         except SettingsError as error:
             self._record("settings.invalid", {"cause": str(error)})
             return
-        changed = settings != self._settings
+        changed = [
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self._settings, field.name)
+        ]
         self._settings = self.context.settings = settings
-        self._record("settings.reloaded", {"changed": changed})
+        at_restart = sorted(set(changed) & FIXED_SETTINGS)
+        self._record(
+            "settings.reloaded",
+            {"changed": ",".join(changed), "at_restart": ",".join(at_restart)},
+        )
+
+    def watch_settings(self):
+        """Reload when the file changes, as it may without a signal."""
+        path = settings_path()
+        known = _file_version(path)
+        while True:
+            gevent.sleep(SETTINGS_CHECK_S)
+            version = _file_version(path)
+            if version != known:
+                known = version
+                self.reload()
 
     def drain(self):
         """Finish what runs, within the grace period, then stop."""
@@ -225,6 +256,15 @@
         self._record("node.stopped", {"unfinished": context.n_running})
 
 
+def _file_version(path):
+    try:
+        status = os.stat(path)
+    except OSError:
+        # The file is being replaced; the next check sees the new one.
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 def main():
     """Run the process until SIGTERM has been carried out."""
     try:
@@ -247,6 +287,7 @@
     gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(node.reload))
     flusher = gevent.spawn(lines.run)
     node.start()
+    gevent.spawn(node.watch_settings)
     stopped.wait()
     flusher.kill()
     lines.flush()
