serving: schedule on the largest node, beat often from it only, cache account sums

Cause: on the grown sites machines have 0.5 to 2.15 cores and 10 to 100 Mbit/s; the first registered one scheduled, whatever it had, and each decision summed all jobs of all engines again. Change: the order of nodes is by capacity, then by registration; the scheduling node beats every 0.2 s (lost after 0.7 s instead of 1 s), followers every second; the pass and the shortest pause of an engine are kept until its jobs change.

--- a/src/savoryhill/core/scheduling/accounts.py
+++ b/src/savoryhill/core/scheduling/accounts.py
@@ -1,5 +1,6 @@
 """What a scheduler believes of each engine: its jobs and the reading ahead of it."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -75,6 +76,9 @@
     ejected_until: float = 0.0
     n_failures: int = 0
     grants: deque = field(default_factory=deque)
+    # Derived from the jobs, and computed again after a change of them.
+    _pass_s: float | None = None
+    _shortest_pause_s: float | None = None
 
     def free_tokens(self, share):
         """Return the tokens of memory, up to a share, that no job may come to hold."""
@@ -91,9 +95,20 @@
 
     def pass_s(self):
         """Predict the seconds of a pass without reading."""
-        n_writers = len(self.jobs_by_id)
-        context = sum(p.job.prompt_tokens for p in self.jobs_by_id.values())
-        return pass_s(self.figures, n_writers, context)
+        if self._pass_s is None:
+            context = sum(p.job.prompt_tokens for p in self.jobs_by_id.values())
+            self._pass_s = pass_s(self.figures, len(self.jobs_by_id), context)
+        return self._pass_s
+
+    def shortest_pause_s(self):
+        """Return the shortest pause that a stream of the engine allows."""
+        if self._shortest_pause_s is None:
+            pauses = (placed.job.pause_s for placed in self.jobs_by_id.values())
+            self._shortest_pause_s = min(pauses, default=math.inf)
+        return self._shortest_pause_s
+
+    def _forget_derived(self):
+        self._pass_s = self._shortest_pause_s = None
 
     def room_s(self, now, job, *, share):
         """Return the seconds of reading that a job may add to this engine.
@@ -119,15 +134,16 @@
         """
         pending_s = self.pending_s(now)
         base_s = self.pass_s()
-        room_s = (job.due_at - now) * share - pending_s - base_s
-        for placed in self.jobs_by_id.values():
-            room_s = min(room_s, placed.job.pause_s * PAUSE_SHARE - base_s - pending_s)
-        return room_s
+        allowed_s = min(
+            (job.due_at - now) * share, self.shortest_pause_s() * PAUSE_SHARE
+        )
+        return allowed_s - base_s - pending_s
 
     def add(self, placed, *, now, is_writer):
         """Account for a granted job or a part of it."""
         if is_writer:
             self.jobs_by_id[placed.job.id] = placed
+            self._forget_derived()
         self.parts_by_id[placed.job.id] = placed.part_s
         wait_s = self.pass_s() / 2 if len(self.jobs_by_id) > 1 else 0.0
         self.reads_end_at = max(now + wait_s, self.reads_end_at) + placed.part_s
@@ -142,7 +158,8 @@
 
     def finish(self, job_id, now):
         """Forget a job."""
-        self.jobs_by_id.pop(job_id, None)
+        if self.jobs_by_id.pop(job_id, None) is not None:
+            self._forget_derived()
         self.reserved_by_id.pop(job_id, None)
         self.finish_reading(job_id, now)
 
--- a/src/savoryhill/platform/boot_settings.py
+++ b/src/savoryhill/platform/boot_settings.py
@@ -12,8 +12,9 @@
     """Settings of one process, in the project's own terms.
 
     ``peer_address`` is where other nodes reach this one. The ``*_s`` fields are the
-    platform's bounds. ``spread_slack`` is the number of repeated sends that all nodes
+    platform's bounds. ``repeat_slack`` is the number of repeated sends that all nodes
     together may make beyond ``repeat_ratio`` of the requests in ``repeat_window_s``.
+    ``capacity`` compares nodes: processor cores times megabits a second.
     """
 
     node: str
@@ -30,6 +31,7 @@
     cold_overage: float
     max_hold_s: float
     lease_min_s: float
+    capacity: float = 1.0
 
 
 def parse_lines(text):
@@ -123,6 +125,9 @@
         cold_overage=number_of("bounds.coldOverage", 1.0),
         max_hold_s=number_of("bounds.holdMaxMs", 20.0, ms),
         lease_min_s=number_of("platform.minTtlMs", 1.0, ms),
+        capacity=number_of("limits.cpuShare", 1.0)
+        * number_of("limits.cores", 1.0)
+        * number_of("limits.bandwidthMbps", 1.0),
     )
     if findings:
         raise SettingsError(f"settings file {path}:\n" + "\n".join(findings))
--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -185,17 +185,22 @@
     content = _json(row.value)
     if content is None or not isinstance(content.get("address"), str):
         return None
+    capacity = content.get("capacity", 0.0)
+    if not _is_number(capacity):
+        return None
     return NodeRecord(
         name=row.key[len(NODE_PREFIX) :],
         address=content["address"],
         zone=str(content.get("zone", "")),
+        capacity=float(capacity),
         revision=row.revision,
     )
 
 
-def encode_node(*, address, zone):
+def encode_node(*, address, zone, capacity):
     """Encode the row of a node."""
-    return json.dumps({"address": address, "zone": zone}).encode()
+    row = {"address": address, "zone": zone, "capacity": capacity}
+    return json.dumps(row).encode()
 
 
 def node_key(name):
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -21,7 +21,12 @@
 from savoryhill.serving.leadership import SUSPICION_S, choose_leader
 from savoryhill.serving.links import Link, encode_frame, open_link
 
-BEAT_S = 0.25
+# The scheduling node beats often, so that its loss is noticed within the objective of
+# most streams; followers beat rarely, because their loss only leaves jobs accounted.
+LEADER_BEAT_S = 0.2
+LEADER_SILENCE_S = 0.7
+FOLLOWER_BEAT_S = 1.0
+FOLLOWER_SILENCE_S = 3.5
 CHECK_S = 0.1
 # A scheduling node whose store contact is older than this is replaced by one that
 # reaches the store.
@@ -162,7 +167,7 @@
 
     def _follow_one(self, address):
         try:
-            link = open_link(address, node=self._node)
+            link = open_link(address, node=self._node, silence_s=LEADER_SILENCE_S)
         except NotConnectedError as error:
             self._suspect(address, str(error))
             return
@@ -222,7 +227,7 @@
 
     def serve_link(self, sock, _address):
         """Serve a node that follows this one."""
-        link = Link(sock=sock, node=self._node)
+        link = Link(sock=sock, node=self._node, silence_s=FOLLOWER_SILENCE_S)
         job_ids = set()
 
         def deliver(decision):
@@ -230,7 +235,6 @@
                 job_ids.discard(decision.job_id)
             link.send(decision)
 
-        beats = gevent.spawn(self._beat, link)
         try:
             while True:
                 message = link.receive()
@@ -248,7 +252,6 @@
             self._record("follower.lost", {"cause": str(error)})
         finally:
             self._follower_links.discard(link)
-            beats.kill(block=False)
             link.close()
             sock.close()
             self._scheduling.forget_all(job_ids)
@@ -260,14 +263,26 @@
         link.send(_update(rows, self._knowledge.revision, is_complete=True))
 
     def _beat(self, link):
+        """Beat to the scheduling node while the link is open."""
         while link.is_open:
-            link.send(
-                NodeBeat(
-                    revision=self._knowledge.revision,
-                    contact_age_s=min(1e9, self._knowledge.contact_age_s()),
-                )
-            )
-            gevent.sleep(BEAT_S)
+            link.send(self._own_beat())
+            gevent.sleep(FOLLOWER_BEAT_S)
+
+    def beat_followers(self):
+        """Beat to all followers until the greenlet is killed."""
+        while True:
+            gevent.sleep(LEADER_BEAT_S)
+            if not self._follower_links:
+                continue
+            frame = encode_frame(self._own_beat(), node=self._node)
+            for link in self._follower_links:
+                link.send_frame(frame)
+
+    def _own_beat(self):
+        return NodeBeat(
+            revision=self._knowledge.revision,
+            contact_age_s=min(1e9, self._knowledge.contact_age_s()),
+        )
 
     def publish(self, rows, revision, is_complete):
         """Pass rows of the store on to the nodes that follow this one."""
--- a/src/savoryhill/serving/leadership.py
+++ b/src/savoryhill/serving/leadership.py
@@ -1,7 +1,8 @@
 """Which node schedules.
 
-The nodes are ordered by the revision of their registration, so a node that starts
-again goes to the end. The first one that can be reached schedules. Nothing is agreed
+The nodes are ordered by capacity, because the one that schedules has links to all
+others, and then by the revision of their registration, so a node that starts again
+goes behind its equals. The first one that can be reached schedules. Nothing is agreed
 on: a node asked by another one schedules for it, and two nodes that schedule at once
 place less well but break no promise, because the node that sends a request checks
 every rule itself.
@@ -31,4 +32,8 @@
     candidates = [
         node for node in nodes if suspected_until.get(node.address, 0.0) <= now
     ]
-    return min(candidates, key=lambda node: (node.revision, node.name), default=None)
+    return min(
+        candidates,
+        key=lambda node: (-node.capacity, node.revision, node.name),
+        default=None,
+    )
--- a/src/savoryhill/serving/links.py
+++ b/src/savoryhill/serving/links.py
@@ -13,9 +13,8 @@
 
 _LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 8 * 1024 * 1024
-# A link that can't be written for this long, or is silent for this long, is broken.
+# A link that can't be written for this long is broken.
 SEND_TIMEOUT_S = 1.0
-SILENCE_S = 1.0
 CONNECT_TIMEOUT_S = 0.3
 RECV_BYTES = 65_536
 MAX_QUEUED_FRAMES = 10_000
@@ -32,13 +31,14 @@
     """One connection to another node.
 
     Messages are queued and written by a greenlet of the link, so that no caller
-    waits for the other node.
+    waits for the other node. A link that is silent for ``silence_s`` is broken.
     """
 
-    def __init__(self, *, sock, node):
+    def __init__(self, *, sock, node, silence_s):
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
         self._sock = sock
         self._node = node
+        self._silence_s = silence_s
         self._queue = deque()
         self._wake = Event()
         self._buffer = bytearray()
@@ -95,8 +95,8 @@
         try:
             gevent.socket.wait_read(
                 self._sock.fileno(),
-                timeout=SILENCE_S,
-                timeout_exc=TimeoutError(f"silent for {SILENCE_S:g} s"),
+                timeout=self._silence_s,
+                timeout_exc=TimeoutError(f"silent for {self._silence_s:g} s"),
             )
             data = self._sock.recv(RECV_BYTES)
         except (OSError, ValueError) as error:
@@ -117,7 +117,7 @@
                 return
 
 
-def open_link(address, *, node):
+def open_link(address, *, node, silence_s):
     """Connect to another node.
 
     Raises
@@ -127,6 +127,6 @@
     """
     connection = open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
     try:
-        return Link(sock=connection.sock, node=node)
+        return Link(sock=connection.sock, node=node, silence_s=silence_s)
     except OSError as error:
         raise NotConnectedError(f"{address}: {error!r}") from error
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -103,9 +103,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeRecord:
-    """A node as registered in the store; the order is that of ``revision``."""
+    """A node as registered in the store; ``capacity`` compares nodes."""
 
     name: str
     address: str
     zone: str
+    capacity: float
     revision: int
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -146,6 +146,7 @@
             self._watcher.run,
             self._dispatcher.follow,
             self._dispatcher.place_regularly,
+            self._dispatcher.beat_followers,
             self._keep_registered,
         ):
             self._greenlets.append(gevent.spawn(work))
@@ -159,13 +160,7 @@
         gevent.killall(self._greenlets)
 
     def _keep_registered(self):
-        keep_registered(
-            store=self._store,
-            node=self._settings.node,
-            address=self._settings.peer_address,
-            zone=self._settings.zone,
-            record=self._record,
-        )
+        keep_registered(store=self._store, settings=self._settings, record=self._record)
 
     def _listen(self, address, handle):
         pool = Pool(MAX_CONNECTIONS)
--- a/src/savoryhill/serving/registration.py
+++ b/src/savoryhill/serving/registration.py
@@ -11,7 +11,7 @@
 MAX_RETRY_S = 2.0
 
 
-def keep_registered(*, store, node, address, zone, record):
+def keep_registered(*, store, settings, record):
     """Keep the node's row under a lease until the greenlet is killed."""
     lease, pause_s = None, RETRY_S
     while True:
@@ -22,10 +22,17 @@
                 continue
             lease = None
             granted = store.grant_lease(ttl_s=LEASE_TTL_S)
-            value = encode_node(address=address, zone=zone)
-            revision = store.put(node_key(node), value, lease=granted)
+            value = encode_node(
+                address=settings.peer_address,
+                zone=settings.zone,
+                capacity=settings.capacity,
+            )
+            revision = store.put(node_key(settings.node), value, lease=granted)
             lease = granted
-            record("node.registered", {"revision": revision, "address": address})
+            record(
+                "node.registered",
+                {"revision": revision, "address": settings.peer_address},
+            )
             gevent.sleep(RENEW_S)
         except PlatformError as error:
             record("node.registration_failed", {"cause": str(error)})
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -1,10 +1,13 @@
 """Nodes beside each other, the store and the operator."""
 
 import json
+from functools import partial
 
 import gevent
 import pytest
 
+from savoryhill.serving.leadership import choose_leader
+from savoryhill.serving.model import NodeRecord
 from savoryhill.soak.proxy import FaultProxy
 from savoryhill.standins.serving import store as faults
 
@@ -15,6 +18,25 @@
     return [job for s in schedulers for job in s.placed_by_id]
 
 
+class TestLeadership:
+    def test_larger_node_goes_first_then_the_one_registered_earlier(self):
+        # Guards against a node with a narrow link that sends updates to all others.
+        def node(name, capacity, revision):
+            return NodeRecord(
+                name=name,
+                address=name,
+                zone="z",
+                capacity=capacity,
+                revision=revision,
+            )
+
+        nodes = [node("small", 5.0, 1), node("late", 200.0, 9), node("early", 200.0, 4)]
+        choose = partial(choose_leader, nodes, now=10.0)
+        assert choose(suspected_until={}).name == "early"
+        assert choose(suspected_until={"early": 11.0}).name == "late"
+        assert choose(suspected_until={"early": 9.0}).name == "early"
+
+
 class TestScheduling:
     def test_first_registered_node_schedules_for_the_others(self, deployment):
         deployment.add_endpoint("e1", service="pool", event_s=0.05)
