serving: a scheduling node that alone lost the store closes its links

Change: a follower that reaches the store by itself says so in a beat; the scheduling node then closes all links and is not asked again for 10 s. Measured: a test with three nodes, two of them cut off, which waits for ever before the change.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -31,6 +31,8 @@
 # A scheduling node whose store contact is older than this is replaced by one that
 # reaches the store.
 STALE_LEADER_S = 1.5
+# How long such a node is not asked again.
+CUT_OFF_S = 10.0
 PLACE_INTERVAL_S = 0.02
 
 
@@ -130,21 +132,25 @@
         """Take note that this node has just reached the store by itself.
 
         A scheduling node that has not reached it for a while is then cut off from
-        the store alone, and the next one takes its place.
+        the store alone, and the next one takes its place. The beat tells it so.
         """
         if self._link is None or self._leader_contact_age_s < STALE_LEADER_S:
             return
-        self._suspect(self._leader_address, "it has lost the store")
-        self._link.close()
+        self._link.send(self._own_beat())
+        self._suspect(self._leader_address, "it has lost the store", length_s=CUT_OFF_S)
 
-    def _step_aside(self):
-        """Let another node schedule if this one alone has lost the store.
+    def _take_follower_beat(self, beat):
+        """Step aside if a follower reaches the store and this node does not.
 
-        While the store is away for all, the others keep following this node.
+        While the store is away for all, no follower has a fresh contact and all keep
+        following this node.
         """
         is_cut_off = self._knowledge.contact_age_s() > STALE_LEADER_S
-        if is_cut_off and not self._follower_links and self._knowledge.nodes_by_name:
-            self._suspect(self._address, "this node has lost the store")
+        if not is_cut_off or beat.contact_age_s > STALE_LEADER_S / 2:
+            return
+        self._suspect(self._address, "this node has lost the store", length_s=CUT_OFF_S)
+        for link in list(self._follower_links):
+            link.close()
 
     def follow(self):
         """Keep a link to the scheduling node until the greenlet is killed."""
@@ -159,8 +165,6 @@
                 self._leader_address = address
                 self._record("leader.chosen", {"address": address or "none"})
             if address is None or address == self._address:
-                if address is not None:
-                    self._step_aside()
                 gevent.sleep(CHECK_S)
                 continue
             self._follow_one(address)
@@ -198,8 +202,8 @@
         )
         return leader is None or leader.address == address
 
-    def _suspect(self, address, cause):
-        self._suspected_until[address] = self._clock.monotonic() + SUSPICION_S
+    def _suspect(self, address, cause, *, length_s=SUSPICION_S):
+        self._suspected_until[address] = self._clock.monotonic() + length_s
         self._record("leader.lost", {"address": address, "cause": cause})
 
     def _resubmit(self):
@@ -244,6 +248,8 @@
                 elif isinstance(message, JobSubmit):
                     job_ids.add(message.job_id)
                     self._scheduling.submit(message, deliver)
+                elif isinstance(message, NodeBeat):
+                    self._take_follower_beat(message)
                 elif isinstance(message, JobReport):
                     if message.what != FIRST_EVENT:
                         job_ids.discard(message.job_id)
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -91,6 +91,23 @@
         deployment.wait_until(lambda: knowledge.configuration.version == 7)
         proxy.stop()
 
+    def test_follower_that_lost_the_store_too_moves_with_the_others(self, deployment):
+        # Guards against nodes that go on sending to an endpoint that left, because
+        # both they and the scheduling node are turned away by the store.
+        proxy = FaultProxy(target=deployment.store_address)
+        first = deployment.add_node(store_address=proxy.address)
+        deployment.wait_until(first._dispatcher.is_leader)
+        second = deployment.add_node()
+        third = deployment.add_node(store_address=proxy.address)
+        for node in (second, third):
+            deployment.wait_until(lambda node=node: node._dispatcher._link is not None)
+        proxy.set_mode("reset")
+        deployment.configure(version=7)
+        knowledge = third.context.knowledge
+        deployment.wait_until(lambda: knowledge.configuration.version == 7)
+        assert second._dispatcher.is_leader()
+        proxy.stop()
+
     def test_scheduling_node_stays_when_the_store_is_away_for_all(self, deployment):
         first = deployment.add_node()
         deployment.wait_until(first._dispatcher.is_leader)
