--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -85,8 +85,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreUpdate:
-    """Rows up to a revision; complete if rows not named are absent."""
+    """All changes after one revision up to another, or everything if complete."""
 
+    base_revision: int
     revision: int
     is_complete: bool
     rows: tuple[StoreItem, ...]
@@ -98,3 +99,10 @@
 
     revision: int
     contact_age_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NodeAside:
+    """The scheduling node lost the store and is not to be asked for some time."""
+
+    length_s: float
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -65,6 +65,7 @@
     jobs.JobReport,
     jobs.StoreUpdate,
     jobs.NodeBeat,
+    jobs.NodeAside,
 )
 _NUMBERS_BY_TYPE = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
 _ITEM_TYPES_BY_FIELD = {
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -221,6 +221,11 @@
   revision @0 :Int64;
   isComplete @1 :Bool;
   rows @2 :List(StoreItem);
+  baseRevision @3 :Int64;
+}
+
+struct NodeAside {
+  lengthS @0 :Float64;
 }
 
 struct NodeBeat {
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -12,6 +12,7 @@
     JobRejected,
     JobReport,
     JobSubmit,
+    NodeAside,
     NodeBeat,
     NodeHello,
     StoreItem,
@@ -129,28 +130,23 @@
         return self._link is None and not self.is_leader()
 
     def note_own_contact(self):
-        """Take note that this node has just reached the store by itself.
-
-        A scheduling node that has not reached it for a while is then cut off from
-        the store alone, and the next one takes its place. The beat tells it so.
-        """
-        if self._link is None or self._leader_contact_age_s < STALE_LEADER_S:
-            return
-        self._link.send(self._own_beat())
-        self._suspect(self._leader_address, "it has lost the store", length_s=CUT_OFF_S)
+        """Tell a scheduling node that has lost the store that others reach it."""
+        if self._link is not None and self._leader_contact_age_s > STALE_LEADER_S:
+            self._link.send(self._own_beat())
 
     def _take_follower_beat(self, beat):
         """Step aside if a follower reaches the store and this node does not.
 
-        While the store is away for all, no follower has a fresh contact and all keep
-        following this node.
+        Only the scheduling node decides this, so that all nodes move together: two
+        nodes that schedule at once fill the same engines. While the store is away for
+        all, no follower has a fresh contact.
         """
         is_cut_off = self._knowledge.contact_age_s() > STALE_LEADER_S
         if not is_cut_off or beat.contact_age_s > STALE_LEADER_S / 2:
             return
         self._suspect(self._address, "this node has lost the store", length_s=CUT_OFF_S)
-        for link in list(self._follower_links):
-            link.close()
+        for link in self._follower_links:
+            link.send(NodeAside(length_s=CUT_OFF_S))
 
     def follow(self):
         """Keep a link to the scheduling node until the greenlet is killed."""
@@ -175,7 +171,7 @@
         except NotConnectedError as error:
             self._suspect(address, str(error))
             return
-        link.send(NodeHello(node=self._node, revision=self._knowledge.revision))
+        link.send(self._hello())
         beats = gevent.spawn(self._beat, link)
         self._scheduling.forget_all(self._tickets_by_job)
         self._link = link
@@ -214,11 +210,31 @@
         if isinstance(message, JobPlaced | JobRejected):
             self._take_decision(message)
         elif isinstance(message, StoreUpdate):
-            self._knowledge.apply(
-                message.rows, message.revision, is_complete=message.is_complete
-            )
+            self._take_update(message)
         elif isinstance(message, NodeBeat):
             self._take_beat(message)
+        elif isinstance(message, NodeAside):
+            self._suspect(
+                self._leader_address,
+                "it has lost the store",
+                length_s=message.length_s,
+            )
+
+    def _take_update(self, update):
+        is_taken = self._knowledge.apply(
+            update.rows,
+            update.revision,
+            base_revision=update.base_revision,
+            is_complete=update.is_complete,
+        )
+        if is_taken:
+            # Nodes that have not moved on yet still follow this one.
+            self._publish_update(update)
+        else:
+            self._link.send(self._hello())
+
+    def _hello(self):
+        return NodeHello(node=self._node, revision=self._knowledge.revision)
 
     def _take_beat(self, beat):
         self._leader_contact_age_s = beat.contact_age_s
@@ -266,7 +282,9 @@
         if known_revision >= self._knowledge.revision:
             return
         rows = self._knowledge.rows_by_key.values()
-        link.send(_update(rows, self._knowledge.revision, is_complete=True))
+        link.send(
+            _update(rows, self._knowledge.revision, base_revision=0, is_complete=True)
+        )
 
     def _beat(self, link):
         """Beat to the scheduling node while the link is open."""
@@ -290,13 +308,18 @@
             contact_age_s=min(1e9, self._knowledge.contact_age_s()),
         )
 
-    def publish(self, rows, revision, is_complete):
+    def publish(self, rows, revision, *, base_revision, is_complete):
         """Pass rows of the store on to the nodes that follow this one."""
+        if self._follower_links and (is_complete or rows):
+            self._publish_update(
+                _update(
+                    rows, revision, base_revision=base_revision, is_complete=is_complete
+                )
+            )
+
+    def _publish_update(self, update):
         if not self._follower_links:
             return
-        if not is_complete and not rows:
-            return
-        update = _update(rows, revision, is_complete=is_complete)
         frame = encode_frame(update, node=self._node)
         for link in self._follower_links:
             link.send_frame(frame)
@@ -308,8 +331,9 @@
             self._scheduling.place_waiting()
 
 
-def _update(rows, revision, *, is_complete):
+def _update(rows, revision, *, base_revision, is_complete):
     return StoreUpdate(
+        base_revision=base_revision,
         revision=revision,
         is_complete=is_complete,
         rows=tuple(
--- a/src/savoryhill/serving/knowledge.py
+++ b/src/savoryhill/serving/knowledge.py
@@ -49,26 +49,43 @@
             self.record("store.regained", {"after_s": round(at - self.contact_at, 3)})
         self.contact_at = max(self.contact_at, at)
 
-    def apply(self, rows, revision, *, is_complete=False):
+    def apply(self, rows, revision, *, base_revision=0, is_complete=False):
         """Take rows up to a revision.
 
+        Everything up to ``self.revision`` is known, so older rows are ignored: a row
+        that was removed since would come back with them.
+
         Parameters
         ----------
         rows : sequence of StoreRow
             Changes in the order of their revisions.
         revision : int
-            What is known afterwards; lower ones are ignored.
+            What is known afterwards.
+        base_revision : int
+            The rows are all changes after this revision.
         is_complete : bool
-            Whether rows that are not named are absent.
+            Whether the rows are everything, and others are absent.
+
+        Returns
+        -------
+        bool
+            False if changes before the rows are missing, and nothing was taken.
         """
-        if is_complete and revision >= self.revision:
+        if is_complete and revision < self.revision:
+            return True
+        if not is_complete and base_revision > self.revision:
+            self.record(
+                "store.update_skipped",
+                {"base_revision": base_revision, "known": self.revision},
+            )
+            return False
+        changed = is_complete
+        if is_complete:
             named = {row.key for row in rows}
             for key in [key for key in self.rows_by_key if key not in named]:
                 self._remove(key)
-        changed = is_complete
         for row in rows:
-            known = self.rows_by_key.get(row.key)
-            if known is not None and known.revision >= row.revision:
+            if self._is_known(row, is_complete):
                 continue
             if row.is_deleted:
                 self._remove(row.key)
@@ -78,6 +95,13 @@
         self.revision = max(self.revision, revision)
         if changed:
             self.notify()
+        return True
+
+    def _is_known(self, row, is_complete):
+        if not is_complete and row.revision <= self.revision:
+            return True
+        known = self.rows_by_key.get(row.key)
+        return known is not None and known.revision >= row.revision
 
     def notify(self):
         """Call the functions that follow changes."""
--- a/src/savoryhill/serving/watching.py
+++ b/src/savoryhill/serving/watching.py
@@ -71,19 +71,26 @@
         if self._needs_snapshot:
             answer = self._store.read_prefix("")
             self._needs_snapshot = False
-            self._take(answer, started, is_complete=True)
+            self._take(answer, started, base_revision=0, is_complete=True)
             return
+        base_revision = self._knowledge.revision
         answer = self._store.watch(
-            "", after_revision=self._knowledge.revision, wait_s=WATCH_WAIT_S
+            "", after_revision=base_revision, wait_s=WATCH_WAIT_S
+        )
+        self._take(
+            answer,
+            self._clock.monotonic(),
+            base_revision=base_revision,
+            is_complete=False,
         )
-        self._take(answer, self._clock.monotonic(), is_complete=False)
         if answer.rows:
             gevent.sleep(BATCH_S)
 
-    def _take(self, answer, at, *, is_complete):
+    def _take(self, answer, at, *, base_revision, is_complete):
         self._is_lost = False
         self._pause_s = RETRY_S / 2
         self._knowledge.note_contact(at)
-        self._knowledge.apply(answer.rows, answer.revision, is_complete=is_complete)
-        self._publish(answer.rows, answer.revision, is_complete)
+        update = {"base_revision": base_revision, "is_complete": is_complete}
+        self._knowledge.apply(answer.rows, answer.revision, **update)
+        self._publish(answer.rows, answer.revision, **update)
         self._on_contact()
--- /dev/null
+++ b/tests/serving/test_knowledge.py
@@ -0,0 +1,100 @@
+"""What a node takes from the store and from other nodes."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savoryhill.clock import system_clock
+from savoryhill.platform.store import StoreRow
+from savoryhill.serving.knowledge import Knowledge
+
+
+def knowledge():
+    return Knowledge(clock=system_clock(), record=lambda event, fields: None)
+
+
+def zone(name, revision, *, is_deleted=False):
+    return StoreRow(
+        key=f"op/evacuate/{name}",
+        value=b"{}",
+        revision=revision,
+        is_deleted=is_deleted,
+    )
+
+
+class TestUpdates:
+    def test_update_after_a_gap_is_not_taken(self):
+        # Guards against a node that takes the newest change from one node and never
+        # learns of those before it.
+        known = knowledge()
+        known.apply([zone("a", 1)], 1)
+        assert not known.apply([zone("c", 3)], 3, base_revision=2)
+        assert known.revision == 1
+        assert known.apply([zone("b", 2), zone("c", 3)], 3, base_revision=1)
+        assert known.evacuated_zones == {"a", "b", "c"}
+
+    def test_removed_row_does_not_come_back_with_an_older_update(self):
+        known = knowledge()
+        known.apply([zone("a", 1)], 1)
+        known.apply([zone("a", 2, is_deleted=True)], 2, base_revision=1)
+        known.apply([zone("a", 1)], 1, is_complete=True)
+        known.apply([zone("a", 1)], 2, base_revision=0)
+        assert known.evacuated_zones == set()
+
+    @given(
+        changes=st.lists(
+            st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=12
+        ),
+        data=st.data(),
+    )
+    def test_any_order_of_updates_leads_to_a_state_that_existed(self, changes, data):
+        rows = [
+            zone(name, number, is_deleted=gone)
+            for number, (name, gone) in enumerate(changes, start=1)
+        ]
+        states = [set()]
+        for row in rows:
+            name = row.key.rpartition("/")[2]
+            changed = states[-1] - {name} if row.is_deleted else states[-1] | {name}
+            states.append(changed)
+        known = knowledge()
+        for _ in range(6):
+            base = data.draw(st.integers(0, len(rows) - 1))
+            end = data.draw(st.integers(base + 1, len(rows)))
+            if data.draw(st.booleans()):
+                whole = {row.key: row for row in rows[:end]}
+                left = [row for row in whole.values() if not row.is_deleted]
+                known.apply(left, end, is_complete=True)
+            else:
+                known.apply(rows[base:end], end, base_revision=base)
+            assert known.evacuated_zones == states[known.revision]
+
+
+class TestOutage:
+    @pytest.mark.parametrize("is_back", [True, False])
+    def test_lapsed_endpoint_is_kept_for_two_seconds(self, is_back):
+        now = [100.0]
+        clock = type("Paused", (), {"monotonic": staticmethod(lambda: now[0])})
+        known = Knowledge(clock=clock, record=lambda event, fields: None)
+        row = StoreRow(
+            key="servers/e",
+            value=b'{"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,'
+            b'"state":"ready"}',
+            revision=1,
+        )
+        known.note_contact(now[0])
+        known.apply([row], 1)
+        now[0] += 5.0
+        known.note_contact(now[0])
+        gone = StoreRow(key="servers/e", value=b"", revision=2, is_deleted=True)
+        known.apply([gone], 2, base_revision=1)
+        assert "e" in known.endpoints_by_id
+        if is_back:
+            known.apply(
+                [StoreRow(key="servers/e", value=row.value, revision=3)],
+                3,
+                base_revision=2,
+            )
+        now[0] += 3.0
+        known.drop_lapsed()
+        assert ("e" in known.endpoints_by_id) == is_back
