scheduling: prefer an engine's zone among equals only; soak: a calm half

Change: the zone decides among engines with the same reading and the same number of streams. The second half of a soak has changes and endpoint faults only; endpoints are not drained twice at once; a key's refusals count from its removal.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -343,15 +343,15 @@
     def _pack(self, job, singles, now):
         """Prefer engines that write already, so that others stay free for reading.
 
-        Among engines without reading ahead, those of the job's zone go first, as
-        every event of the answer crosses the link to the engine.
+        Among equals, those of the job's zone go first, as every event of the answer
+        crosses the link to the engine.
         """
         return min(
             singles,
             key=lambda item: (
                 item[1].pending_s(now),
-                item[1].zone != job.zone,
                 -len(item[1].jobs_by_id),
+                item[1].zone != job.zone,
                 item[1].id,
             ),
         )[1]
--- a/src/savoryhill/soak/clients.py
+++ b/src/savoryhill/soak/clients.py
@@ -9,6 +9,7 @@
 KINDS = ("chat", "chat", "chat", "once", "order", "stock", "huge")
 REMAINING_S = 4.0
 LEAVE_SHARE = 0.1
+REVOKED_SHARE = 0.2
 THINK_S = 0.15
 GIVE_UP_S = 2.0
 
@@ -49,7 +50,7 @@
         kind = self._random.choice(KINDS)
         self._n_requests += 1
         name = f"c{self._number}-{self._n_requests}"
-        key = self._random.choice(("key-0", "key-1", "key-2"))
+        key = self._choose_key()
         incarnation = self._node.incarnation
         sent_at = self._clock.monotonic()
         leaves = self._random.random() < LEAVE_SHARE
@@ -73,6 +74,12 @@
             )
         )
 
+    def _choose_key(self):
+        """Choose a key, now and then one that was taken away."""
+        if self._random.random() < REVOKED_SHARE:
+            return self._random.choice(("key-0", "key-1", "key-2"))
+        return self._random.choice(self._deployment.keys)
+
     def _exchange(self, name, kind, key, leaves):
         connection = self._connection
         reader = connection.reader = ResponseReader()
--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -130,6 +130,7 @@
     endpoints: list = field(default_factory=list)
     endpoint_proxies: list = field(default_factory=list)
     services: list = field(default_factory=list)
+    draining: set = field(default_factory=set)
     version: int = 0
     keys: list = field(default_factory=lambda: ["key-0", "key-1", "key-2"])
 
@@ -173,7 +174,7 @@
         self.services.append((service, zone))
         self.register(len(self.endpoints) - 1)
 
-    def register(self, index, *, state="ready"):
+    def register(self, index):
         """Write the row of an endpoint."""
         service, zone = self.services[index]
         row = {
@@ -182,7 +183,7 @@
             "zone": zone,
             "version": "v1",
             "slots": 8,
-            "state": state,
+            "state": "draining" if index in self.draining else "ready",
             "coldRemainingMs": 0,
             "sequence": 1,
             "born": 1,
--- a/src/savoryhill/soak/observations.py
+++ b/src/savoryhill/soak/observations.py
@@ -172,7 +172,8 @@
         if revoked_at is None:
             continue
         where = (request.key, request.node, request.incarnation)
-        if request.status == 401:
+        # Before its removal a key may be refused because it is not in force yet.
+        if request.status == 401 and request.sent_at > revoked_at:
             refused[where] = min(refused[where], request.ended_at)
         if request.status != 200:
             continue
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -13,8 +13,15 @@
 CHANGES = ("revoke", "drain", "evacuate", "configure")
 MEAN_GAP_S = 0.8
 MAX_LENGTH_S = 4.0
-# Quiet time at the end, in which everything must be served again.
-QUIET_S = 8.0
+# Share of the soak in which everything is disturbed; in the rest only operators and
+# endpoints act, so that the bounds for calm times can be checked.
+DISTURBED_SHARE = 0.5
+# Time for the last disturbance to end.
+PAUSE_S = 4.0
+ENDPOINT_GAP_S = 0.4
+CHANGE_GAP_S = 1.0
+# Time at the end in which everything must be served again.
+QUIET_S = 6.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,6 +50,16 @@
         In the order of their times.
     """
     random = Random(seed)
+    disturbed_until = DISTURBED_SHARE * (length_s - QUIET_S)
+    faults = [
+        *_disturbed(random, disturbed_until),
+        *_calm(random, disturbed_until + PAUSE_S, length_s - QUIET_S),
+    ]
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _disturbed(random, until):
+    """Yield faults of all kinds, in series and overlapping."""
     kinds = (
         *PROCESS_FAULTS,
         *(f"store_link_{kind}" for kind in LINK_FAULTS),
@@ -52,20 +69,33 @@
         *(f"endpoint_{kind}" for kind in ENDPOINT_FAULTS),
         *CHANGES,
     )
-    faults = []
     at_s = 1.0
     while True:
         at_s += random.expovariate(1.0 / MEAN_GAP_S)
-        if at_s >= length_s - QUIET_S:
-            return tuple(faults)
+        if at_s >= until:
+            return
         kind = random.choice(kinds)
         for n in range(random.choice((1, 1, 2, 3))):
-            fault = Fault(
+            length_s = random.uniform(0.2, MAX_LENGTH_S)
+            yield Fault(
                 at_s=at_s + 0.3 * n,
                 kind=kind,
                 target=random.randrange(1_000),
-                length_s=min(
-                    random.uniform(0.2, MAX_LENGTH_S), length_s - QUIET_S - at_s
-                ),
+                length_s=min(length_s, until - at_s),
+            )
+
+
+def _calm(random, start, until):
+    """Yield changes by operators, and faults of endpoints on single requests."""
+    endpoint_kinds = [f"endpoint_{kind}" for kind in ENDPOINT_FAULTS]
+    series = ((ENDPOINT_GAP_S, endpoint_kinds), (CHANGE_GAP_S, CHANGES))
+    for gap_s, kinds in series:
+        at_s = start
+        while at_s < until:
+            yield Fault(
+                at_s=at_s,
+                kind=random.choice(kinds),
+                target=random.randrange(1_000),
+                length_s=0.5,
             )
-            faults.append(fault)
+            at_s += random.expovariate(1.0 / gap_s)
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -126,7 +126,6 @@
             self._disturb_store(kind, fault.length_s)
         elif kind.startswith("endpoint_"):
             endpoints = self.deployment.endpoints
-            self._disturb(1.0)
             endpoint = endpoints[fault.target % len(endpoints)]
             endpoint.faults.append(kind[len("endpoint_") :])
         else:
@@ -185,9 +184,11 @@
     # Changes.
 
     def _revoke(self, _fault):
+        """Replace a key, so that there is always one to revoke."""
         deployment = self.deployment
         if len(deployment.keys) > 1:
             key = deployment.keys.pop()
+            deployment.keys.insert(0, f"key-{deployment.version}")
             deployment.configure()
             self.revoked_at_by_key[key] = self.clock.monotonic()
 
@@ -195,17 +196,24 @@
         self.deployment.configure()
 
     def _drain(self, fault):
-        index = fault.target % len(self.deployment.endpoints)
+        deployment = self.deployment
+        index = fault.target % len(deployment.endpoints)
+        if index in deployment.draining:
+            return
         start = self.clock.monotonic()
-        self.deployment.register(index, state="draining")
+        deployment.draining.add(index)
+        deployment.register(index)
         gevent.sleep(fault.length_s + 3.0)
-        name = self.deployment.endpoints[index].id
+        name = deployment.endpoints[index].id
         self.draining.append((name, start, self.clock.monotonic()))
-        self.deployment.register(index)
+        deployment.draining.discard(index)
+        deployment.register(index)
 
     def _evacuate(self, fault):
         zone = f"zone-{fault.target % 3}"
         key = names.EVACUATION_PREFIX + zone
+        if key in self.deployment.store.rows_by_key:
+            return
         start = self.clock.monotonic()
         self.deployment.store.put(key, json.dumps({}).encode())
         gevent.sleep(fault.length_s + EVACUATION_BOUND_S)
