scheduling: give the scheduling node the whole limit of cold engines at once

Change: the share is computed whenever jobs are submitted or placed. Measured: test_scheduling_node_has_the_whole_limit fails before and passes after.

--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -33,6 +33,7 @@
         self._record = record
         self._cold_share = cold_share
         self._owners_by_job = {}
+        self._cold_per_s_by_service = {}
         self.schedulers_by_service = {}
         knowledge.on_change.append(self.refresh)
 
@@ -48,7 +49,7 @@
             if scheduler is None:
                 scheduler = ServiceScheduler(service=service.name)
                 self.schedulers_by_service[service.name] = scheduler
-            scheduler.cold_per_s = service.cold_per_s * self._cold_share()
+            self._cold_per_s_by_service[service.name] = service.cold_per_s
             scheduler.set_engines(
                 self._knowledge.usable_endpoints(service.name), service.engine
             )
@@ -80,6 +81,7 @@
             avoid=frozenset(message.avoid),
             zone=message.zone,
         )
+        self._share_limits()
         self._owners_by_job[job.id] = _Owner(service=message.service, deliver=deliver)
         if message.endpoints:
             scheduler.adopt(
@@ -115,8 +117,20 @@
                 now = self._clock.monotonic()
                 self._deliver(scheduler, scheduler.cancel(job_id, now))
 
+    def _share_limits(self):
+        """Set the limits of cold engines to this node's share at this moment.
+
+        The share changes without a change of the knowledge, when the node begins or
+        ceases to schedule for others.
+        """
+        share = self._cold_share()
+        for scheduler in self.schedulers_by_service.values():
+            cold_per_s = self._cold_per_s_by_service[scheduler.service]
+            scheduler.cold_per_s = cold_per_s * share
+
     def place_waiting(self):
         """Place what now fits; called regularly while jobs wait."""
+        self._share_limits()
         now = self._clock.monotonic()
         for scheduler in self.schedulers_by_service.values():
             if scheduler.waiting_by_id:
