soak: figures with which prompts over one engine's memory are served

Cause: with a planted fault that never releases reservations the soak found nothing: its prompts of 450,000 tokens could not be read in time by six engines and were always rejected. Change: the soak's engines read pairs eight times faster.

--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -36,7 +36,7 @@
     "per_seq_ms": 0.0018,
     "context_per_k": 0.00213,
     "read_per_s": 154_000.0,
-    "pairs_per_m": 0.162,
+    "pairs_per_m": 0.02,
     "chunk": 2048,
 }
 
