--- a/src/savoryhill/core/scheduling/figures.py
+++ b/src/savoryhill/core/scheduling/figures.py
@@ -20,7 +20,6 @@
     read_tokens_per_s: float
     pair_s: float
     chunk_tokens: int
-    usual_answer_tokens: float = 0.0
 
 
 def read_s(figures, n_tokens):
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -13,6 +13,13 @@
     PlacedJob,
     alone_read_s,
 )
+from savoryhill.core.scheduling.decisions import Grant, Rejection
+from savoryhill.core.scheduling.memory import (
+    MEMORY_SHARE,
+    fits,
+    needed_tokens,
+    reservations,
+)
 
 # Shares of the time to the first event that reading may take, in the order in which
 # they are tried; the rest covers the wait for a running pass, the first pass of
@@ -22,8 +29,6 @@
 MAX_PARTS = 17
 # A part that one engine reads is not made shorter than this.
 MIN_PART_S = 0.02
-# Share of an engine's memory that may be planned for one prompt.
-MEMORY_SHARE = 0.95
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
 FULL_EJECTION_S = 0.2
@@ -39,30 +44,6 @@
 LATE_READ_SHARE = 0.75
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Grant:
-    """A job may run: the first endpoint writes, the others help to read.
-
-    ``reserved_tokens`` has one number for each endpoint: the memory that must be
-    reserved there before the request is sent, 0 for none.
-    """
-
-    job_id: str
-    endpoint_ids: tuple[str, ...]
-    reserved_tokens: tuple[int, ...]
-    part_s: float
-    predicted_first_s: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Rejection:
-    """A job can't be served in time and has not been placed."""
-
-    job_id: str
-    reason: str
-    retry_after_s: float
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Blockable:
     """Engines that long reading may block, in all and beside those blocked now."""
@@ -231,7 +212,7 @@
             return None
         alone_s = alone_read_s(engines[0], job)
         memory_tokens = MEMORY_SHARE * sum(a.figures.memory_tokens for a in engines)
-        if _needed_tokens(job) > memory_tokens:
+        if needed_tokens(job) > memory_tokens:
             return self._reject(job, "prompt is larger than the memory of all engines")
         may_block = self._engines_to_block(job, engines, alone_s, now)
         n_largest = min(len(engines), MAX_PARTS)
@@ -312,7 +293,7 @@
         if not writers:
             return None
         singles = [
-            item for item in writers if item[0] >= alone_s and _fits(job, (item[1],))
+            item for item in writers if item[0] >= alone_s and fits(job, (item[1],))
         ]
         if singles and (alone_s <= BLOCK_S or n_to_block >= 1):
             return (self._pack(job, singles, now),)
@@ -335,7 +316,7 @@
         if first is None:
             return None
         chosen = (first, *(a for a in members if a is not first))
-        return chosen if _fits(job, chosen) else None
+        return chosen if fits(job, chosen) else None
 
     def _can_write(self, account):
         return len(account.jobs_by_id) < account.slots
@@ -379,7 +360,7 @@
         self.claimed_by_id[job.id] = frozenset(a.id for a in free_first[:n_parts])
 
     def _grant(self, job, chosen, part_s, now):
-        reservations = _reservations(job, chosen)
+        reserved_tokens = reservations(job, chosen)
         wait_s = max(account.pending_s(now) for account in chosen)
         predicted_s = wait_s + part_s + chosen[0].pass_s()
         placed = PlacedJob(
@@ -388,13 +369,13 @@
             part_s=part_s,
             granted_at=now,
             predicted_first_at=now + predicted_s,
-            reserved_tokens=reservations,
+            reserved_tokens=reserved_tokens,
         )
         self._account(placed, now)
         return Grant(
             job_id=job.id,
             endpoint_ids=placed.engine_ids,
-            reserved_tokens=reservations,
+            reserved_tokens=reserved_tokens,
             part_s=part_s,
             predicted_first_s=predicted_s,
         )
@@ -418,26 +399,3 @@
         return Rejection(
             job_id=job.id, reason=reason, retry_after_s=0.5 + 2.0 * n_waiting / n_slots
         )
-
-
-def _needed_tokens(job):
-    return job.prompt_tokens + job.answer_tokens
-
-
-def _reservations(job, chosen):
-    """Return the tokens to reserve on each engine, or None if they don't fit.
-
-    The first engine holds what no reservation holds. Reservations are made only for
-    a prompt that the first engine can't hold.
-    """
-    left = _needed_tokens(job) - chosen[0].free_tokens(MEMORY_SHARE)
-    reserved = [0]
-    for account in chosen[1:]:
-        part = max(0, min(left, account.free_tokens(MEMORY_SHARE)))
-        reserved.append(part)
-        left -= part
-    return tuple(reserved) if left <= 0 else None
-
-
-def _fits(job, chosen):
-    return _reservations(job, chosen) is not None
--- a/src/savoryhill/core/serving.py
+++ b/src/savoryhill/core/serving.py
@@ -41,7 +41,7 @@
     """The sends of one request.
 
     ``n_runs`` counts sends that may have run, ``n_refused`` those that provably did
-    not. ``is_running_unknown`` tells whether one may still run.
+    not.
     """
 
     may_repeat: bool
--- a/src/savoryhill/platform/boot_settings.py
+++ b/src/savoryhill/platform/boot_settings.py
@@ -24,13 +24,9 @@
     peer_address: str
     store_address: str
     grace_s: float
-    drain_s: float
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
-    cold_overage: float
-    max_hold_s: float
-    lease_min_s: float
     capacity: float = 1.0
 
 
@@ -96,17 +92,16 @@
             findings.append(f"{name}: expected ip:port, got {value!r}")
         return value
 
-    def number_of(name, default, scale=1.0):
+    def number_of(name, default):
         value = values.get(name, "")
         if not value:
             return default
         try:
-            return float(value) * scale
+            return float(value)
         except ValueError:
             findings.append(f"{name}: expected a number, got {value!r}")
             return default
 
-    ms = 0.001
     ports = text_of("internalPorts").split(",")
     if not ports[0].isdigit():
         findings.append(f"internalPorts: expected first,last, got {ports!r}")
@@ -118,13 +113,9 @@
         peer_address=f"{text_of('ipAddress')}:{ports[0]}",
         store_address=address_of("platform.address"),
         grace_s=number_of("bounds.graceS", 8.0),
-        drain_s=number_of("bounds.drainMs", 2.0, ms),
         repeat_ratio=number_of("bounds.retryBudgetRatio", 0.2),
         repeat_slack=number_of("bounds.budgetSlack", 20.0),
         repeat_window_s=number_of("bounds.budgetWindowS", 10.0),
-        cold_overage=number_of("bounds.coldOverage", 1.0),
-        max_hold_s=number_of("bounds.holdMaxMs", 20.0, ms),
-        lease_min_s=number_of("platform.minTtlMs", 1.0, ms),
         capacity=number_of("limits.cpuShare", 1.0)
         * number_of("limits.cores", 1.0)
         * number_of("limits.bandwidthMbps", 1.0),
--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -89,7 +89,6 @@
         read_tokens_per_s=item["read_per_s"],
         pair_s=item["pairs_per_m"] * _PAIR_S,
         chunk_tokens=item["chunk"],
-        usual_answer_tokens=item.get("usual", {}).get("answer", 0.0),
     )
 
 
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -175,10 +175,6 @@
         self._expect(answer)
         return True
 
-    def end_lease(self, lease):
-        """End a lease, which removes its rows."""
-        self._call(b"DELETE", f"{names.STORE_END_LEASE_PATH}{lease}")
-
     def put(self, key, value, *, lease=0):
         """Write a row without a condition and return its revision."""
         row = {"key": key, "value": b64encode(value).decode(), "lease": lease}
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -34,7 +34,6 @@
     headers: list
     body: bytes
     keep_alive: bool
-    expects_continue: bool = False
 
     def header(self, name):
         """Return the first value of a header, or None."""
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from savoryhill.core.scheduling.accounts import Job
+from savoryhill.core.scheduling.decisions import Grant
 from savoryhill.core.scheduling.messages import (
     CANCELLED,
     ENDPOINT_FAILED,
@@ -12,7 +13,7 @@
     JobPlaced,
     JobRejected,
 )
-from savoryhill.core.scheduling.scheduler import Grant, ServiceScheduler
+from savoryhill.core.scheduling.scheduler import ServiceScheduler
 
 
 @dataclass(kw_only=True)
--- a/src/savoryhill/standins/serving/store.py
+++ b/src/savoryhill/standins/serving/store.py
@@ -118,10 +118,6 @@
             return self._grant(body)
         if path.startswith(names.STORE_RENEW_PATH):
             return self._renew(int(path[len(names.STORE_RENEW_PATH) :]))
-        if path.startswith(names.STORE_END_LEASE_PATH):
-            self.ends_by_lease[int(path[len(names.STORE_END_LEASE_PATH) :])] = 0.0
-            self.expire_leases()
-            return 200, {}
         return 404, {}
 
     def _range(self, query):
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -6,8 +6,9 @@
 import pytest
 
 from savoryhill.core.scheduling.accounts import Job
+from savoryhill.core.scheduling.decisions import Grant, Rejection
 from savoryhill.core.scheduling.figures import EngineFigures, read_s
-from savoryhill.core.scheduling.scheduler import Grant, Rejection, ServiceScheduler
+from savoryhill.core.scheduling.scheduler import ServiceScheduler
 
 FIGURES = EngineFigures(
     slots=8,
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -136,13 +136,9 @@
             peer_address=f"{host}:18082",
             store_address=store_address or self.store_address,
             grace_s=3.0,
-            drain_s=2.0,
             repeat_ratio=0.2,
             repeat_slack=100.0,
             repeat_window_s=10.0,
-            cold_overage=1.5,
-            max_hold_s=20.0,
-            lease_min_s=1.0,
         )
         lines = Lines()
         node = ServingNode(settings=settings, clock=system_clock(), lines=lines)
