--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -256,19 +256,14 @@
         """
         if alone_s <= BLOCK_S:
             return _Blockable(in_all=len(engines), now=len(engines))
+        placed = [p.job for a in engines for p in a.jobs_by_id.values()]
         n_small = sum(
-            1
-            for account in engines
-            for placed in account.jobs_by_id.values()
-            if alone_read_s(account, placed.job) <= BLOCK_S
-        ) + sum(
-            1
-            for waiting in self.waiting_by_id.values()
-            if alone_read_s(engines[0], waiting) <= BLOCK_S
+            alone_read_s(engines[0], other) <= BLOCK_S
+            for other in (*placed, *self.waiting_by_id.values())
         )
         needed = math.ceil(n_small / (PACKED_SHARE * engines[0].slots))
         in_all = max(MIN_BLOCKED, len(engines) - needed)
-        n_blocked = sum(1 for account in engines if account.pending_s(now) > BLOCK_S)
+        n_blocked = sum(account.pending_s(now) > BLOCK_S for account in engines)
         return _Blockable(in_all=in_all, now=max(0, in_all - n_blocked))
 
     def _choose(self, job, engines, alone_s, now, n_to_block):
