serving: replace a scheduling node that lost the store at the first proof

The scheduling node and a quarter of the nodes were turned away by the store; the followers that watch by themselves after 1.2 s told it so only if its contact was older than 1.5 s, so it took a second fallback, 1.2 s later. Change: the age at which it is replaced is 1.0 s, below that of the fallback. Measured: a test that fails with 1.5 s.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -30,8 +30,9 @@
 FOLLOWER_SILENCE_S = 3.5
 CHECK_S = 0.1
 # A scheduling node whose store contact is older than this is replaced by one that
-# reaches the store.
-STALE_LEADER_S = 1.5
+# reaches the store. Not longer than the age at which followers watch by themselves, so
+# that their first answer is enough to replace it.
+STALE_LEADER_S = 1.0
 # How long such a node is not asked again.
 CUT_OFF_S = 10.0
 PLACE_INTERVAL_S = 0.02
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -8,6 +8,7 @@
 
 from savoryhill.serving.leadership import choose_leader
 from savoryhill.serving.model import NodeRecord
+from savoryhill.serving.watching import FALLBACK_AGE_S
 from savoryhill.soak.proxy import FaultProxy
 from savoryhill.standins.serving import store as faults
 
@@ -93,6 +94,22 @@
 
 
 class TestLostStore:
+    def test_first_answer_after_the_fallback_tells_the_scheduling_node(
+        self, deployment
+    ):
+        # Guards against a second wait for the fallback, during which nodes that are
+        # cut off as well go on sending to an endpoint that left.
+        node = deployment.add_node()
+        deployment.wait_until(node._dispatcher.is_leader)
+        sent = []
+        link = type("Recorder", (), {"send": staticmethod(sent.append)})
+        dispatcher = node._dispatcher
+        dispatcher._link = link
+        dispatcher._leader_contact_age_s = FALLBACK_AGE_S
+        dispatcher.note_own_contact()
+        dispatcher._link = None
+        assert len(sent) == 1
+
     def test_node_that_lost_the_store_is_replaced(self, deployment):
         # Guards against a scheduling node that is turned away by the store, so that
         # every other node watches the store by itself.
