--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -1,6 +1,7 @@
 """A store, endpoints and nodes in one process, over loopback sockets."""
 
 import json
+import os
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -14,6 +15,9 @@
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
 from savoryhill.standins.serving.store import MetadataStore, start_store
 
+# A network of its own for each test process, so that two runs on one machine do not
+# take each other's addresses.
+_NETWORK = 20 + os.getpid() % 200
 _HOSTS = count(2)
 ENGINE_FIGURES = {
     "slots": 4,
@@ -127,7 +131,7 @@
 
     def add_node(self, *, store_address=None):
         """Start a node and wait until it is ready."""
-        host = f"127.0.1.{next(_HOSTS)}"
+        host = f"127.{_NETWORK}.1.{next(_HOSTS)}"
         settings = ServingSettings(
             node=f"node-{host}",
             zone="zone-a",
