tests: one copy of the routes and engine figures that operators write

Cause: the soak and the fixtures of tests/serving each held the same route builder and engine figures; a field of the soak's nodes was used by nothing, and a line stood twice. Change: the fixtures use the soak's; no assertion or value changed.

--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -41,7 +41,8 @@
 }
 
 
-def _route(name, kind, service, **fields):
+def route(name, kind, service, **fields):
+    """Return a route as the operator writes it."""
     return {
         "name": name,
         "host": "site.example",
@@ -58,11 +59,11 @@
 
 
 ROUTES = [
-    _route("chat", "streaming", "pool", resumable=True),
-    _route("huge", "streaming", "pool", resumable=True, targetLatencyMs=3000),
-    _route("once", "streaming", "pool", resumable=False),
-    _route("order", "non_idempotent", "app", attempts=1),
-    _route("stock", "idempotent", "app"),
+    route("chat", "streaming", "pool", resumable=True),
+    route("huge", "streaming", "pool", resumable=True, targetLatencyMs=3000),
+    route("once", "streaming", "pool", resumable=False),
+    route("order", "non_idempotent", "app", attempts=1),
+    route("stock", "idempotent", "app"),
 ]
 
 
@@ -77,7 +78,6 @@
     log_path: Path
     process: subprocess.Popen | None = None
     incarnation: int = 0
-    is_stopping: bool = False
 
     @property
     def address(self):
@@ -87,7 +87,6 @@
     def start(self):
         """Start the process."""
         self.incarnation += 1
-        self.is_stopping = False
         environment = {
             **os.environ,
             names.SETTINGS_VARIABLE: str(self.settings_path),
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -12,6 +12,7 @@
 from savoryhill.platform.boot_settings import ServingSettings
 from savoryhill.serving.http import encode_request, open_connection
 from savoryhill.serving.process import ServingNode
+from savoryhill.soak.deployment import ENGINE, route
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
 from savoryhill.standins.serving.store import MetadataStore, start_store
 
@@ -19,44 +20,17 @@
 # take each other's addresses.
 _NETWORK = 20 + os.getpid() % 200
 _HOSTS = count(2)
-ENGINE_FIGURES = {
-    "slots": 4,
-    "kvTokens": 405_000,
-    "stride": 34,
-    "step_ms": 1.31,
-    "per_seq_ms": 0.0018,
-    "context_per_k": 0.00213,
-    "read_per_s": 154_000.0,
-    "pairs_per_m": 0.162,
-    "chunk": 2048,
-}
-
-
-def route(name, path, kind, service, **fields):
-    """Return a route as the operator writes it."""
-    return {
-        "name": name,
-        "host": "site.example",
-        "pathPrefix": path,
-        "kind": kind,
-        "timeoutMs": 5000,
-        "targetLatencyMs": 300,
-        "targetGapMs": 250,
-        "priority": 1,
-        "service": service,
-        "attempts": 2,
-        **fields,
-    }
+ENGINE_FIGURES = {**ENGINE, "slots": 4, "pairs_per_m": 0.162}
 
 
 def configuration(version=1, routes=None, keys=("key-a",)):
     """Return a configuration as the operator writes it."""
     if routes is None:
         routes = [
-            route("chat", "/chat/", "streaming", "pool", resumable=True),
-            route("once", "/once/", "streaming", "pool", resumable=False),
-            route("order", "/order/", "non_idempotent", "app", attempts=1),
-            route("stock", "/stock/", "idempotent", "app"),
+            route("chat", "streaming", "pool", resumable=True),
+            route("once", "streaming", "pool", resumable=False),
+            route("order", "non_idempotent", "app", attempts=1),
+            route("stock", "idempotent", "app"),
         ]
     return {
         "version": version,
@@ -76,7 +50,6 @@
     def __init__(self):
         self.events = []
         self.n_dropped = 0
-        self.n_dropped = 0
 
     def write(self, event, fields):
         """Keep a line."""
