--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -9,6 +9,9 @@
 - ``truncated``: the stream ends in order, but within an event
 - ``foreign``: the answer bears the id of another request
 - ``extra``: bytes follow the answer
+- ``unframed``: the answer has no length and ends with its connection
+- ``unframed_reset``: the same, but the connection is reset within the answer
+- ``encoded``: the answer bears a content encoding that nobody asked for
 """
 
 import json
@@ -84,7 +87,12 @@
         if request.header(names.TOKEN_COUNTS) is not None:
             return self._stream(sock, request, headers, fault)
         gevent.sleep(self.answer_s)
-        _send(sock, 200, headers, b"done by " + self.id.encode())
+        answer = b"done by " + self.id.encode()
+        if fault in ("unframed", "unframed_reset"):
+            return _send_unframed(sock, headers, answer, fault)
+        if fault == "encoded":
+            headers = [*headers, (b"content-encoding", b"gzip")]
+        _send(sock, 200, headers, answer)
         if fault == "extra":
             sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
         return True
@@ -129,11 +137,24 @@
         if fault == "truncated":
             sock.sendall(LAST_CHUNK)
             return True
-        # Closing with this option resets the connection.
-        sock.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_LINGER, struct.pack("ii", 1, 0))
+        _reset_at_close(sock)
         return False
 
 
+def _reset_at_close(sock):
+    sock.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def _send_unframed(sock, headers, answer, fault):
+    is_cut = fault == "unframed_reset"
+    sock.sendall(encode_head(200, headers) + (answer[:4] if is_cut else answer))
+    if is_cut:
+        # The reset must not overtake the bytes before it.
+        gevent.sleep(0.02)
+        _reset_at_close(sock)
+    return False
+
+
 def _send(sock, status, headers, body):
     headers = [*headers, (b"content-length", str(len(body)).encode())]
     sock.sendall(encode_head(status, headers) + body)
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -23,7 +23,10 @@
 ENGINE_FIGURES = {**ENGINE, "slots": 4, "pairs_per_m": 0.162}
 
 
-def configuration(version=1, routes=None, keys=("key-a",)):
+LIMITS = {"idleTimeoutMs": 15_000, "headerTimeoutMs": 3000}
+
+
+def configuration(version=1, routes=None, keys=("key-a",), limits=LIMITS):
     """Return a configuration as the operator writes it."""
     if routes is None:
         routes = [
@@ -39,7 +42,7 @@
             {"name": "pool", "coldPerS": 26.0, "engine": ENGINE_FIGURES},
             {"name": "app", "coldPerS": 0.0},
         ],
-        "limits": {"idleTimeoutMs": 15_000, "headerTimeoutMs": 3000},
+        "limits": limits,
         "tenants": [{"name": "ws-a", "keys": list(keys), "priority": 1}],
     }
 
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -2,8 +2,10 @@
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 
 from savoryhill.platform import names
+from savoryhill.serving.http import encode_head, open_connection
 
 PIECES = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)]
 
@@ -54,6 +56,24 @@
         runs = [a for e in deployment.endpoints_by_id.values() for a in e.arrivals]
         assert len(runs) == 1
 
+    def test_events_are_passed_on_as_they_come(self, deployment):
+        # Guards against events that are collected: each must reach its client within
+        # the smallest bound on passing that a deployment sets (120 ms).
+        event_s = 0.15
+        deployment.add_endpoint("e1", service="pool", event_s=event_s)
+        deployment.add_node()
+        connection = deployment.open("/chat/x")
+        seen_at = []
+        while not connection.reader.complete:
+            connection.receive(timeout_s=2.0)
+            now = gevent.get_hub().loop.now()
+            gevent.get_hub().loop.update_now()
+            seen_at += [now] * connection.reader.take_body().count(b"piece")
+        connection.close()
+        assert len(seen_at) == len(PIECES)
+        gaps_s = [b - a for a, b in zip(seen_at, seen_at[1:], strict=False)]
+        assert max(gaps_s) < event_s + 0.12, f"pauses of {gaps_s} s"
+
     def test_endpoint_stops_when_the_client_leaves(self, deployment):
         # Guards against work that goes on for a client that has left.
         endpoint = deployment.add_endpoint("e1", service="pool", n_events=10_000)
@@ -132,6 +152,64 @@
         second = deployment.ask("/stock/x", method=b"GET")
         assert first[2] == second[2] == b"done by app-1"
 
+    def test_answer_without_a_length_is_whole_when_the_connection_ends(
+        self, deployment
+    ):
+        deployment.add_endpoint("app-1", service="app").faults.append("unframed")
+        deployment.add_node()
+        status, _, body, complete = deployment.ask("/order/x")
+        assert (status, body, complete) == (200, b"done by app-1", True)
+
+    @pytest.mark.parametrize("fault", ["unframed_reset", "encoded"])
+    def test_answer_that_is_not_whole_never_looks_like_success(self, deployment, fault):
+        # Guards against a reset answer without a length, or an encoded one, that
+        # reaches a client as the endpoint's whole body.
+        deployment.add_endpoint("app-1", service="app").faults.append(fault)
+        deployment.add_node()
+        assert deployment.ask("/order/x")[0] == 502
+
+    def test_late_answer_reaches_no_other_request(self, deployment):
+        # Guards against an answer that comes after its request was given up and is
+        # taken for that of the next request on the client's connection.
+        endpoint = deployment.add_endpoint("app-1", service="app", answer_s=0.4)
+        deployment.add_node()
+        connection = deployment.open("/order/x", x_time_remaining="150")
+        while not connection.reader.complete:
+            connection.receive(timeout_s=2.0)
+        assert connection.reader.head.status == 504
+        endpoint.answer_s = 0.0
+        connection.reader.__init__()
+        message = (
+            b"GET /stock/y HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: next\r\n"
+            b"authorization: Bearer key-a\r\n\r\n"
+        )
+        connection.send(message, timeout_s=1.0)
+        status, headers, _, complete = deployment.finish(connection)
+        assert (status, complete) == (200, True)
+        assert headers[names.ATTEMPT_ID] == b"next"
+
+    def test_refusal_before_the_body_was_read_is_not_a_run(self, deployment):
+        # Guards against a refusal that is lost, or counted as a run, because the
+        # endpoint answers while the node still sends a long body.
+        def refuse_early(sock, _):
+            head = b""
+            while b"\r\n\r\n" not in head:
+                head += sock.recv(256)
+            headers = [(names.NOT_RUN, b"1"), (b"content-length", b"0")]
+            sock.sendall(encode_head(503, headers))
+            gevent.sleep(0.2)
+
+        server = StreamServer(("127.0.0.1", 0), refuse_early)
+        server.start()
+        deployment.servers.append(server)
+        endpoint = deployment.add_endpoint("app-1", service="app")
+        endpoint.address = f"127.0.0.1:{server.server_port}"
+        deployment.register("app-1", service="app")
+        deployment.add_node()
+        status, headers, _, _ = deployment.ask("/order/x", body=b"x" * 3_000_000)
+        assert status == 503
+        assert b"retry-after" in headers
+
     def test_address_of_another_instance_does_not_run_the_request(self, deployment):
         endpoint = deployment.add_endpoint("app-1", service="app")
         endpoint.id = "app-9"
@@ -202,3 +280,43 @@
         )
         assert deployment.finish(connection)[0] == 400
         assert endpoint.arrivals == []
+
+
+class TestClientLimits:
+    @pytest.mark.parametrize(
+        ("limits", "headers", "body", "status"),
+        [
+            ({"maxHeaderBytes": 500}, {"x_note": "n" * 600}, b"", 431),
+            ({"maxBodyBytes": 500}, {}, b"b" * 600, 413),
+        ],
+        ids=["headers", "body"],
+    )
+    def test_request_over_a_limit_is_refused(
+        self, deployment, limits, headers, body, status
+    ):
+        endpoint = deployment.add_endpoint("app-1", service="app")
+        deployment.configure(version=2, limits=limits)
+        deployment.add_node()
+        assert deployment.ask("/order/x", body=body, **headers)[0] == status
+        assert endpoint.arrivals == []
+
+    @pytest.mark.parametrize(
+        ("sent", "answer"),
+        [(b"", b""), (b"GET /stock/x HTTP/1.1\r\nhost: s", b"HTTP/1.1 408 ")],
+        ids=["idle", "half a header"],
+    )
+    def test_client_that_sends_nothing_more_is_closed(self, deployment, sent, answer):
+        # Guards against connections that hold memory for ever.
+        limits = {"idleTimeoutMs": 200, "headerTimeoutMs": 200}
+        deployment.configure(version=2, limits=limits)
+        node = deployment.add_node()
+        address = node.context.settings.client_address
+        connection = open_connection(address, timeout_s=1.0)
+        connection.send(sent, timeout_s=1.0)
+        with gevent.Timeout(1.0, AssertionError("the connection is still open")):
+            received = b""
+            while data := connection.sock.recv(4096):
+                received += data
+        connection.close()
+        assert received.startswith(answer)
+        assert bool(received) == bool(answer)
