scheduling: avoid engines that go on refusing longer, and allow more refused sends

Cause: while the store is away nodes learn only by refusals that engines leave. Change: the time for which a refusing engine is avoided doubles until one of its jobs starts; 12 refused sends a request.

--- a/src/savoryhill/core/scheduling/accounts.py
+++ b/src/savoryhill/core/scheduling/accounts.py
@@ -60,7 +60,8 @@
     ``jobs_by_id`` holds the jobs that it writes, ``parts_by_id`` the seconds of
     reading of each job that it has not finished reading, ``reserved_by_id`` the
     memory that it holds for jobs of other engines. ``reads_end_at`` is when
-    the reading is predicted to end.
+    the reading is predicted to end. ``n_failures`` and ``n_refusals`` count those
+    since the last first event.
     """
 
     id: str
@@ -75,6 +76,7 @@
     is_usable: bool = True
     ejected_until: float = 0.0
     n_failures: int = 0
+    n_refusals: int = 0
     grants: deque = field(default_factory=deque)
     # Derived from the jobs, and computed again after a change of them.
     _pass_s: float | None = None
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -114,7 +114,7 @@
             account = self.engines_by_id.get(engine_id)
             if account is not None:
                 account.finish_reading(job_id, now)
-                account.n_failures = 0
+                account.n_failures = account.n_refusals = 0
         return self.place_waiting(now)
 
     def finish(self, job_id, now):
@@ -131,12 +131,18 @@
         return self.place_waiting(now)
 
     def note_failure(self, engine_id, now, *, is_full=False):
-        """Avoid an engine that failed, longer each time until it succeeds."""
+        """Avoid an engine that failed or refused, longer each time until it succeeds.
+
+        Load pattern: many engines leave while the store is away, so that only their
+        refusals tell. An engine that is merely full is soon heard of by the first
+        event of another job.
+        """
         account = self.engines_by_id.get(engine_id)
         if account is None:
             return
         if is_full:
-            pause_s = FULL_EJECTION_S
+            pause_s = min(MAX_EJECTION_S, FULL_EJECTION_S * 2**account.n_refusals)
+            account.n_refusals += 1
         else:
             pause_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**account.n_failures)
             account.n_failures += 1
--- a/src/savoryhill/core/serving.py
+++ b/src/savoryhill/core/serving.py
@@ -3,8 +3,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-# Sends that endpoints refused without running don't count as attempts.
-MAX_REFUSED_SENDS = 4
+# Sends that endpoints refused without running don't count as attempts. A prompt that is
+# read by many engines may meet one that leaves with each of its first sends.
+MAX_REFUSED_SENDS = 12
 
 
 @dataclass(kw_only=True, slots=True)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -200,6 +200,18 @@
         (grant,) = scheduler.submit(job("s9", 5_000, now=0.7), 0.7)
         assert grant.endpoint_ids == ("e00",)
 
+    def test_engine_that_goes_on_refusing_is_avoided_longer(self):
+        # Guards against engines that leave while the store is away: each long prompt
+        # met them again, until its sends were used up.
+        scheduler = scheduler_of(1)
+        for now in (0.0, 0.2, 0.6):
+            scheduler.note_failure("e00", now, is_full=True)
+        assert scheduler.submit(job("s", 10, now=1.3), 1.3) == []
+        (grant,) = scheduler.place_waiting(1.45)
+        scheduler.note_first_event(grant.job_id, 1.5)
+        scheduler.note_failure("e00", 1.5, is_full=True)
+        assert len(scheduler.submit(job("s2", 10, now=1.75), 1.75)) == 1
+
     def test_adopted_job_counts_on_its_engine(self):
         scheduler = scheduler_of(2)
         scheduler.adopt(long_job("l"), ("e00",), has_started=False, now=0.0)
