scheduling: reject waiting prompts that have become hopeless

Cause: what is at least as large as a job that did not fit was skipped in the queue, so a long prompt behind a smaller one waited until its deadline although it could not be read in time any more. Change: a skipped job that is late is checked against its deadline.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -185,8 +185,10 @@
             # What is at least as large as a job that did not fit won't fit either.
             smallest = blocked_sizes.get(job.pause_s)
             if smallest is not None and job.prompt_tokens >= smallest and not job.avoid:
-                continue
-            decision = self._decide(job, now)
+                is_late = job.due_at <= now
+                decision = self._reject_hopeless(job, now) if is_late else None
+            else:
+                decision = self._decide(job, now)
             if decision is None:
                 if not job.avoid:
                     blocked_sizes[job.pause_s] = job.prompt_tokens
@@ -196,6 +198,25 @@
             decisions.append(decision)
         return decisions
 
+    def _reject_hopeless(self, job, now):
+        """Return a rejection of a job that misses its deadline wherever it goes.
+
+        Load pattern: long prompts that wait behind each other. Their clients are
+        told at once when waiting has become useless.
+        """
+        engine = next(iter(self.engines_by_id.values()), None)
+        if engine is None:
+            return None
+        if alone_read_s(engine, job) / self._n_late_engines() > self._late_s(job, now):
+            return self._reject(job, "cannot be read before the deadline")
+        return None
+
+    def _n_late_engines(self):
+        return max(1, int(len(self.engines_by_id) * LATE_SHARE))
+
+    def _late_s(self, job, now):
+        return (job.ends_at - now) * LATE_READ_SHARE
+
     def _usable(self, job, now):
         limit = self.cold_per_s
         usable = [
@@ -243,12 +264,11 @@
         before its deadline it is rejected at once.
         """
         self.claimed_by_id.pop(job.id, None)
-        left_s = (job.ends_at - now) * LATE_READ_SHARE
-        most = max(1, int(len(self.engines_by_id) * LATE_SHARE))
-        if alone_s / most > left_s:
-            return self._reject(job, "cannot be read before the deadline")
-        late = replace(job, due_at=now + left_s)
-        limit = min(most, may_block.now)
+        rejection = self._reject_hopeless(job, now)
+        if rejection is not None:
+            return rejection
+        late = replace(job, due_at=now + self._late_s(job, now))
+        limit = min(self._n_late_engines(), may_block.now)
         chosen = self._choose(late, engines, alone_s, now, limit)
         if chosen is None:
             return None
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -170,6 +170,16 @@
         assert isinstance(decision, Rejection)
         assert decision.retry_after_s > 0
 
+    def test_waiting_prompt_is_rejected_once_it_misses_its_deadline(self):
+        # Guards against a prompt that waits behind a smaller one, was not looked at
+        # again, and kept its client waiting until the deadline.
+        scheduler = scheduler_of(2)
+        scheduler.submit(long_job("l1", 200_000), 0.0)
+        for name, n_tokens in (("l2", 200_000), ("l3", 300_000)):
+            assert scheduler.submit(long_job(name, n_tokens), 0.1) == []
+        decisions = scheduler.place_waiting(4.0)
+        assert [(d.job_id, type(d)) for d in decisions] == [("l3", Rejection)]
+
     def test_engine_gets_no_more_grants_in_a_second_than_it_bears_cold(self):
         scheduler = scheduler_of(1, cold_per_s=3)
         n_granted = 0
