serving: grant most repeated sends where all jobs are known

Cause: each of 58 nodes held its part of the budget of repeats, about 5 sends in 10 s. Change: a node grants a fifth of the budget by itself; for services of engines the scheduling node grants 35 of 100, so that two of them at once stay within the budget.

--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -17,7 +17,9 @@
 
     ``due_s`` and ``ends_s`` count from the sending.
     ``endpoints`` is empty, or names the engines on which the job runs already;
-    ``has_started`` tells whether its first event has come.
+    ``has_started`` tells whether its first event has come. ``is_repeat`` tells
+    whether the request was sent before, and ``needs_budget`` whether this send draws on
+    the scheduling node's budget of repeats.
     """
 
     job_id: str
@@ -33,6 +35,8 @@
     avoid: tuple[str, ...]
     endpoints: tuple[str, ...]
     has_started: bool
+    is_repeat: bool = False
+    needs_budget: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/serving.py
+++ b/src/savoryhill/core/serving.py
@@ -10,14 +10,13 @@
 
 @dataclass(kw_only=True, slots=True)
 class RepeatBudget:
-    """Repeated sends that one node may make in a sliding window.
+    """Repeated sends that one node may make, or grant, in a sliding window.
 
     Load pattern: many endpoints fail at once, and each failure asks for another
-    send. ``slack`` is this node's part of what all nodes share; a send of a refused
-    request counts as well.
+    send. ``ratio`` of the requests and ``slack`` beside them may be repeated; a send
+    of a refused request counts as well.
     """
 
-    ratio: float
     window_s: float
     requests: deque = field(default_factory=deque)
     repeats: deque = field(default_factory=deque)
@@ -26,12 +25,12 @@
         """Count a request of a client."""
         self.requests.append(now)
 
-    def try_repeat(self, now, *, slack):
+    def try_repeat(self, now, *, ratio, slack):
         """Count a repeated send if the budget allows it."""
         for times in (self.requests, self.repeats):
             while times and times[0] < now - self.window_s:
                 times.popleft()
-        if len(self.repeats) + 1 > self.ratio * len(self.requests) + slack:
+        if len(self.repeats) + 1 > ratio * len(self.requests) + slack:
             return False
         self.repeats.append(now)
         return True
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -189,6 +189,8 @@
   endpoints @10 :List(Text);
   hasStarted @11 :Bool;
   zone @12 :Text;
+  isRepeat @13 :Bool;
+  needsBudget @14 :Bool;
 }
 
 struct JobPlaced {
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -63,6 +63,7 @@
     def _submit(self):
         request = self._request
         request.n_sends += 1
+        needs_budget, request.needs_budget = request.needs_budget, False
         route, workspace = request.route, request.workspace
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
@@ -83,6 +84,8 @@
                 avoid=tuple(request.avoid),
                 endpoints=(),
                 has_started=False,
+                is_repeat=request.n_sends > 1,
+                needs_budget=needs_budget,
             )
         )
 
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -25,6 +25,7 @@
 from savoryhill.serving.knowledge import Knowledge
 from savoryhill.serving.log_lines import LogLines
 from savoryhill.serving.registration import keep_registered
+from savoryhill.serving.repeats import Repeats
 from savoryhill.serving.scheduling import Scheduling
 from savoryhill.serving.watching import Watcher
 
@@ -75,13 +76,16 @@
         knowledge = Knowledge(clock=clock, record=record)
         store = Store(address=settings.store_address, clock=clock, observe=observe_call)
 
-        def cold_share():
-            if not dispatcher.is_alone():
-                return 1.0
-            return 1.0 / max(1, len(knowledge.nodes_by_name))
-
+        repeats = Repeats(
+            settings=lambda: self._settings,
+            n_nodes=lambda: len(knowledge.nodes_by_name),
+        )
         scheduling = Scheduling(
-            clock=clock, knowledge=knowledge, record=record, cold_share=cold_share
+            clock=clock,
+            knowledge=knowledge,
+            record=record,
+            is_alone=lambda: dispatcher.is_alone(),
+            repeats=repeats,
         )
         dispatcher = Dispatcher(
             node=settings.node,
@@ -109,6 +113,7 @@
             knowledge=knowledge,
             dispatcher=dispatcher,
             balancer=Balancer(clock=clock, random=random, knowledge=knowledge),
+            repeats=repeats,
             metrics=metrics,
             log=log,
         )
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -15,6 +15,8 @@
 )
 from savoryhill.core.scheduling.scheduler import ServiceScheduler
 
+RETRY_AFTER_S = 1.0
+
 
 @dataclass(kw_only=True)
 class _Owner:
@@ -25,14 +27,16 @@
 class Scheduling:
     """Schedulers by service, fed with jobs and with the endpoints of the knowledge.
 
-    ``record(event, fields)`` is called for each decision.
+    ``record(event, fields)`` is called for each decision. ``is_alone()`` tells
+    whether this node schedules only for itself.
     """
 
-    def __init__(self, *, clock, knowledge, record, cold_share):
+    def __init__(self, *, clock, knowledge, record, is_alone, repeats):
         self._clock = clock
         self._knowledge = knowledge
         self._record = record
-        self._cold_share = cold_share
+        self._is_alone = is_alone
+        self._repeats = repeats
         self._owners_by_job = {}
         self._cold_per_s_by_service = {}
         self.schedulers_by_service = {}
@@ -60,12 +64,11 @@
         """Take a job; ``deliver`` is called with its decision, maybe at once."""
         now = self._clock.monotonic()
         scheduler = self.schedulers_by_service.get(message.service)
-        if scheduler is None:
+        refusal = self._refusal(message, now)
+        if refusal is not None:
             deliver(
                 JobRejected(
-                    job_id=message.job_id,
-                    reason="no engines of the service are known",
-                    retry_after_s=1.0,
+                    job_id=message.job_id, reason=refusal, retry_after_s=RETRY_AFTER_S
                 )
             )
             return
@@ -91,6 +94,19 @@
             return
         self._deliver(scheduler, scheduler.submit(job, now))
 
+    def _refusal(self, message, now):
+        """Return why a job is not queued, or None."""
+        if message.service not in self.schedulers_by_service:
+            return "no engines of the service are known"
+        if not message.is_repeat:
+            self._repeats.note_job(message.service, now)
+        if not message.needs_budget:
+            return None
+        # All nodes that schedule only for themselves would exceed the budget together.
+        if self._is_alone() or not self._repeats.try_scheduled(message.service, now):
+            return "the budget of repeats is used up"
+        return None
+
     def report(self, message):
         """Take what became of a job."""
         owner = self._owners_by_job.get(message.job_id)
@@ -124,7 +140,9 @@
         The share changes without a change of the knowledge, when the node begins or
         ceases to schedule for others.
         """
-        share = self._cold_share()
+        share = 1.0
+        if self._is_alone():
+            share /= max(1, len(self._knowledge.nodes_by_name))
         for scheduler in self.schedulers_by_service.values():
             cold_per_s = self._cold_per_s_by_service[scheduler.service]
             scheduler.cold_per_s = cold_per_s * share
--- a/src/savoryhill/serving/sending.py
+++ b/src/savoryhill/serving/sending.py
@@ -37,7 +37,8 @@
     """A request of a client and what the node has decided about it.
 
     ``ends_at`` is when the final answer is due, ``client_ends_at`` when the client
-    stops waiting. ``avoid`` holds the endpoints that failed this request.
+    stops waiting. ``avoid`` holds the endpoints that failed this request,
+    ``needs_budget`` tells whether the next send draws on the scheduling node's budget.
     """
 
     def __init__(self, *, context, message):
@@ -51,6 +52,7 @@
         self.workspace = None
         self.n_sends = 0
         self.avoid = set()
+        self.needs_budget = False
 
     @property
     def id(self):
@@ -139,7 +141,11 @@
         )
 
     def may_go_on(self, history, failure):
-        """Record a failed send and tell whether another one may follow."""
+        """Record a failed send and tell whether another one may follow.
+
+        Once this node's own part of the budget is used up, ``needs_budget`` is set for
+        services of engines: the scheduling node then decides on the next send.
+        """
         self.context.observe("sends_failed", 1.0, self.route)
         self.context.log(
             "request.send_failed",
@@ -154,7 +160,10 @@
         if not failure.has_arrived:
             return True
         now = self.context.clock.monotonic()
-        return self.context.try_repeat(self.service.name, now)
+        if self.context.repeats.try_own(self.service, now):
+            return True
+        self.needs_budget = self.service.engine is not None
+        return self.needs_budget
 
 
 def _send_quietly(connection, data):
