serving: listen for clients before the program is loaded

Change: the listener is opened first, and a request waits up to 0.5 s for the first configuration of its node.

--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -5,7 +5,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from savoryhill.serving.process import main
+from savoryhill.serving.start import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -1,13 +1,18 @@
 """What the requests of a node share."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
+from gevent.event import Event
+
 from savoryhill.observability.metrics import observe
 from savoryhill.serving.balancing import Balancer
 from savoryhill.serving.knowledge import Knowledge
 from savoryhill.serving.repeats import Repeats
 
+# A node that starts has read the store within a fraction of this, if it is there.
+CONFIGURATION_WAIT_S = 0.5
+
 
 @dataclass(kw_only=True)
 class NodeContext:
@@ -27,9 +32,20 @@
     metrics: object
     log: object
     draining_since: float | None = None
+    is_configured: Event = field(default_factory=Event)
     n_running: int = 0
     n_started: int = 0
 
+    def note_change(self):
+        """Wake requests that wait for the first configuration."""
+        if self.knowledge.configuration is not None:
+            self.is_configured.set()
+
+    def await_configuration(self):
+        """Wait shortly for the first configuration after a start."""
+        if self.knowledge.configuration is None:
+            self.is_configured.wait(timeout=CONFIGURATION_WAIT_S)
+
     def is_draining(self):
         """Tell whether the node shuts down."""
         return self.draining_since is not None
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -67,6 +67,7 @@
 
     def _admit(self):
         """Check the request; return a status and a cause if it is refused."""
+        self._context.await_configuration()
         request, configuration = self._request, self._context.knowledge.configuration
         if configuration is None:
             return 503, "no configuration is known yet"
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -27,9 +27,9 @@
 from savoryhill.serving.registration import keep_registered
 from savoryhill.serving.repeats import Repeats
 from savoryhill.serving.scheduling import Scheduling
+from savoryhill.serving.start import BACKLOG
 from savoryhill.serving.watching import Watcher
 
-BACKLOG = 1024
 MAX_CONNECTIONS = 3000
 METRICS_PORT = 9464
 METRICS_PATH = b"/metrics"
@@ -117,6 +117,7 @@
             metrics=metrics,
             log=log,
         )
+        knowledge.on_change.append(self.context.note_change)
         self._set_gauges(metrics, scheduling)
 
     def _set_gauges(self, metrics, scheduling):
@@ -136,17 +137,23 @@
             requests_started=lambda: context.n_started,
         )
 
-    def start(self):
-        """Listen and start the background work."""
+    def start(self, *, client_listener=None):
+        """Listen and start the background work.
+
+        Parameters
+        ----------
+        client_listener : socket or None
+            Listens for clients already; None opens a listener.
+        """
         settings, context = self._settings, self.context
+        client_listener = client_listener or split_address(settings.client_address)
+        self._listen(client_listener, lambda sock, _: serve_client(context, sock))
+        self._listen(split_address(settings.readiness_address), self._serve_readiness)
         self._listen(
-            settings.client_address,
-            lambda sock, _: serve_client(context, sock),
+            split_address(settings.peer_address), self._dispatcher.serve_link
         )
-        self._listen(settings.readiness_address, self._serve_readiness)
-        self._listen(settings.peer_address, self._dispatcher.serve_link)
         metrics_host = split_address(settings.client_address)[0]
-        self._listen(f"{metrics_host}:{METRICS_PORT}", self._serve_metrics)
+        self._listen((metrics_host, METRICS_PORT), self._serve_metrics)
         for work in (
             self._watcher.run,
             self._dispatcher.follow,
@@ -167,11 +174,9 @@
     def _keep_registered(self):
         keep_registered(store=self._store, settings=self._settings, record=self._record)
 
-    def _listen(self, address, handle):
+    def _listen(self, listener, handle):
         pool = Pool(MAX_CONNECTIONS)
-        server = StreamServer(
-            split_address(address), handle, spawn=pool, backlog=BACKLOG
-        )
+        server = StreamServer(listener, handle, spawn=pool, backlog=BACKLOG)
         server.start()
         self._servers.append(server)
 
@@ -265,15 +270,29 @@
     return status.st_mtime_ns, status.st_size, status.st_ino
 
 
-def main():
-    """Run the process until SIGTERM has been carried out."""
-    try:
-        settings = load_settings(settings_path())
-    except SettingsError as error:
-        lines = LogLines(fd=sys.stdout.fileno(), node="unknown")
-        lines.write("settings.invalid", {"cause": str(error)})
-        lines.flush()
-        return EXIT_SETTINGS
+def report_invalid_settings(error):
+    """Write a line with all findings and return the exit code."""
+    lines = LogLines(fd=sys.stdout.fileno(), node="unknown")
+    lines.write("settings.invalid", {"cause": str(error)})
+    lines.flush()
+    return EXIT_SETTINGS
+
+
+def run(settings, client_listener):
+    """Run the process until SIGTERM has been carried out.
+
+    Parameters
+    ----------
+    settings : ServingSettings
+        Of the process.
+    client_listener : socket
+        Listens for clients already.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
     lines = LogLines(fd=sys.stdout.fileno(), node=settings.node)
     node = ServingNode(settings=settings, clock=system_clock(), lines=lines)
     stopped = gevent.event.Event()
@@ -286,7 +305,7 @@
     gevent.signal_handler(signal.SIGINT, lambda: gevent.spawn(stop))
     gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(node.reload))
     flusher = gevent.spawn(lines.run)
-    node.start()
+    node.start(client_listener=client_listener)
     gevent.spawn(node.watch_settings)
     stopped.wait()
     flusher.kill()
