serving: scheduling nodes learn from followers and step aside later

Two nodes that followed each other for a moment also repeated updates. Change: a follower sends what it reads to a scheduling node that has lost the store; that node steps aside only if its own calls fail for a second more. Updates without news are not passed on. A sender uses no endpoint that it knows to leave.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -29,10 +29,14 @@
 FOLLOWER_BEAT_S = 1.0
 FOLLOWER_SILENCE_S = 3.5
 CHECK_S = 0.1
-# A scheduling node whose store contact is older than this is replaced by one that
-# reaches the store. Not longer than the age at which followers watch by themselves, so
-# that their first answer is enough to replace it.
+# A scheduling node whose store contact is older than this is told what its followers
+# read. Not longer than the age at which followers watch by themselves, so that their
+# first answer is enough.
 STALE_LEADER_S = 1.0
+# It is replaced if others have reached the store for this long and it has not. Its own
+# next call is due within half of this, so that the return of the store for all, which
+# some notice first, replaces nobody.
+STEP_ASIDE_S = 1.0
 # How long such a node is not asked again.
 CUT_OFF_S = 10.0
 PLACE_INTERVAL_S = 0.02
@@ -65,6 +69,8 @@
         self._leader_contact_age_s = 0.0
         self._tickets_by_job = {}
         self._follower_links = set()
+        self._own_contact_at = float("-inf")
+        self._cut_off_since = None
 
     # Jobs of this node.
 
@@ -131,20 +137,40 @@
         return self._link is None and not self.is_leader()
 
     def note_own_contact(self):
-        """Tell a scheduling node that has lost the store that others reach it."""
-        if self._link is not None and self._leader_contact_age_s > STALE_LEADER_S:
+        """Take note that this node's own call to the store was answered.
+
+        A scheduling node that has lost the store is told.
+        """
+        self._own_contact_at = self._clock.monotonic()
+        self._cut_off_since = None
+        if self._leader_is_stale():
             self._link.send(self._own_beat())
 
-    def _take_follower_beat(self, beat):
-        """Step aside if a follower reaches the store and this node does not.
+    def _leader_is_stale(self):
+        return self._link is not None and self._leader_contact_age_s > STALE_LEADER_S
+
+    def _take_follower_beat(self, link, beat):
+        """Learn from a follower that reaches the store while this node does not.
 
-        Only the scheduling node decides this, so that all nodes move together: two
-        nodes that schedule at once fill the same engines. While the store is away for
-        all, no follower has a fresh contact.
+        Load pattern: the store turns away the scheduling node only, or returns for
+        all after an outage, which some nodes notice before this one. It takes what
+        followers have read and passes it on, and steps aside if its own calls go on
+        failing. Only the scheduling node decides this, so that all nodes move
+        together: two nodes that schedule at once fill the same engines.
         """
-        is_cut_off = self._knowledge.contact_age_s() > STALE_LEADER_S
+        now = self._clock.monotonic()
+        is_cut_off = now - self._own_contact_at > STALE_LEADER_S
         if not is_cut_off or beat.contact_age_s > STALE_LEADER_S / 2:
             return
+        if beat.revision > self._knowledge.revision:
+            link.send(self._hello())
+        else:
+            self._knowledge.note_contact(now - beat.contact_age_s)
+        if self._cut_off_since is None:
+            self._cut_off_since = now
+        if now - self._cut_off_since < STEP_ASIDE_S:
+            return
+        self._cut_off_since = None
         self._suspect(self._address, "this node has lost the store", length_s=CUT_OFF_S)
         for link in self._follower_links:
             link.send(NodeAside(length_s=CUT_OFF_S))
@@ -211,7 +237,9 @@
         if isinstance(message, JobPlaced | JobRejected):
             self._take_decision(message)
         elif isinstance(message, StoreUpdate):
-            self._take_update(message)
+            self._take_update(self._link, message)
+        elif isinstance(message, NodeHello):
+            self._send_snapshot(self._link, message.revision)
         elif isinstance(message, NodeBeat):
             self._take_beat(message)
         elif isinstance(message, NodeAside):
@@ -221,18 +249,20 @@
                 length_s=message.length_s,
             )
 
-    def _take_update(self, update):
+    def _take_update(self, link, update):
+        known_revision = self._knowledge.revision
         is_taken = self._knowledge.apply(
             update.rows,
             update.revision,
             base_revision=update.base_revision,
             is_complete=update.is_complete,
         )
-        if is_taken:
-            # Nodes that have not moved on yet still follow this one.
+        if not is_taken:
+            link.send(self._hello())
+        elif self._knowledge.revision > known_revision:
+            # Nodes that have not moved on yet still follow this one. Only news is
+            # passed on: two nodes that follow each other would repeat it for ever.
             self._publish_update(update)
-        else:
-            self._link.send(self._hello())
 
     def _hello(self):
         return NodeHello(node=self._node, revision=self._knowledge.revision)
@@ -266,7 +296,9 @@
                     job_ids.add(message.job_id)
                     self._scheduling.submit(message, deliver)
                 elif isinstance(message, NodeBeat):
-                    self._take_follower_beat(message)
+                    self._take_follower_beat(link, message)
+                elif isinstance(message, StoreUpdate):
+                    self._take_update(link, message)
                 elif isinstance(message, JobReport):
                     if message.what != FIRST_EVENT:
                         job_ids.discard(message.job_id)
@@ -310,13 +342,20 @@
         )
 
     def publish(self, rows, revision, *, base_revision, is_complete):
-        """Pass rows of the store on to the nodes that follow this one."""
-        if self._follower_links and (is_complete or rows):
-            self._publish_update(
-                _update(
-                    rows, revision, base_revision=base_revision, is_complete=is_complete
-                )
-            )
+        """Pass rows of the store on to the nodes that follow this one.
+
+        A scheduling node that has lost the store is told as well.
+        """
+        if not (is_complete or rows):
+            return
+        if not (self._follower_links or self._leader_is_stale()):
+            return
+        update = _update(
+            rows, revision, base_revision=base_revision, is_complete=is_complete
+        )
+        self._publish_update(update)
+        if self._leader_is_stale():
+            self._link.send(update)
 
     def _publish_update(self, update):
         if not self._follower_links:
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -107,13 +107,15 @@
         """Run on the engines of a decision; return None, or what failed."""
         known = self._context.knowledge.endpoints_by_id
         endpoints = [known.get(name) for name in decision.endpoints]
-        if None in endpoints:
-            return Failure(
-                cause="endpoint is unknown",
-                was_run=False,
-                has_arrived=False,
-                at=decision.endpoints[endpoints.index(None)],
-            )
+        for name, endpoint in zip(decision.endpoints, endpoints, strict=True):
+            if endpoint is None or not self._context.knowledge.is_usable(endpoint):
+                # The scheduling node may know less of the store than this one.
+                return Failure(
+                    cause="endpoint is unknown or leaving",
+                    was_run=False,
+                    has_arrived=False,
+                    at=name,
+                )
         reservations = Reservations(
             request_id=ticket.submit.job_id, log=self._context.log
         )
--- a/src/savoryhill/serving/knowledge.py
+++ b/src/savoryhill/serving/knowledge.py
@@ -124,11 +124,13 @@
         return [
             endpoint
             for endpoint in self.endpoints_by_id.values()
-            if endpoint.service == service
-            and not endpoint.is_draining
-            and endpoint.zone not in self.evacuated_zones
+            if endpoint.service == service and self.is_usable(endpoint)
         ]
 
+    def is_usable(self, endpoint):
+        """Tell whether new work may go to an endpoint."""
+        return not endpoint.is_draining and endpoint.zone not in self.evacuated_zones
+
     def _take(self, row):
         subject, name = subject_of(row.key)
         if subject == "other":
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -149,9 +149,7 @@
         client_listener = client_listener or split_address(settings.client_address)
         self._listen(client_listener, lambda sock, _: serve_client(context, sock))
         self._listen(split_address(settings.readiness_address), self._serve_readiness)
-        self._listen(
-            split_address(settings.peer_address), self._dispatcher.serve_link
-        )
+        self._listen(split_address(settings.peer_address), self._dispatcher.serve_link)
         metrics_host = split_address(settings.client_address)[0]
         self._listen((metrics_host, METRICS_PORT), self._serve_metrics)
         for work in (
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -231,6 +231,21 @@
         deployment.ask(path, x_time_remaining="300")
         assert endpoint.arrivals == []
 
+    def test_sender_does_not_use_an_endpoint_that_it_knows_to_leave(self, deployment):
+        # Guards against a scheduling node that has lost the store and goes on
+        # placing work on endpoints that leave.
+        for name in ("e1", "e2"):
+            deployment.add_endpoint(name, service="pool")
+        node = deployment.add_node()
+        deployment.wait_until(node._dispatcher.is_leader)
+        knowledge = node.context.knowledge
+        knowledge.on_change.remove(node._dispatcher._scheduling.refresh)
+        deployment.register("e1", service="pool", state="draining")
+        deployment.wait_until(lambda: knowledge.endpoints_by_id["e1"].is_draining)
+        for _ in range(4):
+            assert deployment.ask("/chat/x")[0] == 200
+        assert deployment.endpoints_by_id["e1"].arrivals == []
+
     @pytest.mark.parametrize(
         "value",
         [b"", b"\xff\xfe", b"[]", b'{"service": 1}', b'{"service": "app"}'],
