serving: pass on what a node missed instead of everything

Cause: each change of the scheduling node sent the whole knowledge to every node. Change: removed rows are remembered (2,000), so that a node which reconnects gets the changes after its revision; everything is sent only to one that is further behind.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -239,7 +239,7 @@
         elif isinstance(message, StoreUpdate):
             self._take_update(self._link, message)
         elif isinstance(message, NodeHello):
-            self._send_snapshot(self._link, message.revision)
+            self._send_missing(self._link, message.revision)
         elif isinstance(message, NodeBeat):
             self._take_beat(message)
         elif isinstance(message, NodeAside):
@@ -290,7 +290,7 @@
             while True:
                 message = link.receive()
                 if isinstance(message, NodeHello):
-                    self._send_snapshot(link, message.revision)
+                    self._send_missing(link, message.revision)
                     self._follower_links.add(link)
                 elif isinstance(message, JobSubmit):
                     job_ids.add(message.job_id)
@@ -311,12 +311,22 @@
             sock.close()
             self._scheduling.forget_all(job_ids)
 
-    def _send_snapshot(self, link, known_revision):
-        if known_revision >= self._knowledge.revision:
+    def _send_missing(self, link, known_revision):
+        """Send a node what it misses, or everything if that is not known."""
+        knowledge = self._knowledge
+        if known_revision >= knowledge.revision:
             return
-        rows = self._knowledge.rows_by_key.values()
+        rows = knowledge.rows_after(known_revision)
+        is_complete = rows is None
+        if is_complete:
+            known_revision, rows = 0, knowledge.rows_by_key.values()
         link.send(
-            _update(rows, self._knowledge.revision, base_revision=0, is_complete=True)
+            _update(
+                rows,
+                knowledge.revision,
+                base_revision=known_revision,
+                is_complete=is_complete,
+            )
         )
 
     def _beat(self, link):
--- a/src/savoryhill/serving/knowledge.py
+++ b/src/savoryhill/serving/knowledge.py
@@ -1,5 +1,6 @@
 """What a node believes of the configuration, the endpoints and the other nodes."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from savoryhill.platform.decode import (
@@ -14,6 +15,8 @@
 OUTAGE_S = 1.0
 # Endpoints whose rows lapsed in an outage are back within two seconds of its end.
 LAPSE_GRACE_S = 2.3
+# Removed rows that are remembered for nodes that ask for what they missed.
+MAX_REMOVALS = 2_000
 
 
 @dataclass(kw_only=True)
@@ -21,7 +24,8 @@
     """Rows of the store, decoded, with the revision and time of the last contact.
 
     ``lapsed_until`` maps endpoints whose rows lapsed in an outage to the time until
-    which they are still used. ``record(event, fields)`` is called when a belief
+    which they are still used. ``removals`` holds the rows removed after the revision
+    ``removals_since``, oldest first. ``record(event, fields)`` is called when a belief
     changes, ``on_change`` functions after each change.
     """
 
@@ -36,6 +40,8 @@
     nodes_by_name: dict[str, NodeRecord] = field(default_factory=dict)
     lapsed_until: dict[str, float] = field(default_factory=dict)
     rows_by_key: dict = field(default_factory=dict)
+    removals: deque = field(default_factory=deque)
+    removals_since: int = 0
     on_change: list = field(default_factory=list)
 
     def contact_age_s(self):
@@ -84,11 +90,14 @@
             named = {row.key for row in rows}
             for key in [key for key in self.rows_by_key if key not in named]:
                 self._remove(key)
+            self.removals.clear()
+            self.removals_since = revision
         for row in rows:
             if self._is_known(row, is_complete):
                 continue
             if row.is_deleted:
                 self._remove(row.key)
+                self._remember_removal(row)
             else:
                 self._take(row)
             changed = True
@@ -97,6 +106,30 @@
             self.notify()
         return True
 
+    def _remember_removal(self, row):
+        self.removals.append(row)
+        if len(self.removals) > MAX_REMOVALS:
+            self.removals_since = self.removals.popleft().revision
+
+    def rows_after(self, revision):
+        """Return the changes after a revision, or None if they are not all known.
+
+        Parameters
+        ----------
+        revision : int
+            What the other node knows.
+
+        Returns
+        -------
+        tuple of StoreRow or None
+            In the order of their revisions.
+        """
+        if revision < self.removals_since:
+            return None
+        rows = [row for row in self.rows_by_key.values() if row.revision > revision]
+        rows += [row for row in self.removals if row.revision > revision]
+        return tuple(sorted(rows, key=lambda row: row.revision))
+
     def _is_known(self, row, is_complete):
         if not is_complete and row.revision <= self.revision:
             return True
--- a/tests/serving/test_knowledge.py
+++ b/tests/serving/test_knowledge.py
@@ -6,7 +6,7 @@
 
 from savoryhill.clock import system_clock
 from savoryhill.platform.store import StoreRow
-from savoryhill.serving.knowledge import Knowledge
+from savoryhill.serving.knowledge import MAX_REMOVALS, Knowledge
 
 
 def knowledge():
@@ -69,6 +69,43 @@
                 known.apply(rows[base:end], end, base_revision=base)
             assert known.evacuated_zones == states[known.revision]
 
+    @given(
+        changes=st.lists(
+            st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=12
+        ),
+        data=st.data(),
+    )
+    def test_missing_changes_lead_to_the_same_state(self, changes, data):
+        # Guards against a removed row that stays at a node which asks for what it
+        # missed instead of everything.
+        rows = [
+            zone(name, number, is_deleted=gone)
+            for number, (name, gone) in enumerate(changes, start=1)
+        ]
+        snapshot_at = data.draw(st.integers(0, len(rows)))
+        behind_at = data.draw(st.integers(0, len(rows)))
+        ahead, behind = knowledge(), knowledge()
+        whole = {row.key: row for row in rows[:snapshot_at]}
+        left = [row for row in whole.values() if not row.is_deleted]
+        ahead.apply(left, snapshot_at, is_complete=True)
+        ahead.apply(rows[snapshot_at:], len(rows), base_revision=snapshot_at)
+        behind.apply(rows[:behind_at], behind_at)
+        missing = ahead.rows_after(behind_at)
+        if behind_at < snapshot_at:
+            assert missing is None
+        else:
+            assert behind.apply(missing, len(rows), base_revision=behind_at)
+            assert behind.evacuated_zones == ahead.evacuated_zones
+
+    def test_few_removals_are_remembered(self):
+        known = knowledge()
+        for number in range(1, MAX_REMOVALS + 10):
+            gone = zone("a", number, is_deleted=True)
+            known.apply([gone], number, base_revision=number - 1)
+        assert len(known.removals) == MAX_REMOVALS
+        assert known.rows_after(5) is None
+        assert len(known.rows_after(20)) == MAX_REMOVALS + 9 - 20
+
 
 class TestOutage:
     @pytest.mark.parametrize("is_back", [True, False])
