serving: open every listener the same way

Change: all listeners are opened by one function. Measured: tests/soak/test_soak.py, which starts real processes, passes.

--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -27,7 +27,7 @@
 from savoryhill.serving.registration import keep_registered
 from savoryhill.serving.repeats import Repeats
 from savoryhill.serving.scheduling import Scheduling
-from savoryhill.serving.start import BACKLOG
+from savoryhill.serving.start import open_listener
 from savoryhill.serving.watching import Watcher
 
 MAX_CONNECTIONS = 3000
@@ -146,12 +146,16 @@
             Listens for clients already; None opens a listener.
         """
         settings, context = self._settings, self.context
-        client_listener = client_listener or split_address(settings.client_address)
-        self._listen(client_listener, lambda sock, _: serve_client(context, sock))
-        self._listen(split_address(settings.readiness_address), self._serve_readiness)
-        self._listen(split_address(settings.peer_address), self._dispatcher.serve_link)
+        if client_listener is None:
+            client_listener = open_listener(settings.client_address)
+        self._serve(client_listener, lambda sock, _: serve_client(context, sock))
+        readiness_listener = open_listener(settings.readiness_address)
+        self._serve(readiness_listener, self._serve_readiness)
+        peer_listener = open_listener(settings.peer_address)
+        self._serve(peer_listener, self._dispatcher.serve_link)
         metrics_host = split_address(settings.client_address)[0]
-        self._listen((metrics_host, METRICS_PORT), self._serve_metrics)
+        metrics_listener = open_listener(f"{metrics_host}:{METRICS_PORT}")
+        self._serve(metrics_listener, self._serve_metrics)
         for work in (
             self._watcher.run,
             self._dispatcher.follow,
@@ -172,9 +176,8 @@
     def _keep_registered(self):
         keep_registered(store=self._store, settings=self._settings, record=self._record)
 
-    def _listen(self, listener, handle):
-        pool = Pool(MAX_CONNECTIONS)
-        server = StreamServer(listener, handle, spawn=pool, backlog=BACKLOG)
+    def _serve(self, listener, handle):
+        server = StreamServer(listener, handle, spawn=Pool(MAX_CONNECTIONS))
         server.start()
         self._servers.append(server)
 
