cli: status of nodes of the platform deployment

Cause: 'savoryhill status' could ask only nodes of the product's own deployment; on the platform an operator had to read the metrics of every node.

--- a/src/savoryhill/cli/inspection.py
+++ b/src/savoryhill/cli/inspection.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+from dataclasses import asdict
 from datetime import UTC, datetime
 
 import gevent
@@ -16,6 +17,7 @@
     deferred,
     show,
 )
+from savoryhill.cli.metrics_status import read_all, status_lines
 from savoryhill.errors import PlatformError, SavoryhillError
 from savoryhill.observability.timeline import merge_timelines
 
@@ -28,7 +30,7 @@
 
 
 @SetParseFn(str)
-def status(admin="", hosts="", settings="", key_file="", output="text"):
+def status(admin="", hosts="", settings="", key_file="", metrics="", output="text"):
     """Show roles, groups, members, revision and requests of nodes.
 
     The exit code is 1 if a node did not answer or is not ready.
@@ -44,12 +46,17 @@
     key_file : str
         File with the admin key; else the key comes from the settings or from the
         environment variable SAVORYHILL_ADMIN_KEY.
+    metrics : str
+        Metrics addresses of nodes of the platform deployment, ``ip:port`` with commas
+        between them; they are asked instead of admin addresses.
     output : str
         text or json.
     """
 
     def start():
         check_output(output)
+        if metrics:
+            return _metrics_status([a for a in metrics.split(",") if a], output)
         addresses, key = _targets(admin, hosts, settings, key_file)
         answers, errors = _ask_all(addresses, "/admin/status", key)
         document = {"nodes": answers, "errors": errors}
@@ -60,6 +67,14 @@
     return deferred(start)
 
 
+def _metrics_status(addresses, output):
+    statuses, errors = read_all(addresses)
+    document = {"nodes": [asdict(s) for s in statuses], "errors": errors}
+    show(document, output, [*status_lines(statuses), *_error_lines(errors)])
+    is_well = not errors and not any(status.findings for status in statuses)
+    return EXIT_OK if is_well else EXIT_FAILED
+
+
 @SetParseFn(str)
 def timeline(
     admin="",
--- /dev/null
+++ b/tests/cli/test_metrics_status.py
@@ -0,0 +1,79 @@
+"""Status of nodes of the platform deployment."""
+
+import json
+
+import pytest
+from gevent.server import StreamServer
+
+from savoryhill.cli.inspection import status
+from savoryhill.cli.metrics_status import GAUGES, MetricsError, parse_gauges
+from savoryhill.observability.metrics import Metrics, prometheus_text
+from savoryhill.serving.http import encode_head
+
+
+def text(**values):
+    gauges = dict.fromkeys(GAUGES, 0) | {"configuration_version": 7} | values
+    metrics = Metrics()
+    metrics.gauges.update({k: lambda v=v: v for k, v in gauges.items()})
+    return prometheus_text(metrics)
+
+
+@pytest.fixture
+def start_node():
+    """Return a function that serves metrics and returns their address."""
+    servers = []
+
+    def start(content):
+        def serve(sock, _):
+            sock.recv(65_536)
+            body = content.encode()
+            length = str(len(body)).encode()
+            sock.sendall(encode_head(200, [(b"content-length", length)]) + body)
+
+        server = StreamServer(("127.0.0.1", 0), serve)
+        server.start()
+        servers.append(server)
+        return f"127.0.0.1:{server.server_port}"
+
+    yield start
+    for server in servers:
+        server.stop(timeout=0)
+
+
+def run(capsys, addresses, **options):
+    code = status(metrics=",".join(addresses), **options)._start()
+    return code, capsys.readouterr().out
+
+
+class TestStatus:
+    def test_nodes_that_agree_are_well(self, start_node, capsys):
+        code, out = run(capsys, [start_node(text()), start_node(text())])
+        assert code == 0
+        assert out.count(": ok (") == 2
+
+    @pytest.mark.parametrize(
+        ("values", "finding"),
+        [
+            ({"configuration_version": 5}, "configuration 5, others have 7"),
+            ({"configuration_version": 0}, "no configuration"),
+            ({"store_contact_age_s": 9.5}, "store not heard of for 9.5 s"),
+            ({"log_lines_dropped": 3}, "3 log lines dropped"),
+        ],
+        ids=["older", "none", "cut off", "dropped"],
+    )
+    def test_finding_is_named(self, start_node, capsys, values, finding):
+        odd = start_node(text(**values))
+        code, out = run(capsys, [start_node(text()), odd], output="json")
+        assert code == 1
+        (status_of_odd,) = [n for n in json.loads(out)["nodes"] if n["address"] == odd]
+        assert status_of_odd["findings"] == [finding]
+
+    def test_node_that_does_not_answer_is_named(self, start_node, capsys):
+        code, out = run(capsys, [start_node(text()), "127.0.0.1:1"])
+        assert code == 1
+        assert "127.0.0.1:1: no answer" in out
+
+    @pytest.mark.parametrize("content", ["", "savoryhill_configuration_version{} many"])
+    def test_unreadable_metrics(self, content):
+        with pytest.raises(MetricsError, match="gauge"):
+            parse_gauges(content)
