serving: followers take turns at asking the store

Cause: when nothing current was heard for 1.2 s every node asked the store twice a second: 116 calls a second at 58 nodes, 680 at 340, for as long as an outage lasts. Change: a node with a scheduling node waits for a random turn, 20 calls a second for all nodes together; the first one that is answered tells the scheduling node. A node without a scheduling node asks at once, as before.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -136,6 +136,10 @@
         """Tell whether this node schedules only for itself."""
         return self._link is None and not self.is_leader()
 
+    def has_scheduling_node(self):
+        """Tell whether a scheduling node is linked, which passes on what it hears."""
+        return self._link is not None
+
     def note_own_contact(self):
         """Take note that this node's own call to the store was answered.
 
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -73,6 +73,7 @@
             observe(metrics, "store_call_s", seconds, {"operation": operation})
 
         self._record = record
+        random = Random(f"{settings.node}/{os.getpid()}")
         knowledge = Knowledge(clock=clock, record=record)
         store = Store(address=settings.store_address, clock=clock, observe=observe_call)
 
@@ -101,11 +102,12 @@
             must_watch=dispatcher.is_leader,
             publish=dispatcher.publish,
             on_contact=dispatcher.note_own_contact,
+            takes_turns=dispatcher.has_scheduling_node,
+            random=random,
             clock=clock,
         )
         self._store = store
         self._dispatcher = dispatcher
-        random = Random(f"{settings.node}/{os.getpid()}")
         self.context = NodeContext(
             settings=settings,
             clock=clock,
--- a/src/savoryhill/serving/watching.py
+++ b/src/savoryhill/serving/watching.py
@@ -13,7 +13,11 @@
 # A node that hears nothing current from the scheduling node for this long watches
 # the store itself.
 FALLBACK_AGE_S = 1.2
-CHECK_S = 0.2
+CHECK_S = 0.1
+# While the scheduling node is linked, its followers take turns at asking the store:
+# each waits for a random part of this times the number of nodes. The first one that is
+# answered tells the scheduling node, and so all others.
+TURN_S_PER_NODE = 0.05
 
 
 class Watcher:
@@ -31,16 +35,34 @@
         Called with the rows and the revision of each answer.
     on_contact : callable
         Called after each answer of the store.
+    takes_turns : callable
+        Whether other nodes would pass on what they read.
+    random : Random
+        Draws the turns.
     clock : Clock
         The runtime's clock.
     """
 
-    def __init__(self, *, store, knowledge, must_watch, publish, on_contact, clock):
+    def __init__(
+        self,
+        *,
+        store,
+        knowledge,
+        must_watch,
+        publish,
+        on_contact,
+        takes_turns,
+        random,
+        clock,
+    ):
         self._store = store
         self._knowledge = knowledge
         self._must_watch = must_watch
         self._publish = publish
         self._on_contact = on_contact
+        self._takes_turns = takes_turns
+        self._random = random
+        self._turn_at = None
         self._clock = clock
         self._needs_snapshot = True
         self._is_lost = False
@@ -50,10 +72,10 @@
         """Watch until the greenlet is killed."""
         while True:
             self._knowledge.drop_lapsed()
-            fresh = self._knowledge.contact_age_s() <= FALLBACK_AGE_S
-            if not self._needs_snapshot and fresh and not self._must_watch():
+            if not self._is_due():
                 gevent.sleep(CHECK_S)
                 continue
+            self._turn_at = None
             try:
                 self._step()
             except HistoryLostError as error:
@@ -66,6 +88,21 @@
                 self._pause_s = min(MAX_RETRY_S, 2.0 * self._pause_s)
                 gevent.sleep(self._pause_s)
 
+    def _is_due(self):
+        """Tell whether this node asks the store now."""
+        if self._needs_snapshot or self._must_watch():
+            return True
+        if self._knowledge.contact_age_s() <= FALLBACK_AGE_S:
+            self._turn_at = None
+            return False
+        if not self._takes_turns():
+            return True
+        now = self._clock.monotonic()
+        if self._turn_at is None:
+            n_nodes = len(self._knowledge.nodes_by_name)
+            self._turn_at = now + self._random.uniform(0, TURN_S_PER_NODE * n_nodes)
+        return now >= self._turn_at
+
     def _step(self):
         started = self._clock.monotonic()
         if self._needs_snapshot:
--- /dev/null
+++ b/tests/serving/test_watching.py
@@ -0,0 +1,76 @@
+"""Which nodes ask the store, and how often."""
+
+from random import Random
+
+import pytest
+
+from savoryhill.serving.knowledge import Knowledge
+from savoryhill.serving.watching import FALLBACK_AGE_S, Watcher
+
+
+class PausedClock:
+    """A clock that only the test advances."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+def watcher_of(clock, seed, *, n_nodes, takes_turns=True):
+    knowledge = Knowledge(clock=clock, record=lambda event, fields: None)
+    knowledge.nodes_by_name = dict.fromkeys(range(n_nodes))
+    knowledge.note_contact(clock.now)
+    watcher = Watcher(
+        store=None,
+        knowledge=knowledge,
+        must_watch=lambda: False,
+        publish=None,
+        on_contact=None,
+        takes_turns=lambda: takes_turns,
+        random=Random(seed),
+        clock=clock,
+    )
+    watcher._needs_snapshot = False
+    return watcher
+
+
+class TestTurns:
+    @pytest.mark.parametrize("n_nodes", [9, 58, 340])
+    def test_calls_of_all_nodes_in_an_outage_do_not_grow_with_them(self, n_nodes):
+        # Guards against an outage of the store in which every node calls it twice a
+        # second: 680 calls a second at 340 nodes.
+        clock = PausedClock()
+        watchers = [watcher_of(clock, n, n_nodes=n_nodes) for n in range(n_nodes)]
+        clock.now += FALLBACK_AGE_S
+        n_calls = 0
+        for _ in range(100):
+            clock.now += 0.1
+            for watcher in watchers:
+                if watcher._is_due():
+                    watcher._turn_at = None
+                    n_calls += 1
+        assert n_calls < 50 * 10
+
+    @pytest.mark.parametrize("n_nodes", [9, 58, 340])
+    def test_some_node_asks_soon(self, n_nodes):
+        # Guards against a change that nobody hears of for longer than an endpoint
+        # that leaves may be used, when the scheduling node has lost the store.
+        clock = PausedClock()
+        watchers = [watcher_of(clock, n, n_nodes=n_nodes) for n in range(n_nodes)]
+        clock.now += FALLBACK_AGE_S + 0.01
+        # A third of the nodes are turned away by the store as well.
+        able = watchers[n_nodes // 3 :]
+        n_calls = 0
+        for _ in range(4):
+            n_calls += sum(watcher._is_due() for watcher in able)
+            clock.now += 0.1
+        assert n_calls > 0
+
+    def test_node_without_a_scheduling_node_asks_at_once(self):
+        clock = PausedClock()
+        watcher = watcher_of(clock, 1, n_nodes=58, takes_turns=False)
+        assert not watcher._is_due()
+        clock.now += FALLBACK_AGE_S + 0.01
+        assert watcher._is_due()
