--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -38,8 +38,10 @@
 PACKED_SHARE = 0.6
 # Engines that long prompts may always block, however many streams there are.
 MIN_BLOCKED = 2
-# Share of the engines that a prompt whose first event is late anyway may block.
-LATE_SHARE = 1 / 6
+# Shares of the engines that a prompt whose first event is late anyway may block, while
+# other long prompts wait and while none does.
+CONTENDED_LATE_SHARE = 1 / 6
+LATE_SHARE = 1 / 2
 # Reading of a late prompt may take this share of the time to its deadline.
 LATE_READ_SHARE = 0.75
 
@@ -207,12 +209,20 @@
         engine = next(iter(self.engines_by_id.values()), None)
         if engine is None:
             return None
-        if alone_read_s(engine, job) / self._n_late_engines() > self._late_s(job, now):
+        most = max(1, int(len(self.engines_by_id) * LATE_SHARE))
+        fastest_s = alone_read_s(engine, job) / min(most, MAX_PARTS)
+        if fastest_s > self._late_s(job, now):
             return self._reject(job, "cannot be read before the deadline")
         return None
 
-    def _n_late_engines(self):
-        return max(1, int(len(self.engines_by_id) * LATE_SHARE))
+    def _n_late_engines(self, job, engine):
+        is_contended = any(
+            alone_read_s(engine, other) > BLOCK_S
+            for other in self.waiting_by_id.values()
+            if other is not job
+        )
+        share = CONTENDED_LATE_SHARE if is_contended else LATE_SHARE
+        return max(1, int(len(self.engines_by_id) * share))
 
     def _late_s(self, job, now):
         return (job.ends_at - now) * LATE_READ_SHARE
@@ -259,16 +269,16 @@
         """Place a job whose first event is late anyway, on few engines.
 
         Load pattern: the longest prompts, whose reading takes all engines for
-        seconds. Once such a prompt is late it may use a small part of the engines
-        only, so that the prompts behind it are not late as well; if that can't end
-        before its deadline it is rejected at once.
+        seconds. While other long prompts wait, a late one may use a small part of
+        the engines only, so that those behind it are not late as well. One that
+        can't end before its deadline on half of the engines is rejected at once.
         """
         self.claimed_by_id.pop(job.id, None)
         rejection = self._reject_hopeless(job, now)
         if rejection is not None:
             return rejection
         late = replace(job, due_at=now + self._late_s(job, now))
-        limit = min(self._n_late_engines(), may_block.now)
+        limit = min(self._n_late_engines(job, engines[0]), may_block.now)
         chosen = self._choose(late, engines, alone_s, now, limit)
         if chosen is None:
             return None
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -165,6 +165,23 @@
         (grant,) = scheduler.submit(long_job("l", 390_000, now=0.0), 2.5)
         assert len(grant.endpoint_ids) <= 3
 
+    def test_late_prompt_is_served_while_no_other_long_prompt_waits(self):
+        # Guards against long prompts that are refused although engines are free,
+        # because a late prompt may take a sixth of them only.
+        scheduler = scheduler_of(12)
+        (grant,) = scheduler.submit(long_job("l", 558_000), 3.5)
+        assert isinstance(grant, Grant)
+        assert len(grant.endpoint_ids) <= 6
+
+    def test_late_prompt_leaves_engines_to_long_prompts_that_wait(self):
+        scheduler = scheduler_of(12)
+        engine = scheduler.engines_by_id["e00"]
+        late = long_job("late", 558_000)
+        scheduler.waiting_by_id = {"late": late, "short": job("short", 5_000)}
+        assert scheduler._n_late_engines(late, engine) == 6
+        scheduler.waiting_by_id["next"] = long_job("next")
+        assert scheduler._n_late_engines(late, engine) == 2
+
     def test_prompt_that_misses_its_deadline_is_rejected_at_once(self):
         (decision,) = scheduler_of(1).submit(job("l", 400_000), 0.0)
         assert isinstance(decision, Rejection)
