scheduling, serving: modules for sharing engines and for messages about changes

Change: core/scheduling/sharing.py and serving/changes.py; behaviour stays as it is. Measured: tests/core/scheduling and tests/serving/test_dispatch.py pass; a test of the limit of late prompts calls the function at its new place.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -20,38 +20,24 @@
     needed_tokens,
     reservations,
 )
+from savoryhill.core.scheduling.sharing import (
+    BLOCK_S,
+    MAX_PARTS,
+    engines_to_block,
+    is_hopeless,
+    late_engines,
+    late_read_s,
+)
 
 # Shares of the time to the first event that reading may take, in the order in which
 # they are tried; the rest covers the wait for a running pass, the first pass of
 # writing and the network.
 FIRST_SHARES = (0.6, 0.9)
-# The platform takes at most 16 helpers beside the first engine.
-MAX_PARTS = 17
 # A part that one engine reads is not made shorter than this.
 MIN_PART_S = 0.02
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
 FULL_EJECTION_S = 0.2
-# Reading for longer than this holds up new streams of an engine.
-BLOCK_S = 0.2
-# Share of an engine's slots that small streams are planned to fill.
-PACKED_SHARE = 0.6
-# Engines that long prompts may always block, however many streams there are.
-MIN_BLOCKED = 2
-# Shares of the engines that a prompt whose first event is late anyway may block, while
-# other long prompts wait and while none does.
-CONTENDED_LATE_SHARE = 1 / 6
-LATE_SHARE = 1 / 2
-# Reading of a late prompt may take this share of the time to its deadline.
-LATE_READ_SHARE = 0.75
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Blockable:
-    """Engines that long reading may block, in all and beside those blocked now."""
-
-    in_all: int
-    now: int
 
 
 @dataclass(kw_only=True)
@@ -209,24 +195,10 @@
         engine = next(iter(self.engines_by_id.values()), None)
         if engine is None:
             return None
-        most = max(1, int(len(self.engines_by_id) * LATE_SHARE))
-        fastest_s = alone_read_s(engine, job) / min(most, MAX_PARTS)
-        if fastest_s > self._late_s(job, now):
+        if is_hopeless(job, engine=engine, n_engines=len(self.engines_by_id), now=now):
             return self._reject(job, "cannot be read before the deadline")
         return None
 
-    def _n_late_engines(self, job, engine):
-        is_contended = any(
-            alone_read_s(engine, other) > BLOCK_S
-            for other in self.waiting_by_id.values()
-            if other is not job
-        )
-        share = CONTENDED_LATE_SHARE if is_contended else LATE_SHARE
-        return max(1, int(len(self.engines_by_id) * share))
-
-    def _late_s(self, job, now):
-        return (job.ends_at - now) * LATE_READ_SHARE
-
     def _usable(self, job, now):
         limit = self.cold_per_s
         usable = [
@@ -251,7 +223,12 @@
         memory_tokens = MEMORY_SHARE * sum(a.figures.memory_tokens for a in engines)
         if needed_tokens(job) > memory_tokens:
             return self._reject(job, "prompt is larger than the memory of all engines")
-        may_block = self._engines_to_block(job, engines, alone_s, now)
+        may_block = engines_to_block(
+            engines=engines,
+            waiting=self.waiting_by_id.values(),
+            alone_s=alone_s,
+            now=now,
+        )
         n_largest = min(len(engines), MAX_PARTS)
         if alone_s / n_largest > BLOCK_S:
             n_largest = min(n_largest, max(may_block.in_all, 1))
@@ -266,42 +243,24 @@
         return self._grant(job, chosen, alone_s / len(chosen), now)
 
     def _decide_late(self, job, engines, alone_s, now, may_block):
-        """Place a job whose first event is late anyway, on few engines.
-
-        Load pattern: the longest prompts, whose reading takes all engines for
-        seconds. While other long prompts wait, a late one may use a small part of
-        the engines only, so that those behind it are not late as well. One that
-        can't end before its deadline on half of the engines is rejected at once.
-        """
+        """Place a job whose first event is late anyway, or reject it if hopeless."""
         self.claimed_by_id.pop(job.id, None)
         rejection = self._reject_hopeless(job, now)
         if rejection is not None:
             return rejection
-        late = replace(job, due_at=now + self._late_s(job, now))
-        limit = min(self._n_late_engines(job, engines[0]), may_block.now)
+        late = replace(job, due_at=now + late_read_s(job, now))
+        most = late_engines(
+            job,
+            waiting=self.waiting_by_id.values(),
+            engine=engines[0],
+            n_engines=len(self.engines_by_id),
+        )
+        limit = min(most, may_block.now)
         chosen = self._choose(late, engines, alone_s, now, limit)
         if chosen is None:
             return None
         return self._grant(job, chosen, alone_s / len(chosen), now)
 
-    def _engines_to_block(self, job, engines, alone_s, now):
-        """Return how many engines long reading may block, in all and now.
-
-        Load pattern: the share of long prompts swings within seconds. The engines
-        that the small streams need at this moment stay free of long reading.
-        """
-        if alone_s <= BLOCK_S:
-            return _Blockable(in_all=len(engines), now=len(engines))
-        placed = [p.job for a in engines for p in a.jobs_by_id.values()]
-        n_small = sum(
-            alone_read_s(engines[0], other) <= BLOCK_S
-            for other in (*placed, *self.waiting_by_id.values())
-        )
-        needed = math.ceil(n_small / (PACKED_SHARE * engines[0].slots))
-        in_all = max(MIN_BLOCKED, len(engines) - needed)
-        n_blocked = sum(account.pending_s(now) > BLOCK_S for account in engines)
-        return _Blockable(in_all=in_all, now=max(0, in_all - n_blocked))
-
     def _choose(self, job, engines, alone_s, now, n_to_block):
         """Choose the fewest engines on which equal parts of the prompt fit."""
         claimed = self._claimed_by_others(job)
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -15,10 +15,10 @@
     NodeAside,
     NodeBeat,
     NodeHello,
-    StoreItem,
     StoreUpdate,
 )
 from savoryhill.errors import NotConnectedError, PeerError
+from savoryhill.serving.changes import missing_changes, update_of
 from savoryhill.serving.leadership import SUSPICION_S, choose_leader
 from savoryhill.serving.links import Link, encode_frame, open_link
 
@@ -316,22 +316,8 @@
             self._scheduling.forget_all(job_ids)
 
     def _send_missing(self, link, known_revision):
-        """Send a node what it misses, or everything if that is not known."""
-        knowledge = self._knowledge
-        if known_revision >= knowledge.revision:
-            return
-        rows = knowledge.rows_after(known_revision)
-        is_complete = rows is None
-        if is_complete:
-            known_revision, rows = 0, knowledge.rows_by_key.values()
-        link.send(
-            _update(
-                rows,
-                knowledge.revision,
-                base_revision=known_revision,
-                is_complete=is_complete,
-            )
-        )
+        if known_revision < self._knowledge.revision:
+            link.send(missing_changes(self._knowledge, known_revision))
 
     def _beat(self, link):
         """Beat to the scheduling node while the link is open."""
@@ -364,7 +350,7 @@
             return
         if not (self._follower_links or self._leader_is_stale()):
             return
-        update = _update(
+        update = update_of(
             rows, revision, base_revision=base_revision, is_complete=is_complete
         )
         self._publish_update(update)
@@ -383,20 +369,3 @@
         while True:
             gevent.sleep(PLACE_INTERVAL_S)
             self._scheduling.place_waiting()
-
-
-def _update(rows, revision, *, base_revision, is_complete):
-    return StoreUpdate(
-        base_revision=base_revision,
-        revision=revision,
-        is_complete=is_complete,
-        rows=tuple(
-            StoreItem(
-                key=row.key,
-                value=row.value,
-                revision=row.revision,
-                is_deleted=row.is_deleted,
-            )
-            for row in rows
-        ),
-    )
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -1,6 +1,7 @@
 """Placement of generations; the load patterns are replayed with fixed seeds."""
 
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 import pytest
@@ -9,6 +10,7 @@
 from savoryhill.core.scheduling.decisions import Grant, Rejection
 from savoryhill.core.scheduling.figures import EngineFigures, read_s
 from savoryhill.core.scheduling.scheduler import ServiceScheduler
+from savoryhill.core.scheduling.sharing import late_engines
 
 FIGURES = EngineFigures(
     slots=8,
@@ -174,13 +176,11 @@
         assert len(grant.endpoint_ids) <= 6
 
     def test_late_prompt_leaves_engines_to_long_prompts_that_wait(self):
-        scheduler = scheduler_of(12)
-        engine = scheduler.engines_by_id["e00"]
+        engine = scheduler_of(12).engines_by_id["e00"]
         late = long_job("late", 558_000)
-        scheduler.waiting_by_id = {"late": late, "short": job("short", 5_000)}
-        assert scheduler._n_late_engines(late, engine) == 6
-        scheduler.waiting_by_id["next"] = long_job("next")
-        assert scheduler._n_late_engines(late, engine) == 2
+        limit = partial(late_engines, late, engine=engine, n_engines=12)
+        assert limit(waiting=[late, job("short", 5_000)]) == 6
+        assert limit(waiting=[late, long_job("next")]) == 2
 
     def test_prompt_that_misses_its_deadline_is_rejected_at_once(self):
         (decision,) = scheduler_of(1).submit(job("l", 400_000), 0.0)
