serving: a wait for news is no outage of the store

Cause: rows that lapse in an outage are used for 2.3 s after its end, and every gap of 1 s without news counted as an outage. A follower of a scheduling node that is replaced hears nothing for 1.2 s and its turn, so it took an endpoint that had left for a lapsed one and used it 2.3 s longer, beyond the bound of 2 s for endpoints that leave. Change: a gap counts from 1 s if a call of the node itself failed meanwhile, else from 2 s; rows lapse after three heartbeats, 3.6 s. Tests share one paused clock. The test of lapsed rows set the fault before its node watched the store, so that it made no call in the outage; it now waits until the node watches. Its bounds are unchanged.

--- a/src/savoryhill/serving/knowledge.py
+++ b/src/savoryhill/serving/knowledge.py
@@ -11,8 +11,12 @@
 )
 from savoryhill.serving.model import Endpoint, NodeRecord, ServingConfiguration
 
-# A contact older than this counts as an outage of the store.
+# A contact older than this counts as an outage of the store, if a call of this node
+# failed meanwhile and if none did. The second is longer than a node without news waits
+# before it asks the store itself, and shorter than the three heartbeats without which
+# rows lapse.
 OUTAGE_S = 1.0
+UNSEEN_OUTAGE_S = 2.0
 # Endpoints whose rows lapsed in an outage are back within two seconds of its end.
 LAPSE_GRACE_S = 2.3
 # Removed rows that are remembered for nodes that ask for what they missed.
@@ -33,6 +37,7 @@
     record: object
     revision: int = 0
     contact_at: float = float("-inf")
+    call_failed_at: float = float("-inf")
     outage_ended_at: float = float("-inf")
     configuration: ServingConfiguration | None = None
     endpoints_by_id: dict[str, Endpoint] = field(default_factory=dict)
@@ -50,11 +55,17 @@
 
     def note_contact(self, at):
         """Take note that everything up to ``revision`` was known at a time."""
-        if at - self.contact_at > OUTAGE_S and self.contact_at > float("-inf"):
+        was_seen = self.call_failed_at > self.contact_at
+        outage_s = OUTAGE_S if was_seen else UNSEEN_OUTAGE_S
+        if at - self.contact_at > outage_s and self.contact_at > float("-inf"):
             self.outage_ended_at = self.clock.monotonic()
             self.record("store.regained", {"after_s": round(at - self.contact_at, 3)})
         self.contact_at = max(self.contact_at, at)
 
+    def note_failed_call(self):
+        """Take note that a call of this node to the store failed."""
+        self.call_failed_at = self.clock.monotonic()
+
     def apply(self, rows, revision, *, base_revision=0, is_complete=False):
         """Take rows up to a revision.
 
--- a/src/savoryhill/serving/watching.py
+++ b/src/savoryhill/serving/watching.py
@@ -82,6 +82,7 @@
                 self._needs_snapshot = True
                 self._knowledge.record("store.history_lost", {"cause": str(error)})
             except PlatformError as error:
+                self._knowledge.note_failed_call()
                 if not self._is_lost:
                     self._knowledge.record("store.lost", {"cause": str(error)})
                 self._is_lost = True
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -186,6 +186,23 @@
             gevent.sleep(0.005)
 
 
+class PausedClock:
+    """A clock that only the test advances."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        """Return the time, in seconds."""
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    """A paused clock."""
+    return PausedClock()
+
+
 @pytest.fixture
 def deployment():
     """A store with a configuration and one node; the test adds endpoints."""
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -13,16 +13,6 @@
 from savoryhill.serving.knowledge import Knowledge
 
 
-class PausedClock:
-    """A clock that only the test advances."""
-
-    def __init__(self):
-        self.now = 100.0
-
-    def monotonic(self):
-        return self.now
-
-
 class RecordingLink:
     """A link that keeps what is sent."""
 
@@ -40,11 +30,6 @@
         return [message for message in self.sent if isinstance(message, kind)]
 
 
-@pytest.fixture
-def clock():
-    return PausedClock()
-
-
 @pytest.fixture
 def knowledge(clock):
     return Knowledge(clock=clock, record=lambda event, fields: None, revision=7)
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -169,6 +169,7 @@
         # Guards against a fleet that looks empty when rows lapsed with the store.
         deployment.add_endpoint("app-1", service="app")
         node = deployment.add_node()
+        deployment.wait_until(node._dispatcher.is_leader)
         deployment.store.fault = faults.BUSY
         deployment.wait_until(lambda: node.context.knowledge.contact_age_s() > 1.1)
         deployment.store.remove("servers/app-1")
