standins: configuration of the played deployment in a module of its own

Change: order_configuration in world_configuration.py; a parameter that nobody set is gone; names.LOAD is gone.

--- a/src/savoryhill/platform/names.py
+++ b/src/savoryhill/platform/names.py
@@ -11,7 +11,6 @@
 LAST_EVENT_ID = b"last-event-id"
 SIGNATURE = b"x-response-signature"
 NOT_RUN = b"x-not-executed"
-LOAD = b"x-server-load"
 # Names the endpoint at fault in a refusal that another endpoint caused.
 FAULTY_ENDPOINT = b"at-server"
 AUTHORIZATION = b"authorization"
--- a/src/savoryhill/standins/world.py
+++ b/src/savoryhill/standins/world.py
@@ -12,7 +12,6 @@
 from types import SimpleNamespace
 
 from savoryhill.clock import Clock
-from savoryhill.config import model
 from savoryhill.core import effects, events, journal, messages, requests
 from savoryhill.core.coordination.state import CoordinatorRecord
 from savoryhill.core.membership.state import Member
@@ -22,10 +21,10 @@
 from savoryhill.node.drivers.platform import call_key_value
 from savoryhill.platform.key_value import connect_key_value, transaction_body
 from savoryhill.standins import platform_store as kv
+from savoryhill.standins.world_configuration import SERVICE, order_configuration
 
 # Membership and coordination are set from outside, so only these subjects act.
 HANDLERS_BY_TYPE = merge_handlers((journal, requests))
-SERVICE = "orders"
 COORDINATOR = "coordinator"
 DEADLINE_S = 5.0
 CALL_RESULTS = ("ok", "lost", "delayed", "refused", "down", "not_connected")
@@ -70,46 +69,6 @@
     recorded: Counter = field(default_factory=Counter)
 
 
-def make_configuration(*, lookup=True):
-    """Build a configuration with one service and one journal shard."""
-    return model.Configuration(
-        revision=1,
-        zones=(model.Zone(name="zone-a", region="south"),),
-        endpoints=(
-            model.Endpoint(
-                id="orders-0",
-                address="127.0.0.1:1",
-                zone="zone-a",
-                group="orders/south/0",
-                hardware="application",
-            ),
-        ),
-        groups=(
-            model.Group(
-                id="orders/south/0",
-                target=SERVICE,
-                region="south",
-                endpoints=("orders-0",),
-            ),
-        ),
-        services=(
-            model.Service(
-                name=SERVICE,
-                calls=(
-                    model.ServiceCall(
-                        method="POST",
-                        path="/call/order",
-                        idempotent=False,
-                        kind="order",
-                        lookup_path="/lookup" if lookup else "",
-                    ),
-                ),
-            ),
-        ),
-        journal=model.JournalSettings(n_shards=1),
-    )
-
-
 def make_world(n_nodes):
     """Build a world of nodes named ``node-0`` and so on."""
     world = World()
@@ -130,7 +89,7 @@
         incarnation=incarnation,
         seed=incarnation,
     )
-    state.configuration.active = make_configuration()
+    state.configuration.active = order_configuration()
     state.coordination.records_by_group["orders/south/0"] = CoordinatorRecord(
         holder=COORDINATOR, fence=1
     )
