serving: bound an event that has no end

Cause: MAX_EVENT_BYTES was declared and checked by nothing, so an engine that sends no separator could take all memory of a node. Measured: test_event_without_an_end_is_bounded fails before, passes after.

--- a/src/savoryhill/serving/events.py
+++ b/src/savoryhill/serving/events.py
@@ -2,6 +2,8 @@
 
 import re
 
+from savoryhill.errors import MalformedMessageError
+
 _SEPARATOR = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 # A longer event is no event of an engine.
@@ -22,12 +24,19 @@
         self.last_id = last_id
 
     def feed(self, data):
-        """Return the whole events that these bytes complete."""
+        """Return the whole events that these bytes complete.
+
+        Raises
+        ------
+        MalformedMessageError
+            If an event has no end within its largest size.
+        """
         self._buffer += data
         events = []
         while True:
             match = _SEPARATOR.search(self._buffer)
             if match is None:
+                self._check_rest()
                 break
             event = self._buffer[: match.end()]
             self._buffer = self._buffer[match.end() :]
@@ -35,6 +44,12 @@
                 events.append(event)
         return events
 
+    def _check_rest(self):
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise MalformedMessageError(
+                f"an event of over {MAX_EVENT_BYTES} bytes has no end"
+            )
+
     def _is_new(self, event):
         match = _ID_LINE.search(event)
         if match is None:
--- a/tests/serving/test_events.py
+++ b/tests/serving/test_events.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from savoryhill.errors import MalformedMessageError
 from savoryhill.serving.events import EventSplitter
 
 FIRST = b"id: 1\ndata: a\n\n"
@@ -23,6 +24,15 @@
         splitter = EventSplitter(last_id=1)
         assert splitter.feed(FIRST + SECOND) == [SECOND]
 
+    def test_event_without_an_end_is_bounded(self):
+        # Guards against an engine that sends no separators until the node is out of
+        # memory.
+        splitter = EventSplitter()
+        part = b"x" * 65_536
+        with pytest.raises(MalformedMessageError, match="no end"):
+            for _ in range(64):
+                splitter.feed(part)
+
     def test_part_of_an_event_is_a_rest(self):
         splitter = EventSplitter()
         assert splitter.feed(FIRST + b"id: 2\nda") == [FIRST]
