serving: reports of a lost store count only together

Cause: a report that the scheduling node alone had lost the store was kept through an outage for all, so that the first report after it replaced the node at once. Change: reports more than 3 s apart begin anew. Measured: test_it_stays_if_the_store_was_away_for_all_meanwhile fails before and passes after.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -37,6 +37,9 @@
 # next call is due within half of this, so that the return of the store for all, which
 # some notice first, replaces nobody.
 STEP_ASIDE_S = 1.0
+# What was seen longer ago says nothing: the store may have been away for all since.
+# Followers of a node that has lost the store ask it once in 1.2 s and their turn.
+EVIDENCE_S = 3.0
 # How long such a node is not asked again.
 CUT_OFF_S = 10.0
 PLACE_INTERVAL_S = 0.02
@@ -71,6 +74,7 @@
         self._follower_links = set()
         self._own_contact_at = float("-inf")
         self._cut_off_since = None
+        self._cut_off_seen_at = float("-inf")
 
     # Jobs of this node.
 
@@ -170,8 +174,9 @@
             link.send(self._hello())
         else:
             self._knowledge.note_contact(now - beat.contact_age_s)
-        if self._cut_off_since is None:
+        if self._cut_off_since is None or now - self._cut_off_seen_at > EVIDENCE_S:
             self._cut_off_since = now
+        self._cut_off_seen_at = now
         if now - self._cut_off_since < STEP_ASIDE_S:
             return
         self._cut_off_since = None
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -15,7 +15,7 @@
 )
 from savoryhill.core.scheduling.scheduler import ServiceScheduler
 
-RETRY_AFTER_S = 1.0
+REFUSAL_RETRY_AFTER_S = 1.0
 
 
 @dataclass(kw_only=True)
@@ -68,7 +68,9 @@
         if refusal is not None:
             deliver(
                 JobRejected(
-                    job_id=message.job_id, reason=refusal, retry_after_s=RETRY_AFTER_S
+                    job_id=message.job_id,
+                    reason=refusal,
+                    retry_after_s=REFUSAL_RETRY_AFTER_S,
                 )
             )
             return
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -93,6 +93,17 @@
         dispatcher._take_follower_beat(follower, fresh_beat())
         assert len(follower.of(NodeAside)) == 1
 
+    def test_it_stays_if_the_store_was_away_for_all_meanwhile(
+        self, clock, dispatcher, follower
+    ):
+        # Guards against a report from before an outage that counts after it.
+        dispatcher.note_own_contact()
+        clock.now += 2.0
+        dispatcher._take_follower_beat(follower, fresh_beat())
+        clock.now += 8.0
+        dispatcher._take_follower_beat(follower, fresh_beat())
+        assert not follower.of(NodeAside)
+
     def test_it_asks_a_follower_that_knows_more(
         self, clock, dispatcher, knowledge, follower
     ):
