serving: forget requests that left the window of the repeat budget

Cause: requests were forgotten only when a repeat was asked for. The scheduling node counts the first job of every request, so its memory grew while nothing was repeated. Change: the window is kept with each counted request too; what is granted is the same. tests/serving/test_knowledge.py builds its rows and its strategy in one place. Measured: test_requests_are_forgotten_without_any_repeat fails before and passes after; 20 tests of the touched files pass.

--- a/src/savoryhill/core/serving.py
+++ b/src/savoryhill/core/serving.py
@@ -24,17 +24,21 @@
     def note_request(self, now):
         """Count a request of a client."""
         self.requests.append(now)
+        self._forget_old(now)
 
     def try_repeat(self, now, *, ratio, slack):
         """Count a repeated send if the budget allows it."""
-        for times in (self.requests, self.repeats):
-            while times and times[0] < now - self.window_s:
-                times.popleft()
+        self._forget_old(now)
         if len(self.repeats) + 1 > ratio * len(self.requests) + slack:
             return False
         self.repeats.append(now)
         return True
 
+    def _forget_old(self, now):
+        for times in (self.requests, self.repeats):
+            while times and times[0] < now - self.window_s:
+                times.popleft()
+
 
 @dataclass(kw_only=True, slots=True)
 class AttemptHistory:
--- a/tests/core/test_serving.py
+++ b/tests/core/test_serving.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from savoryhill.core.serving import AttemptHistory
+from savoryhill.core.serving import AttemptHistory, RepeatBudget
 
 
 class TestAttempts:
@@ -32,3 +32,13 @@
     ):
         history = AttemptHistory(may_repeat=False, max_attempts=1, n_runs=n_runs)
         assert history.failure_status(is_late=is_late) == status
+
+
+class TestRepeatBudget:
+    def test_requests_are_forgotten_without_any_repeat(self):
+        # Guards against a scheduling node whose memory grows with every job while
+        # no send is repeated.
+        budget = RepeatBudget(window_s=10.0)
+        for n in range(1_000):
+            budget.note_request(float(n))
+        assert len(budget.requests) <= 11
--- a/tests/serving/test_knowledge.py
+++ b/tests/serving/test_knowledge.py
@@ -23,6 +23,19 @@
     )
 
 
+CHANGES = st.lists(
+    st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=12
+)
+
+
+def rows_of(changes):
+    """Return rows of zones, numbered from 1; the second value tells a removal."""
+    return [
+        zone(name, number, is_deleted=gone)
+        for number, (name, gone) in enumerate(changes, start=1)
+    ]
+
+
 class TestUpdates:
     def test_update_after_a_gap_is_not_taken(self):
         # Guards against a node that takes the newest change from one node and never
@@ -42,17 +55,9 @@
         known.apply([zone("a", 1)], 2, base_revision=0)
         assert known.evacuated_zones == set()
 
-    @given(
-        changes=st.lists(
-            st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=12
-        ),
-        data=st.data(),
-    )
+    @given(changes=CHANGES, data=st.data())
     def test_any_order_of_updates_leads_to_a_state_that_existed(self, changes, data):
-        rows = [
-            zone(name, number, is_deleted=gone)
-            for number, (name, gone) in enumerate(changes, start=1)
-        ]
+        rows = rows_of(changes)
         states = [set()]
         for row in rows:
             name = row.key.rpartition("/")[2]
@@ -70,19 +75,11 @@
                 known.apply(rows[base:end], end, base_revision=base)
             assert known.evacuated_zones == states[known.revision]
 
-    @given(
-        changes=st.lists(
-            st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=12
-        ),
-        data=st.data(),
-    )
+    @given(changes=CHANGES, data=st.data())
     def test_missing_changes_lead_to_the_same_state(self, changes, data):
         # Guards against a removed row that stays at a node which asks for what it
         # missed instead of everything.
-        rows = [
-            zone(name, number, is_deleted=gone)
-            for number, (name, gone) in enumerate(changes, start=1)
-        ]
+        rows = rows_of(changes)
         snapshot_at = data.draw(st.integers(0, len(rows)))
         behind_at = data.draw(st.integers(0, len(rows)))
         ahead, behind = knowledge(), knowledge()
