cli: one function for calls to nodes

Change: cli/node_calls.py holds the call and the loop over nodes for both; messages and exit codes are the same. Measured: 24 tests of tests/cli pass.

--- a/src/savoryhill/cli/inspection.py
+++ b/src/savoryhill/cli/inspection.py
@@ -5,9 +5,7 @@
 from dataclasses import asdict
 from datetime import UTC, datetime
 
-import gevent
 from fire.decorators import SetParseFn
-from geventhttpclient import HTTPClient
 
 from savoryhill.cli.commands import (
     EXIT_FAILED,
@@ -18,14 +16,14 @@
     show,
 )
 from savoryhill.cli.metrics_status import read_all, status_lines
-from savoryhill.errors import PlatformError, SavoryhillError
+from savoryhill.cli.node_calls import NodeCallError, ask_all, fetch
+from savoryhill.errors import PlatformError
 from savoryhill.observability.timeline import merge_timelines
 
 KEY_VARIABLE = "SAVORYHILL_ADMIN_KEY"
-TIMEOUT_S = 5.0
 
 
-class AdminCallError(SavoryhillError):
+class AdminCallError(NodeCallError):
     """A node did not answer an admin call."""
 
 
@@ -164,25 +162,18 @@
 def _discover(hosts):
     try:
         listed = _get(hosts, "/hosts", "")["hosts"]
-    except (AdminCallError, KeyError) as error:
+    except (NodeCallError, KeyError) as error:
         raise PlatformError(f"host list at {hosts}: {error}") from error
     return [host["admin"] for host in listed if host.get("admin")]
 
 
 def _get(address, path, key):
-    host, port = address.rsplit(":", 1)
-    http = HTTPClient(
-        host, int(port), connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
-    )
     headers = {"Authorization": f"Bearer {key}"} if key else {}
+    status_code, body = fetch(address, path, headers=headers)
     try:
-        response = http.get(path, headers=headers)
-        content = json.loads(response.read())
-        status_code = response.status_code
-    except Exception as error:
+        content = json.loads(body)
+    except ValueError as error:
         raise AdminCallError(f"no answer: {error!r}") from error
-    finally:
-        http.close()
     if status_code != 200:
         raise AdminCallError(f"{status_code}: {content.get('detail', '')}")
     return content
@@ -190,14 +181,8 @@
 
 def _ask_all(addresses, path, key):
     """Ask all nodes at once; return the answers and the errors by address."""
-    jobs = {address: gevent.spawn(_get, address, path, key) for address in addresses}
-    answers, errors = [], {}
-    for address, job in jobs.items():
-        try:
-            answers.append(job.get())
-        except AdminCallError as error:
-            errors[address] = str(error)
-    return answers, errors
+    answers_by_address, errors = ask_all(addresses, lambda a: _get(a, path, key))
+    return list(answers_by_address.values()), errors
 
 
 def _status_lines(answers, errors):
--- a/src/savoryhill/cli/metrics_status.py
+++ b/src/savoryhill/cli/metrics_status.py
@@ -2,13 +2,9 @@
 
 from dataclasses import dataclass
 
-import gevent
-from geventhttpclient import HTTPClient
-
 from savoryhill.cli.commands import UsageError
-from savoryhill.errors import SavoryhillError
+from savoryhill.cli.node_calls import NodeCallError, ask_all, fetch
 
-TIMEOUT_S = 5.0
 PREFIX = "savoryhill_"
 NO_LABELS = "{}"
 # Gauges of a node, in the order in which they are shown.
@@ -25,7 +21,7 @@
 MAX_CONTACT_AGE_S = 2.0
 
 
-class MetricsError(SavoryhillError):
+class MetricsError(NodeCallError):
     """A node did not answer with metrics."""
 
 
@@ -100,23 +96,13 @@
 
     Raises
     ------
-    MetricsError
+    NodeCallError
         If there is no answer, or it holds no gauges.
     """
-    host, port = address.rsplit(":", 1)
-    http = HTTPClient(
-        host, int(port), connection_timeout=TIMEOUT_S, network_timeout=TIMEOUT_S
-    )
-    try:
-        response = http.get("/metrics")
-        text, status = response.read().decode(), response.status_code
-    except Exception as error:
-        raise MetricsError(f"no answer: {error!r}") from error
-    finally:
-        http.close()
+    status, body = fetch(address, "/metrics")
     if status != 200:
         raise MetricsError(f"answered {status}")
-    return parse_gauges(text)
+    return parse_gauges(body.decode(errors="replace"))
 
 
 def read_all(addresses):
@@ -124,13 +110,7 @@
     for address in addresses:
         if not address.rpartition(":")[2].isdigit():
             raise UsageError(f"--metrics: expected ip:port, not {address!r}")
-    jobs = {address: gevent.spawn(read_gauges, address) for address in addresses}
-    gauges_by_address, errors = {}, {}
-    for address, job in jobs.items():
-        try:
-            gauges_by_address[address] = job.get()
-        except MetricsError as error:
-            errors[address] = str(error)
+    gauges_by_address, errors = ask_all(addresses, read_gauges)
     return judge(gauges_by_address), errors
 
 
