serving: renew reservations from the moment they are made

Cause: the renewing greenlet was started only if something was held when the context was entered, and the reservations are made inside it. None was ever renewed; they lapsed after 3 s and the engines cut the requests. Neither the stand-in engines, which never used a reservation, nor the soak, whose streams ended within 0.4 s, could show it. Stand-in engines free lapsed reservations and cut their streams; long prompts of the soak outlast the hold, and a lapse in a calm span is a finding.

--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -116,10 +116,11 @@
                     reached_endpoint=False,
                     endpoint=name,
                 )
-        reservations = Reservations(
-            request_id=job.submission.job_id, log=self._context.log
-        )
-        with reservations.keep_renewed():
+        with Reservations(
+            request_id=job.submission.job_id,
+            clock=self._context.clock,
+            log=self._context.log,
+        ) as reservations:
             try:
                 helpers = reservations.reserve(
                     endpoints[1:], decision.reserved_tokens[1:]
@@ -132,9 +133,11 @@
                     is_full=True,
                     endpoint=reservations.last_endpoint_id,
                 )
-            return self._run_with_helpers(job, decision, endpoints, helpers)
+            return self._run_with_helpers(
+                job, decision, endpoints, helpers, reservations
+            )
 
-    def _run_with_helpers(self, job, decision, endpoints, helpers):
+    def _run_with_helpers(self, job, decision, endpoints, helpers, reservations):
         first = endpoints[0]
         try:
             connection = open_connection(first.address, timeout_s=CONNECT_TIMEOUT_S)
@@ -145,6 +148,7 @@
                 reached_endpoint=False,
                 endpoint=first.id,
             )
+        reservations.abort_when_lost(connection)
         self._history.n_runs += 1
         # Discards the partial event of an earlier run, which must not be joined with
         # the first event of this one.
@@ -168,6 +172,12 @@
             )
         finally:
             connection.close()
+        if failure is not None and reservations.lost is not None:
+            return SendFailure(
+                cause=f"memory was lost: {reservations.lost.cause}",
+                may_have_run=True,
+                endpoint=reservations.lost.endpoint_id,
+            )
         if failure is not None and not failure.may_have_run:
             self._history.n_runs -= 1
             self._history.n_refused += 1
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 messages over sockets, parsed with the llhttp parser of ``httptools``."""
 
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import httptools
@@ -321,6 +322,11 @@
         self.reader.feed(data)
         return True
 
+    def abort(self):
+        """End the connection; a receive that waits sees its end at once."""
+        with suppress(OSError):
+            self.sock.shutdown(gsocket.SHUT_RDWR)
+
     def close(self):
         """Close the connection."""
         self.sock.close()
--- a/src/savoryhill/serving/reservations.py
+++ b/src/savoryhill/serving/reservations.py
@@ -1,14 +1,15 @@
 """Memory reservations at the helpers of a prompt that does not fit into one engine.
 
 A reservation expires after a short time unless it is renewed, so that the memory is
-freed soon after the node that holds it has failed.
+freed soon after the node that holds it has failed. An engine cuts off the request
+whose reservation has expired.
 """
 
-from contextlib import contextmanager
+from dataclasses import dataclass
 
 import gevent
 
-from savoryhill.errors import SavoryhillError
+from savoryhill.errors import EndpointRefusedError, SavoryhillError
 from savoryhill.platform.memory_reservations import (
     helper_entry,
     release_memory,
@@ -19,18 +20,59 @@
 RENEWAL_INTERVAL_S = 1.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LostReservation:
+    """Reservation that an engine no longer holds, and why."""
+
+    endpoint_id: str
+    cause: str
+
+
+@dataclass(kw_only=True, slots=True)
+class _HeldReservation:
+    """Reservation at one endpoint; it expires at ``expires_at`` at the earliest."""
+
+    id: str
+    endpoint: object
+    n_tokens: int
+    expires_at: float
+    renewer: object = None
+
+
 class Reservations:
-    """Reservations of one request at its helpers.
+    """Reservations of one request at its helpers, released when the context ends.
+
+    Each reservation is renewed from the moment at which it is made until the context
+    ends. ``lost`` is set to the first one that could not be renewed. The request is
+    then bound to be cut off, so its connection is aborted at once.
 
-    ``log(event, **fields)`` writes a log line; ``last_endpoint_id`` is the endpoint
-    of the latest reservation request.
+    Parameters
+    ----------
+    request_id : str
+        Id of the request; ids of the reservations start with it.
+    clock : Clock
+        Clock of the runtime.
+    log : callable
+        ``log(event, **fields)`` writes a log line.
     """
 
-    def __init__(self, *, request_id, log):
+    def __init__(self, *, request_id, clock, log):
         self._request_id = request_id
+        self._clock = clock
         self._log = log
         self._held = []
         self.last_endpoint_id = None
+        self.lost = None
+        self._connection = None
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_exc_info):
+        for held in self._held:
+            if held.renewer is not None:
+                held.renewer.kill(block=False)
+            gevent.spawn(self._release, held)
 
     def reserve(self, endpoints, tokens):
         """Reserve memory at each endpoint whose number of tokens is not 0.
@@ -43,7 +85,8 @@
         Raises
         ------
         EndpointError, NotConnectedError
-            If a reservation failed; `keep_renewed` releases the others.
+            If a reservation failed, at the endpoint ``last_endpoint_id``. The others
+            are released when the context ends.
         """
         entries = []
         for index, (endpoint, n_tokens) in enumerate(
@@ -52,59 +95,81 @@
             if not n_tokens:
                 entries.append(helper_entry(endpoint))
                 continue
-            reservation = f"{self._request_id}-{index}"
-            # Recorded before the call, because the endpoint may hold a reservation
-            # that it did not confirm; it is released in any case.
             self.last_endpoint_id = endpoint.id
-            self._held.append((endpoint, reservation, n_tokens))
-            reserve_memory(
-                endpoint,
-                reservation=reservation,
+            held = _HeldReservation(
+                id=f"{self._request_id}-{index}",
+                endpoint=endpoint,
                 n_tokens=n_tokens,
-                hold_s=RESERVATION_TTL_S,
+                expires_at=self._clock.monotonic() + RESERVATION_TTL_S,
             )
-            entries.append(helper_entry(endpoint, reservation))
+            # Recorded before the call, because the endpoint may hold a reservation
+            # that it did not confirm; it is released in any case.
+            self._held.append(held)
+            self._request_memory(held)
+            held.renewer = gevent.spawn(self._keep_renewed, held)
+            entries.append(helper_entry(endpoint, held.id))
         return entries
 
-    def _renew(self):
-        while True:
-            gevent.sleep(RENEWAL_INTERVAL_S)
-            for endpoint, reservation, n_tokens in self._held:
-                try:
-                    reserve_memory(
-                        endpoint,
-                        reservation=reservation,
-                        n_tokens=n_tokens,
-                        hold_s=RESERVATION_TTL_S,
-                    )
-                except SavoryhillError as error:
-                    self._log(
-                        "reservation.not_renewed",
-                        request=self._request_id,
-                        endpoint=endpoint.id,
-                        cause=str(error),
-                    )
-
-    @contextmanager
-    def keep_renewed(self):
-        """Renew reservations held on entry until exit, then release all of them."""
-        renewer = gevent.spawn(self._renew) if self._held else None
-        try:
-            yield
-        finally:
-            if renewer is not None:
-                renewer.kill(block=False)
-            for endpoint, reservation, _ in self._held:
-                gevent.spawn(self._release, endpoint, reservation)
-
-    def _release(self, endpoint, reservation):
+    def abort_when_lost(self, connection):
+        """Abort the connection on which the request runs once a reservation is lost."""
+        self._connection = connection
+        if self.lost is not None:
+            connection.abort()
+
+    def _request_memory(self, held):
+        """Make or renew a reservation; its time runs from the arrival of the call."""
+        sent_at = self._clock.monotonic()
+        reserve_memory(
+            held.endpoint,
+            reservation=held.id,
+            n_tokens=held.n_tokens,
+            hold_s=RESERVATION_TTL_S,
+        )
+        held.expires_at = sent_at + RESERVATION_TTL_S
+
+    def _keep_renewed(self, held):
+        """Renew a reservation until it is lost or the greenlet is killed.
+
+        An endpoint that refuses has not got the memory any more. A renewal without an
+        answer is tried again, until the reservation has expired.
+        """
+        while self.lost is None:
+            self._clock.sleep(RENEWAL_INTERVAL_S)
+            try:
+                self._request_memory(held)
+            except SavoryhillError as error:
+                self._log(
+                    "reservation.not_renewed",
+                    request=self._request_id,
+                    endpoint=held.endpoint.id,
+                    expires_in_s=round(held.expires_at - self._clock.monotonic(), 3),
+                    cause=str(error),
+                )
+                is_refused = isinstance(error, EndpointRefusedError)
+                if is_refused or self._clock.monotonic() >= held.expires_at:
+                    self._lose(held, str(error))
+
+    def _lose(self, held, cause):
+        if self.lost is not None:
+            return
+        self.lost = LostReservation(endpoint_id=held.endpoint.id, cause=cause)
+        self._log(
+            "reservation.lost",
+            request=self._request_id,
+            endpoint=held.endpoint.id,
+            cause=cause,
+        )
+        if self._connection is not None:
+            self._connection.abort()
+
+    def _release(self, held):
         try:
-            release_memory(endpoint, reservation=reservation)
+            release_memory(held.endpoint, reservation=held.id)
         except SavoryhillError as error:
             self._log(
                 "reservation.not_released",
                 request=self._request_id,
-                endpoint=endpoint.id,
+                endpoint=held.endpoint.id,
                 cause=str(error),
                 frees_itself_in_s=RESERVATION_TTL_S,
             )
--- a/src/savoryhill/soak/clients.py
+++ b/src/savoryhill/soak/clients.py
@@ -8,6 +8,7 @@
 
 REQUEST_KINDS = ("chat", "chat", "chat", "once", "order", "stock", "huge")
 REMAINING_S = 4.0
+HUGE_REMAINING_S = 8.0
 DISCONNECT_PROBABILITY = 0.1
 # Probability of one of the initial keys, which may have been revoked since.
 INITIAL_KEY_PROBABILITY = 0.2
@@ -56,8 +57,9 @@
         incarnation = self._node.incarnation
         sent_at = self._clock.monotonic()
         disconnects = self._random.random() < DISCONNECT_PROBABILITY
+        remaining_s = HUGE_REMAINING_S if kind == "huge" else REMAINING_S
         status, body, complete, disconnected_at = self._exchange(
-            request_id, kind, key, disconnects
+            request_id, kind, key, remaining_s, disconnects
         )
         ended_at = self._clock.monotonic()
         self._requests.append(
@@ -68,7 +70,7 @@
                 incarnation=incarnation,
                 sent_at=sent_at,
                 ended_at=ended_at,
-                remaining_s=REMAINING_S,
+                remaining_s=remaining_s,
                 status=status,
                 body=body,
                 is_complete=complete,
@@ -84,13 +86,13 @@
             return self._random.choice(("key-0", "key-1", "key-2"))
         return self._random.choice(self._deployment.keys)
 
-    def _exchange(self, request_id, kind, key, disconnects):
+    def _exchange(self, request_id, kind, key, remaining_s, disconnects):
         connection = self._connection
         reader = connection.reader = ResponseReader()
         headers = [
             (b"host", b"site.example"),
             (b"x-attempt-id", request_id.encode()),
-            (b"x-time-remaining", b"%d" % (REMAINING_S * 1000)),
+            (b"x-time-remaining", b"%d" % (remaining_s * 1000)),
             (b"authorization", b"Bearer " + key.encode()),
         ]
         if kind in ("chat", "once"):
@@ -99,7 +101,7 @@
             headers.append((b"x-token-counts", b"450000,300"))
         method = b"GET" if kind == "stock" else b"POST"
         path = f"/{kind}/x".encode()
-        give_up_at = self._clock.monotonic() + REMAINING_S + RESPONSE_GRACE_S
+        give_up_at = self._clock.monotonic() + remaining_s + RESPONSE_GRACE_S
         body, disconnected_at = b"", None
         try:
             connection.send(encode_request(method, path, headers, b""), timeout_s=1.0)
--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -17,6 +17,8 @@
 ROOT = Path(__file__).resolve().parents[3]
 EVENTS_PER_STREAM = 8
 EVENT_INTERVAL_S = 0.05
+# Streams with helpers outlast the first expiry of their reservations.
+HELPED_EVENT_INTERVAL_S = 0.5
 SETTINGS = """\
 node={name}
 zone=zone-a
@@ -60,7 +62,15 @@
 
 ROUTES = [
     route("chat", "streaming", "pool", resumable=True),
-    route("huge", "streaming", "pool", resumable=True, targetLatencyMs=3000),
+    route(
+        "huge",
+        "streaming",
+        "pool",
+        resumable=True,
+        targetLatencyMs=3000,
+        timeoutMs=9000,
+        targetGapMs=800,
+    ),
     route("once", "streaming", "pool", resumable=False),
     route("order", "non_idempotent", "app", attempts=1),
     route("stock", "idempotent", "app"),
@@ -171,6 +181,8 @@
             clock=self.clock,
             n_events=EVENTS_PER_STREAM,
             event_interval_s=EVENT_INTERVAL_S,
+            helped_event_interval_s=HELPED_EVENT_INTERVAL_S,
+            fleet=self.endpoints,
         )
         server = start_endpoint(endpoint)
         self._servers.append(server)
--- a/src/savoryhill/soak/observations.py
+++ b/src/savoryhill/soak/observations.py
@@ -3,6 +3,8 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
+from savoryhill.serving.reservations import RESERVATION_TTL_S
+
 # Statuses that tell a client that its request was not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 DEADLINE_SLACK_S = 0.6
@@ -229,6 +231,31 @@
     )
 
 
+def check_lapsed_reservations(lapsed, *, is_disturbed):
+    """Check that no reservation expires under a stream that uses it.
+
+    Parameters
+    ----------
+    lapsed : iterable of (str, float)
+        Attempt id of each stream that an endpoint cut for it, and when.
+    is_disturbed : callable
+        Tells whether a span, from start to end, overlaps a disturbance. A node or link
+        in trouble may fail to renew for as long as a reservation lasts.
+
+    Returns
+    -------
+    list of Finding
+    """
+    return [
+        Finding(
+            invariant="reservations outlast their streams",
+            detail=f"{attempt_id} was cut at {at:.2f}",
+        )
+        for attempt_id, at in lapsed
+        if not is_disturbed(at - RESERVATION_TTL_S, at)
+    ]
+
+
 def check_excluded_endpoints(arrivals, exclusions, *, bound_s, is_disturbed, invariant):
     """Check that endpoints receive nothing while they are excluded from routing.
 
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -293,7 +293,11 @@
                 is_disturbed=is_disturbed,
                 invariant="evacuated zones get nothing",
             ),
-            *self._check_reservations(),
+            *checks.check_lapsed_reservations(
+                [item for endpoint in endpoints for item in endpoint.lapsed],
+                is_disturbed=is_disturbed,
+            ),
+            *self._check_released_reservations(),
             *self._check_recovery_after_faults(ends_at),
         ]
         final_requests = [r for r in self.requests if r.sent_at > ends_at - SETTLE_S]
@@ -307,7 +311,7 @@
             folder=str(self.deployment.folder),
         )
 
-    def _check_reservations(self):
+    def _check_released_reservations(self):
         gevent.sleep(4.0)
         held_reservations = [
             (endpoint.id, reservation_id)
--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -45,19 +45,27 @@
     """One endpoint.
 
     Each request takes the next fault from ``faults``. ``n_cancelled`` counts streams
-    whose client disconnected.
+    whose client disconnected. ``lapsed`` holds the attempt id and time of each stream
+    cut because a reservation of it had expired. ``fleet`` holds the endpoints that may
+    help this one; a stream with helpers sends its events at
+    ``helped_event_interval_s``. ``order_status`` is the status with which reservations
+    are refused, if they are.
     """
 
     id: str
     clock: object
     n_events: int = DEFAULT_EVENTS_PER_STREAM
     event_interval_s: float = 0.005
+    helped_event_interval_s: float = 0.005
     response_delay_s: float = 0.005
     faults: deque = field(default_factory=deque)
     arrivals: list = field(default_factory=list)
     n_cancelled: int = 0
     ended_at_by_attempt: dict = field(default_factory=dict)
     held_until_by_reservation: dict = field(default_factory=dict)
+    fleet: object = ()
+    order_status: int | None = None
+    lapsed: list = field(default_factory=list)
 
     def handle(self, sock, request):
         """Respond to a request; return whether the connection stays open."""
@@ -88,6 +96,9 @@
         headers = [(names.ATTEMPT_ID, attempt), (names.SIGNATURE, self.id.encode())]
         if fault == "failing":
             return _send(sock, 500, headers, b"failed")
+        if not self._holds_all(_reservations_of(request)):
+            headers = [(names.ATTEMPT_ID, attempt), (names.NOT_RUN, b"1")]
+            return _send(sock, 503, headers, b"")
         if request.header(names.TOKEN_COUNTS) is not None:
             return self._stream(sock, request, headers, fault)
         gevent.sleep(self.response_delay_s)
@@ -103,6 +114,8 @@
 
     def _handle_order(self, sock, order):
         held_until = self.held_until_by_reservation
+        if self.order_status is not None:
+            return _send(sock, self.order_status, [], b"")
         if order["operation"] == "reserve":
             held_until[order["id"]] = self.clock.monotonic() + order["holdMs"] / 1000
         elif order["operation"] == "release":
@@ -112,21 +125,36 @@
         return _send(sock, 200, [], b'{"unused":0}')
 
     def held_reservations(self):
-        """Return the ids of the reservations that have not expired."""
+        """Return the ids of the reservations that have not expired.
+
+        The memory of an expired reservation is free; only a new one sets it aside.
+        """
         now = self.clock.monotonic()
-        return [
-            reservation
-            for reservation, held_until in self.held_until_by_reservation.items()
-            if held_until > now
-        ]
+        for reservation, held_until in list(self.held_until_by_reservation.items()):
+            if held_until <= now:
+                del self.held_until_by_reservation[reservation]
+        return list(self.held_until_by_reservation)
+
+    def _holds_all(self, reservations):
+        """Tell whether the endpoints of the fleet hold all these reservations."""
+        held = {name for peer in self.fleet for name in peer.held_reservations()}
+        return reservations <= held
 
     def _stream(self, sock, request, headers, fault):
         last_event_id = int(request.header(names.LAST_EVENT_ID) or b"0")
+        reservations = _reservations_of(request)
+        is_helped = request.header(names.HELPERS) is not None
+        interval_s = (
+            self.helped_event_interval_s if is_helped else self.event_interval_s
+        )
         headers = [*headers, (b"transfer-encoding", b"chunked")]
         try:
             sock.sendall(encode_head(200, headers))
             for number in range(last_event_id + 1, self.n_events + 1):
-                gevent.sleep(self.event_interval_s)
+                gevent.sleep(interval_s)
+                if not self._holds_all(reservations):
+                    self._record_lapse(request)
+                    return self._break_stream(sock, "lapsed")
                 event = b"id: %d\ndata: piece %d\n\n" % (number, number)
                 if fault in ("cut", "truncated") and number == last_event_id + 3:
                     sock.sendall(encode_chunk(event[:9]))
@@ -141,6 +169,10 @@
             self.ended_at_by_attempt[attempt] = self.clock.monotonic()
         return True
 
+    def _record_lapse(self, request):
+        attempt = (request.header(names.ATTEMPT_ID) or b"").decode()
+        self.lapsed.append((attempt, self.clock.monotonic()))
+
     def _break_stream(self, sock, fault):
         if fault == "truncated":
             sock.sendall(LAST_CHUNK)
@@ -149,6 +181,12 @@
         return False
 
 
+def _reservations_of(request):
+    """Return the ids of the reservations that a request uses at its helpers."""
+    helpers = (request.header(names.HELPERS) or b"").decode().split(",")
+    return {entry.partition("/")[2] for entry in helpers if "/" in entry}
+
+
 def _reset_at_close(sock):
     """Make closing the socket send RST instead of FIN."""
     sock.setsockopt(gsocket.SOL_SOCKET, gsocket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -7,6 +7,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from savoryhill.clock import system_clock
 from savoryhill.platform.boot_settings import ServingSettings
@@ -26,7 +27,9 @@
 LIMITS = {"idleTimeoutMs": 15_000, "headerTimeoutMs": 3000}
 
 
-def configuration(version=1, routes=None, keys=("key-a",), limits=LIMITS):
+def configuration(
+    version=1, routes=None, keys=("key-a",), limits=LIMITS, engine=ENGINE_FIGURES
+):
     """Return a configuration in the format that the operator writes."""
     if routes is None:
         routes = [
@@ -39,7 +42,7 @@
         "version": version,
         "routes": routes,
         "services": [
-            {"name": "pool", "coldPerS": 26.0, "engine": ENGINE_FIGURES},
+            {"name": "pool", "coldPerS": 26.0, "engine": engine},
             {"name": "app", "coldPerS": 0.0},
         ],
         "limits": limits,
@@ -82,7 +85,12 @@
 
     def add_endpoint(self, endpoint_id, *, service, zone="zone-a", **fields):
         """Start and register an endpoint."""
-        endpoint = EndpointStandIn(id=endpoint_id, clock=system_clock(), **fields)
+        endpoint = EndpointStandIn(
+            id=endpoint_id,
+            clock=system_clock(),
+            fleet=self.endpoints_by_id.values(),
+            **fields,
+        )
         server = start_endpoint(endpoint)
         self.servers.append(server)
         self.endpoints_by_id[endpoint_id] = endpoint
@@ -191,11 +199,30 @@
 
     def __init__(self):
         self.now = 100.0
+        self._sleepers = []
 
     def monotonic(self):
         """Return the time, in seconds."""
         return self.now
 
+    def sleep(self, seconds):
+        """Suspend the calling greenlet until the test has advanced the clock."""
+        wakes_at, woken = self.now + seconds, Event()
+        self._sleepers.append((wakes_at, woken))
+        woken.wait()
+
+    def advance(self, seconds):
+        """Advance the time and wake the greenlets whose sleep has ended."""
+        self.now += seconds
+        due = [item for item in self._sleepers if item[0] <= self.now]
+        self._sleepers = [item for item in self._sleepers if item[0] > self.now]
+        for _, woken in due:
+            woken.set()
+
+    def n_sleepers(self):
+        """Return how many greenlets sleep on this clock."""
+        return len(self._sleepers)
+
 
 @pytest.fixture
 def clock():
--- /dev/null
+++ b/tests/serving/test_reservations.py
@@ -0,0 +1,195 @@
+"""Memory reservations of long prompts, at stand-ins that free expired reservations."""
+
+import gevent
+import pytest
+
+from savoryhill.errors import EndpointRefusedError
+from savoryhill.serving import reservations as reservations_module
+from savoryhill.serving.model import Endpoint
+from savoryhill.serving.reservations import (
+    RENEWAL_INTERVAL_S,
+    RESERVATION_TTL_S,
+    Reservations,
+)
+from savoryhill.soak.deployment import ENGINE, route
+from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
+
+# Fits only into the memory of two engines.
+LONG_PROMPT = "500000,100"
+# Without the quadratic term, two engines read the prompt in the time that the route
+# allows.
+LINEAR_PREFILL = {**ENGINE, "slots": 4, "pairs_per_m": 0.0}
+LONG_ROUTE = route(
+    "chat",
+    "streaming",
+    "pool",
+    resumable=True,
+    timeoutMs=15_000,
+    targetLatencyMs=3000,
+)
+
+
+@pytest.fixture
+def fleet(deployment):
+    """A deployment whose engines read a long prompt together."""
+    deployment.configure(version=2, routes=[LONG_ROUTE], engine=LINEAR_PREFILL)
+    return deployment
+
+
+class RecordedConnection:
+    """Records whether the request's connection was aborted."""
+
+    is_aborted = False
+
+    def abort(self):
+        """Record the abort."""
+        self.is_aborted = True
+
+
+@pytest.fixture
+def helpers(clock):
+    """Two helper stand-ins on the paused clock, each with its endpoint."""
+    standins = [EndpointStandIn(id=f"h{n}", clock=clock) for n in range(2)]
+    servers = [start_endpoint(standin) for standin in standins]
+    endpoints = [
+        Endpoint(
+            id=standin.id,
+            service="pool",
+            address=f"127.0.0.1:{server.server_port}",
+            zone="zone-a",
+            slots=4,
+            is_draining=False,
+            cold_remaining_s=0.0,
+            born_ms=1,
+            revision=1,
+        )
+        for standin, server in zip(standins, servers, strict=True)
+    ]
+    yield standins, endpoints, servers
+    for server in servers:
+        server.stop(timeout=0)
+
+
+def advance_past_expiry(clock, *, n_renewers):
+    """Advance the clock past the first expiry, one renewal at a time."""
+    for _ in range(int(2 * RESERVATION_TTL_S / RENEWAL_INTERVAL_S)):
+        with gevent.Timeout(5.0):
+            while clock.n_sleepers() < n_renewers:
+                gevent.sleep(0.002)
+        clock.advance(RENEWAL_INTERVAL_S)
+        gevent.sleep(0.02)
+
+
+class TestReservations:
+    def test_reservations_outlast_their_first_expiry(self, clock, helpers):
+        # Guards against reservations that are never renewed, because the renewal was
+        # started on a condition that did not hold yet.
+        standins, endpoints, _ = helpers
+        lines = []
+        with Reservations(
+            request_id="r", clock=clock, log=lambda event, **_: lines.append(event)
+        ) as reservations:
+            entries = reservations.reserve(endpoints, [1000, 2000])
+            assert entries == [f"{e.address}/r-{n}" for n, e in enumerate(endpoints)]
+            advance_past_expiry(clock, n_renewers=2)
+            assert [s.held_reservations() for s in standins] == [["r-0"], ["r-1"]]
+        with gevent.Timeout(5.0):
+            while any(standin.held_reservations() for standin in standins):
+                gevent.sleep(0.002)
+        assert lines == []
+
+    def test_failed_reservation_releases_the_others(self, clock, helpers):
+        standins, endpoints, _ = helpers
+        standins[1].order_status = 409
+        with (
+            pytest.raises(EndpointRefusedError, match="h1 answered a reservation 409"),
+            Reservations(
+                request_id="r", clock=clock, log=lambda *_, **__: None
+            ) as reservations,
+        ):
+            reservations.reserve(endpoints, [1000, 1000])
+        with gevent.Timeout(5.0):
+            while standins[0].held_reservations():
+                gevent.sleep(0.002)
+        assert reservations.last_endpoint_id == "h1"
+
+    def test_refused_renewal_ends_the_request_at_once(self, clock, helpers):
+        # Guards against a request that waits for an engine which has freed its memory.
+        standins, endpoints, _ = helpers
+        connection, lines = RecordedConnection(), []
+        with Reservations(
+            request_id="r", clock=clock, log=lambda event, **_: lines.append(event)
+        ) as reservations:
+            reservations.reserve(endpoints, [1000, 0])
+            reservations.abort_when_lost(connection)
+            standins[0].order_status = 409
+            with gevent.Timeout(5.0):
+                while not clock.n_sleepers():
+                    gevent.sleep(0.002)
+            clock.advance(RENEWAL_INTERVAL_S)
+            with gevent.Timeout(5.0):
+                while not connection.is_aborted:
+                    gevent.sleep(0.002)
+            assert reservations.lost.endpoint_id == "h0"
+        assert lines[:2] == ["reservation.not_renewed", "reservation.lost"]
+
+    def test_unanswered_renewal_is_tried_again_until_the_expiry(self, clock, helpers):
+        # Guards against giving up a request for one lost answer of its helper.
+        _, endpoints, servers = helpers
+        connection = RecordedConnection()
+        with Reservations(
+            request_id="r", clock=clock, log=lambda *_, **__: None
+        ) as reservations:
+            reservations.reserve(endpoints[:1], [1000])
+            reservations.abort_when_lost(connection)
+            servers[0].stop(timeout=0)
+            for _ in range(int(RESERVATION_TTL_S / RENEWAL_INTERVAL_S)):
+                assert not connection.is_aborted
+                with gevent.Timeout(5.0):
+                    while not clock.n_sleepers():
+                        gevent.sleep(0.002)
+                clock.advance(RENEWAL_INTERVAL_S)
+            with gevent.Timeout(5.0):
+                while not connection.is_aborted:
+                    gevent.sleep(0.002)
+
+
+class TestLongPrompts:
+    def test_stream_outlasts_the_expiry_of_its_reservations(self, fleet, monkeypatch):
+        # Guards against streams that the engine cuts when its helpers' memory expires.
+        monkeypatch.setattr(reservations_module, "RESERVATION_TTL_S", 0.3)
+        monkeypatch.setattr(reservations_module, "RENEWAL_INTERVAL_S", 0.1)
+        for number in range(4):
+            fleet.add_endpoint(
+                f"e{number}", service="pool", helped_event_interval_s=0.15
+            )
+        fleet.add_node()
+        status, _, _, complete = fleet.ask(
+            "/chat/x", x_token_counts=LONG_PROMPT, x_time_remaining="12000"
+        )
+        endpoints = fleet.endpoints_by_id.values()
+        assert (status, complete) == (200, True)
+        assert sum(len(endpoint.arrivals) for endpoint in endpoints) == 1
+        assert [endpoint.lapsed for endpoint in endpoints] == [[], [], [], []]
+
+    def test_stream_goes_on_elsewhere_when_a_helper_frees_its_memory(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.setattr(reservations_module, "RENEWAL_INTERVAL_S", 0.1)
+        for number in range(8):
+            fleet.add_endpoint(
+                f"e{number}", service="pool", helped_event_interval_s=0.1
+            )
+        fleet.add_node()
+        endpoints = fleet.endpoints_by_id.values()
+        connection = fleet.open(
+            "/chat/x", x_token_counts=LONG_PROMPT, x_time_remaining="12000"
+        )
+        fleet.wait_until(lambda: any(e.held_reservations() for e in endpoints))
+        helper = next(e for e in endpoints if e.held_reservations())
+        helper.order_status = 409
+        status, _, _, complete = fleet.finish(connection)
+        assert (status, complete) == (200, True)
+        assert fleet.lines[0].fields_of("reservation.lost")[0]["endpoint"] == (
+            helper.id
+        )
--- a/tests/soak/test_observations.py
+++ b/tests/soak/test_observations.py
@@ -112,3 +112,21 @@
     def test_same_seed_gives_the_same_plan(self):
         assert make_plan(5, length_s=30.0) == make_plan(5, length_s=30.0)
         assert make_plan(5, length_s=30.0) != make_plan(6, length_s=30.0)
+
+
+class TestLapsedReservations:
+    def test_lapse_without_a_disturbance_is_found(self):
+        # Guards against reservations that nobody renews: their streams are cut while
+        # everything works.
+        found = checks.check_lapsed_reservations(
+            [("r1", 20.0)], is_disturbed=lambda _start, _end: False
+        )
+        assert invariants(found) == ["reservations outlast their streams"]
+
+    def test_lapse_after_a_disturbance_is_allowed(self):
+        # A paused node or a cut link may fail to renew until the reservation expires.
+        def is_disturbed(start, end):
+            return start < 18.0 < end
+
+        lapsed = [("r1", 20.0)]
+        assert checks.check_lapsed_reservations(lapsed, is_disturbed=is_disturbed) == []
