serving: bound bytes that are no response, in bytes and in time

Cause (read, then shown by scripted endpoints): the response reader bounded neither the head nor interim responses, trailers or chunk extensions; the body of a failed stream was kept until the timeout; trailers were appended to the headers of the response; a comment counted as progress of a stalled stream; a store or reservation call lasted as long as a byte arrived within each timeout; and the splitter searched an event without an end anew with every packet. Change: one limit for bytes in a row that carry neither a final head nor body, one for a body that nobody takes (262,144 bytes for streams), trailers dropped, only events with data count as progress, and one function that receives a whole response within a total time, used by the store and by reservations.

--- a/src/savoryhill/platform/memory_reservations.py
+++ b/src/savoryhill/platform/memory_reservations.py
@@ -2,7 +2,11 @@
 
 import json
 
-from savoryhill.errors import EndpointError, EndpointRefusedError
+from savoryhill.errors import (
+    EndpointError,
+    EndpointRefusedError,
+    MalformedMessageError,
+)
 from savoryhill.platform import names
 from savoryhill.serving.http import encode_request, open_connection
 
@@ -65,13 +69,9 @@
     connection = open_connection(endpoint.address, timeout_s=CONNECT_TIMEOUT_S)
     try:
         connection.send(message, timeout_s=ORDER_TIMEOUT_S)
-        while not connection.reader.complete:
-            if not connection.receive(timeout_s=ORDER_TIMEOUT_S):
-                break
-        if not connection.reader.complete:
-            raise EndpointError(f"{endpoint.id} ended the connection")
+        connection.receive_all(timeout_s=ORDER_TIMEOUT_S)
         return connection.reader.head.status
-    except OSError as error:
+    except (OSError, MalformedMessageError) as error:
         raise EndpointError(f"{endpoint.id}: {error!r}") from error
     finally:
         connection.close()
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -104,12 +104,8 @@
         connection = open_connection(self.address, timeout_s=CONNECT_TIMEOUT_S)
         try:
             connection.send(message, timeout_s=timeout_s)
+            connection.receive_all(timeout_s=timeout_s)
             reader = connection.reader
-            while not reader.complete:
-                if not connection.receive(timeout_s=timeout_s) and not reader.complete:
-                    raise MalformedMessageError(
-                        "connection closed before the response was complete"
-                    )
             received = reader.take_body()
             return reader.head.status, json.loads(received) if received else {}
         finally:
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -7,7 +7,6 @@
 # A request that may be repeated is sent to another endpoint if its response takes
 # longer than this multiple of the route's target latency.
 RESPONSE_TIMEOUT_FACTOR = 2.0
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class Call:
@@ -99,10 +98,6 @@
                 is_open = connection.receive(timeout_s=wait_s)
             except TimeoutError:
                 continue
-            if sum(len(part) for part in reader.body) > MAX_RESPONSE_BYTES:
-                return SendFailure(
-                    cause="answer is too large", may_have_run=True, endpoint=endpoint.id
-                )
             if not is_open and not reader.complete:
                 return SendFailure(
                     cause="closed within the answer",
--- a/src/savoryhill/serving/event_splitter.py
+++ b/src/savoryhill/serving/event_splitter.py
@@ -6,14 +6,19 @@
 
 _SEPARATOR = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
+_DATA_LINE = re.compile(rb"^data", re.MULTILINE)
 # Engines send no events larger than this.
 MAX_EVENT_BYTES = 1_048_576
+# Length of a separator less one: a separator may begin so much before new bytes.
+_SEPARATOR_OVERLAP_BYTES = 3
 
 
 class EventSplitter:
     """Buffers bytes until an event is complete.
 
-    ``last_id`` is the highest event id so far, or None.
+    ``last_id`` is the highest event id so far, or None. ``n_with_data`` counts the
+    events that carried data; comments, which an engine may send while it is stalled,
+    do not.
 
     Parameters
     ----------
@@ -24,6 +29,7 @@
     def __init__(self, *, last_id=None):
         self._buffer = b""
         self.last_id = last_id
+        self.n_with_data = 0
 
     def feed(self, data):
         """Return the events that these bytes complete.
@@ -33,17 +39,20 @@
         MalformedMessageError
             If an incomplete event exceeds the maximum size.
         """
+        search_from = max(0, len(self._buffer) - _SEPARATOR_OVERLAP_BYTES)
         self._buffer += data
         events = []
         while True:
-            match = _SEPARATOR.search(self._buffer)
+            match = _SEPARATOR.search(self._buffer, search_from)
             if match is None:
                 self._check_partial_event()
                 break
             event = self._buffer[: match.end()]
             self._buffer = self._buffer[match.end() :]
+            search_from = 0
             if self._is_new(event):
                 events.append(event)
+                self.n_with_data += _DATA_LINE.search(event) is not None
         return events
 
     def _check_partial_event(self):
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -22,6 +22,8 @@
 # Later events time out after this multiple of the gap that the route allows.
 GAP_TIMEOUT_FACTOR = 4.0
 MIN_GAP_TIMEOUT_S = 1.0
+# Limit of the body of a failure; the body of a stream is forwarded as it arrives.
+MAX_BUFFERED_STREAM_BYTES = 262_144
 
 
 class Generation:
@@ -140,7 +142,11 @@
     def _run_with_helpers(self, job, decision, endpoints, helpers, reservations):
         first = endpoints[0]
         try:
-            connection = open_connection(first.address, timeout_s=CONNECT_TIMEOUT_S)
+            connection = open_connection(
+                first.address,
+                timeout_s=CONNECT_TIMEOUT_S,
+                max_buffered_bytes=MAX_BUFFERED_STREAM_BYTES,
+            )
         except NotConnectedError as error:
             return SendFailure(
                 cause=f"no connection: {error}",
@@ -224,15 +230,17 @@
                 )
 
     def _forward_events(self, reader, job, endpoint):
-        """Forward the complete events received; return whether there were any."""
+        """Forward the complete events received; return whether any carried data."""
+        n_with_data = self._splitter.n_with_data
         events = self._splitter.feed(reader.take_body())
         if not events:
             return False
-        if not job.has_started:
+        has_data = self._splitter.n_with_data > n_with_data
+        if has_data and not job.has_started:
             self._context.dispatcher.report_first_event(job)
             self._record_first_event(endpoint)
         self._response.write_events(reader.head, events)
-        return True
+        return has_data
 
     def _finish_stream(self, reader, endpoint):
         if self._splitter.has_partial_event:
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -2,14 +2,19 @@
 
 from collections import deque
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+import gevent
 import httptools
 from gevent import socket as gsocket
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 
 RECV_BYTES = 65_536
+# Limit of the bytes in a row that belong to no final head and no body: headers,
+# interim responses, chunk extensions and trailers.
+MAX_UNUSED_BYTES = 65_536
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -166,10 +171,16 @@
 
 
 class ResponseReader:
-    """Parses one response; ``body`` holds the parts not yet consumed."""
+    """Parses one response; ``body`` holds the parts not yet consumed.
 
-    def __init__(self):
+    At most ``max_buffered_bytes`` of the body are kept until they are consumed.
+    """
+
+    def __init__(self, *, max_buffered_bytes=MAX_BUFFERED_BYTES):
         self._parser = httptools.HttpResponseParser(self)
+        self._max_buffered_bytes = max_buffered_bytes
+        self._n_buffered_bytes = 0
+        self._n_unused_bytes = 0
         self._headers = []
         self.head = None
         self.body = []
@@ -183,17 +194,31 @@
         Raises
         ------
         MalformedMessageError
-            If the bytes are not a valid HTTP response.
+            If the bytes are not a valid HTTP response, or too many of them arrive
+            without a head or a body, or the body exceeds its limit.
         """
         if self.complete:
             self.has_trailing_bytes = True
             return
+        self._n_unused_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
                 raise MalformedMessageError(f"no HTTP response: {error}") from error
             self.has_trailing_bytes = True
+        if not self.complete:
+            self._check_limits()
+
+    def _check_limits(self):
+        if self._n_unused_bytes > MAX_UNUSED_BYTES:
+            raise MalformedMessageError(
+                f"over {MAX_UNUSED_BYTES} bytes carry neither a head nor a body"
+            )
+        if self._n_buffered_bytes > self._max_buffered_bytes:
+            raise MalformedMessageError(
+                f"the body exceeds {self._max_buffered_bytes} bytes"
+            )
 
     def feed_end(self):
         """Handle the end of the connection, which completes an unframed response."""
@@ -206,18 +231,19 @@
             self.has_trailing_bytes = True
 
     def on_header(self, name, value):
-        """Collect a header."""
-        if not self.complete:
+        """Collect a header; trailers are dropped."""
+        if self.head is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         """Store the head of the final response; interim responses are dropped."""
-        if self.complete:
+        if self.head is not None:
             return
         status = self._parser.get_status_code()
         if status < 200:
             self._headers = []
             return
+        self._n_unused_bytes = 0
         self.head = ResponseHead(status=status, headers=self._headers)
         names = {name for name, _ in self._headers}
         self.is_close_delimited = not (
@@ -228,6 +254,8 @@
         """Collect a part of the body."""
         if not self.complete:
             self.body.append(data)
+            self._n_buffered_bytes += len(data)
+            self._n_unused_bytes = 0
 
     def on_message_complete(self):
         """Mark the response as complete."""
@@ -238,6 +266,7 @@
         """Return the body received so far and clear the buffer."""
         data = b"".join(self.body)
         self.body.clear()
+        self._n_buffered_bytes = 0
         return data
 
 
@@ -295,7 +324,7 @@
     """An outgoing connection to an HTTP server, for one exchange at a time."""
 
     sock: object
-    reader: ResponseReader = field(default_factory=ResponseReader)
+    reader: ResponseReader
 
     def send(self, data, *, timeout_s):
         """Send all bytes, or raise an error."""
@@ -322,6 +351,27 @@
         self.reader.feed(data)
         return True
 
+    def receive_all(self, *, timeout_s):
+        """Receive until the response is complete.
+
+        Raises
+        ------
+        TimeoutError
+            If the response was not complete after ``timeout_s``, also if bytes of it
+            kept arriving.
+        OSError
+            If the connection broke.
+        MalformedMessageError
+            If the bytes are not a valid HTTP response, or it ended early.
+        """
+        with gevent.Timeout(timeout_s, TimeoutError("the response is not complete")):
+            while not self.reader.complete:
+                is_open = self.receive(timeout_s=timeout_s)
+                if not is_open and not self.reader.complete:
+                    raise MalformedMessageError(
+                        "connection closed before the response was complete"
+                    )
+
     def abort(self):
         """End the connection; a receive that waits sees its end at once."""
         with suppress(OSError):
@@ -332,9 +382,11 @@
         self.sock.close()
 
 
-def open_connection(address, *, timeout_s):
+def open_connection(address, *, timeout_s, max_buffered_bytes=MAX_BUFFERED_BYTES):
     """Connect to ``ip:port``.
 
+    At most ``max_buffered_bytes`` of a response's body are kept until they are taken.
+
     Raises
     ------
     NotConnectedError
@@ -351,4 +403,5 @@
     except BaseException:
         sock.close()
         raise
-    return Connection(sock=sock)
+    reader = ResponseReader(max_buffered_bytes=max_buffered_bytes)
+    return Connection(sock=sock, reader=reader)
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -98,11 +98,13 @@
         self.register(endpoint_id, service=service, zone=zone)
         return endpoint
 
-    def register(self, endpoint_id, *, service, zone="zone-a", state="ready"):
-        """Write the store row of an endpoint."""
+    def register(
+        self, endpoint_id, *, service, zone="zone-a", state="ready", address=None
+    ):
+        """Write the store row of an endpoint, by default of a started stand-in."""
         row = {
             "service": service,
-            "address": self.endpoints_by_id[endpoint_id].address,
+            "address": address or self.endpoints_by_id[endpoint_id].address,
             "zone": zone,
             "version": "v1",
             "slots": 4,
--- /dev/null
+++ b/tests/serving/test_endless_endpoints.py
@@ -0,0 +1,187 @@
+"""Endpoints in trouble: bytes that are no response, without end or too slow."""
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from savoryhill.errors import MalformedMessageError, OutcomeUnknownError
+from savoryhill.platform import names
+from savoryhill.platform.store import Store
+from savoryhill.serving.http import (
+    MAX_UNUSED_BYTES,
+    RECV_BYTES,
+    ResponseReader,
+    encode_chunk,
+    encode_head,
+)
+
+BLOCK = b"x" * 16_384
+# Upper bound of what the sockets' buffers of both sides take up besides the node.
+MAX_SOCKET_BUFFER_BYTES = 8 * 1024 * 1024
+OK_HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: %b\r\nx-response-signature: s\r\n"
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
+FAILURE_HEAD = OK_HEAD.replace(b"200 OK", b"500 Failed")
+
+# First bytes and the bytes that follow without end, by kind of trouble.
+ENDLESS = {
+    "header without an end": (b"HTTP/1.1 200 OK\r\nx-long: ", BLOCK),
+    "headers without an end": (b"HTTP/1.1 200 OK\r\n", b"x-header: value\r\n" * 900),
+    "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" * 300),
+    "no response at all": (b"", BLOCK),
+    "body of a failure": (FAILURE_HEAD + CHUNKED, encode_chunk(BLOCK)),
+    "event without an end": (OK_HEAD + CHUNKED, encode_chunk(BLOCK)),
+    "chunk extension": (OK_HEAD + CHUNKED + b"5;name=", BLOCK),
+    "trailers": (OK_HEAD + CHUNKED + b"0\r\n", b"x-trailer: value\r\n" * 900),
+}
+
+
+class ScriptedEndpoint:
+    """Sends the same bytes in answer to every request, until the caller closes."""
+
+    def __init__(self, *, first, repeated, interval_s=0.0):
+        self.first = first
+        self.repeated = repeated
+        self.interval_s = interval_s
+        self.n_requests = 0
+        self.n_sent_bytes = 0
+        self.n_closed = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def _serve(self, sock, _address):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += sock.recv(65_536)
+        self.n_requests += 1
+        _, _, rest = received.partition(b"x-attempt-id: ")
+        try:
+            sock.sendall(self.first.replace(b"%b", rest.split(b"\r\n")[0]))
+            while True:
+                sock.sendall(self.repeated)
+                self.n_sent_bytes += len(self.repeated)
+                gevent.sleep(self.interval_s)
+        except OSError:
+            self.n_closed += 1
+
+
+@pytest.fixture
+def start_scripted(deployment):
+    """Start a scripted endpoint and register it."""
+
+    def start(endpoint_id, *, service, **script):
+        endpoint = ScriptedEndpoint(**script)
+        deployment.servers.append(endpoint.server)
+        deployment.register(endpoint_id, service=service, address=endpoint.address)
+        return endpoint
+
+    return start
+
+
+class TestEndlessBytes:
+    @pytest.mark.parametrize("kind", ENDLESS)
+    def test_stream_goes_on_at_another_endpoint(self, deployment, start_scripted, kind):
+        # Guards against memory that grows, and a request that is lost, while an
+        # endpoint sends bytes that are no response.
+        first, repeated = ENDLESS[kind]
+        # Of two idle engines, the one with the first id is used.
+        endless = start_scripted("e1", service="pool", first=first, repeated=repeated)
+        deployment.add_endpoint("e2", service="pool")
+        deployment.add_node()
+        status, _, _, complete = deployment.ask("/chat/x")
+        assert (status, complete) == (200, True)
+        assert endless.n_requests == 1
+        deployment.wait_until(lambda: endless.n_closed)
+        assert endless.n_sent_bytes < MAX_SOCKET_BUFFER_BYTES
+
+    @pytest.mark.parametrize(
+        "kind", [kind for kind in ENDLESS if kind != "event without an end"]
+    )
+    def test_lookup_is_repeated_at_another_endpoint(
+        self, deployment, start_scripted, kind
+    ):
+        first, repeated = ENDLESS[kind]
+        endless = start_scripted("a1", service="app", first=first, repeated=repeated)
+        deployment.add_endpoint("a2", service="app")
+        deployment.add_node()
+        for _ in range(6):
+            status, _, body, complete = deployment.ask("/stock/x", method=b"GET")
+            assert (status, body, complete) == (200, b"done by a2", True)
+        assert endless.n_requests >= 1
+        deployment.wait_until(lambda: endless.n_closed == endless.n_requests)
+
+
+class TestTrickledBytes:
+    def test_comments_do_not_keep_a_stalled_stream_open(
+        self, deployment, start_scripted
+    ):
+        # Guards against a stalled stream that lasts until the client's deadline,
+        # because its endpoint sends a comment now and then.
+        stalled = start_scripted(
+            "e1",
+            service="pool",
+            first=OK_HEAD + CHUNKED + encode_chunk(b"id: 1\ndata: piece 1\n\n"),
+            repeated=encode_chunk(b": still there\n\n"),
+            interval_s=0.2,
+        )
+        deployment.add_node()
+        connection = deployment.open("/once/x")
+        deployment.wait_until(lambda: stalled.n_closed, limit_s=2.5)
+        _, _, _, complete = deployment.finish(connection)
+        assert not complete
+
+    def test_trickled_answer_of_the_store_ends_at_the_timeout(self, clock):
+        # Guards against a store call that lasts as long as a byte arrives now and
+        # then, which hides from the node that it is cut off.
+        endpoint = ScriptedEndpoint(
+            first=b"HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n",
+            repeated=b" ",
+            interval_s=0.05,
+        )
+        outcomes = []
+        store = Store(
+            address=endpoint.address,
+            clock=clock,
+            observe=lambda _operation, _seconds, outcome: outcomes.append(outcome),
+        )
+        with gevent.Timeout(3.0), pytest.raises(OutcomeUnknownError, match="Timeout"):
+            store.read_prefix("rows/")
+        assert outcomes == ["lost"]
+        endpoint.server.stop(timeout=0)
+
+
+class TestResponseReader:
+    def test_trailers_are_no_headers(self):
+        # Guards against headers that an endpoint adds after its body.
+        reader = ResponseReader()
+        reader.feed(
+            encode_head(200, [(b"transfer-encoding", b"chunked")])
+            + encode_chunk(b"body")
+            + b"0\r\nx-response-signature: late\r\n\r\n"
+        )
+        assert reader.complete
+        assert reader.head.header(names.SIGNATURE) is None
+
+    def test_interim_responses_are_dropped(self):
+        reader = ResponseReader()
+        interim = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+        reader.feed(interim * 3 + encode_head(204, [(b"content-length", b"0")]))
+        assert reader.head.status == 204
+        assert reader.head.header(b"link") is None
+
+    def test_bytes_before_the_final_head_are_bounded(self):
+        reader = ResponseReader()
+        interim = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+        with pytest.raises(MalformedMessageError, match="neither a head nor a body"):
+            for _ in range(2 + (MAX_UNUSED_BYTES + RECV_BYTES) // len(interim)):
+                reader.feed(interim)
+
+    def test_body_that_nobody_takes_is_bounded(self):
+        reader = ResponseReader(max_buffered_bytes=100)
+        reader.feed(encode_head(200, [(b"transfer-encoding", b"chunked")]))
+        for _ in range(10):
+            reader.feed(encode_chunk(b"x" * 90))
+            assert len(reader.take_body()) == 90
+        reader.feed(encode_chunk(b"x" * 90))
+        with pytest.raises(MalformedMessageError, match="exceeds 100 bytes"):
+            reader.feed(encode_chunk(b"x" * 90))
