scheduling: a new leader counts the reserved memory of running jobs

Change: the submission carries the reserved tokens, and set_engines updates known engines. Measured: two tests that failed before; tests/core/scheduling, tests/peers, tests/serving and tests/platform pass (249).

--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -90,6 +90,12 @@
     _decode_pass_s: float | None = None
     _min_gap_s: float | None = None
 
+    def set_capacity(self, *, slots, profile):
+        """Set the number of slots and the profile, which operators may change."""
+        if (slots, profile) != (self.slots, self.profile):
+            self.slots, self.profile = slots, profile
+            self._clear_cache()
+
     def free_tokens(self, share):
         """Return how much of a share of the memory is not allocated, in tokens.
 
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -24,9 +24,10 @@
     ``due_s`` and ``ends_s`` are the times until the first event is due and until the
     deadline, counted from the sending of the message. ``pause_s`` is the longest
     acceptable gap between events. ``endpoints`` names the engines on which the job is
-    already running, if any, and ``has_started`` tells whether its first event has
-    arrived. ``is_repeat`` tells whether the request was sent to an endpoint before,
-    ``needs_budget`` whether this send counts against the leader's budget of repeats.
+    already running, if any, ``reserved_tokens`` the memory that is reserved on each,
+    and ``has_started`` tells whether its first event has arrived. ``is_repeat`` tells
+    whether the request was sent to an endpoint before, ``needs_budget`` whether this
+    send counts against the leader's budget of repeats.
     """
 
     job_id: str
@@ -44,6 +45,7 @@
     has_started: bool
     is_repeat: bool = False
     needs_budget: bool = False
+    reserved_tokens: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -83,6 +83,8 @@
                     slots=endpoint.slots,
                     profile=profile,
                 )
+            else:
+                engine.set_capacity(slots=endpoint.slots, profile=profile)
 
     def submit(self, job, now):
         """Queue a job and return the resulting decisions."""
@@ -142,8 +144,12 @@
             engine.n_failures += 1
         engine.ejected_until = max(engine.ejected_until, now + ejection_s)
 
-    def adopt(self, job, engine_ids, *, has_started, now):
-        """Add a running job that another scheduler placed."""
+    def adopt(self, job, engine_ids, *, has_started, now, reserved_tokens=()):
+        """Add a running job that another scheduler placed.
+
+        ``reserved_tokens`` holds the number of tokens of memory that are reserved on
+        each engine.
+        """
         self.waiting_by_id.pop(job.id, None)
         if job.id in self.placed_by_id:
             return
@@ -154,6 +160,7 @@
             granted_at=now,
             predicted_first_event_at=now,
             first_event_at=now if has_started else None,
+            reserved_tokens=reserved_tokens,
         )
         known_ids = [e for e in engine_ids if e in self.engines_by_id]
         if known_ids and not has_started:
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -191,6 +191,7 @@
   zone @12 :Text;
   isRepeat @13 :Bool;
   needsBudget @14 :Bool;
+  reservedTokens @15 :List(Int64);
 }
 
 struct JobPlaced {
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -121,6 +121,7 @@
                 due_s=message.due_s - elapsed_s,
                 ends_s=message.ends_s - elapsed_s,
                 endpoints=job.placement.endpoints if job.placement else (),
+                reserved_tokens=job.placement.reserved_tokens if job.placement else (),
                 has_started=job.has_started,
             )
         if self._link is not None:
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -96,7 +96,11 @@
         )
         if message.endpoints:
             scheduler.adopt(
-                job, message.endpoints, has_started=message.has_started, now=now
+                job,
+                message.endpoints,
+                reserved_tokens=message.reserved_tokens,
+                has_started=message.has_started,
+                now=now,
             )
             return
         self._deliver_all(scheduler, scheduler.submit(job, now))
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -1,6 +1,6 @@
 """Tests of the placement of generations; load patterns use fixed seeds."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 
@@ -256,6 +256,35 @@
         (short,) = scheduler.submit(make_job("s", 1_000), 0.0)
         assert short.endpoint_ids == ("e01",)
 
+    def test_adopted_job_occupies_its_reserved_memory(self):
+        # Guards against a new leader that counts the whole prompt on the first engine
+        # and none of it on the helpers, and then grants memory that is not free.
+        scheduler = make_scheduler(3)
+        job = make_job("big", 500_000, due_s=3.0)
+        scheduler.adopt(
+            job,
+            ("e00", "e01"),
+            reserved_tokens=(0, 250_000),
+            has_started=True,
+            now=0.0,
+        )
+        free = [
+            scheduler.engines_by_id[name].free_tokens(1.0)
+            for name in ("e00", "e01", "e02")
+        ]
+        assert free == [405_000 - 251_300, 405_000 - 250_000, 405_000]
+        scheduler.finish("big", 1.0)
+        assert scheduler.engines_by_id["e01"].free_tokens(1.0) == 405_000
+
+    def test_changed_profile_is_used_for_known_engines(self):
+        # Guards against figures of the operator that take effect only for new engines.
+        scheduler = make_scheduler(1)
+        endpoint = RegisteredEndpoint(id="e00", address="10.0.0.0:80", slots=3)
+        changed = replace(PROFILE, memory_tokens=100_000)
+        scheduler.set_engines([endpoint], changed)
+        engine = scheduler.engines_by_id["e00"]
+        assert (engine.slots, engine.profile) == (3, changed)
+
 
 class TestLoadSwing:
     """Load that alternates between long and short prompts every ten seconds."""
