serving: refuse numbers that are malformed, negative or not finite

Cause: a token count of inf or nan raised in the decoding, so the connection ended without a response; other invalid values were silently taken as 0, and a remaining time that is not finite was passed on to the endpoint. Change: such a request is refused with 400, and the response names the header. Measured: nine cases fail before and pass now.

--- a/src/savoryhill/platform/headers.py
+++ b/src/savoryhill/platform/headers.py
@@ -18,6 +18,8 @@
     )
 )
 _BEARER = b"bearer "
+# Larger numbers don't fit into the fields of the messages between nodes.
+MAX_NUMBER = 2.0**53
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,7 +28,8 @@
 
     ``remaining_s`` is the time for which the client still waits. ``key`` is its API
     key. ``last_event_id`` is the event after which a stream resumes. Fields are None,
-    and token counts 0, if the header is missing or invalid.
+    and token counts 0, if the header is missing or invalid. ``invalid_header`` names
+    a header whose number is malformed, negative or too large.
     """
 
     attempt_id: bytes | None
@@ -35,36 +38,49 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: int | None
+    invalid_header: str | None = None
 
 
 def decode_request_metadata(request):
     """Decode the metadata in the headers of a client's request."""
     counts = request.header(names.TOKEN_COUNTS)
-    prompt_tokens, answer_tokens = _parse_token_counts(counts)
-    remaining_ms = _parse_number(request.header(names.TIME_REMAINING))
-    last_event = _parse_number(request.header(names.LAST_EVENT_ID))
+    prompt, _, answer = (counts or b"0").partition(b",")
+    numbers_by_header = {
+        names.TOKEN_COUNTS: (_parse_number(prompt), _parse_number(answer or b"0")),
+        names.TIME_REMAINING: (_parse_header(request, names.TIME_REMAINING),),
+        names.LAST_EVENT_ID: (_parse_header(request, names.LAST_EVENT_ID),),
+    }
+    invalid_headers = [
+        name.decode()
+        for name, numbers in numbers_by_header.items()
+        if None in numbers and request.header(name) is not None
+    ]
+    prompt_tokens, answer_tokens = numbers_by_header[names.TOKEN_COUNTS]
+    (remaining_ms,) = numbers_by_header[names.TIME_REMAINING]
+    (last_event,) = numbers_by_header[names.LAST_EVENT_ID]
     return RequestMetadata(
         attempt_id=request.header(names.ATTEMPT_ID),
         remaining_s=None if remaining_ms is None else remaining_ms / 1000,
         key=_parse_bearer_token(request.header(names.AUTHORIZATION)),
-        prompt_tokens=prompt_tokens,
-        answer_tokens=answer_tokens,
+        prompt_tokens=int(prompt_tokens or 0),
+        answer_tokens=int(answer_tokens or 0),
         last_event_id=None if last_event is None else int(last_event),
+        invalid_header=invalid_headers[0] if invalid_headers else None,
     )
 
 
+def _parse_header(request, name):
+    value = request.header(name)
+    return None if value is None else _parse_number(value)
+
+
 def _parse_number(value):
+    """Return a number from 0 to ``MAX_NUMBER``, or None."""
     try:
-        return None if value is None else float(value)
+        number = float(value)
     except ValueError:
         return None
-
-
-def _parse_token_counts(value):
-    prompt, _, answer = (value or b"").partition(b",")
-    return int(_parse_number(prompt or b"0") or 0), int(
-        _parse_number(answer or b"0") or 0
-    )
+    return number if 0.0 <= number <= MAX_NUMBER else None
 
 
 def _parse_bearer_token(value):
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -73,6 +73,8 @@
             return 503, "no configuration is known yet"
         if request.metadata.attempt_id is None:
             return 400, "the request has no id"
+        if request.metadata.invalid_header is not None:
+            return 400, f"{request.metadata.invalid_header} is not a valid number"
         route = self._find_route(configuration)
         if route is None:
             return 404, "no route matches"
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -235,6 +235,30 @@
         deployment.add_node()
         assert deployment.ask(path, **headers)[0] == status
 
+    @pytest.mark.parametrize(
+        ("header", "value"),
+        [
+            ("x-token-counts", "inf,100"),
+            ("x-token-counts", "1000,nan"),
+            ("x-token-counts", "-1000,100"),
+            ("x-token-counts", "1e300,100"),
+            ("x-token-counts", "many,100"),
+            ("x-time-remaining", "inf"),
+            ("x-time-remaining", "nan"),
+            ("x-time-remaining", "-1"),
+            ("last-event-id", "inf"),
+        ],
+    )
+    def test_invalid_number_is_refused_and_named(self, deployment, header, value):
+        # Guards against a number that ends the connection without a response, or that
+        # is passed on to the endpoint.
+        endpoint = deployment.add_endpoint("e1", service="pool")
+        deployment.add_node()
+        status, _, body, _ = deployment.ask("/chat/x", **{header: value})
+        assert (status, endpoint.arrivals) == (400, [])
+        assert header.encode() in body
+        assert deployment.ask("/chat/x")[0] == 200
+
     def test_request_without_endpoints_is_refused_as_not_run(self, deployment):
         deployment.add_node()
         status, headers, _, _ = deployment.ask("/stock/x", method=b"GET")
