--- a/src/savoryhill/serving/cluster_view.py
+++ b/src/savoryhill/serving/cluster_view.py
@@ -13,6 +13,7 @@
     decode_endpoint,
     decode_node,
 )
+from savoryhill.platform.store import StoreRow
 from savoryhill.serving.model import Endpoint, NodeRecord, ServingConfiguration
 
 # A longer gap between contacts with the store counts as an outage. The first limit
@@ -26,6 +27,8 @@
 LAPSE_GRACE_S = 2.3
 # Limit of the removals that are kept to update nodes that are some revisions behind.
 MAX_REMOVALS = 2_000
+# Limit of the snapshots over which nodes that are behind are still sent changes only.
+MAX_SKIPPED_SPANS = 16
 
 
 @dataclass(kw_only=True)
@@ -34,7 +37,9 @@
 
     ``lapsed_until`` maps endpoints whose rows expired during an outage to the time
     until which they are still used. ``removals`` holds the rows removed after the
-    revision ``removals_since``, oldest first. ``record(event, fields)`` logs changes of
+    revision ``removals_since``, oldest first. ``skipped_spans`` holds the revisions
+    before and after each snapshot that replaced changes this view has not seen one by
+    one. ``record(event, fields)`` logs changes of
     the view; the functions in ``on_change`` are called after each update.
     """
 
@@ -52,6 +57,7 @@
     rows_by_key: dict = field(default_factory=dict)
     removals: deque = field(default_factory=deque)
     removals_since: int = 0
+    skipped_spans: deque = field(default_factory=deque)
     on_change: list = field(default_factory=list)
 
     def contact_age_s(self):
@@ -108,11 +114,7 @@
             return False
         changed = is_complete
         if is_complete:
-            present_keys = {row.key for row in rows}
-            for key in [key for key in self.rows_by_key if key not in present_keys]:
-                self._remove_row(key)
-            self.removals.clear()
-            self.removals_since = revision
+            self._remove_missing_rows(rows, revision)
         for row in rows:
             if self._is_known(row, is_complete):
                 continue
@@ -127,6 +129,27 @@
             self.notify()
         return True
 
+    def _remove_missing_rows(self, rows, revision):
+        """Remove the rows that a snapshot lacks.
+
+        A view that already held rows keeps their removals, so that nodes up to its
+        previous revision need no snapshot to follow. The snapshot of a large cluster
+        takes the leader's link to all nodes for longer than they wait for a heartbeat.
+        """
+        if not self.rows_by_key:
+            self.removals_since = revision
+            return
+        present_keys = {row.key for row in rows}
+        for key in [key for key in self.rows_by_key if key not in present_keys]:
+            self._remove_row(key)
+            self._keep_removal(
+                StoreRow(key=key, value=b"", revision=revision, is_deleted=True)
+            )
+        self.skipped_spans.append((self.revision, revision))
+        if len(self.skipped_spans) > MAX_SKIPPED_SPANS:
+            _, span_end = self.skipped_spans.popleft()
+            self.removals_since = max(self.removals_since, span_end)
+
     def _keep_removal(self, row):
         self.removals.append(row)
         if len(self.removals) > MAX_REMOVALS:
@@ -147,6 +170,9 @@
         """
         if revision < self.removals_since:
             return None
+        # A row that came and went within a skipped span is not known here.
+        if any(start < revision < end for start, end in self.skipped_spans):
+            return None
         rows = [row for row in self.rows_by_key.values() if row.revision > revision]
         rows += [row for row in self.removals if row.revision > revision]
         return tuple(sorted(rows, key=lambda row: row.revision))
--- a/src/savoryhill/serving/watcher.py
+++ b/src/savoryhill/serving/watcher.py
@@ -135,8 +135,20 @@
     def _apply_response(self, response, at, *, base_revision, is_complete):
         self._is_disconnected = False
         self._retry_delay_s = MIN_RETRY_S / 2
-        self._cluster_view.note_contact(at)
+        view = self._cluster_view
+        known_revision = view.revision
+        view.note_contact(at)
         update = {"base_revision": base_revision, "is_complete": is_complete}
-        self._cluster_view.apply(response.rows, response.revision, **update)
-        self._publish(response.rows, response.revision, **update)
+        view.apply(response.rows, response.revision, **update)
+        changes = view.rows_after(known_revision) if is_complete else None
+        if changes is not None:
+            # Other nodes that know the previous revision need no snapshot.
+            self._publish(
+                changes,
+                view.revision,
+                base_revision=known_revision,
+                is_complete=False,
+            )
+        else:
+            self._publish(response.rows, response.revision, **update)
         self._on_contact()
--- a/tests/serving/test_cluster_view.py
+++ b/tests/serving/test_cluster_view.py
@@ -6,7 +6,7 @@
 
 from savoryhill.clock import system_clock
 from savoryhill.platform.store import StoreRow
-from savoryhill.serving.cluster_view import MAX_REMOVALS, ClusterView
+from savoryhill.serving.cluster_view import MAX_REMOVALS, MAX_SKIPPED_SPANS, ClusterView
 from savoryhill.serving.watcher import FALLBACK_AGE_S
 
 
@@ -105,6 +105,43 @@
             assert behind.apply(missing, len(rows), base_revision=behind_revision)
             assert behind.evacuated_zones == ahead.evacuated_zones
 
+    @given(changes=CHANGES, data=st.data())
+    def test_node_follows_over_a_snapshot_without_one(self, changes, data):
+        # Guards against a snapshot to every node after the store has discarded its
+        # history: it takes the leader's link for longer than the heartbeat timeout.
+        rows = make_rows(changes)
+        known_revision = data.draw(st.integers(0, len(rows)))
+        snapshot_revision = data.draw(st.integers(known_revision, len(rows)))
+        behind_revision = data.draw(st.integers(0, len(rows)))
+        ahead, behind = make_view(), make_view()
+        ahead.apply(rows[:known_revision], known_revision)
+        rows_by_key = {row.key: row for row in rows[:snapshot_revision]}
+        remaining_rows = [row for row in rows_by_key.values() if not row.is_deleted]
+        ahead.apply(remaining_rows, snapshot_revision, is_complete=True)
+        ahead.apply(
+            rows[snapshot_revision:], len(rows), base_revision=snapshot_revision
+        )
+        behind.apply(rows[:behind_revision], behind_revision)
+        missing = ahead.rows_after(behind_revision)
+        if missing is None:
+            is_between = known_revision < behind_revision < snapshot_revision
+            knew_nothing = not any(
+                not row.is_deleted
+                for row in {r.key: r for r in rows[:known_revision]}.values()
+            )
+            assert is_between or knew_nothing
+        else:
+            assert behind.apply(missing, len(rows), base_revision=behind_revision)
+            assert behind.evacuated_zones == ahead.evacuated_zones
+
+    def test_spans_over_which_changes_are_kept_are_bounded(self):
+        view = make_view()
+        view.apply([zone_row("a", 1)], 1)
+        for revision in range(3, 3 + 2 * MAX_SKIPPED_SPANS):
+            view.apply([zone_row("a", 1)], revision, is_complete=True)
+        assert len(view.skipped_spans) == MAX_SKIPPED_SPANS
+        assert view.rows_after(1) is None
+
     def test_number_of_kept_removals_is_bounded(self):
         view = make_view()
         for number in range(1, MAX_REMOVALS + 10):
--- a/tests/serving/test_watcher.py
+++ b/tests/serving/test_watcher.py
@@ -1,9 +1,11 @@
 """Which nodes call the store if updates from the leader stop, and how often."""
 
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
+from savoryhill.platform.store import StoreRow, StoreRows
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.watcher import FALLBACK_AGE_S, Watcher
 
@@ -26,6 +28,41 @@
     return watcher
 
 
+class TestLostHistory:
+    def test_followers_get_changes_instead_of_a_snapshot(self, clock):
+        # Guards against a leader that sends everything to all nodes once the store has
+        # discarded its history. With 195 nodes this took its link for over a second,
+        # and half of the nodes changed to other leaders.
+        watcher = make_watcher(clock, 1, n_nodes=3)
+        published = []
+        watcher._publish = lambda rows, revision, **fields: published.append(
+            (sorted(row.key for row in rows), revision, fields)
+        )
+        watcher._on_contact = lambda: None
+
+        def zone_row(name, revision):
+            return StoreRow(key=f"op/evacuate/{name}", value=b"{}", revision=revision)
+
+        def read_snapshot(rows, revision):
+            watcher._needs_snapshot = True
+            response = StoreRows(rows=tuple(rows), revision=revision)
+            watcher._store = SimpleNamespace(read_prefix=lambda _prefix: response)
+            watcher._read_store()
+
+        read_snapshot([zone_row("a", 1), zone_row("b", 2)], 2)
+        read_snapshot([zone_row("b", 2), zone_row("c", 5)], 6)
+        assert published[0] == (
+            ["op/evacuate/a", "op/evacuate/b"],
+            2,
+            {"base_revision": 0, "is_complete": True},
+        )
+        assert published[1] == (
+            ["op/evacuate/a", "op/evacuate/c"],
+            6,
+            {"base_revision": 2, "is_complete": False},
+        )
+
+
 class TestStaggeredCalls:
     @pytest.mark.parametrize("n_nodes", [9, 58, 340])
     def test_call_rate_in_an_outage_does_not_grow_with_the_nodes(self, clock, n_nodes):
