scheduling: short streams stay in the zone of their node

Change: a pending prefill that differs by less than 40 ms is no reason to leave the zone; then packing. The writer of a split prompt is in its zone if one of the chosen engines there has a free slot. Two tests that fail before.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -33,6 +33,8 @@
 # they are tried. The rest covers the wait for the running pass, the first decode pass
 # and the network.
 PREFILL_TIME_SHARES = (0.6, 0.9)
+# Pending prefill that differs by less than this is no reason to leave the job's zone.
+LOCAL_WAIT_S = 0.04
 # Minimum duration of the part of a prompt that one engine prefills.
 MIN_PREFILL_PART_S = 0.02
 INITIAL_EJECTION_S = 0.5
@@ -341,11 +343,13 @@
     def _with_free_slot_first(self, job, engines):
         """Return the engines with one that has a free slot first.
 
-        Return None if no engine has a free slot or the job does not fit in memory.
+        Return None if no engine has a free slot or the job does not fit in memory. The
+        first engine generates the output, so it is in the job's zone if possible.
         """
-        first = next((e for e in engines if self._has_free_slot(e)), None)
-        if first is None:
+        with_free_slot = [engine for engine in engines if self._has_free_slot(engine)]
+        if not with_free_slot:
             return None
+        first = min(with_free_slot, key=lambda engine: engine.zone != job.zone)
         chosen = (first, *(e for e in engines if e is not first))
         return chosen if fits(job, chosen) else None
 
@@ -353,21 +357,26 @@
         return len(engine.jobs_by_id) < engine.slots
 
     def _choose_single(self, job, single_candidates, now):
-        """Return the engine with the least pending prefill.
+        """Return the engine with little pending prefill, if possible in the job's zone.
 
-        Among equals, engines with the most streams are preferred, so that others stay
-        free for long prefill; then engines in the job's zone, because every event of
-        the output crosses the network from the engine.
+        Load pattern: short streams from all availability zones. Every event of the
+        output crosses the network from the engine, so a slightly longer wait in the
+        job's zone is preferred to another zone. Among equals, engines with the most
+        streams are preferred, so that others stay free for long prefill.
         """
-        return min(
-            single_candidates,
-            key=lambda item: (
-                item[1].pending_prefill_s(now),
-                -len(item[1].jobs_by_id),
-                item[1].zone != job.zone,
-                item[1].id,
-            ),
-        )[1]
+
+        def sort_key(item):
+            engine = item[1]
+            pending_s = engine.pending_prefill_s(now)
+            return (
+                pending_s // LOCAL_WAIT_S,
+                engine.zone != job.zone,
+                pending_s,
+                -len(engine.jobs_by_id),
+                engine.id,
+            )
+
+        return min(single_candidates, key=sort_key)[1]
 
     def _claimed_by_others(self, job):
         claimed = set()
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -286,6 +286,52 @@
         assert (engine.slots, engine.profile) == (3, changed)
 
 
+class TestZones:
+    """Streams stay in the zone of the node that relays them."""
+
+    ZONES = ("zone-a", "zone-b", "zone-c")
+
+    def make_scheduler(self, n_engines):
+        scheduler = ServiceScheduler(service="pool")
+        engines = [
+            RegisteredEndpoint(
+                id=f"e{n:02}", address=f"10.0.0.{n}:80", zone=self.ZONES[n % 3]
+            )
+            for n in range(n_engines)
+        ]
+        scheduler.set_engines(engines, PROFILE)
+        return scheduler
+
+    def test_short_streams_of_all_zones_run_in_their_zone(self):
+        # Guards against events that cross zones because the engine with the most
+        # streams, or with the least prefill, is in another one.
+        scheduler = self.make_scheduler(12)
+        random, n_local, now = Random(5), 0, 0.0
+        for number in range(300):
+            now += random.expovariate(60.0)
+            zone = random.choice(self.ZONES)
+            job = make_job(f"j{number}", random.randint(500, 9_000), now=now, zone=zone)
+            (grant,) = scheduler.submit(job, now)
+            n_local += scheduler.engines_by_id[grant.endpoint_ids[0]].zone == zone
+            scheduler.note_first_event(job.id, now)
+            if number >= 40:
+                scheduler.finish(f"j{number - 40}", now)
+        assert n_local >= 0.95 * 300
+
+    def test_stream_leaves_its_zone_rather_than_wait_for_a_long_prefill(self):
+        scheduler = self.make_scheduler(3)
+        scheduler.submit(make_job("long", 40_000, due_s=1.5, zone="zone-a"), 0.0)
+        (grant,) = scheduler.submit(make_job("short", 2_000, zone="zone-a"), 0.0)
+        assert scheduler.engines_by_id[grant.endpoint_ids[0]].zone != "zone-a"
+
+    def test_writer_of_a_split_prompt_is_in_its_zone(self):
+        scheduler = self.make_scheduler(6)
+        job = make_job("split", 200_000, due_s=1.5, zone="zone-c")
+        (grant,) = scheduler.submit(job, 0.0)
+        assert len(grant.endpoint_ids) > 1
+        assert scheduler.engines_by_id[grant.endpoint_ids[0]].zone == "zone-c"
+
+
 class TestLoadSwing:
     """Load that alternates between long and short prompts every ten seconds."""
 
