serving: don't give up a slow stream that no other endpoint may serve

Cause: a stream was cut after four times the allowed gap, at least 1 s, also where it may not be repeated, so a slow but sound stream ended as a failure although its client waits for 2 s or more. Change: while another run is allowed, silence is judged as before; otherwise the run lasts for as long as clients wait.

--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -22,6 +22,11 @@
 # Later events time out after this multiple of the gap that the route allows.
 GAP_TIMEOUT_FACTOR = 4.0
 MIN_GAP_TIMEOUT_S = 1.0
+# How long clients wait for the next event: the longest of a constant, a multiple of the
+# latency objective and a multiple of the gap that the route allows.
+MIN_PATIENCE_S = 2.0
+LATENCY_PATIENCE_FACTOR = 4.0
+GAP_PATIENCE_FACTOR = 8.0
 # Limit of the body of a failure; the body of a stream is forwarded as it arrives.
 MAX_BUFFERED_STREAM_BYTES = 262_144
 
@@ -159,11 +164,11 @@
         # Discards the partial event of an earlier run, which must not be joined with
         # the first event of this one.
         self._splitter = EventSplitter(last_id=self._splitter.last_id)
-        times_out_at = (
-            self._context.clock.monotonic()
-            + FIRST_EVENT_TIMEOUT_S
+        first_event_timeout_s = self._silence_limit_s(
+            FIRST_EVENT_TIMEOUT_S
             + FIRST_EVENT_TIMEOUT_FACTOR * decision.predicted_first_s
         )
+        times_out_at = self._context.clock.monotonic() + first_event_timeout_s
         try:
             self._request.send(
                 connection,
@@ -190,11 +195,28 @@
             return _with_endpoint_id(failure, endpoints)
         return failure
 
+    def _silence_limit_s(self, suspicious_s):
+        """Return the seconds of silence after which a run is given up.
+
+        A run that can be repeated elsewhere is given up once its silence is suspicious.
+        Otherwise a slow engine is the only one that can serve the client, so the run
+        lasts for as long as clients wait.
+        """
+        if self._history.may_send():
+            return suspicious_s
+        route = self._request.route
+        patience_s = max(
+            MIN_PATIENCE_S,
+            LATENCY_PATIENCE_FACTOR * route.target_latency_s,
+            GAP_PATIENCE_FACTOR * route.max_gap_s,
+        )
+        return max(suspicious_s, patience_s)
+
     def _relay(self, connection, job, endpoint, times_out_at):
         """Forward a stream; return None if it was complete, else the failure."""
         request, reader = self._request, connection.reader
-        gap_timeout_s = max(
-            MIN_GAP_TIMEOUT_S, request.route.max_gap_s * GAP_TIMEOUT_FACTOR
+        gap_timeout_s = self._silence_limit_s(
+            max(MIN_GAP_TIMEOUT_S, request.route.max_gap_s * GAP_TIMEOUT_FACTOR)
         )
         while True:
             wait_s = min(
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -56,6 +56,23 @@
         runs = [a for e in deployment.endpoints_by_id.values() for a in e.arrivals]
         assert len(runs) == 1
 
+    def test_slow_stream_that_cannot_be_repeated_is_not_cut(self, deployment):
+        # Guards against giving up a slow but sound stream before its client would,
+        # although no other endpoint may serve it.
+        deployment.add_endpoint("e1", service="pool", event_interval_s=1.3, n_events=2)
+        deployment.add_node()
+        status, _, body, complete = deployment.ask("/once/x")
+        assert (status, complete) == (200, True)
+        assert body == b"".join(EVENTS[:2])
+
+    def test_slow_stream_that_can_be_repeated_goes_on_elsewhere(self, deployment):
+        deployment.add_endpoint("e1", service="pool", event_interval_s=1.7)
+        deployment.add_endpoint("e2", service="pool")
+        deployment.add_node()
+        with gevent.Timeout(3.0):
+            status, _, body, complete = deployment.ask("/chat/x")
+        assert (status, complete, body) == (200, True, b"".join(EVENTS))
+
     def test_events_are_forwarded_without_delay(self, deployment):
         # Guards against buffering of events: each must be forwarded within 120 ms, the
         # smallest limit that a deployment sets for it.
