--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -22,7 +22,7 @@
     StoreUpdate,
 )
 from savoryhill.errors import NotConnectedError, PeerError
-from savoryhill.serving.leadership import SUSPICION_S, choose_leader
+from savoryhill.serving.leadership import choose_leader, suspicion_s
 from savoryhill.serving.links import Link, encode_frame, open_link
 from savoryhill.serving.store_updates import build_store_update, missing_changes
 
@@ -73,6 +73,7 @@
         self._scheduling = scheduling
         self._record = record
         self._suspected_until = {}
+        self._n_failures_by_registration = {}
         self._link = None
         self._leader_address = None
         self._leader_contact_age_s = 0.0
@@ -249,7 +250,26 @@
         )
         return leader is None or leader.address == address
 
-    def _suspect(self, address, cause, *, duration_s=SUSPICION_S):
+    def _count_failure(self, address):
+        """Count a failure to reach a node; return its failures since it registered."""
+        registered = {
+            (node.address, node.revision)
+            for node in self._cluster_view.nodes_by_name.values()
+        }
+        counts = {
+            key: n
+            for key, n in self._n_failures_by_registration.items()
+            if key in registered
+        }
+        self._n_failures_by_registration = counts
+        keys = [key for key in registered if key[0] == address]
+        for key in keys:
+            counts[key] = counts.get(key, 0) + 1
+        return max((counts[key] for key in keys), default=1)
+
+    def _suspect(self, address, cause, *, duration_s=None):
+        if duration_s is None:
+            duration_s = suspicion_s(self._count_failure(address))
         self._suspected_until[address] = self._clock.monotonic() + duration_s
         self._record("leader.lost", {"address": address, "cause": cause})
 
--- a/src/savoryhill/serving/leadership.py
+++ b/src/savoryhill/serving/leadership.py
@@ -9,8 +9,22 @@
 checks every rule itself.
 """
 
-# A node that could not be reached is not chosen as leader for this long.
+# A node that could not be reached is not chosen as leader for this long, and for twice
+# as long after each further failure under the same registration: the registration of a
+# node that lost power remains until its lease expires.
 SUSPICION_S = 3.0
+MAX_SUSPICION_S = 24.0
+
+
+def suspicion_s(n_failures):
+    """Return how long a node is not chosen as leader, in seconds.
+
+    Parameters
+    ----------
+    n_failures : int
+        Failures to reach the node under its present registration, at least 1.
+    """
+    return min(MAX_SUSPICION_S, SUSPICION_S * 2 ** (n_failures - 1))
 
 
 def choose_leader(nodes, *, suspected_until, now):
--- a/src/savoryhill/serving/registration.py
+++ b/src/savoryhill/serving/registration.py
@@ -5,8 +5,10 @@
 from savoryhill.errors import PlatformError
 from savoryhill.platform.decode import encode_node, node_key
 
-LEASE_TTL_S = 4.0
-RENEW_INTERVAL_S = 1.3
+# All nodes renew at the same store, so the interval decides what registration costs.
+# The loss of the leader is noticed by its links, not by the end of its lease.
+LEASE_TTL_S = 10.0
+RENEW_INTERVAL_S = 3.0
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 2.0
 
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -38,6 +38,29 @@
         assert choose(suspected_until={"early": 11.0}).name == "late"
         assert choose(suspected_until={"early": 9.0}).name == "early"
 
+    def test_unreachable_node_is_tried_less_often_until_it_registers_again(
+        self, deployment
+    ):
+        # Guards against nodes that leave a working leader every few seconds to try one
+        # that lost power and whose registration has not expired.
+        node = deployment.add_node()
+        dispatcher = node._dispatcher
+        row = json.dumps({"address": "127.0.0.9:9", "zone": "zone-a"}).encode()
+        known = node.context.cluster_view.nodes_by_name
+        deployment.store.put("nodes/gone", row)
+        deployment.wait_until(lambda: "gone" in known)
+
+        def suspect():
+            dispatcher._suspect("127.0.0.9:9", "test")
+            until = dispatcher._suspected_until["127.0.0.9:9"]
+            return round(until - node.context.clock.monotonic())
+
+        assert [suspect() for _ in range(5)] == [3, 6, 12, 24, 24]
+        revision = known["gone"].revision
+        deployment.store.put("nodes/gone", row)
+        deployment.wait_until(lambda: known["gone"].revision > revision)
+        assert suspect() == 3
+
 
 class TestScheduling:
     def test_first_registered_node_schedules_for_all_nodes(self, deployment):
