--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -8,6 +8,10 @@
 from dataclasses import dataclass, field, replace
 
 from savoryhill.core.scheduling.decisions import Grant, Rejection
+from savoryhill.core.scheduling.engine_choice import (
+    PREFILL_TIME_SHARES,
+    choose_engines,
+)
 from savoryhill.core.scheduling.engine_state import (
     EngineState,
     Job,
@@ -24,19 +28,10 @@
 )
 from savoryhill.core.scheduling.memory import (
     MEMORY_SHARE,
-    fits,
     needed_tokens,
     reservations,
 )
 
-# Shares of the time to the first event that prefill may take, in the order in which
-# they are tried. The rest covers the wait for the running pass, the first decode pass
-# and the network.
-PREFILL_TIME_SHARES = (0.6, 0.9)
-# Pending prefill that differs by less than this is no reason to leave the job's zone.
-LOCAL_WAIT_S = 0.04
-# Minimum duration of the part of a prompt that one engine prefills.
-MIN_PREFILL_PART_S = 0.02
 INITIAL_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
 INITIAL_FULL_EJECTION_S = 0.2
@@ -294,89 +289,20 @@
         return self._grant(job, chosen, prefill_s / len(chosen), now)
 
     def _choose(self, job, engines, prefill_s, now, max_long_engines):
-        """Return the fewest engines on which equal parts of the prompt fit, or None.
+        """Return the engines for a job among those that no other job claims, or None.
 
         ``prefill_s`` is the time in which a single engine prefills the prompt.
         ``max_long_engines`` limits the engines if their parts take long to prefill.
         """
         claimed = self._claimed_by_others(job)
         unclaimed = [engine for engine in engines if engine.id not in claimed]
-        for share in PREFILL_TIME_SHARES:
-            chosen = self._choose_within(
-                job, unclaimed, prefill_s, now, max_long_engines, share=share
-            )
-            if chosen is not None:
-                return chosen
-        return None
-
-    def _choose_within(self, job, engines, prefill_s, now, max_long_engines, *, share):
-        candidates = []
-        for engine in engines:
-            available_prefill_s = engine.available_prefill_s(now, job, share=share)
-            if available_prefill_s > 0.0:
-                candidates.append((available_prefill_s, engine))
-        with_free_slot = [item for item in candidates if self._has_free_slot(item[1])]
-        if not with_free_slot:
-            return None
-        single_candidates = [
-            item
-            for item in with_free_slot
-            if item[0] >= prefill_s and fits(job, (item[1],))
-        ]
-        if single_candidates and (prefill_s <= LONG_PREFILL_S or max_long_engines >= 1):
-            return (self._choose_single(job, single_candidates, now),)
-        candidates.sort(key=lambda item: -item[0])
-        max_parts = min(len(candidates), MAX_PARTS, int(prefill_s / MIN_PREFILL_PART_S))
-        for n_parts in range(2, max_parts + 1):
-            prefill_part_s = prefill_s / n_parts
-            if prefill_part_s > candidates[n_parts - 1][0]:
-                continue
-            if prefill_part_s > LONG_PREFILL_S and n_parts > max_long_engines:
-                continue
-            chosen = self._with_free_slot_first(
-                job, [engine for _, engine in candidates[:n_parts]]
-            )
-            if chosen is not None:
-                return chosen
-        return None
-
-    def _with_free_slot_first(self, job, engines):
-        """Return the engines with one that has a free slot first.
-
-        Return None if no engine has a free slot or the job does not fit in memory. The
-        first engine generates the output, so it is in the job's zone if possible.
-        """
-        with_free_slot = [engine for engine in engines if self._has_free_slot(engine)]
-        if not with_free_slot:
-            return None
-        first = min(with_free_slot, key=lambda engine: engine.zone != job.zone)
-        chosen = (first, *(e for e in engines if e is not first))
-        return chosen if fits(job, chosen) else None
-
-    def _has_free_slot(self, engine):
-        return len(engine.jobs_by_id) < engine.slots
-
-    def _choose_single(self, job, single_candidates, now):
-        """Return the engine with little pending prefill, if possible in the job's zone.
-
-        Load pattern: short streams from all availability zones. Every event of the
-        output crosses the network from the engine, so a slightly longer wait in the
-        job's zone is preferred to another zone. Among equals, engines with the most
-        streams are preferred, so that others stay free for long prefill.
-        """
-
-        def sort_key(item):
-            engine = item[1]
-            pending_s = engine.pending_prefill_s(now)
-            return (
-                pending_s // LOCAL_WAIT_S,
-                engine.zone != job.zone,
-                pending_s,
-                -len(engine.jobs_by_id),
-                engine.id,
-            )
-
-        return min(single_candidates, key=sort_key)[1]
+        return choose_engines(
+            job,
+            unclaimed,
+            prefill_s=prefill_s,
+            now=now,
+            max_long_engines=max_long_engines,
+        )
 
     def _claimed_by_others(self, job):
         claimed = set()
--- a/src/savoryhill/platform/memory_reservations.py
+++ b/src/savoryhill/platform/memory_reservations.py
@@ -8,7 +8,8 @@
     MalformedMessageError,
 )
 from savoryhill.platform import names
-from savoryhill.serving.http import encode_request, open_connection
+from savoryhill.serving.http import encode_request
+from savoryhill.serving.outgoing_connection import open_connection
 
 CONNECT_TIMEOUT_S = 0.3
 ORDER_TIMEOUT_S = 0.5
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -14,7 +14,8 @@
     StoreRefusedError,
 )
 from savoryhill.platform import names
-from savoryhill.serving.http import encode_request, open_connection
+from savoryhill.serving.http import encode_request
+from savoryhill.serving.outgoing_connection import open_connection
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -1,7 +1,7 @@
 """Requests to plain services, whose responses are forwarded only when complete."""
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
-from savoryhill.serving.http import open_connection
+from savoryhill.serving.outgoing_connection import open_connection
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
 
 # A request that may be repeated is sent to another endpoint if its response takes
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -11,7 +11,7 @@
 )
 from savoryhill.errors import EndpointError, MalformedMessageError, NotConnectedError
 from savoryhill.serving.event_splitter import EventSplitter
-from savoryhill.serving.http import open_connection
+from savoryhill.serving.outgoing_connection import open_connection
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -1,16 +1,12 @@
-"""HTTP/1.1 messages over sockets, parsed with the llhttp parser of ``httptools``."""
+"""HTTP/1.1 messages, parsed with the llhttp parser of ``httptools``."""
 
 from collections import deque
-from contextlib import suppress
 from dataclasses import dataclass
 
-import gevent
 import httptools
-from gevent import socket as gsocket
 
-from savoryhill.errors import MalformedMessageError, NotConnectedError
+from savoryhill.errors import MalformedMessageError
 
-RECV_BYTES = 65_536
 # Limit of the bytes in a row that belong to no final head and no body: headers,
 # interim responses, chunk extensions and trailers.
 MAX_UNUSED_BYTES = 65_536
@@ -311,97 +307,3 @@
 
 
 LAST_CHUNK = b"0\r\n\r\n"
-
-
-def split_address(address):
-    """Split ``ip:port`` into host and port."""
-    host, port = address.rsplit(":", 1)
-    return host, int(port)
-
-
-@dataclass(kw_only=True)
-class Connection:
-    """An outgoing connection to an HTTP server, for one exchange at a time."""
-
-    sock: object
-    reader: ResponseReader
-
-    def send(self, data, *, timeout_s):
-        """Send all bytes, or raise an error."""
-        self.sock.settimeout(timeout_s)
-        self.sock.sendall(data)
-
-    def receive(self, *, timeout_s):
-        """Receive and parse once; return False if the server closed the connection.
-
-        Raises
-        ------
-        TimeoutError
-            If no data arrived in time.
-        OSError
-            If the connection broke.
-        MalformedMessageError
-            If the bytes are not a valid HTTP response.
-        """
-        self.sock.settimeout(timeout_s)
-        data = self.sock.recv(RECV_BYTES)
-        if not data:
-            self.reader.feed_end()
-            return False
-        self.reader.feed(data)
-        return True
-
-    def receive_all(self, *, timeout_s):
-        """Receive until the response is complete.
-
-        Raises
-        ------
-        TimeoutError
-            If the response was not complete after ``timeout_s``, also if bytes of it
-            kept arriving.
-        OSError
-            If the connection broke.
-        MalformedMessageError
-            If the bytes are not a valid HTTP response, or it ended early.
-        """
-        with gevent.Timeout(timeout_s, TimeoutError("the response is not complete")):
-            while not self.reader.complete:
-                is_open = self.receive(timeout_s=timeout_s)
-                if not is_open and not self.reader.complete:
-                    raise MalformedMessageError(
-                        "connection closed before the response was complete"
-                    )
-
-    def abort(self):
-        """End the connection; a receive that waits sees its end at once."""
-        with suppress(OSError):
-            self.sock.shutdown(gsocket.SHUT_RDWR)
-
-    def close(self):
-        """Close the connection."""
-        self.sock.close()
-
-
-def open_connection(address, *, timeout_s, max_buffered_bytes=MAX_BUFFERED_BYTES):
-    """Connect to ``ip:port``.
-
-    At most ``max_buffered_bytes`` of a response's body are kept until they are taken.
-
-    Raises
-    ------
-    NotConnectedError
-        If the connection could not be established; nothing was sent.
-    """
-    sock = gsocket.socket(gsocket.AF_INET, gsocket.SOCK_STREAM)
-    try:
-        sock.settimeout(timeout_s)
-        sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
-        sock.connect(split_address(address))
-    except OSError as error:
-        sock.close()
-        raise NotConnectedError(f"{address}: {error!r}") from error
-    except BaseException:
-        sock.close()
-        raise
-    reader = ResponseReader(max_buffered_bytes=max_buffered_bytes)
-    return Connection(sock=sock, reader=reader)
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -22,8 +22,9 @@
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.context import NodeContext
 from savoryhill.serving.dispatch import Dispatcher
-from savoryhill.serving.http import RequestReader, encode_head, split_address
+from savoryhill.serving.http import RequestReader, encode_head
 from savoryhill.serving.log_lines import LogWriter
+from savoryhill.serving.outgoing_connection import split_address
 from savoryhill.serving.registration import keep_registered
 from savoryhill.serving.repeats import RepeatBudgets
 from savoryhill.serving.scheduling import Scheduling
--- a/src/savoryhill/soak/clients.py
+++ b/src/savoryhill/soak/clients.py
@@ -3,7 +3,8 @@
 import gevent
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
-from savoryhill.serving.http import ResponseReader, encode_request, open_connection
+from savoryhill.serving.http import ResponseReader, encode_request
+from savoryhill.serving.outgoing_connection import open_connection
 from savoryhill.soak.observations import ObservedRequest
 
 REQUEST_KINDS = ("chat", "chat", "chat", "once", "order", "stock", "huge")
--- a/tests/serving/test_endless_endpoints.py
+++ b/tests/serving/test_endless_endpoints.py
@@ -9,11 +9,11 @@
 from savoryhill.platform.store import Store
 from savoryhill.serving.http import (
     MAX_UNUSED_BYTES,
-    RECV_BYTES,
     ResponseReader,
     encode_chunk,
     encode_head,
 )
+from savoryhill.serving.outgoing_connection import RECV_BYTES
 
 BLOCK = b"x" * 16_384
 # Upper bound of what the sockets' buffers of both sides take up besides the node.
