--- a/src/savoryhill/core/routing/granting.py
+++ b/src/savoryhill/core/routing/granting.py
@@ -33,7 +33,8 @@
     -------
     list of Effect
         The same permit again; a refusal if the permit has expired meanwhile; nothing
-        while the coordinator may not grant or an endpoint of the permit is closed.
+        while the coordinator may not grant, an endpoint of the permit is closed or
+        its limit has fallen below the permits counted on it.
     """
     now = state.now
     key = message.request_id, message.attempt
@@ -51,7 +52,7 @@
             )
         ]
     may_repeat = grant_limits(state, group) is not None
-    if not may_repeat or not all(endpoint.open for endpoint in endpoints):
+    if not may_repeat or not all(map(_is_within_limit, endpoints)):
         # The entry node repeats its request later; the permit expires unused.
         return []
     for endpoint in endpoints:
@@ -73,6 +74,10 @@
     return [_grant_reply(group, message, sender, endpoints[-1], permit, parts)]
 
 
+def _is_within_limit(endpoint):
+    return endpoint.open and len(endpoint.permits_by_key) <= endpoint.limit
+
+
 def _grant_reply(group, message, sender, endpoint, permit, parts=()):
     return SendPeer(
         to=sender,
--- a/src/savoryhill/core/routing/permits.py
+++ b/src/savoryhill/core/routing/permits.py
@@ -146,6 +146,7 @@
                 # A load report that lists the stream would have set the phase to
                 # ``held``.
                 expired.append(permit)
+                group.ended_at_by_key[key] = now
                 free_permit(group, endpoint, key)
     return expired
 
@@ -168,6 +169,10 @@
         key = held.request_id, held.attempt
         listed.add(key)
         if key in group.ended_at_by_key:
+            # Remembered for as long as it is reported; otherwise it would be adopted
+            # after its tokens have been granted to another request.
+            del group.ended_at_by_key[key]
+            group.ended_at_by_key[key] = now
             continue
         endpoints = endpoints_with_permit(group, key)
         if not endpoints:
@@ -204,7 +209,7 @@
 
 
 def _adopt_permit(group, sender, held, now):
-    """Add a permit granted by a previous coordinator, or one expired too early."""
+    """Add a permit granted by a previous coordinator, or one that was not reported."""
     parts = held.parts or ()
     sizes = [(part.endpoint, part.n_tokens) for part in parts] or [
         (held.endpoint, held.prompt_tokens)
--- a/tests/core/routing/test_permits.py
+++ b/tests/core/routing/test_permits.py
@@ -1,9 +1,11 @@
 import pytest
 
 from savoryhill.bench import routing_driver as drive
+from savoryhill.config.model import Workspace
 from savoryhill.core.events import PeerReceived, ProcessResumed
 from savoryhill.core.messages import PlaceRequest
 from savoryhill.core.routing import groups
+from savoryhill.core.routing.permits import MAX_LOAD_REPORT_AGE_S, START_BY_S
 
 
 def one_engine(*, slots=1, warm=True, reported=True, **more):
@@ -17,6 +19,10 @@
     return len(drive.endpoint_state(driver, endpoint).permits_by_key)
 
 
+def group_of(driver):
+    return groups.own_group(driver.state, "group-0")
+
+
 class TestRepeatedRequest:
     def test_gets_the_same_permit(self):
         # An entry node that repeats its request because the reply was lost must not
@@ -149,6 +155,46 @@
         assert sum(reply is not None for reply in replies) == 4
 
 
+class TestUnusedPermits:
+    def test_permit_that_expired_unused_is_not_adopted_from_a_later_report(self):
+        # Guards against tokens that are counted twice: once the permit has expired,
+        # its tokens may be granted to a waiting request of the same workspace.
+        configuration = drive.make_configuration(
+            n_engines=1,
+            workspaces=(
+                Workspace(name="one", key_hashes=(), max_outstanding_tokens=30),
+            ),
+        )
+        driver = drive.make_driver(configuration)
+        drive.report_load(driver, "engine-0")
+        size = {"prompt_tokens": 10, "max_tokens": 10}
+        held = drive.make_held_permit(drive.place(driver, "a", **size), **size)
+        assert drive.place(driver, "b", **size, remaining_s=60.0) is None
+        drive.advance(driver, START_BY_S + MAX_LOAD_REPORT_AGE_S + 0.25)
+        drive.report_load(driver, "engine-0", streams=())
+        drive.advance(driver, 0.5)
+        assert driver.replies_by_key["b", 1].status == "granted"
+        for _ in range(20):
+            drive.report_permits(driver, held)
+            drive.report_load(driver, "engine-0", streams=())
+            drive.advance(driver, 1.0)
+            assert ("a", 1) not in group_of(driver).endpoints_by_permit
+
+    def test_repeated_request_gets_no_permit_above_a_limit_that_fell(self):
+        # Guards against two requests on a cold engine that bears one: it restarted
+        # with two unused permits and does not check the incarnation.
+        driver = drive.make_driver(
+            drive.make_configuration(n_engines=1, checks_incarnation=False)
+        )
+        drive.report_load(driver, "engine-0")
+        drive.place(driver, "a")
+        drive.place(driver, "b")
+        drive.report_load(driver, "engine-0", incarnation="2", warm=False)
+        assert drive.place(driver, "a") is None
+        drive.release(driver, driver.replies_by_key["b", 1], result="unused")
+        assert drive.place(driver, "a").status == "granted"
+
+
 class TestTakeover:
     @pytest.fixture
     def taken_over(self, monkeypatch):
