serving: a renewal without an answer ends no request

Change: only a refused renewal ends the request. After a renewal without an answer the next one follows after 0.25 s instead of 1 s.

--- a/src/savoryhill/serving/reservations.py
+++ b/src/savoryhill/serving/reservations.py
@@ -18,6 +18,8 @@
 
 RESERVATION_TTL_S = 3.0
 RENEWAL_INTERVAL_S = 1.0
+# Pause after a renewal without an answer, so that several fit into the remaining time.
+RETRY_INTERVAL_S = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,7 +32,10 @@
 
 @dataclass(kw_only=True, slots=True)
 class _HeldReservation:
-    """Reservation at one endpoint; it expires at ``expires_at`` at the earliest."""
+    """Reservation at one endpoint; it expires at ``expires_at`` at the earliest.
+
+    It may last longer, if a renewal arrived whose answer was lost.
+    """
 
     id: str
     endpoint: object
@@ -43,8 +48,9 @@
     """Reservations of one request at its helpers, released when the context ends.
 
     Each reservation is renewed from the moment at which it is made until the context
-    ends. ``lost`` is set to the first one that could not be renewed. The request is
-    then bound to be cut off, so its connection is aborted at once.
+    ends. ``lost`` is set to the first one whose renewal was refused: the endpoint has
+    given the memory away. The request is then bound to be cut off, so its connection
+    is aborted at once.
 
     Parameters
     ----------
@@ -130,14 +136,17 @@
     def _keep_renewed(self, held):
         """Renew a reservation until it is lost or the greenlet is killed.
 
-        An endpoint that refuses has not got the memory any more. A renewal without an
-        answer is tried again, until the reservation has expired.
+        A renewal without an answer may have arrived, so it is tried again and the
+        request goes on: the endpoint itself cuts it if the memory has expired.
         """
+        interval_s = RENEWAL_INTERVAL_S
         while self.lost is None:
-            self._clock.sleep(RENEWAL_INTERVAL_S)
+            self._clock.sleep(interval_s)
+            interval_s = RENEWAL_INTERVAL_S
             try:
                 self._request_memory(held)
             except SavoryhillError as error:
+                interval_s = RETRY_INTERVAL_S
                 self._log(
                     "reservation.not_renewed",
                     request=self._request_id,
@@ -145,8 +154,7 @@
                     expires_in_s=round(held.expires_at - self._clock.monotonic(), 3),
                     cause=str(error),
                 )
-                is_refused = isinstance(error, EndpointRefusedError)
-                if is_refused or self._clock.monotonic() >= held.expires_at:
+                if isinstance(error, EndpointRefusedError):
                     self._lose(held, str(error))
 
     def _lose(self, held, cause):
