--- a/src/savoryhill/core/scheduling/engine_choice.py
+++ b/src/savoryhill/core/scheduling/engine_choice.py
@@ -84,7 +84,7 @@
             engine.zone != job.zone,
             pending_s,
             -len(engine.jobs_by_id),
-            engine.id,
+            engine.rank,
         )
 
     return (min(suitable, key=sort_key),) if suitable else None
@@ -92,7 +92,7 @@
 
 def _choose_several(job, candidates, prefill_s, max_long_engines):
     """Return the fewest engines that each prefill an equal part in time, or None."""
-    most_available_first = sorted(candidates, key=lambda item: -item[0])
+    most_available_first = sorted(candidates, key=lambda item: (-item[0], item[1].rank))
     max_parts = min(
         len(most_available_first), MAX_PARTS, int(prefill_s / MIN_PREFILL_PART_S)
     )
--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from savoryhill.core.scheduling.engine_profile import (
     EngineProfile,
@@ -69,7 +70,8 @@
     ``prefill_s_by_job_id`` the duration of each unfinished prefill, and
     ``reserved_tokens_by_job_id`` the memory reserved for jobs that other engines
     generate. ``prefill_ends_at`` is the predicted end of all prefill. ``n_failures``
-    and ``n_refusals`` count since the last first event of a job.
+    and ``n_refusals`` count since the last first event of a job. ``rank`` orders
+    engines that are equally good, in another order on each node.
     """
 
     id: str
@@ -77,6 +79,7 @@
     zone: str
     slots: int
     profile: EngineProfile
+    rank: int = 0
     jobs_by_id: dict[str, PlacedJob] = field(default_factory=dict)
     prefill_s_by_job_id: dict[str, float] = field(default_factory=dict)
     reserved_tokens_by_job_id: dict[str, int] = field(default_factory=dict)
@@ -201,6 +204,15 @@
 GAP_SHARE = 0.8
 
 
+def engine_rank(node, engine_id):
+    """Return a number by which a node orders engines that are equally good.
+
+    Load pattern: all nodes have lost their leader and each places its own jobs, without
+    knowing those of the others. With one order for all they would use the same engines.
+    """
+    return crc32(f"{node}/{engine_id}".encode())
+
+
 def job_prefill_s(engine, job):
     """Predict the seconds in which a single engine prefills a job's prompt."""
     return prefill_s(engine.profile, job.prompt_tokens)
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -16,6 +16,7 @@
     EngineState,
     Job,
     PlacedJob,
+    engine_rank,
     job_prefill_s,
 )
 from savoryhill.core.scheduling.long_prefill import (
@@ -39,7 +40,7 @@
 
 @dataclass(kw_only=True)
 class ServiceScheduler:
-    """Queue of jobs and state of the engines of one service.
+    """Queue of jobs and state of the engines of one service, on the node ``node``.
 
     ``max_grants_per_s`` limits the grants to each engine in a second, so that a cold
     engine is not overloaded; 0 means no limit. ``claimed_engine_ids_by_job_id`` holds
@@ -47,6 +48,7 @@
     """
 
     service: str
+    node: str = ""
     max_grants_per_s: float = 0.0
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     placed_by_id: dict[str, PlacedJob] = field(default_factory=dict)
@@ -79,6 +81,7 @@
                     zone=endpoint.zone,
                     slots=endpoint.slots,
                     profile=profile,
+                    rank=engine_rank(self.node, endpoint.id),
                 )
             else:
                 engine.set_capacity(slots=endpoint.slots, profile=profile)
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -85,6 +85,7 @@
             n_nodes=lambda: len(cluster_view.nodes_by_name),
         )
         scheduling = Scheduling(
+            node=settings.node,
             clock=clock,
             cluster_view=cluster_view,
             record=record,
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -25,13 +25,16 @@
 
 
 class Scheduling:
-    """One scheduler per service, updated from the cluster view.
+    """One scheduler per service on the node ``node``, updated from the cluster view.
 
     ``record(event, fields)`` logs each decision. ``is_standalone()`` returns whether
     this node schedules only its own jobs.
     """
 
-    def __init__(self, *, clock, cluster_view, record, is_standalone, repeat_budgets):
+    def __init__(
+        self, *, node, clock, cluster_view, record, is_standalone, repeat_budgets
+    ):
+        self._node = node
         self._clock = clock
         self._cluster_view = cluster_view
         self._record = record
@@ -52,7 +55,7 @@
                 continue
             scheduler = self.schedulers_by_service.get(service.name)
             if scheduler is None:
-                scheduler = ServiceScheduler(service=service.name)
+                scheduler = ServiceScheduler(service=service.name, node=self._node)
                 self.schedulers_by_service[service.name] = scheduler
             self._max_grants_per_s_by_service[service.name] = service.cold_per_s
             scheduler.set_engines(
