serving: a node that stops waits for requests that it has read in part

Cause: the drain ended once nothing was running, but a request of which a part had arrived did not count, so a client whose request took two packets was cut off without an answer. Change: connections on which a part of a request has arrived count as well, at most until the header timeout or the end of the grace period.

--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -63,6 +63,7 @@
         self._sock = sock
         configuration = context.cluster_view.configuration
         self._has_served = False
+        self._is_reading = False
         self._limits = configuration.limits if configuration else ClientLimits()
         self._reader = RequestReader(
             max_header_bytes=self._limits.max_header_bytes,
@@ -73,11 +74,20 @@
         """Serve requests until either side closes the connection."""
         keep_alive = True
         while keep_alive:
-            request = self._next_request()
+            try:
+                request = self._next_request()
+            finally:
+                self._set_reading(False)
             if request is None:
                 return
             keep_alive = self._serve_request(request)
 
+    def _set_reading(self, is_reading):
+        """Count this connection while a part of a request has arrived on it."""
+        if is_reading != self._is_reading:
+            self._is_reading = is_reading
+            self._context.n_reading += 1 if is_reading else -1
+
     def _serve_request(self, request):
         exchange = Exchange(context=self._context, sock=self._sock, request=request)
         with DisconnectWatcher(
@@ -118,6 +128,7 @@
                 self._refuse(reader.error_status)
                 return None
             now = self._context.clock.monotonic()
+            self._set_reading(reader.started)
             if not reader.started:
                 started_at = now
                 # A new connection may carry a request that was sent before the
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -19,7 +19,8 @@
     """State and services of one node.
 
     ``log(event, **fields)`` writes a log line. ``draining_since`` is None until the
-    node shuts down.
+    node shuts down. ``n_reading`` counts the requests that have arrived in part,
+    ``n_running`` those that are being served.
     """
 
     settings: object
@@ -33,6 +34,7 @@
     log: object
     draining_since: float | None = None
     is_configured: Event = field(default_factory=Event)
+    n_reading: int = 0
     n_running: int = 0
     n_started: int = 0
 
@@ -50,6 +52,10 @@
         """Tell whether the node is shutting down."""
         return self.draining_since is not None
 
+    def is_idle(self):
+        """Tell whether no request is being read or served."""
+        return self.n_reading == 0 and self.n_running == 0
+
     def is_ready(self):
         """Tell whether the node accepts new connections."""
         return not self.is_draining() and self.cluster_view.configuration is not None
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -256,7 +256,7 @@
                 self.reload()
 
     def drain(self):
-        """Wait until running requests finish, at most for the grace period.
+        """Wait until requests are read and finished, at most for the grace period.
 
         New connections are served meanwhile, at least for ``DRAIN_ACCEPT_S`` if the
         grace period allows.
@@ -271,7 +271,7 @@
         min_accept_until = min(ends_at, started_at + DRAIN_ACCEPT_S)
         while context.clock.monotonic() < ends_at:
             context.clock.sleep(DRAIN_CHECK_S)
-            if context.n_running == 0 and context.clock.monotonic() >= min_accept_until:
+            if context.is_idle() and context.clock.monotonic() >= min_accept_until:
                 break
         self._record("node.stopped", {"unfinished": context.n_running})
 
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -144,6 +144,11 @@
         connection = self.open(path, node=node, method=method, body=body, **headers)
         return self.finish(connection)
 
+    def connect(self, *, node=0):
+        """Open a connection to a node as a client does."""
+        address = self.nodes[node].context.settings.client_address
+        return open_connection(address, timeout_s=1.0)
+
     def open(self, path, *, node=0, method=b"POST", body=b"", **headers):
         """Send a request and return the connection on which its response arrives."""
         self.n_requests += 1
@@ -157,8 +162,7 @@
             values["x-token-counts"] = "1000,100"
         values.update({k.replace("_", "-"): v for k, v in headers.items()})
         pairs = [(k.encode(), v.encode()) for k, v in values.items() if v is not None]
-        address = self.nodes[node].context.settings.client_address
-        connection = open_connection(address, timeout_s=1.0)
+        connection = self.connect(node=node)
         message = encode_request(method, path.encode(), pairs, body)
         connection.send(message, timeout_s=1.0)
         return connection
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -6,12 +6,18 @@
 import gevent
 import pytest
 
+from savoryhill.serving import process
 from savoryhill.serving.leadership import choose_leader
 from savoryhill.serving.model import NodeRecord
 from savoryhill.serving.watcher import FALLBACK_AGE_S
 from savoryhill.soak.proxy import FaultProxy
 from savoryhill.standins.serving import store as faults
 
+STOCK_REQUEST = (
+    b"GET /stock/x HTTP/1.1\r\nhost: site.example\r\nauthorization: Bearer key-a\r\n"
+    b"x-attempt-id: %b\r\n\r\n"
+)
+
 
 def running_jobs(node):
     """Return the ids of the jobs placed by a node's schedulers."""
@@ -320,3 +326,44 @@
         assert status == 200
         assert headers[b"connection"] == b"close"
         draining.kill()
+
+    @pytest.mark.parametrize("is_new", [True, False], ids=["new", "reused"])
+    def test_request_whose_end_is_still_on_its_way_is_served(
+        self, deployment, monkeypatch, is_new
+    ):
+        # Guards against a request that a stopping node has read in part and then cuts
+        # off, because nothing is running any more.
+        monkeypatch.setattr(process, "DRAIN_ACCEPT_S", 0.1)
+        deployment.add_endpoint("app-1", service="app")
+        node = deployment.add_node()
+        connection = deployment.connect()
+        if not is_new:
+            connection.send(STOCK_REQUEST % b"first", timeout_s=1.0)
+            connection.receive_all(timeout_s=2.0)
+            connection.reader.__init__()
+        message = STOCK_REQUEST % b"second"
+        connection.send(message[:40], timeout_s=1.0)
+        gevent.sleep(0.1)
+        draining = gevent.spawn(node.drain)
+        deployment.wait_until(node.context.is_draining)
+        gevent.sleep(0.3)
+        assert not draining.ready()
+        connection.send(message[40:], timeout_s=1.0)
+        status, headers, _, complete = deployment.finish(connection)
+        assert (status, complete) == (200, True)
+        assert headers[b"connection"] == b"close"
+        draining.join(timeout=2.0)
+        assert draining.ready()
+
+    def test_client_that_never_ends_its_request_does_not_delay_the_stop(
+        self, deployment, monkeypatch
+    ):
+        monkeypatch.setattr(process, "DRAIN_ACCEPT_S", 0.1)
+        monkeypatch.setattr(process, "GRACE_MARGIN_S", 2.5)
+        node = deployment.add_node()
+        connection = deployment.connect()
+        connection.send(STOCK_REQUEST[:40], timeout_s=1.0)
+        gevent.sleep(0.1)
+        with gevent.Timeout(2.0):
+            node.drain()
+        connection.close()
