platform, peers: odd answers of the store and odd frames are typed errors

Cause, found by fuzzing: an answer without one of its fields, or with another type, raised KeyError or AttributeError, which ends the task that keeps the view of the store current for good; a page that named itself as the next one was read without end; a frame whose struct can't be read raised ValueError. Change: fields are checked and missing ones are an unknown outcome of the call, a page must lead on, and an unreadable struct is a PeerError.

--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -202,6 +202,19 @@
     return header + sender + body
 
 
+def _decode_struct(message_type, content, *, is_packed):
+    struct_type = getattr(_schema(), message_type.__name__)
+    if is_packed:
+        reader = struct_type.from_bytes_packed(
+            content, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        )
+        return _from_reader(message_type, reader)
+    with struct_type.from_bytes(
+        content, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+    ) as reader:
+        return _from_reader(message_type, reader)
+
+
 def decode(data):
     """Decode an envelope whose content has been authenticated.
 
@@ -219,7 +232,8 @@
     ------
     PeerError
         If the header is truncated, its sender is not UTF-8, the protocol version or
-        the message type is unknown, or a compressed field cannot be decompressed.
+        the message type is unknown, the struct cannot be read, or a compressed field
+        cannot be decompressed.
     """
     if len(data) < _HEADER.size:
         raise PeerError(
@@ -247,17 +261,12 @@
     except UnicodeDecodeError as error:
         raise PeerError(f"sender's name is not UTF-8: {error}") from error
     message_type = MESSAGE_TYPES[type_number]
-    struct_type = getattr(_schema(), message_type.__name__)
-    if packed:
-        reader = struct_type.from_bytes_packed(
-            data[start:], traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
-        )
-        message = _from_reader(message_type, reader)
-    else:
-        with struct_type.from_bytes(
-            data[start:], traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
-        ) as reader:
-            message = _from_reader(message_type, reader)
+    try:
+        message = _decode_struct(message_type, data[start:], is_packed=bool(packed))
+    except (capnp.KjException, ValueError) as error:
+        raise PeerError(
+            f"{message_type.__name__} of {len(data)} bytes cannot be read: {error}"
+        ) from error
     return Envelope(
         sender=sender,
         incarnation=incarnation,
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -54,11 +54,29 @@
     for item in items:
         try:
             rows.append(_decode_row(item))
-        except (KeyError, TypeError, ValueError):
+        except (AttributeError, KeyError, TypeError, ValueError):
+            # Written by another writer; it names nothing that can be used.
             continue
     return tuple(rows)
 
 
+def _field(content, name, field_type):
+    """Return a field of an answer.
+
+    Raises
+    ------
+    OutcomeUnknownError
+        If it is missing or of another type. The call may have taken effect.
+    """
+    value = content.get(name)
+    if not isinstance(value, field_type) or isinstance(value, bool):
+        raise OutcomeUnknownError(
+            f"store: field {name!r} of the answer should be "
+            f"{field_type.__name__}, got {value!r:.40}"
+        )
+    return value
+
+
 class Store:
     """Client of the store at ``address``; each call opens a connection of its own.
 
@@ -133,12 +151,18 @@
             if after:
                 target += f"&after={quote(after, safe='')}"
             content = self._require_ok(self._call(b"GET", target))
-            items = content.get("items", [])
-            rows += _decode_rows(items)
-            revision = content["asOf"] if revision is None else revision
-            if not content.get("truncated") or not items:
+            items = _field(content, "items", list)
+            page = _decode_rows(items)
+            rows += page
+            if revision is None:
+                revision = _field(content, "asOf", int)
+            if not content.get("truncated"):
                 return StoreRows(rows=tuple(rows), revision=revision)
-            after = items[-1]["key"]
+            if not page or page[-1].key <= after:
+                raise OutcomeUnknownError(
+                    f"store: a page of {prefix!r} after {after!r} leads no further"
+                )
+            after = page[-1].key
 
     def watch(self, prefix, *, after_revision, wait_s):
         """Wait up to ``wait_s`` for changes after a revision.
@@ -161,15 +185,15 @@
             )
         content = self._require_ok(response)
         return StoreRows(
-            rows=_decode_rows(content.get("events", [])), revision=content["asOf"]
+            rows=_decode_rows(_field(content, "events", list)),
+            revision=_field(content, "asOf", int),
         )
 
     def grant_lease(self, *, ttl_s):
         """Create a lease and return its id."""
         body = {"ttlMs": int(ttl_s * 1000)}
-        return self._require_ok(self._call(b"POST", names.STORE_LEASE_PATH, body))[
-            "lease"
-        ]
+        content = self._require_ok(self._call(b"POST", names.STORE_LEASE_PATH, body))
+        return _field(content, "lease", int)
 
     def renew_lease(self, lease):
         """Renew a lease; return False if it has expired."""
@@ -183,9 +207,10 @@
         """Write a row without a precondition and return its revision."""
         row = {"key": key, "value": b64encode(value).decode(), "lease": lease}
         body = {"precondition": [], "writes": [row], "remove": []}
-        return self._require_ok(
+        content = self._require_ok(
             self._call(b"POST", names.STORE_TRANSACTION_PATH, body)
-        )["revision"]
+        )
+        return _field(content, "revision", int)
 
     def _require_ok(self, response):
         status, content = response
--- /dev/null
+++ b/tests/platform/test_untrusted_content.py
@@ -0,0 +1,126 @@
+"""Fuzzing of what the store and its writers send: odd content ends in a typed error."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savoryhill.errors import PlatformError
+from savoryhill.platform import decode
+from savoryhill.platform.store import Store, StoreRow
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(["ready", "draining", "streaming", "AAAA", "1.2.3.4:80", ":", ""])
+)
+FIELDS = st.sampled_from(
+    [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "coldRemainingMs",
+        "sequence",
+        "born",
+        "items",
+        "asOf",
+        "events",
+        "key",
+        "value",
+        "revision",
+        "deleted",
+        "lease",
+        "truncated",
+        "routes",
+        "services",
+        "limits",
+        "tenants",
+        "name",
+        "host",
+        "pathPrefix",
+        "kind",
+        "timeoutMs",
+        "targetLatencyMs",
+        "targetGapMs",
+        "priority",
+        "attempts",
+        "engine",
+        "kvTokens",
+        "stride",
+        "step_ms",
+        "read_per_s",
+        "chunk",
+        "coldPerS",
+        "keys",
+        "targets",
+        "weight",
+        "capacity",
+        "resumable",
+        "publicAccess",
+        "idleTimeoutMs",
+        "headerTimeoutMs",
+    ]
+)
+JSON = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(FIELDS, inner, max_size=8)
+    ),
+    max_leaves=20,
+)
+OBJECTS = st.dictionaries(FIELDS, JSON, max_size=12)
+
+
+def make_store(status, content):
+    store = Store(address="127.0.0.1:9", clock=None, observe=None)
+    store._call = lambda *_args, **_kwargs: (status, content)
+    return store
+
+
+CALLS = {
+    "read_prefix": lambda store: store.read_prefix("op/"),
+    "watch": lambda store: store.watch("op/", after_revision=1, wait_s=0.5),
+    "grant_lease": lambda store: store.grant_lease(ttl_s=4.0),
+    "renew_lease": lambda store: store.renew_lease(3),
+    "put": lambda store: store.put("nodes/a", b"{}"),
+}
+
+
+class TestStoreAnswers:
+    @pytest.mark.parametrize("call", CALLS)
+    @settings(max_examples=300, deadline=None)
+    @given(content=JSON | OBJECTS, status=st.sampled_from([200, 200, 204, 410, 500]))
+    def test_odd_answer_is_an_error_of_the_platform(self, call, content, status):
+        # Guards against a background task that ends for ever with an untyped error,
+        # such as the one that keeps the view of the store current.
+        try:
+            CALLS[call](make_store(status, content))
+        except PlatformError as error:
+            assert str(error)
+
+
+class TestRows:
+    @settings(max_examples=1_000, deadline=None)
+    @given(content=JSON | OBJECTS)
+    def test_row_of_any_json_is_decoded_or_none(self, content):
+        value = json.dumps(content).encode()
+        for key in ("servers/x", "nodes/x", "op/config"):
+            row = StoreRow(key=key, value=value, revision=3)
+            decode.decode_endpoint(row)
+            decode.decode_node(row)
+        decode.decode_configuration(value)
+
+    @settings(max_examples=300, deadline=None)
+    @given(value=st.binary(max_size=64))
+    def test_row_of_any_bytes_is_decoded_or_none(self, value):
+        row = StoreRow(key="servers/x", value=value, revision=3)
+        decode.decode_endpoint(row)
+        decode.decode_node(row)
+        decode.decode_configuration(value)
