--- a/src/savoryhill/soak/observations.py
+++ b/src/savoryhill/soak/observations.py
@@ -1,5 +1,6 @@
 """Observations of clients and endpoints, and the invariants checked on them."""
 
+import re
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
@@ -16,6 +17,11 @@
 REPEAT_RATIO = 0.2
 REPEAT_SLACK = 100
 REPEAT_WINDOW_S = 10.0
+_COMMENT = re.compile(rb"^:[^\n]*\n\n", re.MULTILINE)
+# Bytes without end reach their limit at once; a stalled stream ends when its client
+# would leave.
+ENDLESS_BOUND_S = 1.0
+STALLED_BOUND_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -108,10 +114,12 @@
 
 def _check_response(request, full_stream, report):
     if request.kind in ("chat", "once", "huge"):
-        if request.is_complete and request.body != full_stream:
-            report("whole answers", request, f"complete with {request.body[-60:]!r}")
-        elif not full_stream.startswith(request.body):
-            report("events in order", request, f"got {request.body[-60:]!r}")
+        # A stalled endpoint sends whole comments between its events.
+        body = _COMMENT.sub(b"", request.body)
+        if request.is_complete and body != full_stream:
+            report("whole answers", request, f"complete with {body[-60:]!r}")
+        elif not full_stream.startswith(body):
+            report("events in order", request, f"got {body[-60:]!r}")
     elif request.is_complete and not request.body.startswith(b"done by "):
         report("whole answers", request, f"got {request.body[:60]!r}")
 
@@ -256,6 +264,34 @@
     ]
 
 
+def check_endless_responses(endless, *, is_disturbed):
+    """Check that nodes close the connections of responses that have no end.
+
+    Parameters
+    ----------
+    endless : iterable of (str, str, float, float)
+        Fault of the endpoint, attempt id, and start and end of each such response.
+    is_disturbed : callable
+        Tells whether a span, from start to end, overlaps a disturbance.
+
+    Returns
+    -------
+    list of Finding
+    """
+    findings = []
+    for fault, attempt_id, started_at, ended_at in endless:
+        bound_s = STALLED_BOUND_S if fault == "stalled" else ENDLESS_BOUND_S
+        lasted_s = ended_at - started_at
+        if lasted_s > bound_s and not is_disturbed(started_at, ended_at):
+            findings.append(
+                Finding(
+                    invariant="responses without an end are cut",
+                    detail=f"{fault} of {attempt_id} lasted {lasted_s:.2f} s",
+                )
+            )
+    return findings
+
+
 def check_excluded_endpoints(arrivals, exclusions, *, bound_s, is_disturbed, invariant):
     """Check that endpoints receive nothing while they are excluded from routing.
 
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -11,6 +11,8 @@
 STORE_FAULTS = ("store_silent", "store_busy", "store_reset", "store_lost", "store_slow")
 STORE_DATA_FAULTS = ("store_forgets", "store_lapses")
 ENDPOINT_FAULTS = ("cut", "failing", "full", "silent", "truncated", "foreign", "extra")
+# Drawn apart from the others, so that the plans of earlier seeds stay what they were.
+ENDLESS_FAULTS = ("endless_head", "endless_body", "stalled")
 CHANGES = ("revoke", "drain", "evacuate", "configure")
 MEAN_FAULT_INTERVAL_S = 0.8
 MAX_FAULT_LENGTH_S = 4.0
@@ -21,6 +23,7 @@
 # Gap between the two phases, in which the last disturbances end.
 SETTLE_S = 4.0
 MEAN_ENDPOINT_FAULT_INTERVAL_S = 0.4
+MEAN_ENDLESS_INTERVAL_S = 2.0
 MEAN_CHANGE_INTERVAL_S = 1.0
 # Time without new faults at the end, in which requests must be served again.
 FINAL_QUIET_S = 6.0
@@ -62,6 +65,9 @@
         *_plan_undisturbed_phase(
             random, disturbed_until + SETTLE_S, length_s - FINAL_QUIET_S
         ),
+        *_plan_endless_responses(
+            Random(f"endless/{seed}"), until=length_s - FINAL_QUIET_S
+        ),
     ]
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
@@ -110,3 +116,17 @@
                 length_s=0.5,
             )
             at_s += random.expovariate(1.0 / mean_interval_s)
+
+
+def _plan_endless_responses(random, *, until):
+    """Yield endpoint faults whose responses go on until the node closes them."""
+    at_s = random.expovariate(1.0 / MEAN_ENDLESS_INTERVAL_S)
+    while at_s < until:
+        kind = random.choice(ENDLESS_FAULTS)
+        yield Fault(
+            at_s=at_s,
+            kind=f"endpoint_{kind}",
+            target=random.randrange(1_000),
+            length_s=0.5,
+        )
+        at_s += random.expovariate(1.0 / MEAN_ENDLESS_INTERVAL_S)
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -297,6 +297,10 @@
                 [item for endpoint in endpoints for item in endpoint.lapsed],
                 is_disturbed=is_disturbed,
             ),
+            *checks.check_endless_responses(
+                [item for endpoint in endpoints for item in endpoint.endless],
+                is_disturbed=is_disturbed,
+            ),
             *self._check_released_reservations(),
             *self._check_recovery_after_faults(ends_at),
         ]
--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -12,6 +12,9 @@
 - ``unframed``: the response has no length and ends when the connection closes
 - ``unframed_reset``: like ``unframed``, but the connection is reset within the body
 - ``encoded``: the response has a content encoding that was not requested
+- ``endless_head``: headers are sent without end, until the caller closes
+- ``endless_body``: the request is run and answered with 500 and a body without end
+- ``stalled``: the stream ends after its first event, but comments go on being sent
 """
 
 import json
@@ -27,6 +30,10 @@
 from savoryhill.standins.serving.server import start_server
 
 DEFAULT_EVENTS_PER_STREAM = 6
+STALL_COMMENT_INTERVAL_S = 0.2
+ENDLESS_HEADERS = b"x-header: value\r\n" * 64
+ENDLESS_BODY = encode_chunk(b"x" * 1024)
+COMMENT = encode_chunk(b": still there\n\n")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,7 +56,8 @@
     cut because a reservation of it had expired. ``fleet`` holds the endpoints that may
     help this one; a stream with helpers sends its events at
     ``helped_event_interval_s``. ``order_status`` is the status with which reservations
-    are refused, if they are.
+    are refused, if they are. ``endless`` holds the fault, attempt id, start and end of
+    each response that went on until the caller closed.
     """
 
     id: str
@@ -66,6 +74,7 @@
     fleet: object = ()
     order_status: int | None = None
     lapsed: list = field(default_factory=list)
+    endless: list = field(default_factory=list)
 
     def handle(self, sock, request):
         """Respond to a request; return whether the connection stays open."""
@@ -91,9 +100,14 @@
             return _send(sock, 503, headers, b"")
         if fault == "silent":
             gevent.sleep(3600.0)
+        if fault == "endless_head":
+            return self._send_endlessly(sock, attempt, fault)
         if fault == "foreign":
             attempt = b"of-another-request"
         headers = [(names.ATTEMPT_ID, attempt), (names.SIGNATURE, self.id.encode())]
+        if fault == "endless_body":
+            head = encode_head(500, [*headers, (b"transfer-encoding", b"chunked")])
+            return self._send_endlessly(sock, attempt, fault, head)
         if fault == "failing":
             return _send(sock, 500, headers, b"failed")
         if not self._holds_all(_reservations_of(request)):
@@ -160,6 +174,9 @@
                     sock.sendall(encode_chunk(event[:9]))
                     return self._break_stream(sock, fault)
                 sock.sendall(encode_chunk(event))
+                if fault == "stalled":
+                    attempt = request.header(names.ATTEMPT_ID) or b""
+                    return self._send_endlessly(sock, attempt, fault)
             sock.sendall(LAST_CHUNK)
         except OSError:
             self.n_cancelled += 1
@@ -169,6 +186,25 @@
             self.ended_at_by_attempt[attempt] = self.clock.monotonic()
         return True
 
+    def _send_endlessly(self, sock, attempt, fault, head=b""):
+        """Send bytes that complete no response until the caller closes."""
+        started_at = self.clock.monotonic()
+        repeated, interval_s = {
+            "endless_head": (ENDLESS_HEADERS, 0.0),
+            "endless_body": (ENDLESS_BODY, 0.0),
+            "stalled": (COMMENT, STALL_COMMENT_INTERVAL_S),
+        }[fault]
+        try:
+            sock.sendall(head or (b"HTTP/1.1 200 OK\r\n" if not interval_s else b""))
+            while True:
+                sock.sendall(repeated)
+                gevent.sleep(interval_s)
+        except OSError:
+            self.endless.append(
+                (fault, attempt.decode(), started_at, self.clock.monotonic())
+            )
+        return False
+
     def _record_lapse(self, request):
         attempt = (request.header(names.ATTEMPT_ID) or b"").decode()
         self.lapsed.append((attempt, self.clock.monotonic()))
--- a/tests/soak/test_observations.py
+++ b/tests/soak/test_observations.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from savoryhill.soak import observations as checks
 from savoryhill.soak.plan import make_plan
 
@@ -114,6 +116,39 @@
         assert make_plan(5, length_s=30.0) != make_plan(6, length_s=30.0)
 
 
+class TestComments:
+    COMMENT = b": still there\n\n"
+
+    def test_comments_between_events_are_allowed(self):
+        events = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4)]
+        body = self.COMMENT.join(events) + self.COMMENT
+        assert check(replace(REQUEST, body=body)) == []
+
+    def test_event_that_is_missing_beside_a_comment_is_found(self):
+        # Guards against a check that overlooks a lost event beside comments.
+        body = FULL_STREAM.replace(b"id: 2\ndata: piece 2\n\n", self.COMMENT)
+        assert check(replace(REQUEST, body=body)) == ["whole answers"]
+        broken = replace(REQUEST, body=body, is_complete=False)
+        assert check(broken) == ["events in order"]
+
+
+class TestEndlessResponses:
+    @pytest.mark.parametrize(
+        ("fault", "lasted_s", "is_found"),
+        [
+            ("endless_head", 0.5, False),
+            ("endless_body", 1.5, True),
+            ("stalled", 2.5, False),
+            ("stalled", 3.5, True),
+        ],
+    )
+    def test_response_that_goes_on_is_found(self, fault, lasted_s, is_found):
+        found = checks.check_endless_responses(
+            [(fault, "r1", 10.0, 10.0 + lasted_s)], is_disturbed=lambda *_: False
+        )
+        assert invariants(found) == ["responses without an end are cut"] * is_found
+
+
 class TestLapsedReservations:
     def test_lapse_without_a_disturbance_is_found(self):
         # Guards against reservations that nobody renews: their streams are cut while
