--- a/src/savoryhill/serving/cluster_view.py
+++ b/src/savoryhill/serving/cluster_view.py
@@ -38,9 +38,9 @@
     ``lapsed_until`` maps endpoints whose rows expired during an outage to the time
     until which they are still used. ``removals`` holds the rows removed after the
     revision ``removals_since``, oldest first. ``skipped_spans`` holds the revisions
-    before and after each snapshot that replaced changes this view has not seen one by
-    one. ``record(event, fields)`` logs changes of
-    the view; the functions in ``on_change`` are called after each update.
+    before and after each snapshot that replaced changes which this view has not seen
+    one by one. ``record(event, fields)`` logs changes of the view; the functions in
+    ``on_change`` are called after each update.
     """
 
     clock: object
--- a/tests/serving/test_cluster_view.py
+++ b/tests/serving/test_cluster_view.py
@@ -36,6 +36,17 @@
     ]
 
 
+def remaining_rows(changes):
+    """Return the rows that are left after changes."""
+    rows_by_key = {row.key: row for row in changes}
+    return [row for row in rows_by_key.values() if not row.is_deleted]
+
+
+def apply_snapshot(view, changes, revision):
+    """Apply the content of a store whose changes are given up to a revision."""
+    view.apply(remaining_rows(changes[:revision]), revision, is_complete=True)
+
+
 class TestUpdates:
     def test_update_after_a_gap_is_not_applied(self):
         # Guards against applying the newest change while earlier changes are missing,
@@ -68,11 +79,7 @@
             base_revision = data.draw(st.integers(0, len(rows) - 1))
             end_revision = data.draw(st.integers(base_revision + 1, len(rows)))
             if data.draw(st.booleans()):
-                rows_by_key = {row.key: row for row in rows[:end_revision]}
-                remaining_rows = [
-                    row for row in rows_by_key.values() if not row.is_deleted
-                ]
-                view.apply(remaining_rows, end_revision, is_complete=True)
+                apply_snapshot(view, rows, end_revision)
             else:
                 view.apply(
                     rows[base_revision:end_revision],
@@ -91,9 +98,7 @@
         snapshot_revision = data.draw(st.integers(0, len(rows)))
         behind_revision = data.draw(st.integers(0, len(rows)))
         ahead, behind = make_view(), make_view()
-        rows_by_key = {row.key: row for row in rows[:snapshot_revision]}
-        remaining_rows = [row for row in rows_by_key.values() if not row.is_deleted]
-        ahead.apply(remaining_rows, snapshot_revision, is_complete=True)
+        apply_snapshot(ahead, rows, snapshot_revision)
         ahead.apply(
             rows[snapshot_revision:], len(rows), base_revision=snapshot_revision
         )
@@ -115,9 +120,7 @@
         behind_revision = data.draw(st.integers(0, len(rows)))
         ahead, behind = make_view(), make_view()
         ahead.apply(rows[:known_revision], known_revision)
-        rows_by_key = {row.key: row for row in rows[:snapshot_revision]}
-        remaining_rows = [row for row in rows_by_key.values() if not row.is_deleted]
-        ahead.apply(remaining_rows, snapshot_revision, is_complete=True)
+        apply_snapshot(ahead, rows, snapshot_revision)
         ahead.apply(
             rows[snapshot_revision:], len(rows), base_revision=snapshot_revision
         )
@@ -125,11 +128,7 @@
         missing = ahead.rows_after(behind_revision)
         if missing is None:
             is_between = known_revision < behind_revision < snapshot_revision
-            knew_nothing = not any(
-                not row.is_deleted
-                for row in {r.key: r for r in rows[:known_revision]}.values()
-            )
-            assert is_between or knew_nothing
+            assert is_between or not remaining_rows(rows[:known_revision])
         else:
             assert behind.apply(missing, len(rows), base_revision=behind_revision)
             assert behind.evacuated_zones == ahead.evacuated_zones
