config: answers' text and conflicts apart from applying them

apply.py had grown to 408 lines with two jobs: writing a revision, and merging and attributing the changes of others. No behaviour changed; tests/config, tests/core/configuration and tests/cli pass (151).

--- a/src/savoryhill/bench/configuration.py
+++ b/src/savoryhill/bench/configuration.py
@@ -15,7 +15,8 @@
     run_until_in_force,
     start_configured_cores,
 )
-from savoryhill.config.apply import apply_answers, plain_answers, with_taken_from
+from savoryhill.config.answer_text import plain_answers, with_taken_from
+from savoryhill.config.apply import apply_answers
 from savoryhill.config.findings import dump_yaml
 from savoryhill.config.push import push_until_in_force
 from savoryhill.config.store import make_store, read_current
--- a/src/savoryhill/cli/questionnaire.py
+++ b/src/savoryhill/cli/questionnaire.py
@@ -20,7 +20,9 @@
     deferred,
     print_result,
 )
-from savoryhill.config.apply import ConflictError, apply_answers, plain_answers
+from savoryhill.config.answer_text import plain_answers
+from savoryhill.config.apply import apply_answers
+from savoryhill.config.conflicts import ConflictError
 from savoryhill.config.findings import QuestionnaireError, findings_to_dicts
 from savoryhill.config.merge import compare_answers
 from savoryhill.config.questionnaire import load_questionnaire
--- a/src/savoryhill/config/apply.py
+++ b/src/savoryhill/config/apply.py
@@ -3,34 +3,29 @@
 Changes of other operators since the revision that the answers are based on are merged.
 """
 
-import re
-from copy import deepcopy
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 
+from savoryhill.config.answer_text import plain_answers, with_taken_from
+from savoryhill.config.conflicts import ConflictError, merge_with_accepted
 from savoryhill.config.findings import Finding, QuestionnaireError, dump_yaml
 from savoryhill.config.merge import (
     Change,
     compare_answers,
-    merge_answers,
-    value_at,
 )
 from savoryhill.config.model import dump_configuration, load_configuration
 from savoryhill.config.questionnaire import (
     generate_configuration,
     load_questionnaire,
-    parse_answers,
 )
 from savoryhill.config.records import Record, compute_digest, pack_content
 from savoryhill.config.store import (
     copy_to_history,
     delete_expired_parts,
-    list_revisions,
     read_current,
     read_revision,
     replace_current,
 )
 from savoryhill.errors import (
-    ConfigurationError,
     OutcomeUnknownError,
     PlatformUnreachableError,
 )
@@ -38,35 +33,6 @@
 # An attempt fails only if another change was accepted in the meantime.
 MAX_ATTEMPTS = 20
 MAX_UNKNOWN_OUTCOMES = 5
-TAKEN_FROM = "taken_from"
-_TAKEN_FROM_LINE = re.compile(rf"^{TAKEN_FROM}:.*$", re.MULTILINE)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AttributedConflict:
-    """A path that another operator changed as well, with that change's author.
-
-    Operators see the field names in the command line's JSON output.
-    """
-
-    path: tuple[str, ...]
-    taken_from: object
-    mine: object
-    theirs: object
-    author: str
-    revision: int
-
-
-class ConflictError(ConfigurationError):
-    """A change cannot be applied to the accepted revision.
-
-    ``conflicts`` lists the conflicting paths with both values. It is empty if no path
-    conflicts, for example when the history no longer holds the file's revision.
-    """
-
-    def __init__(self, message, *, conflicts=()):
-        self.conflicts = tuple(conflicts)
-        super().__init__(message)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,21 +51,6 @@
     merged_with: tuple[int, ...] = ()
 
 
-def with_taken_from(text, revision):
-    """Return YAML answers with the revision they are based on set to ``revision``."""
-    line = f"{TAKEN_FROM}: {revision}"
-    if _TAKEN_FROM_LINE.search(text):
-        return _TAKEN_FROM_LINE.sub(line, text, count=1)
-    return f"{line}\n{text}"
-
-
-def plain_answers(text, *, place="answers"):
-    """Return answers as plain data, without the revision they are based on."""
-    values, _, _ = parse_answers(text, place=place)
-    # Copied because the parser caches the values and returns them for the same text.
-    return deepcopy({key: value for key, value in values.items() if key != TAKEN_FROM})
-
-
 def apply_answers(
     store,
     text,
@@ -256,7 +207,7 @@
         )
     merged_text, merged_with = text, ()
     if base < current_revision:
-        merged = _merge(
+        merged = merge_with_accepted(
             store, mine, theirs, base=base, current_revision=current_revision
         )
         merged_with = tuple(range(base + 1, current_revision + 1))
@@ -316,93 +267,3 @@
     )
     path = "journal.n_shards"
     raise QuestionnaireError([Finding(place=place, line=0, path=path, message=message)])
-
-
-def _merge(store, mine, theirs, *, base, current_revision):
-    """Merge answers based on an earlier revision with the accepted answers."""
-    ancestor = None
-    if base > 0:
-        ancestor = read_revision(store, base)
-        if ancestor is None:
-            raise ConflictError(
-                f"the answers were taken from revision {base}, which the history no "
-                f"longer holds; take revision {current_revision} and repeat the change"
-            )
-    ancestor_answers = plain_answers(ancestor.answers) if ancestor is not None else {}
-    merged, conflicts = merge_answers(ancestor_answers, mine, theirs)
-    attributed = [
-        _attribute_conflict(
-            store, conflict, base=base, current_revision=current_revision
-        )
-        for conflict in conflicts
-    ]
-    attributed += _find_reverted(
-        store,
-        ancestor_answers,
-        mine,
-        theirs,
-        base=base,
-        current_revision=current_revision,
-    )
-    if not attributed:
-        return merged
-    lines = [
-        f"{'.'.join(conflict.path)}: here {conflict.mine!r}, "
-        f"in revision {conflict.revision} of {conflict.author} {conflict.theirs!r}, "
-        f"before {conflict.taken_from!r}"
-        for conflict in attributed
-    ]
-    message = f"changed by others since revision {base}:\n" + "\n".join(lines)
-    raise ConflictError(message, conflicts=attributed)
-
-
-def _find_reverted(store, ancestor_answers, mine, theirs, *, base, current_revision):
-    """Yield changes in ``mine`` to paths that others changed and reverted since.
-
-    The current value equals the one in the file's base revision, so the merge finds no
-    conflict. It is reported as one because the file was written without knowledge of
-    why the value was reverted.
-    """
-    changes = [
-        change
-        for change in compare_answers(ancestor_answers, mine)
-        if value_at(theirs, change.path) == change.before
-    ]
-    if not changes:
-        return
-    for record in list_revisions(store, n_last=current_revision - base):
-        if record.revision <= base:
-            return
-        for change in tuple(changes):
-            if any(_paths_overlap(change.path, path) for path in record.changed):
-                changes.remove(change)
-                yield AttributedConflict(
-                    path=change.path,
-                    taken_from=change.before,
-                    mine=change.after,
-                    theirs=change.before,
-                    author=record.author,
-                    revision=record.revision,
-                )
-
-
-def _paths_overlap(path, other):
-    """Return whether the paths are equal or one is a prefix of the other."""
-    n_common = min(len(path), len(other))
-    return path[:n_common] == other[:n_common]
-
-
-def _attribute_conflict(store, conflict, *, base, current_revision):
-    """Add the author and revision that set a conflicting path to its current value."""
-    found = None
-    for revision in range(current_revision, base, -1):
-        stored = read_revision(store, revision)
-        if stored is None:
-            continue
-        value = value_at(plain_answers(stored.answers), conflict.path)
-        if value != conflict.theirs:
-            break
-        found = stored.record
-    author = found.author if found is not None else "unknown"
-    revision = found.revision if found is not None else current_revision
-    return AttributedConflict(author=author, revision=revision, **asdict(conflict))
--- a/tests/config/test_apply.py
+++ b/tests/config/test_apply.py
@@ -6,7 +6,9 @@
 from savoryhill.bench._answers import answers_text, make_answers
 from savoryhill.bench._memory import MemoryService, memory_store
 from savoryhill.config import records, store
-from savoryhill.config.apply import ConflictError, apply_answers, plain_answers
+from savoryhill.config.answer_text import plain_answers
+from savoryhill.config.apply import apply_answers
+from savoryhill.config.conflicts import ConflictError
 from savoryhill.config.findings import QuestionnaireError
 from savoryhill.config.store import list_revisions, read_current, read_revision
 from savoryhill.errors import OutcomeUnknownError, PlatformUnreachableError
--- a/tests/core/configuration/test_machine.py
+++ b/tests/core/configuration/test_machine.py
@@ -20,7 +20,9 @@
     start_configured_cores,
 )
 from savoryhill.bench._memory import memory_store
-from savoryhill.config.apply import ConflictError, apply_answers, plain_answers
+from savoryhill.config.answer_text import plain_answers
+from savoryhill.config.apply import apply_answers
+from savoryhill.config.conflicts import ConflictError
 from savoryhill.config.store import read_current
 from savoryhill.core.configuration import HANDLERS
 from savoryhill.core.configuration.distribution import revision_in_force
