standins: released memory is not expired memory

The node did nothing wrong. Change: a stream whose missing reservations were released counts as left by its caller. Measured: a test of a client that leaves fails before and passes now.

--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -53,7 +53,8 @@
 
     Each request takes the next fault from ``faults``. ``n_cancelled`` counts streams
     whose client disconnected. ``lapsed`` holds the attempt id and time of each stream
-    cut because a reservation of it had expired. ``fleet`` holds the endpoints that may
+    cut because a reservation of it had expired, ``released`` the reservations that
+    were released. ``fleet`` holds the endpoints that may
     help this one; a stream with helpers sends its events at
     ``helped_event_interval_s``. ``order_status`` is the status with which reservations
     are refused, if they are. ``endless`` holds the fault, attempt id, start and end of
@@ -74,6 +75,7 @@
     fleet: object = ()
     order_status: int | None = None
     lapsed: list = field(default_factory=list)
+    released: set = field(default_factory=set)
     endless: list = field(default_factory=list)
 
     def handle(self, sock, request):
@@ -110,7 +112,7 @@
             return self._send_endlessly(sock, attempt, fault, head)
         if fault == "failing":
             return _send(sock, 500, headers, b"failed")
-        if not self._holds_all(_reservations_of(request)):
+        if self._missing(_reservations_of(request)):
             headers = [(names.ATTEMPT_ID, attempt), (names.NOT_RUN, b"1")]
             return _send(sock, 503, headers, b"")
         if request.header(names.TOKEN_COUNTS) is not None:
@@ -134,6 +136,7 @@
             held_until[order["id"]] = self.clock.monotonic() + order["holdMs"] / 1000
         elif order["operation"] == "release":
             held_until.pop(order["id"], None)
+            self.released.add(order["id"])
         else:
             return _send(sock, 400, [], b"")
         return _send(sock, 200, [], b'{"unused":0}')
@@ -149,10 +152,11 @@
                 del self.held_until_by_reservation[reservation]
         return list(self.held_until_by_reservation)
 
-    def _holds_all(self, reservations):
-        """Tell whether the endpoints of the fleet hold all these reservations."""
-        held = {name for peer in self.fleet for name in peer.held_reservations()}
-        return reservations <= held
+    def _missing(self, reservations):
+        """Return those of the reservations that no endpoint of the fleet holds."""
+        return reservations.difference(
+            *(peer.held_reservations() for peer in self.fleet)
+        )
 
     def _stream(self, sock, request, headers, fault):
         last_event_id = int(request.header(names.LAST_EVENT_ID) or b"0")
@@ -166,8 +170,9 @@
             sock.sendall(encode_head(200, headers))
             for number in range(last_event_id + 1, self.n_events + 1):
                 gevent.sleep(interval_s)
-                if not self._holds_all(reservations):
-                    self._record_lapse(request)
+                missing = self._missing(reservations)
+                if missing:
+                    self._record_lapse(request, missing)
                     return self._break_stream(sock, "lapsed")
                 event = b"id: %d\ndata: piece %d\n\n" % (number, number)
                 if fault in ("cut", "truncated") and number == last_event_id + 3:
@@ -205,7 +210,15 @@
             )
         return False
 
-    def _record_lapse(self, request):
+    def _record_lapse(self, request, missing):
+        """Record a stream cut for reservations, unless its caller released them.
+
+        The caller releases them when it has closed the stream, which may be seen here
+        a little later.
+        """
+        if missing <= {name for peer in self.fleet for name in peer.released}:
+            self.n_cancelled += 1
+            return
         attempt = (request.header(names.ATTEMPT_ID) or b"").decode()
         self.lapsed.append((attempt, self.clock.monotonic()))
 
--- a/tests/serving/test_reservations.py
+++ b/tests/serving/test_reservations.py
@@ -199,3 +199,20 @@
         assert fleet.lines[0].fields_of("reservation.lost")[0]["endpoint"] == (
             helper.id
         )
+
+    def test_stream_that_its_client_left_is_no_lapse(self, fleet):
+        # Guards against a stand-in that takes released memory for expired memory.
+        for number in range(4):
+            fleet.add_endpoint(
+                f"e{number}", service="pool", helped_event_interval_s=0.3
+            )
+        fleet.add_node()
+        endpoints = fleet.endpoints_by_id.values()
+        connection = fleet.open(
+            "/chat/x", x_token_counts=LONG_PROMPT, x_time_remaining="12000"
+        )
+        fleet.wait_until(lambda: any(e.held_reservations() for e in endpoints))
+        fleet.wait_until(lambda: any(e.arrivals for e in endpoints))
+        connection.close()
+        fleet.wait_until(lambda: sum(e.n_cancelled for e in endpoints) == 1)
+        assert [endpoint.lapsed for endpoint in endpoints] == [[], [], [], []]
