--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -51,14 +51,15 @@
 class EndpointStandIn:
     """One endpoint.
 
-    Each request takes the next fault from ``faults``. ``n_cancelled`` counts streams
-    whose client disconnected. ``lapsed`` holds the attempt id and time of each stream
-    cut because a reservation of it had expired, ``released`` the reservations that
-    were released. ``fleet`` holds the endpoints that may
-    help this one; a stream with helpers sends its events at
+    Each request takes the next fault from ``faults``. ``fleet`` holds the endpoints
+    that may help this one; a stream with helpers sends its events at
     ``helped_event_interval_s``. ``order_status`` is the status with which reservations
-    are refused, if they are. ``endless`` holds the fault, attempt id, start and end of
-    each response that went on until the caller closed.
+    are refused, if they are.
+
+    ``n_cancelled`` counts streams whose client disconnected. ``lapsed`` holds the
+    attempt id and time of each stream cut because a reservation of it had expired,
+    ``released`` the reservations that were released, and ``endless`` the fault, attempt
+    id, start and end of each response that went on until the caller closed.
     """
 
     id: str
@@ -98,12 +99,12 @@
         if expected != self.id.encode():
             return _send(sock, 421, [(names.ATTEMPT_ID, attempt)], b"")
         if fault == "full":
-            headers = [(names.ATTEMPT_ID, attempt), (names.NOT_RUN, b"1")]
-            return _send(sock, 503, headers, b"")
+            return _send_not_run(sock, attempt)
         if fault == "silent":
             gevent.sleep(3600.0)
         if fault == "endless_head":
-            return self._send_endlessly(sock, attempt, fault)
+            head = b"HTTP/1.1 200 OK\r\n"
+            return self._send_endlessly(sock, attempt, fault, head)
         if fault == "foreign":
             attempt = b"of-another-request"
         headers = [(names.ATTEMPT_ID, attempt), (names.SIGNATURE, self.id.encode())]
@@ -113,8 +114,7 @@
         if fault == "failing":
             return _send(sock, 500, headers, b"failed")
         if self._missing(_reservations_of(request)):
-            headers = [(names.ATTEMPT_ID, attempt), (names.NOT_RUN, b"1")]
-            return _send(sock, 503, headers, b"")
+            return _send_not_run(sock, attempt)
         if request.header(names.TOKEN_COUNTS) is not None:
             return self._stream(sock, request, headers, fault)
         gevent.sleep(self.response_delay_s)
@@ -200,7 +200,7 @@
             "stalled": (COMMENT, STALL_COMMENT_INTERVAL_S),
         }[fault]
         try:
-            sock.sendall(head or (b"HTTP/1.1 200 OK\r\n" if not interval_s else b""))
+            sock.sendall(head)
             while True:
                 sock.sendall(repeated)
                 gevent.sleep(interval_s)
@@ -257,6 +257,11 @@
     return True
 
 
+def _send_not_run(sock, attempt):
+    headers = [(names.ATTEMPT_ID, attempt), (names.NOT_RUN, b"1")]
+    return _send(sock, 503, headers, b"")
+
+
 def start_endpoint(endpoint, *, address=("127.0.0.1", 0)):
     """Start serving an endpoint; return the server."""
     return start_server(address, endpoint.handle)
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -231,6 +231,12 @@
         return len(self._sleepers)
 
 
+@pytest.fixture(name="wait_until")
+def fixture_wait_until():
+    """The function that waits until a condition holds."""
+    return wait_until
+
+
 @pytest.fixture
 def clock():
     """A paused clock."""
--- a/tests/serving/test_reservations.py
+++ b/tests/serving/test_reservations.py
@@ -71,18 +71,16 @@
         server.stop(timeout=0)
 
 
-def advance_past_expiry(clock, *, n_renewers):
+def advance_past_expiry(clock, wait_until, *, n_renewers):
     """Advance the clock past the first expiry, one renewal at a time."""
     for _ in range(int(2 * RESERVATION_TTL_S / RENEWAL_INTERVAL_S)):
-        with gevent.Timeout(5.0):
-            while clock.n_sleepers() < n_renewers:
-                gevent.sleep(0.002)
+        wait_until(lambda: clock.n_sleepers() >= n_renewers)
         clock.advance(RENEWAL_INTERVAL_S)
         gevent.sleep(0.02)
 
 
 class TestReservations:
-    def test_reservations_outlast_their_first_expiry(self, clock, helpers):
+    def test_reservations_outlast_their_first_expiry(self, clock, helpers, wait_until):
         # Guards against reservations that are never renewed, because the renewal was
         # started on a condition that did not hold yet.
         standins, endpoints, _ = helpers
@@ -92,14 +90,12 @@
         ) as reservations:
             entries = reservations.reserve(endpoints, [1000, 2000])
             assert entries == [f"{e.address}/r-{n}" for n, e in enumerate(endpoints)]
-            advance_past_expiry(clock, n_renewers=2)
+            advance_past_expiry(clock, wait_until, n_renewers=2)
             assert [s.held_reservations() for s in standins] == [["r-0"], ["r-1"]]
-        with gevent.Timeout(5.0):
-            while any(standin.held_reservations() for standin in standins):
-                gevent.sleep(0.002)
+        wait_until(lambda: not any(s.held_reservations() for s in standins))
         assert lines == []
 
-    def test_failed_reservation_releases_the_others(self, clock, helpers):
+    def test_failed_reservation_releases_the_others(self, clock, helpers, wait_until):
         standins, endpoints, _ = helpers
         standins[1].order_status = 409
         with (
@@ -109,12 +105,10 @@
             ) as reservations,
         ):
             reservations.reserve(endpoints, [1000, 1000])
-        with gevent.Timeout(5.0):
-            while standins[0].held_reservations():
-                gevent.sleep(0.002)
+        wait_until(lambda: not standins[0].held_reservations())
         assert reservations.last_endpoint_id == "h1"
 
-    def test_refused_renewal_ends_the_request_at_once(self, clock, helpers):
+    def test_refused_renewal_ends_the_request_at_once(self, clock, helpers, wait_until):
         # Guards against a request that waits for an engine which has freed its memory.
         standins, endpoints, _ = helpers
         connection, lines = RecordedConnection(), []
@@ -124,18 +118,14 @@
             reservations.reserve(endpoints, [1000, 0])
             reservations.abort_when_lost(connection)
             standins[0].order_status = 409
-            with gevent.Timeout(5.0):
-                while not clock.n_sleepers():
-                    gevent.sleep(0.002)
+            wait_until(clock.n_sleepers)
             clock.advance(RENEWAL_INTERVAL_S)
-            with gevent.Timeout(5.0):
-                while not connection.is_aborted:
-                    gevent.sleep(0.002)
+            wait_until(lambda: connection.is_aborted)
             assert reservations.lost.endpoint_id == "h0"
         assert lines[:2] == ["reservation.not_renewed", "reservation.lost"]
 
     def test_unanswered_renewal_is_tried_again_and_ends_no_request(
-        self, clock, helpers
+        self, clock, helpers, wait_until
     ):
         # Guards against giving up a request although its renewals may have arrived,
         # and only their answers were lost.
@@ -148,28 +138,39 @@
             reservations.abort_when_lost(connection)
             servers[0].stop(timeout=0)
             for number in range(12):
-                with gevent.Timeout(5.0):
-                    while not clock.n_sleepers():
-                        gevent.sleep(0.002)
+                wait_until(clock.n_sleepers)
                 clock.advance(RENEWAL_INTERVAL_S if number == 0 else RETRY_INTERVAL_S)
-                with gevent.Timeout(5.0):
-                    while len(lines) <= number:
-                        gevent.sleep(0.002)
+                wait_until(lambda n=number: len(lines) > n)
             assert clock.monotonic() > 100.0 + RESERVATION_TTL_S
             assert not connection.is_aborted
         assert set(lines) == {"reservation.not_renewed"}
 
 
+def start(fleet, *, n_endpoints, event_interval_s):
+    """Start engines that stream with this interval, and a node."""
+    for number in range(n_endpoints):
+        fleet.add_endpoint(
+            f"e{number}", service="pool", helped_event_interval_s=event_interval_s
+        )
+    fleet.add_node()
+
+
+def open_long_prompt(fleet):
+    """Send a prompt that needs helpers and wait until one holds memory for it."""
+    connection = fleet.open(
+        "/chat/x", x_token_counts=LONG_PROMPT, x_time_remaining="12000"
+    )
+    endpoints = fleet.endpoints_by_id.values()
+    fleet.wait_until(lambda: any(e.held_reservations() for e in endpoints))
+    return connection
+
+
 class TestLongPrompts:
     def test_stream_outlasts_the_expiry_of_its_reservations(self, fleet, monkeypatch):
         # Guards against streams that the engine cuts when its helpers' memory expires.
         monkeypatch.setattr(reservations_module, "RESERVATION_TTL_S", 0.3)
         monkeypatch.setattr(reservations_module, "RENEWAL_INTERVAL_S", 0.1)
-        for number in range(4):
-            fleet.add_endpoint(
-                f"e{number}", service="pool", helped_event_interval_s=0.15
-            )
-        fleet.add_node()
+        start(fleet, n_endpoints=4, event_interval_s=0.15)
         status, _, _, complete = fleet.ask(
             "/chat/x", x_token_counts=LONG_PROMPT, x_time_remaining="12000"
         )
@@ -182,16 +183,9 @@
         self, fleet, monkeypatch
     ):
         monkeypatch.setattr(reservations_module, "RENEWAL_INTERVAL_S", 0.1)
-        for number in range(8):
-            fleet.add_endpoint(
-                f"e{number}", service="pool", helped_event_interval_s=0.1
-            )
-        fleet.add_node()
+        start(fleet, n_endpoints=8, event_interval_s=0.1)
         endpoints = fleet.endpoints_by_id.values()
-        connection = fleet.open(
-            "/chat/x", x_token_counts=LONG_PROMPT, x_time_remaining="12000"
-        )
-        fleet.wait_until(lambda: any(e.held_reservations() for e in endpoints))
+        connection = open_long_prompt(fleet)
         helper = next(e for e in endpoints if e.held_reservations())
         helper.order_status = 409
         status, _, _, complete = fleet.finish(connection)
@@ -202,16 +196,9 @@
 
     def test_stream_that_its_client_left_is_no_lapse(self, fleet):
         # Guards against a stand-in that takes released memory for expired memory.
-        for number in range(4):
-            fleet.add_endpoint(
-                f"e{number}", service="pool", helped_event_interval_s=0.3
-            )
-        fleet.add_node()
+        start(fleet, n_endpoints=4, event_interval_s=0.3)
         endpoints = fleet.endpoints_by_id.values()
-        connection = fleet.open(
-            "/chat/x", x_token_counts=LONG_PROMPT, x_time_remaining="12000"
-        )
-        fleet.wait_until(lambda: any(e.held_reservations() for e in endpoints))
+        connection = open_long_prompt(fleet)
         fleet.wait_until(lambda: any(e.arrivals for e in endpoints))
         connection.close()
         fleet.wait_until(lambda: sum(e.n_cancelled for e in endpoints) == 1)
