serving: failed sends log the parts of the prompt and whether they had started

Cause: the logs of the incident of the crashing prompt part could not tell which of the requests on an engine it had ended under, nor what these had in common. Change: request.send_failed names the digests of all parts of the prompt but the last, and whether the send had had its first event. No decision changes.

--- /dev/null
+++ b/src/savoryhill/core/observations/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes observe of endpoints and tell each other."""
--- a/src/savoryhill/platform/headers.py
+++ b/src/savoryhill/platform/headers.py
@@ -27,9 +27,10 @@
     """Metadata that a client sends in the headers of a request.
 
     ``remaining_s`` is the time for which the client still waits. ``key`` is its API
-    key. ``last_event_id`` is the event after which a stream resumes. Fields are None,
-    and token counts 0, if the header is missing or invalid. ``invalid_header`` names
-    a header whose number is malformed, negative or too large.
+    key. ``last_event_id`` is the event after which a stream resumes. ``shared_parts``
+    holds the ids of the parts that the prompt may share with others: all but the last.
+    Fields are None, and token counts 0, if the header is missing or invalid.
+    ``invalid_header`` names a header whose number is malformed, negative or too large.
     """
 
     attempt_id: bytes | None
@@ -39,6 +40,7 @@
     answer_tokens: int
     last_event_id: int | None
     invalid_header: str | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 def decode_request_metadata(request):
@@ -66,6 +68,7 @@
         answer_tokens=int(answer_tokens or 0),
         last_event_id=None if last_event is None else int(last_event),
         invalid_header=invalid_headers[0] if invalid_headers else None,
+        shared_parts=_parse_shared_parts(request.header(names.PROMPT_PARTS)),
     )
 
 
@@ -83,6 +86,18 @@
     return number if 0.0 <= number <= MAX_NUMBER else None
 
 
+def _parse_shared_parts(value):
+    """Return the ids of all parts but the last, without entries that have none.
+
+    The header is forwarded as it is, so a malformed one is no reason to refuse.
+    """
+    if value is None:
+        return ()
+    *entries, _ = value.decode("latin-1").split(",")
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _parse_bearer_token(value):
     if value is None or value[: len(_BEARER)].lower() != _BEARER:
         return None
--- a/src/savoryhill/platform/names.py
+++ b/src/savoryhill/platform/names.py
@@ -8,6 +8,8 @@
 # Engines that prefill parts of the prompt, each with its memory reservation.
 HELPERS = b"x-helpers"
 TOKEN_COUNTS = b"x-token-counts"
+# The parts of the prompt in order, as ID:TOKENS separated by commas.
+PROMPT_PARTS = b"x-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
 SIGNATURE = b"x-response-signature"
 NOT_RUN = b"x-not-executed"
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -63,7 +63,9 @@
             what = ENDPOINT_FULL if failure.is_full else ENDPOINT_FAILED
             dispatcher.finish(job, what, failed_endpoint)
             request.avoided_endpoint_ids.add(failed_endpoint)
-            if not request.allow_repeat(self._history, failure):
+            if not request.allow_repeat(
+                self._history, failure, has_started=job.has_started
+            ):
                 self._response.fail(failure, self._history)
                 return
 
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from savoryhill.core.observations.parts import digest_parts
 from savoryhill.platform import headers as platform_headers
 from savoryhill.serving.http import encode_request
 
@@ -41,7 +42,7 @@
     ``deadline_at`` is when the final response is due, ``client_deadline_at`` when the
     client stops waiting. ``avoided_endpoint_ids`` holds the endpoints that failed this
     request. ``needs_budget`` tells whether the next send draws on the leader's repeat
-    budget.
+    budget. ``part_digests`` identifies the parts that the prompt may share with others.
     """
 
     def __init__(self, *, context, message):
@@ -58,6 +59,7 @@
         self.n_sends = 0
         self.avoided_endpoint_ids = set()
         self.needs_budget = False
+        self.part_digests = ()
 
     @property
     def id(self):
@@ -74,6 +76,7 @@
             remaining_s = route.timeout_s
         self.client_deadline_at = self.arrived_at + remaining_s
         self.deadline_at = self.arrived_at + min(remaining_s, route.timeout_s)
+        self.part_digests = digest_parts(service.name, self.metadata.shared_parts)
 
     def time_left_s(self):
         """Return the seconds until the final response is due."""
@@ -152,9 +155,10 @@
             body=reader.take_body(),
         )
 
-    def allow_repeat(self, history, failure):
+    def allow_repeat(self, history, failure, *, has_started=False):
         """Record a failed send and tell whether the request may be sent again.
 
+        ``has_started`` tells whether the send had its first event.
         Once this node's share of the repeat budget is used up, sets ``needs_budget``
         for services with engines: the leader then decides on the next send.
         """
@@ -166,6 +170,8 @@
             cause=failure.cause,
             may_have_run=failure.may_have_run,
             send=self.n_sends,
+            started=has_started,
+            parts=",".join(self.part_digests),
         )
         if self.time_left_s() <= 0 or not history.may_send():
             return False
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -4,6 +4,7 @@
 import pytest
 from gevent.server import StreamServer
 
+from savoryhill.core.observations.parts import digest_part
 from savoryhill.platform import names
 from savoryhill.serving.http import encode_head
 from savoryhill.serving.outgoing_connection import open_connection
@@ -362,3 +363,15 @@
         connection.close()
         assert received.startswith(answer)
         assert bool(received) == bool(answer)
+
+
+class TestFailureLog:
+    def test_failed_send_names_its_parts_and_whether_it_had_started(self, deployment):
+        # Guards against a log that can't tell the prompt under which an engine ended
+        # from those that the same end broke off.
+        deployment.add_endpoint("e1", service="pool").faults.append("cut")
+        deployment.add_node()
+        deployment.ask("/once/x", x_prompt_prefix="5c1e:800,e440:250")
+        (fields,) = deployment.lines[0].fields_of("request.send_failed")
+        assert fields["started"] is True
+        assert fields["parts"] == digest_part("pool", "5c1e")
