tests: reproduce engines that end one after the other under one prompt part

What callers saw: sound streams are cut and late, because requests with one part end the engines they are sent to, new requests and repeats alike (BUDGET). Change: endpoint stand-ins with crashing parts, which end when they begin to answer a prompt with one and return later.

--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -15,6 +15,9 @@
 - ``endless_head``: headers are sent without end, until the caller closes
 - ``endless_body``: the request is run and answered with 500 and a body without end
 - ``stalled``: the stream ends after its first event, but comments go on being sent
+
+An endpoint with ``crashing_parts`` ends when it begins to answer a prompt that has one
+of them: all its connections are reset, and new ones until it is back.
 """
 
 import json
@@ -31,6 +34,7 @@
 
 DEFAULT_EVENTS_PER_STREAM = 6
 STALL_COMMENT_INTERVAL_S = 0.2
+DOWN_S = 0.3
 ENDLESS_HEADERS = b"x-header: value\r\n" * 64
 ENDLESS_BODY = encode_chunk(b"x" * 1024)
 COMMENT = encode_chunk(b": still there\n\n")
@@ -59,7 +63,9 @@
     ``n_cancelled`` counts streams whose client disconnected. ``lapsed`` holds the
     attempt id and time of each stream cut because a reservation of it had expired,
     ``released`` the reservations that were released, and ``endless`` the fault, attempt
-    id, start and end of each response that went on until the caller closed.
+    id, start and end of each response that went on until the caller closed. ``crashes``
+    holds the attempt id and time of each crash; ``on_return`` is called when the
+    endpoint is back, ``down_s`` later.
     """
 
     id: str
@@ -78,9 +84,25 @@
     lapsed: list = field(default_factory=list)
     released: set = field(default_factory=set)
     endless: list = field(default_factory=list)
+    crashing_parts: set = field(default_factory=set)
+    crashes: list = field(default_factory=list)
+    down_s: float = DOWN_S
+    on_return: object = None
+    is_down: bool = False
+    open_sockets: set = field(default_factory=set)
 
     def handle(self, sock, request):
         """Respond to a request; return whether the connection stays open."""
+        if self.is_down:
+            _reset_at_close(sock)
+            return False
+        self.open_sockets.add(sock)
+        try:
+            return self._respond(sock, request) and not self.is_down
+        finally:
+            self.open_sockets.discard(sock)
+
+    def _respond(self, sock, request):
         if request.target == names.ORDER_PATH:
             return self._handle_order(sock, json.loads(request.body))
         fault = self.faults.popleft() if self.faults else None
@@ -170,6 +192,9 @@
             sock.sendall(encode_head(200, headers))
             for number in range(last_event_id + 1, self.n_events + 1):
                 gevent.sleep(interval_s)
+                if self.crashing_parts and self._has_crashing_part(request):
+                    self._crash(request)
+                    return False
                 missing = self._missing(reservations)
                 if missing:
                     self._record_lapse(request, missing)
@@ -191,6 +216,26 @@
             self.ended_at_by_attempt[attempt] = self.clock.monotonic()
         return True
 
+    def _has_crashing_part(self, request):
+        parts = (request.header(names.PROMPT_PARTS) or b"").decode("latin-1").split(",")
+        return any(part.partition(":")[0] in self.crashing_parts for part in parts[:-1])
+
+    def _crash(self, request):
+        """End all connections; the endpoint returns after ``down_s`` without memory."""
+        attempt = (request.header(names.ATTEMPT_ID) or b"").decode()
+        self.crashes.append((attempt, self.clock.monotonic()))
+        self.is_down = True
+        self.held_until_by_reservation.clear()
+        for sock in list(self.open_sockets):
+            _reset_at_close(sock)
+            sock.close()
+        gevent.spawn_later(self.down_s, self._return)
+
+    def _return(self):
+        self.is_down = False
+        if self.on_return is not None:
+            self.on_return()
+
     def _send_endlessly(self, sock, attempt, fault, head=b""):
         """Send bytes that complete no response until the caller closes."""
         started_at = self.clock.monotonic()
