serving: refuse prompt parts that end the engines which answer them

Cause: nothing but the engine was held responsible for a broken send. The node that saw it ejected the engine and sent the request to the next; no node knew that the prompts under which engines end have a part in common. Class of the fault: a retry that carries the cause of the failure with it. Change: a connection that an engine ends before the first event is a crash observed for the parts of the request. Nodes share these observations over the leader's links, in a table that merges in any order, and each decides alike: a part with three crashes in succession (each sent after the one before) and no start is refused, also where its requests wait in a queue or on an engine. A start clears a part, an engine that goes on was no crash, parts that started within 20 s are not at fault, one workspace binds only itself, and a crash speaks against its most frequent part only. The leader admits one request at a time to try a part again, after 30 s and then twice as long each time; at once if the prompt has only some of the parts that all crashes had in common.

--- /dev/null
+++ b/src/savoryhill/core/observations/crashes.py
@@ -0,0 +1,294 @@
+"""Which parts of prompts end the engines that answer them.
+
+Load pattern: requests with one part arrive at all nodes. Each ends the engine that
+begins to answer it, and is sent again or replaced by the next; other requests on the
+engine, with sound parts, are broken off with it.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from savoryhill.core.observations.table import Observation
+
+# A part was in a request that had not started on an engine (the source) when its
+# connection ended. The value is how long before the request had been sent, in seconds.
+CRASH = "crash"
+# A request with the part has started since, so its crashes so far don't count.
+SOUND = "sound"
+# A request with the part had started shortly before its first crash.
+KNOWN = "known"
+# A request that was sent to the engine later has started, so the engine had not ended.
+ALIVE = "alive"
+
+# Crashes in succession. Fewer may be chance while engines end for other reasons.
+MIN_CRASHES = 3
+# A part that was in a request which started this recently is not at fault. Otherwise
+# engines that all end for another reason would speak against the parts of most prompts.
+SOUND_S = 20.0
+FIRST_PROBE_DELAY_S = 30.0
+MAX_PROBE_DELAY_S = 600.0
+
+
+class Admission(Enum):
+    """What to do with a request."""
+
+    ADMIT = "admit"
+    # Admit if no other request with the part is being tried.
+    PROBE = "probe"
+    REFUSE = "refuse"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashingParts:
+    """Parts that end engines when they are together in a prompt.
+
+    There are several if all crashes had them in common. ``sources`` are the engines
+    that ended, ``workspaces`` those whose requests they ended under.
+    """
+
+    parts: frozenset[str]
+    n_crashes: int
+    sources: tuple[str, ...]
+    workspaces: frozenset[str]
+    last_crash_at: float
+
+    def binds(self, workspace):
+        """Return whether requests of a workspace are refused.
+
+        A workspace alone can't bring about that those of others are.
+        """
+        return len(self.workspaces) > 1 or workspace in self.workspaces
+
+    def next_probe_at(self):
+        """Return when a request with the parts is tried again."""
+        n_doublings = min(self.n_crashes - MIN_CRASHES, 10)
+        delay_s = FIRST_PROBE_DELAY_S * 2**n_doublings
+        return self.last_crash_at + min(MAX_PROBE_DELAY_S, delay_s)
+
+
+def observe_crash(table, *, parts, source, workspace, sent_at, now):
+    """Return the observations of a connection that ended before its first event.
+
+    Parameters
+    ----------
+    table : ObservationTable
+        The observations known so far.
+    parts : iterable of str
+        Digests of the parts of the request.
+    source : str
+        The engine, with its incarnation.
+    workspace : str
+        Name of the request's workspace.
+    sent_at, now : float
+        When the request was sent, and the current time, in seconds.
+
+    Returns
+    -------
+    list of Observation
+    """
+    return [
+        Observation(
+            kind=CRASH,
+            subject=part,
+            source=source,
+            version=1 + _settled_version(table, part, source),
+            observed_at=now,
+            value=now - sent_at,
+            workspace=workspace,
+        )
+        for part in parts
+        if not _is_live(table, table.get(CRASH, part, source))
+    ]
+
+
+def observe_start(table, *, parts, source, sent_at, now):
+    """Return the observations of the first event of a request.
+
+    There are none unless a part or the engine is under suspicion. The parameters are
+    those of `observe_crash`.
+    """
+    observations = []
+    for part in parts:
+        live = live_crashes(table, part)
+        if live:
+            observations.append(_settle(SOUND, part, "", live, now))
+    earlier = [
+        crash
+        for crash in table.from_source(CRASH, source)
+        if crash.observed_at < sent_at and _is_live(table, crash)
+    ]
+    if earlier:
+        observations.append(_settle(ALIVE, source, "", earlier, now))
+    return observations
+
+
+def recall_starts(table, *, crashes, started_at_by_part, now):
+    """Return the observations of parts that a node saw start before their crash.
+
+    Parameters
+    ----------
+    table : ObservationTable
+        The observations known so far.
+    crashes : iterable of Observation
+        Observations that the node has just learned of.
+    started_at_by_part : dict of str to float
+        When a request with a part last started at the node, in seconds.
+    now : float
+        Current time of the node's clock, in seconds.
+
+    Returns
+    -------
+    list of Observation
+    """
+    parts = {crash.subject for crash in crashes if crash.kind == CRASH}
+    observations = []
+    for part in sorted(parts & started_at_by_part.keys()):
+        started_at = started_at_by_part[part]
+        if now - started_at > SOUND_S or _was_sound(table, part, now):
+            continue
+        known = table.get(KNOWN, part)
+        observations.append(
+            Observation(
+                kind=KNOWN,
+                subject=part,
+                source="",
+                version=1 + (known.version if known else 0),
+                observed_at=started_at,
+            )
+        )
+    return observations
+
+
+def _was_sound(table, part, now):
+    """Return whether a request with a part started recently, at any node."""
+    starts = (table.get(SOUND, part), table.get(KNOWN, part))
+    return any(o is not None and now - o.observed_at <= SOUND_S for o in starts)
+
+
+def _settle(kind, subject, source, crashes, now):
+    return Observation(
+        kind=kind,
+        subject=subject,
+        source=source,
+        version=max(crash.version for crash in crashes),
+        observed_at=now,
+    )
+
+
+def _settled_version(table, part, source):
+    """Return the version up to which crashes of a part at an engine don't count."""
+    settled = (table.get(SOUND, part), table.get(ALIVE, source))
+    return max((o.version for o in settled if o is not None), default=0)
+
+
+def _is_live(table, crash):
+    if crash is None:
+        return False
+    return crash.version > _settled_version(table, crash.subject, crash.source)
+
+
+def live_crashes(table, part):
+    """Return the crashes of a part that count."""
+    return [crash for crash in table.about(CRASH, part) if _is_live(table, crash)]
+
+
+def count_successive(crashes):
+    """Return how many crashes followed one another.
+
+    A crash counts if its request was sent after the crash before it. Engines that end
+    together, such as those of an availability zone, end under requests that were all
+    sent before; this tells nothing of the requests.
+    """
+    n_successive, last_at = 0, float("-inf")
+    for crash in sorted(crashes, key=lambda c: c.observed_at):
+        if crash.observed_at - crash.value >= last_at:
+            n_successive += 1
+            last_at = crash.observed_at
+    return n_successive
+
+
+def find_crashing_parts(table, now):
+    """Return the parts that end engines.
+
+    A crash speaks against the part with the most crashes only: the others in its
+    requests, and those that waited on the same engine, are not at fault.
+
+    Parameters
+    ----------
+    table : ObservationTable
+        The observations of all nodes.
+    now : float
+        Current time of the node's clock, in seconds.
+
+    Returns
+    -------
+    dict of str to CrashingParts
+        By the digest of each part.
+    """
+    crashes_by_part = {}
+    for part in table.subjects(CRASH):
+        live = live_crashes(table, part)
+        if len(live) >= MIN_CRASHES and not _was_sound(table, part, now):
+            crashes_by_part[part] = live
+    found, explained = {}, set()
+    most_crashes_first = sorted(
+        crashes_by_part, key=lambda part: (-len(crashes_by_part[part]), part)
+    )
+    for part in most_crashes_first:
+        if part in found:
+            continue
+        unexplained = [c for c in crashes_by_part[part] if c.source not in explained]
+        n_crashes = count_successive(unexplained)
+        if n_crashes < MIN_CRASHES:
+            continue
+        sources = {crash.source for crash in unexplained}
+        together = {
+            other
+            for other, crashes in crashes_by_part.items()
+            if other not in found and {crash.source for crash in crashes} == sources
+        } | {part}
+        crashing = CrashingParts(
+            parts=frozenset(together),
+            n_crashes=n_crashes,
+            sources=tuple(sorted(sources)),
+            workspaces=frozenset(crash.workspace for crash in unexplained),
+            last_crash_at=max(crash.observed_at for crash in unexplained),
+        )
+        found.update(dict.fromkeys(together, crashing))
+        explained |= sources
+    return found
+
+
+def admit(crashing_by_part, *, parts, workspace, now):
+    """Decide whether a request may be sent to an engine.
+
+    A request with only some of the parts that were in all crashes is tried: it may be
+    sound.
+
+    Parameters
+    ----------
+    crashing_by_part : dict of str to CrashingParts
+        Result of `find_crashing_parts`.
+    parts : iterable of str
+        Digests of the parts of the request.
+    workspace : str
+        Name of the request's workspace.
+    now : float
+        Current time of the node's clock, in seconds.
+
+    Returns
+    -------
+    tuple of (Admission, CrashingParts or None)
+    """
+    if not crashing_by_part:
+        return Admission.ADMIT, None
+    parts = frozenset(parts)
+    decision = Admission.ADMIT, None
+    for part in parts:
+        crashing = crashing_by_part.get(part)
+        if crashing is None or not crashing.binds(workspace):
+            continue
+        if crashing.parts <= parts and now < crashing.next_probe_at():
+            return Admission.REFUSE, crashing
+        decision = Admission.PROBE, crashing
+    return decision
--- /dev/null
+++ b/src/savoryhill/core/observations/messages.py
@@ -0,0 +1,62 @@
+"""Message that carries shared observations between nodes."""
+
+from dataclasses import dataclass
+
+from savoryhill.core.observations.table import Observation
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ObservationItem:
+    """An observation on the wire, with its age in place of a time of the sender."""
+
+    kind: str
+    subject: str
+    source: str
+    version: int
+    age_s: float
+    value: float
+    workspace: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SharedObservations:
+    """Observations that the sender holds or has just learned of."""
+
+    items: tuple[ObservationItem, ...]
+
+
+def encode_observations(observations, now):
+    """Return the message for observations; ``now`` is in seconds of their clock."""
+    return SharedObservations(
+        items=tuple(
+            ObservationItem(
+                kind=o.kind,
+                subject=o.subject,
+                source=o.source,
+                version=o.version,
+                age_s=max(0.0, now - o.observed_at),
+                value=o.value,
+                workspace=o.workspace,
+            )
+            for o in observations
+        )
+    )
+
+
+def decode_observations(message, now):
+    """Return the observations of a message, on a clock that shows ``now`` seconds.
+
+    An age that is negative or not a number counts as 0.
+    """
+    return [
+        Observation(
+            kind=item.kind,
+            subject=item.subject,
+            source=item.source,
+            version=item.version,
+            observed_at=now - (item.age_s if item.age_s > 0.0 else 0.0),
+            value=item.value,
+            workspace=item.workspace,
+        )
+        for item in message.items
+    ]
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -27,7 +27,8 @@
     already running, if any, ``reserved_tokens`` the memory that is reserved on each,
     and ``has_started`` tells whether its first event has arrived. ``is_repeat`` tells
     whether the request was sent to an endpoint before, ``needs_budget`` whether this
-    send counts against the leader's budget of repeats.
+    send counts against the leader's budget of repeats. ``probed_parts`` holds the
+    digests of parts of the prompt that no other job may try at the same time.
     """
 
     job_id: str
@@ -46,6 +47,7 @@
     is_repeat: bool = False
     needs_budget: bool = False
     reserved_tokens: tuple[int, ...] = ()
+    probed_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,11 +66,20 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobRejected:
-    """Rejection of a job that cannot be served in time."""
+    """Rejection of a job that cannot be served in time, or not at all.
+
+    ``retry_after_s`` is negative if there is no time after which a later try would
+    succeed. ``awaits_probe`` tells that another job is about to show whether the prompt
+    can be served.
+    """
 
     job_id: str
     reason: str
     retry_after_s: float
+    awaits_probe: bool = False
+
+
+NO_RETRY_S = -1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -15,6 +15,7 @@
 import capnp
 
 from savoryhill.core import messages
+from savoryhill.core.observations import messages as observations
 from savoryhill.core.scheduling import messages as jobs
 from savoryhill.errors import PeerError
 
@@ -32,6 +33,7 @@
         messages.JournalReply,
         messages.JournalFinish,
         jobs.StoreUpdate,
+        observations.SharedObservations,
     }
 )
 MAX_PACKED_BYTES = 2_048
@@ -65,6 +67,7 @@
     jobs.StoreUpdate,
     jobs.NodeBeat,
     jobs.NodeAside,
+    observations.SharedObservations,
 )
 _NUMBERS_BY_TYPE = {
     message_type: type_number for type_number, message_type in enumerate(MESSAGE_TYPES)
@@ -78,6 +81,7 @@
     (messages.Ack, "updates"): messages.MemberUpdate,
     (messages.Ack, "groups"): messages.GroupSummary,
     (jobs.StoreUpdate, "rows"): jobs.StoreItem,
+    (observations.SharedObservations, "items"): observations.ObservationItem,
 }
 
 
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -192,6 +192,7 @@
   isRepeat @13 :Bool;
   needsBudget @14 :Bool;
   reservedTokens @15 :List(Int64);
+  probedParts @16 :List(Text);
 }
 
 struct JobPlaced {
@@ -205,6 +206,7 @@
   jobId @0 :Text;
   reason @1 :Text;
   retryAfterS @2 :Float64;
+  awaitsProbe @3 :Bool;
 }
 
 struct JobReport {
@@ -235,3 +237,17 @@
   revision @0 :Int64;
   contactAgeS @1 :Float64;
 }
+
+struct ObservationItem {
+  kind @0 :Text;
+  subject @1 :Text;
+  source @2 :Text;
+  version @3 :Int64;
+  ageS @4 :Float64;
+  value @5 :Float64;
+  workspace @6 :Text;
+}
+
+struct SharedObservations {
+  items @0 :List(ObservationItem);
+}
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -8,6 +8,7 @@
 from savoryhill.observability.metrics import observe
 from savoryhill.serving.balancing import Balancer
 from savoryhill.serving.cluster_view import ClusterView
+from savoryhill.serving.crash_guard import CrashGuard
 from savoryhill.serving.repeats import RepeatBudgets
 
 # If the store is available, a starting node reads it in a fraction of this time.
@@ -30,6 +31,7 @@
     dispatcher: object
     balancer: Balancer
     repeat_budgets: RepeatBudgets
+    crash_guard: CrashGuard
     metrics: object
     log: object
     draining_since: float | None = None
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent.event import AsyncResult
 
+from savoryhill.core.observations.messages import SharedObservations
 from savoryhill.core.scheduling.messages import (
     CANCELLED,
     FIRST_EVENT,
@@ -65,12 +66,16 @@
 class Dispatcher:
     """The jobs of this node and its links to the leader and to followers."""
 
-    def __init__(self, *, node, address, clock, cluster_view, scheduling, record):
+    def __init__(
+        self, *, node, address, clock, cluster_view, scheduling, sharing, record
+    ):
         self._node = node
         self._address = address
         self._clock = clock
         self._cluster_view = cluster_view
         self._scheduling = scheduling
+        self._sharing = sharing
+        sharing.send = self._send_observations
         self._record = record
         self._suspected_until = {}
         self._n_failures_by_registration = {}
@@ -224,6 +229,7 @@
             self._suspect(address, str(error))
             return
         link.send(self._hello())
+        self._send_known_observations(link)
         heartbeats = gevent.spawn(self._send_heartbeats_to_leader, link)
         self._scheduling.cancel_jobs(self._jobs_by_id)
         self._link = link
@@ -286,6 +292,8 @@
             self._send_missing_changes(self._link, message.revision)
         elif isinstance(message, NodeBeat):
             self._handle_leader_heartbeat(message)
+        elif isinstance(message, SharedObservations):
+            self._sharing.receive(message, self._link)
         elif isinstance(message, NodeAside):
             self._suspect(
                 self._leader_address,
@@ -338,6 +346,8 @@
                 message = link.receive()
                 if isinstance(message, NodeHello):
                     self._send_missing_changes(link, message.revision)
+                    if link not in self._follower_links:
+                        self._send_known_observations(link)
                     self._follower_links.add(link)
                 elif isinstance(message, JobSubmit):
                     job_ids.add(message.job_id)
@@ -346,6 +356,8 @@
                     self._handle_follower_heartbeat(link, message)
                 elif isinstance(message, StoreUpdate):
                     self._apply_update(link, message)
+                elif isinstance(message, SharedObservations):
+                    self._sharing.receive(message, link)
                 elif isinstance(message, JobReport):
                     if message.what != FIRST_EVENT:
                         job_ids.discard(message.job_id)
@@ -407,6 +419,27 @@
         for link in self._follower_links:
             link.send_frame(frame)
 
+    def _send_known_observations(self, link):
+        """Send all shared observations on a new link, as either side may lack some."""
+        message = self._sharing.snapshot()
+        if message is not None:
+            link.send(message)
+
+    def _send_observations(self, message, except_link):
+        """Send observations on all links but the one on which they arrived.
+
+        The leader forwards what is news to it, so each node gets each observation once.
+        """
+        links = [*self._follower_links]
+        if self._link is not None:
+            links.append(self._link)
+        if not links:
+            return
+        frame = encode_frame(message, node=self._node)
+        for link in links:
+            if link is not except_link:
+                link.send_frame(frame)
+
     def place_waiting_periodically(self):
         """Place waiting jobs until the greenlet is killed."""
         while True:
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -12,6 +12,7 @@
 from savoryhill.errors import EndpointError, MalformedMessageError, NotConnectedError
 from savoryhill.serving.event_splitter import EventSplitter
 from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.prompt_check import PromptCheck
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
@@ -27,6 +28,10 @@
 MIN_PATIENCE_S = 2.0
 LATENCY_PATIENCE_FACTOR = 4.0
 GAP_PATIENCE_FACTOR = 8.0
+# How often and how long a request waits for another one to start that tries a part
+# of its prompt.
+PROBE_CHECK_S = 0.03
+MAX_PROBE_WAIT_S = 1.0
 # Limit of the body of a failure; the body of a stream is forwarded as it arrives.
 MAX_BUFFERED_STREAM_BYTES = 262_144
 
@@ -40,19 +45,31 @@
         self._history = history
         self._context = request.context
         self._splitter = EventSplitter(last_id=request.metadata.last_event_id)
+        self._check = PromptCheck(request=request)
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
         request, dispatcher = self._request, self._context.dispatcher
         while True:
+            cause = self._check.refusal_cause()
+            if cause is not None:
+                self._refuse_parts(cause)
+                return
             job = self._submit()
             try:
-                decision = self._await_decision(job)
-                if decision is None or isinstance(decision, JobRejected):
-                    dispatcher.cancel(job)
-                    self._fail_unplaced(decision)
-                    return
-                failure = self._run_placed(job, decision)
+                with self._check.watch(job):
+                    decision = self._await_decision(job)
+                    if self._awaits_probe(decision):
+                        dispatcher.cancel(job)
+                        request.n_sends -= 1
+                        request.needs_budget = job.submission.needs_budget
+                        gevent.sleep(PROBE_CHECK_S)
+                        continue
+                    if decision is None or isinstance(decision, JobRejected):
+                        dispatcher.cancel(job)
+                        self._fail_unplaced(decision)
+                        return
+                    failure = self._run_placed(job, decision)
             except BaseException:
                 dispatcher.cancel(job)
                 raise
@@ -69,6 +86,25 @@
                 self._response.fail(failure, self._history)
                 return
 
+    def _awaits_probe(self, decision):
+        """Tell whether another request is about to show that this one can be served."""
+        request = self._request
+        waited_s = self._context.clock.monotonic() - request.arrived_at
+        return (
+            isinstance(decision, JobRejected)
+            and decision.awaits_probe
+            and waited_s < min(MAX_PROBE_WAIT_S, request.route.target_latency_s)
+        )
+
+    def _refuse_parts(self, cause):
+        """Refuse a request whose prompt has a part that ends engines.
+
+        There is no time after which the client's next try would succeed.
+        """
+        self._context.observe("refused_for_part", 1.0, self._request.route)
+        failure = SendFailure(cause=cause, may_have_run=False)
+        self._response.fail(failure, self._history, retry_after_s=None)
+
     def _submit(self):
         request = self._request
         request.n_sends += 1
@@ -95,6 +131,7 @@
                 has_started=False,
                 is_repeat=request.n_sends > 1,
                 needs_budget=needs_budget,
+                probed_parts=self._check.probed_parts,
             )
         )
 
@@ -109,6 +146,8 @@
             cause, retry_after_s = "no endpoint was free in time", RETRY_AFTER_S
         else:
             cause, retry_after_s = rejection.reason, rejection.retry_after_s
+            if retry_after_s < 0.0:
+                retry_after_s = None
         failure = SendFailure(cause=cause, may_have_run=False)
         self._response.fail(failure, self._history, retry_after_s=retry_after_s)
 
@@ -148,6 +187,12 @@
 
     def _run_with_helpers(self, job, decision, endpoints, helpers, reservations):
         first = endpoints[0]
+        if self._check.stop_cause is not None:
+            return SendFailure(
+                cause=self._check.stop_cause,
+                may_have_run=False,
+                reached_endpoint=False,
+            )
         try:
             connection = open_connection(
                 first.address,
@@ -162,6 +207,7 @@
                 endpoint=first.id,
             )
         reservations.abort_when_lost(connection)
+        self._check.note_sent(first, connection)
         self._history.n_runs += 1
         # Discards the partial event of an earlier run, which must not be joined with
         # the first event of this one.
@@ -181,7 +227,10 @@
             failure = self._relay(connection, job, first, times_out_at)
         except (OSError, MalformedMessageError) as error:
             failure = SendFailure(
-                cause=f"broken: {error!r}", may_have_run=True, endpoint=first.id
+                cause=f"broken: {error!r}",
+                may_have_run=True,
+                connection_ended=isinstance(error, ConnectionError),
+                endpoint=first.id,
             )
         finally:
             connection.close()
@@ -191,6 +240,8 @@
                 may_have_run=True,
                 endpoint=reservations.lost.endpoint_id,
             )
+        if failure is not None:
+            self._check.note_failure(failure, first)
         if failure is not None and not failure.may_have_run:
             self._history.n_runs -= 1
             self._history.n_refused += 1
@@ -237,6 +288,7 @@
                     return SendFailure(
                         cause="closed without an answer",
                         may_have_run=True,
+                        connection_ended=True,
                         endpoint=endpoint.id,
                     )
                 continue
@@ -250,7 +302,10 @@
                 return self._finish_stream(reader, endpoint)
             if not is_open:
                 return SendFailure(
-                    cause="stream broke", may_have_run=True, endpoint=endpoint.id
+                    cause="stream broke",
+                    may_have_run=True,
+                    connection_ended=True,
+                    endpoint=endpoint.id,
                 )
 
     def _forward_events(self, reader, job, endpoint):
@@ -261,6 +316,7 @@
             return False
         has_data = self._splitter.n_with_data > n_with_data
         if has_data and not job.has_started:
+            self._check.note_start()
             self._context.dispatcher.report_first_event(job)
             self._record_first_event(endpoint)
         self._response.write_events(reader.head, events)
@@ -271,6 +327,7 @@
             return SendFailure(
                 cause="stream ends within an event",
                 may_have_run=True,
+                connection_ended=reader.is_close_delimited,
                 endpoint=endpoint.id,
             )
         self._response.finish_stream(reader.head, endpoint)
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -21,6 +21,7 @@
 from savoryhill.serving.client_connection import serve_client
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.context import NodeContext
+from savoryhill.serving.crash_guard import CrashGuard
 from savoryhill.serving.dispatch import Dispatcher
 from savoryhill.serving.http import RequestReader, encode_head
 from savoryhill.serving.log_lines import LogWriter
@@ -28,6 +29,7 @@
 from savoryhill.serving.registration import keep_registered
 from savoryhill.serving.repeats import RepeatBudgets
 from savoryhill.serving.scheduling import Scheduling
+from savoryhill.serving.shared_observations import ObservationSharing
 from savoryhill.serving.start import open_listener
 from savoryhill.serving.watcher import Watcher
 
@@ -84,6 +86,8 @@
             settings=lambda: self._settings,
             n_nodes=lambda: len(cluster_view.nodes_by_name),
         )
+        sharing = ObservationSharing(clock=clock)
+        crash_guard = CrashGuard(clock=clock, sharing=sharing, record=record)
         scheduling = Scheduling(
             node=settings.node,
             clock=clock,
@@ -91,6 +95,7 @@
             record=record,
             is_standalone=lambda: dispatcher.is_standalone(),
             repeat_budgets=repeat_budgets,
+            crash_guard=crash_guard,
         )
         dispatcher = Dispatcher(
             node=settings.node,
@@ -98,6 +103,7 @@
             clock=clock,
             cluster_view=cluster_view,
             scheduling=scheduling,
+            sharing=sharing,
             record=record,
         )
         self._watcher = Watcher(
@@ -120,6 +126,7 @@
             dispatcher=dispatcher,
             balancer=Balancer(clock=clock, random=random, cluster_view=cluster_view),
             repeat_budgets=repeat_budgets,
+            crash_guard=crash_guard,
             metrics=metrics,
             log=log,
         )
@@ -141,6 +148,7 @@
             ),
             log_lines_dropped=lambda: self._lines.n_dropped,
             requests_started=lambda: context.n_started,
+            parts_refused=lambda: len(context.crash_guard.crashing_by_part),
         )
 
     def start(self, *, client_listener=None):
@@ -168,6 +176,7 @@
             self._dispatcher.place_waiting_periodically,
             self._dispatcher.send_heartbeats_to_followers,
             self._keep_registered,
+            self.context.crash_guard.review_periodically,
         ):
             self._greenlets.append(gevent.spawn(background_task))
         self._record("node.started", {"node": settings.node, "zone": settings.zone})
--- /dev/null
+++ b/src/savoryhill/serving/prompt_check.py
@@ -0,0 +1,106 @@
+"""Checks the parts of one request's prompt, over all of its sends."""
+
+from contextlib import contextmanager
+
+from savoryhill.core.observations.crashes import Admission
+from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
+from savoryhill.serving.crash_guard import MAX_PROBED_PARTS, refusal_cause
+
+
+class PromptCheck:
+    """Refuses a request with a part that ends engines, and reports what it shows.
+
+    A request that has started once is sound: its parts are not checked any more.
+    ``probed_parts`` holds the parts that the next send tries, ``stop_cause`` is why the
+    current send must not go on, or None.
+    """
+
+    def __init__(self, *, request):
+        self._request = request
+        self._guard = request.context.crash_guard
+        self._workspace = request.workspace.name if request.workspace else ""
+        self._has_started = False
+        self._job = None
+        self._connection = None
+        self._source = ""
+        self._sent_at = 0.0
+        self.probed_parts = ()
+        self.stop_cause = None
+
+    def refusal_cause(self):
+        """Decide on the next send; return why the request is refused, or None."""
+        self.probed_parts = ()
+        if self._has_started:
+            return None
+        parts = self._request.part_digests
+        admission, crashing = self._guard.admit(parts, self._workspace)
+        if admission is Admission.ADMIT:
+            return None
+        known = self._guard.crashing_by_part
+        probed_parts = tuple(part for part in parts if part in known)
+        if admission is Admission.REFUSE or len(probed_parts) > MAX_PROBED_PARTS:
+            return refusal_cause(crashing)
+        self.probed_parts = probed_parts
+        return None
+
+    @contextmanager
+    def watch(self, job):
+        """Stop the job inside the context if its parts prove to end engines."""
+        self._job, self._connection, self.stop_cause = job, None, None
+        if self._has_started:
+            yield
+            return
+        with self._guard.watch(
+            parts=self._request.part_digests,
+            workspace=self._workspace,
+            is_probe=bool(self.probed_parts),
+            stop=self._stop,
+        ):
+            yield
+
+    def _stop(self, cause):
+        if self._has_started:
+            return
+        self.stop_cause = cause
+        if self._connection is not None:
+            self._connection.abort()
+        elif not self._job.decision.ready():
+            self._job.decision.set(
+                JobRejected(
+                    job_id=self._job.submission.job_id,
+                    reason=cause,
+                    retry_after_s=NO_RETRY_S,
+                )
+            )
+
+    def note_sent(self, endpoint, connection):
+        """Record the engine and the connection of the current send."""
+        self._source = f"{endpoint.id}@{endpoint.born_ms}"
+        self._connection = connection
+        self._sent_at = self._request.context.clock.monotonic()
+
+    def note_start(self):
+        """Record the first event of the current send."""
+        self._has_started = True
+        self._guard.note_start(
+            parts=self._request.part_digests,
+            source=self._source,
+            sent_at=self._sent_at,
+        )
+
+    def note_failure(self, failure, endpoint):
+        """Record a failed send, if its engine may have ended under it.
+
+        An engine that leaves ends its connections in any case.
+        """
+        if not failure.connection_ended or self._has_started or self.stop_cause:
+            return
+        if not self._request.context.cluster_view.is_usable(endpoint):
+            return
+        self._guard.note_crash(
+            request=self._request.id,
+            parts=self._request.part_digests,
+            workspace=self._workspace,
+            source=self._source,
+            sent_at=self._sent_at,
+        )
--- a/src/savoryhill/serving/response_writer.py
+++ b/src/savoryhill/serving/response_writer.py
@@ -60,6 +60,8 @@
     def fail(self, failure, history, *, retry_after_s=RETRY_AFTER_S):
         """End a request that no endpoint served successfully.
 
+        ``retry_after_s`` is None if no later try of the client would succeed.
+
         Raises
         ------
         ClientDisconnectedError
@@ -95,7 +97,7 @@
             (b"content-length", str(len(body)).encode()),
             *platform_headers.attempt_id_headers(self._request.metadata),
         ]
-        if status in (429, 503):
+        if status in (429, 503) and retry_after_s is not None:
             headers.append((b"retry-after", b"%.2f" % retry_after_s))
         self._add_connection_header(headers)
         self._write(encode_head(status, headers) + body)
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -28,11 +28,20 @@
     """One scheduler per service on the node ``node``, updated from the cluster view.
 
     ``record(event, fields)`` logs each decision. ``is_standalone()`` returns whether
-    this node schedules only its own jobs.
+    this node schedules only its own jobs. ``crash_guard`` decides on jobs that try
+    parts of prompts which may end engines.
     """
 
     def __init__(
-        self, *, node, clock, cluster_view, record, is_standalone, repeat_budgets
+        self,
+        *,
+        node,
+        clock,
+        cluster_view,
+        record,
+        is_standalone,
+        repeat_budgets,
+        crash_guard,
     ):
         self._node = node
         self._clock = clock
@@ -40,6 +49,7 @@
         self._record = record
         self._is_standalone = is_standalone
         self._repeat_budgets = repeat_budgets
+        self._crash_guard = crash_guard
         self._submissions_by_job = {}
         self._max_grants_per_s_by_service = {}
         self.schedulers_by_service = {}
@@ -70,8 +80,18 @@
         """
         now = self._clock.monotonic()
         scheduler = self.schedulers_by_service.get(message.service)
+        if message.probed_parts and not message.endpoints:
+            rejection = self._crash_guard.admit_probe(
+                message.job_id,
+                message.probed_parts,
+                is_standalone=self._is_standalone(),
+            )
+            if rejection is not None:
+                deliver(rejection)
+                return
         rejection_reason = self._rejection_reason(message, now)
         if rejection_reason is not None:
+            self._crash_guard.end_probe(message.job_id)
             deliver(
                 JobRejected(
                     job_id=message.job_id,
@@ -130,6 +150,7 @@
             return
         scheduler = self.schedulers_by_service[submission.service]
         now = self._clock.monotonic()
+        self._crash_guard.end_probe(message.job_id)
         if message.what == FIRST_EVENT:
             self._deliver_all(
                 scheduler, scheduler.note_first_event(message.job_id, now)
@@ -146,6 +167,7 @@
     def cancel_jobs(self, job_ids):
         """Cancel jobs, such as those of a node whose link was lost."""
         for job_id in list(job_ids):
+            self._crash_guard.end_probe(job_id)
             submission = self._submissions_by_job.pop(job_id, None)
             if submission is not None:
                 scheduler = self.schedulers_by_service[submission.service]
@@ -188,6 +210,7 @@
                     predicted_first_s=decision.predicted_first_s,
                 )
             else:
+                self._crash_guard.end_probe(decision.job_id)
                 self._submissions_by_job.pop(decision.job_id, None)
                 reply = JobRejected(
                     job_id=decision.job_id,
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -22,15 +22,18 @@
 
     ``may_have_run`` is False only if the endpoint provably did not run the request.
     ``reached_endpoint`` is False if nothing reached an endpoint; such a send does not
-    draw on the repeat budget. ``endpoint`` is the id of the endpoint at fault, or the
-    address under which another endpoint named it. ``head`` and ``body`` are set if the
-    endpoint responded with an error of its own that may be forwarded to the client.
+    draw on the repeat budget. ``connection_ended`` tells whether the endpoint ended the
+    connection before its response was complete. ``endpoint`` is the id of the endpoint
+    at fault, or the address under which another endpoint named it. ``head`` and
+    ``body`` are set if the endpoint responded with an error of its own that may be
+    forwarded to the client.
     """
 
     cause: str
     may_have_run: bool
     reached_endpoint: bool = True
     is_full: bool = False
+    connection_ended: bool = False
     endpoint: str | None = None
     head: object = None
     body: bytes = b""
--- /dev/null
+++ b/src/savoryhill/serving/shared_observations.py
@@ -0,0 +1,48 @@
+"""A node's copy of the observations that all nodes share."""
+
+from savoryhill.core.observations.messages import (
+    decode_observations,
+    encode_observations,
+)
+from savoryhill.core.observations.table import ObservationTable
+
+
+class ObservationSharing:
+    """Merges observations of this node and of others, and passes on what is news.
+
+    ``send(message, except_link)`` sends a message on all links but one. The functions
+    in ``on_news`` are called with the news once they are merged.
+    """
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self.table = ObservationTable()
+        self.send = None
+        self.on_news = []
+
+    def add(self, observations):
+        """Merge observations of this node."""
+        self._merge(observations, except_link=None)
+
+    def receive(self, message, link):
+        """Merge the observations that arrived on a link."""
+        observations = decode_observations(message, self._clock.monotonic())
+        self._merge(observations, except_link=link)
+
+    def _merge(self, observations, *, except_link):
+        now = self._clock.monotonic()
+        news = self.table.merge(observations, now)
+        if not news:
+            return
+        if self.send is not None:
+            self.send(encode_observations(news, now), except_link)
+        for notify in self.on_news:
+            notify(news)
+
+    def snapshot(self):
+        """Return a message with all observations, or None if there are none."""
+        now = self._clock.monotonic()
+        self.table.expire(now)
+        if not len(self.table):
+            return None
+        return encode_observations(self.table.all(), now)
--- /dev/null
+++ b/tests/core/observations/test_crashes.py
@@ -0,0 +1,188 @@
+"""Tests of the decision which parts of prompts end engines."""
+
+import pytest
+
+from savoryhill.core.observations.crashes import (
+    CRASH,
+    FIRST_PROBE_DELAY_S,
+    MIN_CRASHES,
+    SOUND_S,
+    Admission,
+    admit,
+    find_crashing_parts,
+    observe_crash,
+    observe_start,
+    recall_starts,
+)
+from savoryhill.core.observations.table import Observation, ObservationTable
+
+
+@pytest.fixture
+def table():
+    return ObservationTable()
+
+
+def crash(table, parts, *, engine, now, sent_at=None, workspace="ws-a"):
+    """Merge the observations of an engine that ended."""
+    return table.merge(
+        observe_crash(
+            table,
+            parts=parts,
+            source=engine,
+            workspace=workspace,
+            sent_at=now - 0.1 if sent_at is None else sent_at,
+            now=now,
+        ),
+        now,
+    )
+
+
+def start(table, parts, *, now, engine="e9", sent_at=None):
+    """Merge the observations of a request that started."""
+    table.merge(
+        observe_start(
+            table,
+            parts=parts,
+            source=engine,
+            sent_at=now - 0.1 if sent_at is None else sent_at,
+            now=now,
+        ),
+        now,
+    )
+
+
+def crash_in_succession(table, parts, *, n=MIN_CRASHES, workspaces=("ws-a",)):
+    for number in range(n):
+        workspace = workspaces[number % len(workspaces)]
+        crash(
+            table, parts, engine=f"e{number}", now=100.0 + number, workspace=workspace
+        )
+
+
+def decide(table, parts, *, now=110.0, workspace="ws-a"):
+    found = find_crashing_parts(table, now)
+    return admit(found, parts=parts, workspace=workspace, now=now)[0]
+
+
+class TestEvidence:
+    def test_part_in_successive_crashes_is_refused(self, table):
+        crash_in_succession(table, ["dead"], n=MIN_CRASHES - 1)
+        assert decide(table, ["dead"]) is Admission.ADMIT
+        crash(table, ["dead"], engine="e8", now=105.0)
+        assert decide(table, ["dead"]) is Admission.REFUSE
+        assert decide(table, ["other"]) is Admission.ADMIT
+
+    def test_engines_that_end_together_count_once(self, table):
+        # Guards against refusing the parts of requests that waited in an availability
+        # zone which failed.
+        for number in range(6):
+            crash(table, ["aa"], engine=f"e{number}", now=100.0 + 0.01 * number)
+        assert decide(table, ["aa"]) is Admission.ADMIT
+
+    def test_several_requests_on_one_engine_count_once(self, table):
+        for number in range(6):
+            crash(table, ["aa"], engine="e1", now=100.0 + number)
+        assert decide(table, ["aa"]) is Admission.ADMIT
+
+    def test_start_after_a_crash_clears_the_part(self, table):
+        crash_in_succession(table, ["dead", "aa"])
+        start(table, ["aa"], now=104.0)
+        assert decide(table, ["aa"]) is Admission.ADMIT
+        assert decide(table, ["aa", "dead"]) is Admission.REFUSE
+
+    def test_part_that_started_shortly_before_is_not_at_fault(self, table):
+        # Guards against refusing most prompts while engines end for another reason,
+        # or the parts that sound prompts share with those that end engines.
+        news = crash(table, ["aa", "dead"], engine="e8", now=99.0)
+        recalled = recall_starts(
+            table, crashes=news, started_at_by_part={"aa": 95.0, "zz": 98.0}, now=99.0
+        )
+        assert [o.subject for o in recalled] == ["aa"]
+        table.merge(recalled, 99.0)
+        crash_in_succession(table, ["aa", "dead"])
+        assert decide(table, ["aa"]) is Admission.ADMIT
+        assert decide(table, ["aa", "dead"]) is Admission.REFUSE
+        assert decide(table, ["aa"], now=95.0 + SOUND_S + 0.1) is Admission.PROBE
+
+    def test_engine_that_goes_on_had_not_ended(self, table):
+        # Guards against counting connections that a sound engine resets as crashes.
+        crash_in_succession(table, ["aa"])
+        start(table, ["zz"], engine="e1", now=104.0)
+        assert decide(table, ["aa"]) is Admission.ADMIT
+
+    def test_start_of_a_request_sent_before_the_crash_tells_nothing_of_the_engine(
+        self, table
+    ):
+        crash_in_succession(table, ["aa"])
+        start(table, ["zz"], engine="e1", now=104.0, sent_at=100.5)
+        assert decide(table, ["aa"]) is Admission.REFUSE
+
+    def test_crash_speaks_against_the_most_frequent_part_only(self, table):
+        # Guards against refusing the parts that waited beside the one at fault.
+        for number in range(5):
+            parts = ["dead", "aa"] if number else ["dead"]
+            crash(table, parts, engine=f"e{number}", now=100.0 + number)
+        assert decide(table, ["aa"]) is Admission.ADMIT
+        assert decide(table, ["dead"]) is Admission.REFUSE
+
+
+class TestScope:
+    def test_one_workspace_cannot_have_parts_of_another_refused(self, table):
+        crash_in_succession(table, ["dead"])
+        assert decide(table, ["dead"], workspace="ws-b") is Admission.ADMIT
+
+    def test_part_of_two_workspaces_is_refused_for_all(self, table):
+        crash_in_succession(table, ["dead"], workspaces=("ws-a", "ws-b"))
+        assert decide(table, ["dead"], workspace="ws-c") is Admission.REFUSE
+
+    def test_prompt_with_some_of_the_parts_is_tried(self, table):
+        # Guards against refusing a sound part that was always sent with another one.
+        crash_in_succession(table, ["dead", "aa"])
+        assert decide(table, ["aa"]) is Admission.PROBE
+        start(table, ["aa"], now=105.0)
+        assert decide(table, ["aa"]) is Admission.ADMIT
+        assert decide(table, ["dead", "aa"]) is Admission.REFUSE
+
+
+class TestProbes:
+    def test_part_is_tried_again_after_a_delay_that_grows(self, table):
+        crash_in_succession(table, ["dead"])
+        tried_at = 102.0 + FIRST_PROBE_DELAY_S
+        assert decide(table, ["dead"], now=tried_at - 0.1) is Admission.REFUSE
+        assert decide(table, ["dead"], now=tried_at) is Admission.PROBE
+        crash(table, ["dead"], engine="e7", now=tried_at)
+        next_at = tried_at + 2 * FIRST_PROBE_DELAY_S
+        assert decide(table, ["dead"], now=next_at - 0.1) is Admission.REFUSE
+        assert decide(table, ["dead"], now=next_at) is Admission.PROBE
+
+    def test_part_that_starts_again_is_served_without_an_operator(self, table):
+        crash_in_succession(table, ["dead"])
+        start(table, ["dead"], now=140.0)
+        assert decide(table, ["dead"], now=140.0) is Admission.ADMIT
+        crash(table, ["dead"], engine="e7", now=141.0)
+        assert decide(table, ["dead"], now=142.0) is Admission.ADMIT
+
+
+class TestBounds:
+    def test_many_parts_do_not_push_out_those_that_end_engines(self):
+        # Guards against a caller that fills the table with parts of its own.
+        table = ObservationTable(max_observations=50)
+        crash_in_succession(table, ["dead"])
+        table.protected_subjects = frozenset(find_crashing_parts(table, 103.0))
+        for number in range(200):
+            crash(table, [f"p{number}"], engine=f"x{number}", now=104.0 + number)
+        assert len(table) == 50
+        assert decide(table, ["dead"], now=105.0) is Admission.REFUSE
+
+    def test_observations_of_a_peer_are_checked(self, table):
+        for value, version in ((float("nan"), 1), (float("inf"), 1), (0.0, 0)):
+            bad = Observation(
+                kind=CRASH,
+                subject="aa",
+                source="e1",
+                version=version,
+                observed_at=100.0,
+                value=value,
+            )
+            assert table.merge([bad], 100.0) == ()
+        assert len(table) == 0
--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -1,7 +1,11 @@
 """Parts of prompts that end the engines that answer them."""
 
+import gevent
 import pytest
 
+from savoryhill.core.observations.parts import digest_part
+from savoryhill.observability.metrics import prometheus_text
+
 N_ENGINES = 8
 # Crashes after which it is certain that requests with the part end engines, and
 # requests with it that may still reach engines.
@@ -63,3 +67,71 @@
         arrivals = arrivals_of_part(engines, b"dead")
         later = [at for at in arrivals if at > certain_at]
         assert len(later) <= MAX_LATER_ARRIVALS, f"{len(crashes)} engines ended"
+
+    def test_sound_requests_with_the_same_key_and_first_part_are_served(
+        self, deployment, engines
+    ):
+        deployment.add_node()
+        for number in range(6):
+            ask_with_part(deployment, number)
+        deployment.wait_until(lambda: not any(e.is_down for e in engines))
+        answers = [ask_sound(deployment, number)[::2] for number in range(6)]
+        assert [status for status, _ in answers] == [200] * 6, answers
+
+    def test_refusal_is_immediate_and_names_no_time_to_return(
+        self, deployment, engines
+    ):
+        # Guards against a request that waits or is sent although no engine can answer
+        # it, and against clients that are told to come back in vain.
+        node = deployment.add_node()
+        ask_sound(deployment, 0)
+        for number in range(4):
+            ask_with_part(deployment, number)
+        n_crashes = len(crash_times(engines))
+        with gevent.Timeout(0.2):
+            status, headers, body, complete = ask_with_part(deployment, 9)
+        assert (status, complete) == (503, True)
+        assert digest_part("pool", "dead").encode() in body
+        assert b"retry-after" not in headers
+        assert len(crash_times(engines)) == n_crashes
+        refused = deployment.lines[0].fields_of("part.refused")
+        assert [fields["part"] for fields in refused] == [digest_part("pool", "dead")]
+        assert "parts_refused{} 1" in prometheus_text(node.context.metrics)
+
+    def test_node_that_joins_or_takes_over_knows_the_part(self, deployment, engines):
+        # Guards against engines that end again after a restart or a hand-over.
+        first = deployment.add_node()
+        for number in range(4):
+            ask_with_part(deployment, number)
+        n_crashes = len(crash_times(engines))
+        second = deployment.add_node()
+        deployment.wait_until(lambda: second.context.crash_guard.crashing_by_part)
+        first.stop()
+        deployment.wait_until(second._dispatcher.is_leader)
+        deployment.wait_until(lambda: not any(e.is_down for e in engines))
+        assert ask_with_part(deployment, 9, node=1)[0] == 503
+        assert len(crash_times(engines)) == n_crashes
+
+    def test_prompt_that_waits_on_an_engine_is_withdrawn(self, deployment):
+        # Guards against prompts that were sent before the part was known, and end
+        # their engine after that.
+        for n in range(4):
+            deployment.add_endpoint(f"e{n}", service="pool", crashing_parts={"dead"})
+        node = deployment.add_node()
+        slow = deployment.endpoints_by_id["e3"]
+        slow.event_interval_s = 0.6
+        connections = [
+            deployment.open("/chat/x", x_prompt_prefix=f"aa:40,dead:900,{n:x}:60")
+            for n in range(5)
+        ]
+        for connection in connections:
+            assert deployment.finish(connection)[0] in (502, 503)
+        guard = node.context.crash_guard
+        if guard.crashing_by_part:
+            deployment.wait_until(lambda: not node.context.n_running)
+            assert slow.crashes == []
+
+    def test_malformed_list_of_parts_is_served(self, deployment, engines):
+        deployment.add_node()
+        for value in ("", ",,,", "zz", "aa:-1,:,zz:x,9", "dead:900"):
+            assert deployment.ask("/chat/x", x_prompt_prefix=value)[0] == 200
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -11,6 +11,7 @@
 )
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.dispatch import STEP_DOWN_DELAY_S, Dispatcher
+from savoryhill.serving.shared_observations import ObservationSharing
 
 
 class RecordingLink:
@@ -43,6 +44,7 @@
         clock=clock,
         cluster_view=cluster_view,
         scheduling=None,
+        sharing=ObservationSharing(clock=clock),
         record=lambda event, fields: None,
     )
 
