serving: a stream without a length and without an event is not complete

What callers saw: an engine that ended as it began to answer, after the headers of a response without a length, reached the client as a complete stream of no events. Cause: the end of the connection completes a response that has neither a length nor chunks, and a stream counted as complete unless it ended within an event. Change: such a stream is complete only after an event; before the first one it is a broken send, and a crash observed for its parts. Stand-ins send streams without a length that are whole, cut within an event, reset or empty. A plain answer without a length whose connection ends properly stays complete: nothing tells it from a short one.

--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -299,7 +299,7 @@
             if self._forward_events(reader, job, endpoint):
                 times_out_at = self._context.clock.monotonic() + gap_timeout_s
             if reader.complete:
-                return self._finish_stream(reader, endpoint)
+                return self._finish_stream(reader, job, endpoint)
             if not is_open:
                 return SendFailure(
                     cause="stream broke",
@@ -322,7 +322,15 @@
         self._response.write_events(reader.head, events)
         return has_data
 
-    def _finish_stream(self, reader, endpoint):
+    def _finish_stream(self, reader, job, endpoint):
+        if reader.is_close_delimited and not job.has_started:
+            # An engine that ends as it begins to answer looks the same.
+            return SendFailure(
+                cause="stream without a length ends before its first event",
+                may_have_run=True,
+                connection_ended=True,
+                endpoint=endpoint.id,
+            )
         if self._splitter.has_partial_event:
             return SendFailure(
                 cause="stream ends within an event",
--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -11,6 +11,8 @@
 - ``extra``: a second, unsolicited response follows the first
 - ``unframed``: the response has no length and ends when the connection closes
 - ``unframed_reset``: like ``unframed``, but the connection is reset within the body
+- ``unframed_cut``: like ``unframed``, but a stream ends within its third event
+- ``unframed_empty``: like ``unframed``, but the connection ends after the headers
 - ``encoded``: the response has a content encoding that was not requested
 - ``endless_head``: headers are sent without end, until the caller closes
 - ``endless_body``: the request is run and answered with 500 and a body without end
@@ -35,6 +37,8 @@
 DEFAULT_EVENTS_PER_STREAM = 6
 STALL_COMMENT_INTERVAL_S = 0.2
 DOWN_S = 0.3
+UNFRAMED_FAULTS = ("unframed", "unframed_reset", "unframed_cut", "unframed_empty")
+CUT_FAULTS = ("cut", "truncated", "unframed_reset", "unframed_cut")
 ENDLESS_HEADERS = b"x-header: value\r\n" * 64
 ENDLESS_BODY = encode_chunk(b"x" * 1024)
 COMMENT = encode_chunk(b": still there\n\n")
@@ -141,7 +145,7 @@
             return self._stream(sock, request, headers, fault)
         gevent.sleep(self.response_delay_s)
         body = b"done by " + self.id.encode()
-        if fault in ("unframed", "unframed_reset"):
+        if fault in UNFRAMED_FAULTS:
             return _send_unframed(sock, headers, body, fault)
         if fault == "encoded":
             headers = [*headers, (b"content-encoding", b"gzip")]
@@ -187,9 +191,14 @@
         interval_s = (
             self.helped_event_interval_s if is_helped else self.event_interval_s
         )
-        headers = [*headers, (b"transfer-encoding", b"chunked")]
+        is_framed = fault not in UNFRAMED_FAULTS
+        if is_framed:
+            headers = [*headers, (b"transfer-encoding", b"chunked")]
+        frame = encode_chunk if is_framed else bytes
         try:
             sock.sendall(encode_head(200, headers))
+            if fault == "unframed_empty":
+                return False
             for number in range(last_event_id + 1, self.n_events + 1):
                 gevent.sleep(interval_s)
                 if self.crashing_parts and self._has_crashing_part(request):
@@ -200,21 +209,22 @@
                     self._record_lapse(request, missing)
                     return self._break_stream(sock, "lapsed")
                 event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-                if fault in ("cut", "truncated") and number == last_event_id + 3:
-                    sock.sendall(encode_chunk(event[:9]))
+                if fault in CUT_FAULTS and number == last_event_id + 3:
+                    sock.sendall(frame(event[:9]))
                     return self._break_stream(sock, fault)
-                sock.sendall(encode_chunk(event))
+                sock.sendall(frame(event))
                 if fault == "stalled":
                     attempt = request.header(names.ATTEMPT_ID) or b""
                     return self._send_endlessly(sock, attempt, fault)
-            sock.sendall(LAST_CHUNK)
+            if is_framed:
+                sock.sendall(LAST_CHUNK)
         except OSError:
             self.n_cancelled += 1
             return False
         finally:
             attempt = (request.header(names.ATTEMPT_ID) or b"").decode()
             self.ended_at_by_attempt[attempt] = self.clock.monotonic()
-        return True
+        return is_framed
 
     def _has_crashing_part(self, request):
         parts = (request.header(names.PROMPT_PARTS) or b"").decode("latin-1").split(",")
@@ -271,7 +281,10 @@
         if fault == "truncated":
             sock.sendall(LAST_CHUNK)
             return True
-        _reset_at_close(sock)
+        if fault != "unframed_cut":
+            # The reset must not reach the caller before the bytes sent above.
+            gevent.sleep(0.02)
+            _reset_at_close(sock)
         return False
 
 
@@ -287,6 +300,8 @@
 
 
 def _send_unframed(sock, headers, body, fault):
+    if fault == "unframed_empty":
+        body = b""
     is_reset = fault == "unframed_reset"
     sock.sendall(encode_head(200, headers) + (body[:4] if is_reset else body))
     if is_reset:
