--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from savoryhill.core.observations.crashes import CRASH, observe_crash
+from savoryhill.core.observations.messages import ObservationItem, SharedObservations
 from savoryhill.core.scheduling.messages import (
     NodeAside,
     NodeBeat,
@@ -13,6 +15,16 @@
 from savoryhill.serving.dispatch import STEP_DOWN_DELAY_S, Dispatcher
 from savoryhill.serving.shared_observations import ObservationSharing
 
+CRASH_ITEM = ObservationItem(
+    kind=CRASH,
+    subject="p1",
+    source="e1",
+    version=1,
+    age_s=1.0,
+    value=0.1,
+    workspace="ws-a",
+)
+
 
 class RecordingLink:
     """A link that records what is sent."""
@@ -138,3 +150,48 @@
         for _ in range(3):
             dispatcher._apply_update(follower, store_update(7, 8))
         assert len(follower.frames) == 1
+
+
+class TestSharedObservations:
+    def test_leader_forwards_news_once_and_not_to_their_sender(
+        self, dispatcher, follower
+    ):
+        # Guards against observations that go back and forth between nodes forever.
+        other = RecordingLink()
+        dispatcher._follower_links.add(other)
+        sharing = dispatcher._sharing
+        for _ in range(2):
+            sharing.receive(SharedObservations(items=(CRASH_ITEM,)), follower)
+        assert (len(follower.frames), len(other.frames)) == (0, 1)
+
+    def test_follower_sends_its_own_news_to_the_leader(self, clock, dispatcher):
+        dispatcher._link = RecordingLink()
+        sharing = dispatcher._sharing
+        now = clock.monotonic()
+        sharing.add(
+            observe_crash(
+                sharing.table,
+                parts=["p1"],
+                source="e1",
+                workspace="",
+                sent_at=now,
+                now=now,
+            )
+        )
+        assert len(dispatcher._link.frames) == 1
+
+    def test_new_link_gets_what_is_known(self, clock, dispatcher, follower):
+        # Guards against a node that joins, or the next leader, learning of a part only
+        # from engines that end again.
+        dispatcher._sharing.receive(SharedObservations(items=(CRASH_ITEM,)), follower)
+        clock.now += 3.0
+        joining = RecordingLink()
+        dispatcher._send_known_observations(joining)
+        ((message,),) = [joining.messages_of(SharedObservations)]
+        (item,) = message.items
+        assert (item.subject, item.source, item.age_s) == ("p1", "e1", 4.0)
+
+    def test_nothing_is_sent_while_nothing_is_known(self, dispatcher):
+        joining = RecordingLink()
+        dispatcher._send_known_observations(joining)
+        assert joining.sent == []
