soak: parts of prompts under which engines end

The soak could not see the incident of the crashing part: no stand-in ended under a request, and the clients' prompts had no parts. Now spans are planned in which engines end when they begin to answer a prompt with one part; a check counts the requests with it that reach engines after the fifth crash, at undisturbed times. A test of the check and of the plan; a test that a prompt which waits on an engine is withdrawn.

--- a/src/savoryhill/soak/clients.py
+++ b/src/savoryhill/soak/clients.py
@@ -1,5 +1,7 @@
 """Clients of a soak, which reuse their connection until the node closes it."""
 
+from random import Random
+
 import gevent
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
@@ -13,6 +15,7 @@
 DISCONNECT_PROBABILITY = 0.1
 # Probability of one of the initial keys, which may have been revoked since.
 INITIAL_KEY_PROBABILITY = 0.2
+CRASHING_PART_PROBABILITY = 0.15
 MEAN_THINK_TIME_S = 0.15
 # How long a client waits for the response after the request's deadline.
 RESPONSE_GRACE_S = 2.0
@@ -25,6 +28,7 @@
         self._number = number
         self._deployment = deployment
         self._random = random
+        self._part_random = Random(f"parts/{number}")
         self._clock = clock
         self._requests = requests
         self._is_undisturbed = is_undisturbed
@@ -87,6 +91,14 @@
             return self._random.choice(("key-0", "key-1", "key-2"))
         return self._random.choice(self._deployment.keys)
 
+    def _choose_parts(self, request_id):
+        """Return the parts of a prompt, at times with one under which engines end."""
+        parts = ["aa:40", f"{request_id}:60"]
+        crashing_part = self._deployment.crashing_part
+        if crashing_part and self._part_random.random() < CRASHING_PART_PROBABILITY:
+            parts.insert(1, f"{crashing_part}:900")
+        return ",".join(parts).encode()
+
     def _exchange(self, request_id, kind, key, remaining_s, disconnects):
         connection = self._connection
         reader = connection.reader = ResponseReader()
@@ -98,6 +110,7 @@
         ]
         if kind in ("chat", "once"):
             headers.append((b"x-token-counts", b"1000,300"))
+            headers.append((b"x-prompt-prefix", self._choose_parts(request_id)))
         elif kind == "huge":
             headers.append((b"x-token-counts", b"450000,300"))
         method = b"GET" if kind == "stock" else b"POST"
--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -132,6 +132,7 @@
 
     ``placements`` holds service and availability zone of each endpoint, and
     ``draining_indexes`` the indexes of the endpoints that are registered as draining.
+    Engines end when they begin to answer a prompt with the ``crashing_part``, if any.
     """
 
     folder: Path
@@ -145,6 +146,7 @@
     placements: list = field(default_factory=list)
     draining_indexes: set = field(default_factory=set)
     version: int = 0
+    crashing_part: str | None = None
     keys: list = field(default_factory=lambda: ["key-0", "key-1", "key-2"])
 
     def start(self):
@@ -175,7 +177,15 @@
         }
         self.store.put(names.CONFIGURATION_KEY, json.dumps(content).encode())
 
+    def set_crashing_part(self, part):
+        """Set the part of prompts under which engines end; None is no part."""
+        self.crashing_part = part
+        for endpoint, (service, _) in zip(self.endpoints, self.placements, strict=True):
+            if service == "pool":
+                endpoint.crashing_parts = {part} if part else set()
+
     def _add_endpoint(self, name, service, zone):
+        index = len(self.endpoints)
         endpoint = EndpointStandIn(
             id=name,
             clock=self.clock,
@@ -183,6 +193,7 @@
             event_interval_s=EVENT_INTERVAL_S,
             helped_event_interval_s=HELPED_EVENT_INTERVAL_S,
             fleet=self.endpoints,
+            on_return=lambda: self.write_endpoint_row(index),
         )
         server = start_endpoint(endpoint)
         self._servers.append(server)
@@ -190,7 +201,7 @@
         self.endpoints.append(endpoint)
         self.endpoint_proxies.append(proxy)
         self.placements.append((service, zone))
-        self.write_endpoint_row(len(self.endpoints) - 1)
+        self.write_endpoint_row(index)
 
     def write_endpoint_row(self, index):
         """Write the row of an endpoint to the store."""
@@ -204,7 +215,7 @@
             "state": "draining" if index in self.draining_indexes else "ready",
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1,
+            "born": 1 + len(self.endpoints[index].crashes),
         }
         key = names.ENDPOINT_PREFIX + self.endpoints[index].id
         self.store.put(key, json.dumps(row).encode())
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -24,6 +24,9 @@
 SETTLE_S = 4.0
 MEAN_ENDPOINT_FAULT_INTERVAL_S = 0.4
 MEAN_ENDLESS_INTERVAL_S = 2.0
+# Spans in which engines end under a part of prompts, drawn apart as well.
+MEAN_CRASHING_PART_INTERVAL_S = 9.0
+CRASHING_PART_LENGTH_S = 5.0
 MEAN_CHANGE_INTERVAL_S = 1.0
 # Time without new faults at the end, in which requests must be served again.
 FINAL_QUIET_S = 6.0
@@ -68,6 +71,9 @@
         *_plan_endless_responses(
             Random(f"endless/{seed}"), until=length_s - FINAL_QUIET_S
         ),
+        *_plan_crashing_parts(
+            Random(f"crashing/{seed}"), until=length_s - FINAL_QUIET_S
+        ),
     ]
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
@@ -130,3 +136,17 @@
             length_s=0.5,
         )
         at_s += random.expovariate(1.0 / MEAN_ENDLESS_INTERVAL_S)
+
+
+def _plan_crashing_parts(random, *, until):
+    """Yield spans in which prompts with one part end the engines that answer them."""
+    at_s = random.uniform(1.0, MEAN_CRASHING_PART_INTERVAL_S)
+    while at_s + CRASHING_PART_LENGTH_S < until:
+        yield Fault(
+            at_s=at_s,
+            kind="crashing_part",
+            target=random.randrange(1_000),
+            length_s=CRASHING_PART_LENGTH_S,
+        )
+        at_s += CRASHING_PART_LENGTH_S
+        at_s += random.expovariate(1.0 / MEAN_CRASHING_PART_INTERVAL_S)
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -69,6 +69,7 @@
     revoked_at_by_key: dict = field(default_factory=dict)
     drain_spans: list = field(default_factory=list)
     evacuation_spans: list = field(default_factory=list)
+    crashing_parts: list = field(default_factory=list)
     fault_greenlets: list = field(default_factory=list)
 
     def is_undisturbed(self, start, end):
@@ -239,6 +240,14 @@
             if endpoint_zone == zone:
                 self.evacuation_spans.append((endpoint.id, start, end))
 
+    def _crashing_part(self, fault):
+        deployment = self.deployment
+        part = f"dead{len(self.crashing_parts)}"
+        self.crashing_parts.append(part)
+        deployment.set_crashing_part(part)
+        gevent.sleep(fault.length_s)
+        deployment.set_crashing_part(None)
+
     # Checks.
 
     def _build_result(self, ends_at):
@@ -301,6 +310,9 @@
                 [item for endpoint in endpoints for item in endpoint.endless],
                 is_disturbed=is_disturbed,
             ),
+            *checks.check_crashing_parts(
+                endpoints, self.crashing_parts, is_disturbed=is_disturbed
+            ),
             *self._check_released_reservations(),
             *self._check_recovery_after_faults(ends_at),
         ]
--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -202,7 +202,10 @@
             for number in range(last_event_id + 1, self.n_events + 1):
                 gevent.sleep(interval_s)
                 if self.crashing_parts and self._has_crashing_part(request):
-                    self._crash(request)
+                    if _is_closed_by_caller(sock):
+                        self.n_cancelled += 1
+                    else:
+                        self._crash(request)
                     return False
                 missing = self._missing(reservations)
                 if missing:
@@ -288,6 +291,14 @@
         return False
 
 
+def _is_closed_by_caller(sock):
+    """Tell whether the caller has closed its connection."""
+    try:
+        return sock._sock.recv(1, gsocket.MSG_PEEK | gsocket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+
+
 def _reservations_of(request):
     """Return the ids of the reservations that a request uses at its helpers."""
     helpers = (request.header(names.HELPERS) or b"").decode().split(",")
--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -115,21 +115,26 @@
     def test_prompt_that_waits_on_an_engine_is_withdrawn(self, deployment):
         # Guards against prompts that were sent before the part was known, and end
         # their engine after that.
+        slow = deployment.add_endpoint(
+            "slow", service="pool", crashing_parts={"dead"}, event_interval_s=0.9
+        )
         for n in range(4):
-            deployment.add_endpoint(f"e{n}", service="pool", crashing_parts={"dead"})
-        node = deployment.add_node()
-        slow = deployment.endpoints_by_id["e3"]
-        slow.event_interval_s = 0.6
-        connections = [
-            deployment.open("/chat/x", x_prompt_prefix=f"aa:40,dead:900,{n:x}:60")
-            for n in range(5)
-        ]
-        for connection in connections:
-            assert deployment.finish(connection)[0] in (502, 503)
-        guard = node.context.crash_guard
-        if guard.crashing_by_part:
-            deployment.wait_until(lambda: not node.context.n_running)
-            assert slow.crashes == []
+            deployment.add_endpoint(
+                f"e{n}", service="pool", zone="zone-b", crashing_parts={"dead"}
+            )
+        deployment.add_node()
+        waiting = deployment.open(
+            "/chat/x",
+            x_prompt_prefix="aa:40,dead:900,1:60",
+            x_token_counts="40000,100",
+        )
+        deployment.wait_until(lambda: slow.arrivals)
+        for number in range(2):
+            ask_with_part(deployment, number)
+        with gevent.Timeout(0.3):
+            assert deployment.finish(waiting)[0] == 502
+        deployment.wait_until(lambda: slow.n_cancelled == 1, limit_s=1.5)
+        assert slow.crashes == []
 
     def test_malformed_list_of_parts_is_served(self, deployment, engines):
         deployment.add_node()
--- a/tests/soak/test_observations.py
+++ b/tests/soak/test_observations.py
@@ -6,6 +6,7 @@
 
 from savoryhill.soak import observations as checks
 from savoryhill.soak.plan import make_plan
+from savoryhill.standins.serving.endpoint import Arrival, EndpointStandIn
 
 FULL_STREAM = checks.expected_stream(3)
 REQUEST = checks.ObservedRequest(
@@ -165,3 +166,35 @@
 
         lapsed = [("r1", 20.0)]
         assert checks.check_lapsed_reservations(lapsed, is_disturbed=is_disturbed) == []
+
+
+class TestCrashingParts:
+    @pytest.mark.parametrize(
+        ("n_later", "disturbed", "found"),
+        [(3, False, False), (4, False, True), (9, True, False)],
+        ids=["few", "many", "disturbed"],
+    )
+    def test_requests_that_reach_engines_after_the_fifth_crash(
+        self, n_later, disturbed, found
+    ):
+        engine = EndpointStandIn(id="e1", clock=None)
+        times = [*range(5), *(10.0 + n for n in range(n_later))]
+        for n, at in enumerate(times):
+            engine.arrivals.append(
+                Arrival(
+                    attempt_id=f"r{n}",
+                    headers=((b"x-prompt-prefix", b"aa:40,dead:900,1:60"),),
+                    body=b"",
+                    at=at,
+                    was_run=True,
+                )
+            )
+            engine.crashes.append((f"r{n}", at))
+        findings = checks.check_crashing_parts(
+            [engine], ["dead"], is_disturbed=lambda start, end: disturbed
+        )
+        assert bool(findings) == found
+
+    def test_plan_has_spans_with_a_crashing_part(self):
+        kinds = [fault.kind for fault in make_plan(1, length_s=36.0)]
+        assert "crashing_part" in kinds
