--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -126,7 +126,7 @@
         waiting = deployment.open(
             "/chat/x",
             x_prompt_prefix="aa:40,dead:900,1:60",
-            x_token_counts="40000,100",
+            x_token_counts="12000,100",
         )
         deployment.wait_until(lambda: slow.arrivals)
         for number in range(2):
