observability: explain shows the crashes for which a part is refused

A refused request met no engine itself; the lines that tell why are those of the requests under which engines ended. explain adds them for the part that the refusal names, and docs/OPERATIONS.md leads from such an id to its cause.

--- a/src/savoryhill/observability/explain.py
+++ b/src/savoryhill/observability/explain.py
@@ -1,11 +1,16 @@
 """Reconstructs the course of one request from the log lines of several nodes."""
 
+import re
 import shlex
 from dataclasses import dataclass
 
 from savoryhill.errors import SavoryhillError
 
 FINAL_EVENTS = ("request.finished", "request.client_gone")
+# Lines about a part of prompts, not about one request.
+PART_EVENTS = ("crash.observed", "part.refused", "part.served_again")
+MAX_PART_LINES = 12
+_REFUSED_PARTS = re.compile(r"prompt with part ([0-9a-f,]+)")
 
 
 class UnknownRequestError(SavoryhillError):
@@ -43,7 +48,7 @@
 
 
 def select_lines(request_id, texts):
-    """Return the log lines about a request in chronological order.
+    """Return the log lines about a request, and those about parts, in time order.
 
     Parameters
     ----------
@@ -54,21 +59,48 @@
 
     Returns
     -------
-    tuple of (list of LogLine, int)
-        The lines, and the number of lines that contain the id but can't be parsed.
+    tuple of (list of LogLine, list of LogLine, int)
+        The lines about the request, those about parts that end engines, and the number
+        of lines that contain the id but can't be parsed.
     """
-    lines, n_unreadable = [], 0
+    lines, part_lines, n_unreadable = [], [], 0
     for text in texts:
-        if request_id not in text:
+        is_about_part = any(event in text for event in PART_EVENTS)
+        if request_id not in text and not is_about_part:
             continue
         # A log collector may prepend columns of its own.
         start = text.find("time=")
         line = parse_line(text[start:]) if start >= 0 else None
         if line is None:
-            n_unreadable += 1
+            n_unreadable += request_id in text
         elif _names_request(line, request_id):
             lines.append(line)
-    return sorted(lines, key=lambda line: line.at), n_unreadable
+        elif line.event in PART_EVENTS:
+            part_lines.append(line)
+    lines.sort(key=lambda line: line.at)
+    part_lines.sort(key=lambda line: line.at)
+    return lines, part_lines, n_unreadable
+
+
+def _lines_about_refused_parts(lines, part_lines):
+    """Return the lines about the parts for which a request was refused.
+
+    All nodes come to the same decision, so only that of the request's node is shown.
+    """
+    causes = [line.fields.get("cause", "") for line in lines]
+    found = [match for cause in causes for match in _REFUSED_PARTS.findall(cause)]
+    refused_parts = {part for match in found for part in match.split(",")}
+    return [
+        line
+        for line in part_lines
+        if refused_parts & set(_parts_of(line))
+        and line.at <= lines[-1].at
+        and (line.event == "crash.observed" or line.node == lines[-1].node)
+    ][:MAX_PART_LINES]
+
+
+def _parts_of(line):
+    return (line.fields.get("parts") or line.fields.get("part", "")).split(",")
 
 
 def explain(request_id, texts):
@@ -86,24 +118,29 @@
     UnknownRequestError
         If no line names the request.
     """
-    lines, n_unreadable = select_lines(request_id, texts)
+    lines, part_lines, n_unreadable = select_lines(request_id, texts)
     if not lines:
         raise UnknownRequestError(
             f"no log line names request {request_id!r}"
             + (f"; {n_unreadable} lines can't be read" if n_unreadable else "")
         )
     report_lines = [_format_line(line, lines[0].at) for line in lines]
+    about_parts = _lines_about_refused_parts(lines, part_lines)
+    if about_parts:
+        report_lines.append("what is known of the part:")
+    for line in about_parts:
+        report_lines.append(_format_line(line, lines[0].at, names_request=True))
     if n_unreadable:
         report_lines.append(f"{n_unreadable} lines about the request can't be read")
     report_lines.append(_describe_cause(lines))
     return report_lines
 
 
-def _format_line(line, start):
+def _format_line(line, start, *, names_request=False):
     values = " ".join(
         f"{name}={value}"
         for name, value in line.fields.items()
-        if name != "request" and value not in ("", "null")
+        if (names_request or name != "request") and value not in ("", "null")
     )
     return f"{line.at - start:+9.4f} s  {line.node:<20} {line.event:<22} {values}"
 
--- a/tests/serving/test_log_lines.py
+++ b/tests/serving/test_log_lines.py
@@ -89,3 +89,27 @@
 
     def test_unreadable_lines_are_counted(self):
         assert "1 lines" in explain("r1", (*self.LOG_LINES, "time=x r1 'open"))[-2]
+
+    def test_refusal_for_a_part_names_the_crashes_of_the_part(self):
+        # Guards against a refused caller whose engines ended under other requests, of
+        # which the lines about its own tell nothing.
+        part = "804cc1ae4ba280a3"
+        crash = "time=9.{} node=n2 event=crash.observed request=c{} endpoint=e{} parts="
+        lines = (
+            *(crash.format(n, n, n) + f"aa11,{part}" for n in range(3)),
+            crash.format(5, 5, 5) + "bb22",
+            f"time=9.6 node=n1 event=part.refused part={part} crashes=3",
+            f"time=9.6 node=n2 event=part.refused part={part} crashes=3",
+            "time=10.0 node=n1 event=request.finished request=r1 outcome=refused "
+            f'status=503 cause="engines end when they answer a prompt with part {part}"',
+        )
+        report = explain("r1", lines)
+        assert report[1] == "what is known of the part:"
+        assert [line.split()[2:4] for line in report[2:-1]] == [
+            ["n2", "crash.observed"],
+            ["n2", "crash.observed"],
+            ["n2", "crash.observed"],
+            ["n1", "part.refused"],
+        ]
+        assert "request=c0" in report[2]
+        assert report[-1].startswith("cause: refused with 503")
