--- a/tests/serving/test_log_lines.py
+++ b/tests/serving/test_log_lines.py
@@ -101,7 +101,8 @@
             f"time=9.6 node=n1 event=part.refused part={part} crashes=3",
             f"time=9.6 node=n2 event=part.refused part={part} crashes=3",
             "time=10.0 node=n1 event=request.finished request=r1 outcome=refused "
-            f'status=503 cause="engines end when they answer a prompt with part {part}"',
+            f'status=503 cause="engines end when they answer a prompt with '
+            f'part {part}"',
         )
         report = explain("r1", lines)
         assert report[1] == "what is known of the part:"
