--- a/src/savoryhill/core/observations/table.py
+++ b/src/savoryhill/core/observations/table.py
@@ -9,8 +9,11 @@
 import math
 from dataclasses import dataclass
 
-LIFETIME_S = 1_200.0
-MAX_OBSERVATIONS = 4_096
+LIFETIME_S = 120.0
+# Of observations about protected subjects, or of a kind that must outlast them.
+MAX_LIFETIME_S = 1_200.0
+# The leader sends all of them on each new link.
+MAX_OBSERVATIONS = 1_024
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,11 +50,13 @@
     """One node's copy of the shared observations.
 
     ``revision`` changes with the content. Subjects in ``protected_subjects`` are the
-    last to be dropped when there are more than ``max_observations``.
+    last to be dropped when there are more than ``max_observations``, and are kept for
+    longer, as are the ``lasting_kinds``.
     """
 
-    def __init__(self, *, max_observations=MAX_OBSERVATIONS):
+    def __init__(self, *, max_observations=MAX_OBSERVATIONS, lasting_kinds=()):
         self._max_observations = max_observations
+        self._lasting_kinds = frozenset(lasting_kinds)
         self._by_key = {}
         self._keys_by_subject = {}
         self._keys_by_source = {}
@@ -113,13 +118,24 @@
 
     def expire(self, now):
         """Drop the observations whose lifetime has ended; return whether any had."""
-        ended = [o.key for o in self._by_key.values() if not _is_valid(o, now)]
+        ended = [
+            o.key
+            for o in self._by_key.values()
+            if now - o.observed_at > self._lifetime_s(o)
+        ]
         for key in ended:
             self._drop(key)
         if ended:
             self.revision += 1
         return bool(ended)
 
+    def _lifetime_s(self, observation):
+        is_lasting = (
+            observation.subject in self.protected_subjects
+            or observation.kind in self._lasting_kinds
+        )
+        return MAX_LIFETIME_S if is_lasting else LIFETIME_S
+
     def _store(self, observation):
         kind, subject, source = key = observation.key
         self._by_key[key] = observation
@@ -153,5 +169,5 @@
     return (
         math.isfinite(observation.value)
         and observation.version > 0
-        and now - observation.observed_at <= LIFETIME_S
+        and now - observation.observed_at <= MAX_LIFETIME_S
     )
--- a/src/savoryhill/serving/shared_observations.py
+++ b/src/savoryhill/serving/shared_observations.py
@@ -1,11 +1,15 @@
 """A node's copy of the observations that all nodes share."""
 
+from savoryhill.core.observations.crashes import ALIVE
 from savoryhill.core.observations.messages import (
     decode_observations,
     encode_observations,
 )
 from savoryhill.core.observations.table import ObservationTable
 
+# They must outlast the crashes that they answer.
+LASTING_KINDS = (ALIVE,)
+
 
 class ObservationSharing:
     """Merges observations of this node and of others, and passes on what is news.
@@ -16,7 +20,7 @@
 
     def __init__(self, *, clock):
         self._clock = clock
-        self.table = ObservationTable()
+        self.table = ObservationTable(lasting_kinds=LASTING_KINDS)
         self.send = None
         self.on_news = []
 
--- a/tests/core/observations/test_crashes.py
+++ b/tests/core/observations/test_crashes.py
@@ -5,6 +5,7 @@
 from savoryhill.core.observations.crashes import (
     CRASH,
     FIRST_PROBE_DELAY_S,
+    MAX_PROBE_DELAY_S,
     MIN_CRASHES,
     SOUND_S,
     Admission,
@@ -14,7 +15,12 @@
     observe_start,
     recall_starts,
 )
-from savoryhill.core.observations.table import Observation, ObservationTable
+from savoryhill.core.observations.table import (
+    LIFETIME_S,
+    MAX_LIFETIME_S,
+    Observation,
+    ObservationTable,
+)
 
 
 @pytest.fixture
@@ -174,6 +180,18 @@
         assert len(table) == 50
         assert decide(table, ["dead"], now=105.0) is Admission.REFUSE
 
+    def test_chance_is_forgotten_before_parts_that_end_engines(self, table):
+        # Guards against a copy that grows with each engine that ever ended, and against
+        # one that forgets a part before it is tried again.
+        crash_in_succession(table, ["dead"])
+        crash(table, ["aa"], engine="e9", now=102.0)
+        table.protected_subjects = frozenset(find_crashing_parts(table, 103.0))
+        table.expire(102.0 + LIFETIME_S + 0.1)
+        assert len(table) == MIN_CRASHES
+        assert MAX_PROBE_DELAY_S < MAX_LIFETIME_S
+        table.expire(102.0 + MAX_LIFETIME_S + 0.1)
+        assert len(table) == 0
+
     def test_observations_of_a_peer_are_checked(self, table):
         for value, version in ((float("nan"), 1), (float("inf"), 1), (0.0, 0)):
             bad = Observation(
--- a/tests/core/observations/test_table.py
+++ b/tests/core/observations/test_table.py
@@ -14,7 +14,7 @@
     decode_observations,
     encode_observations,
 )
-from savoryhill.core.observations.table import LIFETIME_S, ObservationTable
+from savoryhill.core.observations.table import MAX_LIFETIME_S, ObservationTable
 from savoryhill.peers.codec import Envelope, decode, encode
 
 N_NODES = 3
@@ -108,7 +108,7 @@
     def teardown(self):
         self.meet()
         for table in self.tables:
-            table.expire(self.now + LIFETIME_S + 1.0)
+            table.expire(self.now + MAX_LIFETIME_S + 1.0)
             assert len(table) == 0
 
 
