serving: log and count the limits that endpoints name

Cause: the logs of the incident of the named limit could not tell whether nodes know of a limit, and which. Change: the limit that the head of an answer names is logged when it changes (endpoint.limit_named), and a gauge counts the endpoints that name one. No decision changes. Of several numbers the smallest counts, a malformed one is ignored.

--- a/src/savoryhill/platform/headers.py
+++ b/src/savoryhill/platform/headers.py
@@ -1,5 +1,6 @@
 """Platform headers on requests to endpoints and on their responses."""
 
+import math
 from dataclasses import dataclass
 
 from savoryhill.platform import names
@@ -180,6 +181,27 @@
     return echoed is None or echoed == attempt_id
 
 
+def named_limit(head):
+    """Return the requests a second that an endpoint takes from all nodes together.
+
+    Returns
+    -------
+    float or None
+        The smallest if several are named; infinite if the endpoint names no limit, and
+        None if it names nothing that is a number from 0 on.
+    """
+    values = [value for name, value in head.headers if name == names.RATE_LIMIT]
+    if not values:
+        return math.inf
+    numbers = [
+        number
+        for value in values
+        for number in map(_parse_number, value.split(b","))
+        if number is not None
+    ]
+    return min(numbers, default=None)
+
+
 def faulty_endpoint(head):
     """Return the id or address of the endpoint at fault in a refusal, or None."""
     value = head.header(names.FAULTY_ENDPOINT)
--- a/src/savoryhill/platform/names.py
+++ b/src/savoryhill/platform/names.py
@@ -11,6 +11,8 @@
 # The parts of the prompt in order, as ID:TOKENS separated by commas.
 PROMPT_PARTS = b"x-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+# The requests a second that an endpoint takes from all nodes together.
+RATE_LIMIT = b"server-limit"
 SIGNATURE = b"x-response-signature"
 NOT_RUN = b"x-not-executed"
 # In a refusal that another endpoint caused: the endpoint at fault.
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -76,9 +76,11 @@
                 )
             finally:
                 connection.close()
+        reader = connection.reader
+        if reader.head is not None:
+            self._context.endpoint_limits.note_head(reader.head, endpoint)
         if failure is None:
             balancer.note_success(endpoint)
-            reader = connection.reader
             self._response.write_response(reader.head, reader.take_body(), endpoint.id)
         elif not failure.may_have_run:
             history.n_runs -= 1
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -9,6 +9,7 @@
 from savoryhill.serving.balancing import Balancer
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.crash_guard import CrashGuard
+from savoryhill.serving.endpoint_limits import EndpointLimits
 from savoryhill.serving.repeats import RepeatBudgets
 
 # If the store is available, a starting node reads it in a fraction of this time.
@@ -32,6 +33,7 @@
     balancer: Balancer
     repeat_budgets: RepeatBudgets
     crash_guard: CrashGuard
+    endpoint_limits: EndpointLimits
     metrics: object
     log: object
     draining_since: float | None = None
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -268,6 +268,7 @@
     def _relay(self, connection, job, endpoint, times_out_at):
         """Forward a stream; return None if it was complete, else the failure."""
         request, reader = self._request, connection.reader
+        is_head_noted = False
         gap_timeout_s = self._silence_limit_s(
             max(MIN_GAP_TIMEOUT_S, request.route.max_gap_s * GAP_TIMEOUT_FACTOR)
         )
@@ -292,6 +293,9 @@
                         endpoint=endpoint.id,
                     )
                 continue
+            if not is_head_noted:
+                is_head_noted = True
+                self._context.endpoint_limits.note_head(reader.head, endpoint)
             if reader.head.status != 200 or not request.is_valid(reader.head):
                 if reader.complete or not is_open:
                     return request.classify_failure(reader, endpoint)
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -104,6 +104,11 @@
     born_ms: int
     revision: int
 
+    @property
+    def incarnation(self):
+        """The id and the start of the endpoint; a restarted one knows nothing."""
+        return f"{self.id}@{self.born_ms}"
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeRecord:
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -23,6 +23,7 @@
 from savoryhill.serving.context import NodeContext
 from savoryhill.serving.crash_guard import CrashGuard
 from savoryhill.serving.dispatch import Dispatcher
+from savoryhill.serving.endpoint_limits import EndpointLimits
 from savoryhill.serving.http import RequestReader, encode_head
 from savoryhill.serving.log_lines import LogWriter
 from savoryhill.serving.outgoing_connection import split_address
@@ -127,6 +128,7 @@
             balancer=Balancer(clock=clock, random=random, cluster_view=cluster_view),
             repeat_budgets=repeat_budgets,
             crash_guard=crash_guard,
+            endpoint_limits=EndpointLimits(record=record),
             metrics=metrics,
             log=log,
         )
@@ -148,6 +150,9 @@
             ),
             log_lines_dropped=lambda: self._lines.n_dropped,
             requests_started=lambda: context.n_started,
+            endpoints_limited=lambda: len(
+                context.endpoint_limits.limits_by_incarnation
+            ),
             parts_refused=lambda: len(context.crash_guard.crashing_by_part),
         )
 
--- a/src/savoryhill/serving/prompt_check.py
+++ b/src/savoryhill/serving/prompt_check.py
@@ -75,7 +75,7 @@
 
     def note_sent(self, endpoint, connection):
         """Record the engine and the connection of the current send."""
-        self._source = f"{endpoint.id}@{endpoint.born_ms}"
+        self._source = endpoint.incarnation
         self._connection = connection
         self._sent_at = self._request.context.clock.monotonic()
 
