tests: reproduce endpoints that get more requests than the limit they named

What endpoints saw: more requests than the limit of requests a second that they name in their answers, summed over all nodes (LIMIT). Change: endpoint stand-ins name a limit.

--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -19,7 +19,8 @@
 - ``stalled``: the stream ends after its first event, but comments go on being sent
 
 An endpoint with ``crashing_parts`` ends when it begins to answer a prompt that has one
-of them: all its connections are reset, and new ones until it is back.
+of them: all its connections are reset, and new ones until it is back. One with a
+``named_limit`` names it in its answers, as the requests a second that it takes.
 """
 
 import json
@@ -88,6 +89,7 @@
     lapsed: list = field(default_factory=list)
     released: set = field(default_factory=set)
     endless: list = field(default_factory=list)
+    named_limit: str | None = None
     crashing_parts: set = field(default_factory=set)
     crashes: list = field(default_factory=list)
     down_s: float = DOWN_S
@@ -134,6 +136,8 @@
         if fault == "foreign":
             attempt = b"of-another-request"
         headers = [(names.ATTEMPT_ID, attempt), (names.SIGNATURE, self.id.encode())]
+        if self.named_limit is not None:
+            headers.append((names.RATE_LIMIT, self.named_limit.encode()))
         if fault == "endless_body":
             head = encode_head(500, [*headers, (b"transfer-encoding", b"chunked")])
             return self._send_endlessly(sock, attempt, fault, head)
