serving: keep the limits that endpoints name, all nodes together

What an endpoint is sent followed from its slots, its memory and its cold limit only; the leader, which places all streams, sees no answers at all. Class of the fault: a back end's request for less load that ends at the process which happens to receive it. The leader gives engines that are limited a request only in their turn; they still read parts of other engines' prompts. Nodes ask the leader for turns at limited plain endpoints. A node without a leader uses one part in the number of nodes, and no node that begins to count allows a burst. Short jobs that get no turn in time are rejected when that is known, and told to return one after the other.

--- a/src/savoryhill/core/observations/messages.py
+++ b/src/savoryhill/core/observations/messages.py
@@ -1,4 +1,4 @@
-"""Message that carries shared observations between nodes."""
+"""Messages between nodes about endpoints: observations, and turns to send."""
 
 from dataclasses import dataclass
 
@@ -25,6 +25,31 @@
     items: tuple[ObservationItem, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TurnRequest:
+    """Request to the leader for a turn to send to one of several limited endpoints.
+
+    ``endpoints`` names them with their start, the preferred one first; ``max_wait_s``
+    is how long the request can wait. ``number`` identifies the reply.
+    """
+
+    number: int
+    endpoints: tuple[str, ...]
+    max_wait_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TurnReply:
+    """Turn at an endpoint, to be used ``wait_s`` from now.
+
+    Without an endpoint, ``wait_s`` is when one would take the request.
+    """
+
+    number: int
+    endpoint: str
+    wait_s: float
+
+
 def encode_observations(observations, now):
     """Return the message for observations; ``now`` is in seconds of their clock."""
     return SharedObservations(
--- a/src/savoryhill/core/scheduling/engine_choice.py
+++ b/src/savoryhill/core/scheduling/engine_choice.py
@@ -56,7 +56,7 @@
 
 def has_free_slot(engine):
     """Return whether an engine may generate the output of another job."""
-    return len(engine.jobs_by_id) < engine.slots
+    return engine.has_turn and len(engine.jobs_by_id) < engine.slots
 
 
 def _choose_one(job, candidates, prefill_s, now, max_long_engines):
--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -22,8 +22,8 @@
 
     Times are in seconds of the scheduler's clock. The client stops waiting at
     ``deadline_at``. ``max_gap_s`` is the longest gap between events that meets the
-    latency objective. ``zone`` is the availability zone of the node that relays the
-    output.
+    latency objective. ``queued_at`` is when the scheduler received the job. ``zone`` is
+    the availability zone of the node that relays the output.
     """
 
     id: str
@@ -37,6 +37,7 @@
     priority: int
     avoided_engine_ids: frozenset[str] = frozenset()
     zone: str = ""
+    queued_at: float = 0.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -69,9 +70,11 @@
     ``jobs_by_id`` holds the jobs whose output the engine generates,
     ``prefill_s_by_job_id`` the duration of each unfinished prefill, and
     ``reserved_tokens_by_job_id`` the memory reserved for jobs that other engines
-    generate. ``prefill_ends_at`` is the predicted end of all prefill. ``n_failures``
-    and ``n_refusals`` count since the last first event of a job. ``rank`` orders
-    engines that are equally good, in another order on each node.
+    generate. ``has_turn`` is False while a limit that the engine has named leaves no
+    turn; it may still prefill a part of another engine's prompt. ``prefill_ends_at`` is
+    the predicted end of all prefill. ``n_failures`` and ``n_refusals`` count since the
+    last first event of a job. ``rank`` orders engines that are equally good, in another
+    order on each node.
     """
 
     id: str
@@ -79,12 +82,14 @@
     zone: str
     slots: int
     profile: EngineProfile
+    incarnation: str = ""
     rank: int = 0
     jobs_by_id: dict[str, PlacedJob] = field(default_factory=dict)
     prefill_s_by_job_id: dict[str, float] = field(default_factory=dict)
     reserved_tokens_by_job_id: dict[str, int] = field(default_factory=dict)
     prefill_ends_at: float = 0.0
     is_usable: bool = True
+    has_turn: bool = True
     ejected_until: float = 0.0
     n_failures: int = 0
     n_refusals: int = 0
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 import math
 from dataclasses import dataclass, field, replace
 
+from savoryhill.core.observations.rate_limits import RateLimiter, unlimited
 from savoryhill.core.scheduling.decisions import Grant, Rejection
 from savoryhill.core.scheduling.engine_choice import (
     PREFILL_TIME_SHARES,
@@ -19,9 +20,11 @@
     engine_rank,
     job_prefill_s,
 )
+from savoryhill.core.scheduling.limited_turns import LimitedTurns, limited_rate
 from savoryhill.core.scheduling.long_prefill import (
     LONG_PREFILL_S,
     MAX_PARTS,
+    is_long,
     limit_long_prefill,
     max_late_engines,
     max_late_prefill_s,
@@ -42,6 +45,7 @@
 class ServiceScheduler:
     """Queue of jobs and state of the engines of one service, on the node ``node``.
 
+    ``rate_limiter`` counts the requests to engines that have named a limit.
     ``max_grants_per_s`` limits the grants to each engine in a second, so that a cold
     engine is not overloaded; 0 means no limit. ``claimed_engine_ids_by_job_id`` holds
     the engines that are kept free for a waiting job.
@@ -49,11 +53,13 @@
 
     service: str
     node: str = ""
+    rate_limiter: RateLimiter = field(default_factory=unlimited)
     max_grants_per_s: float = 0.0
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     placed_by_id: dict[str, PlacedJob] = field(default_factory=dict)
     waiting_by_id: dict[str, Job] = field(default_factory=dict)
     claimed_engine_ids_by_job_id: dict[str, frozenset] = field(default_factory=dict)
+    limited_turns: LimitedTurns = field(default_factory=LimitedTurns)
 
     def set_engines(self, endpoints, profile):
         """Set the endpoints that may be used.
@@ -81,9 +87,11 @@
                     zone=endpoint.zone,
                     slots=endpoint.slots,
                     profile=profile,
+                    incarnation=endpoint.incarnation,
                     rank=engine_rank(self.node, endpoint.id),
                 )
             else:
+                engine.incarnation = endpoint.incarnation
                 engine.set_capacity(slots=endpoint.slots, profile=profile)
 
     def submit(self, job, now):
@@ -186,6 +194,8 @@
             ),
         )
         unplaced_tokens_by_gap = {}
+        rate = limited_rate(self.engines_by_id.values(), self.rate_limiter, now)
+        n_left = len(waiting)
         for job in waiting:
             # A job that is at least as large as one that did not fit won't fit either.
             unplaced_tokens = unplaced_tokens_by_gap.get(job.max_gap_s)
@@ -198,6 +208,10 @@
                 decision = self._reject_if_unservable(job, now) if is_late else None
             else:
                 decision = self._decide(job, now)
+            if decision is None and rate is not None and not self._is_long(job):
+                n_ahead = len(self.waiting_by_id) - n_left
+                decision = self.limited_turns.reject_if_late(job, n_ahead, rate, now)
+            n_left -= 1
             if decision is None:
                 if not job.avoided_engine_ids:
                     unplaced_tokens_by_gap[job.max_gap_s] = job.prompt_tokens
@@ -222,8 +236,14 @@
             return self._reject(job, "cannot be read before the deadline")
         return None
 
+    def _is_long(self, job):
+        """Return whether a job's prefill keeps it waiting, rather than its turn."""
+        return is_long(job, next(iter(self.engines_by_id.values())))
+
     def _usable_engines(self, job, now):
         limit = self.max_grants_per_s
+        for engine in self.engines_by_id.values():
+            engine.has_turn = self.rate_limiter.wait_s(engine.incarnation, now) <= 0.0
         usable = [
             engine
             for engine in self.engines_by_id.values()
@@ -337,6 +357,7 @@
         )
 
     def _grant(self, job, chosen, prefill_part_s, now):
+        self.rate_limiter.take(chosen[0].incarnation, now)
         reserved_tokens = reservations(job, chosen)
         wait_s = max(engine.pending_prefill_s(now) for engine in chosen)
         predicted_s = wait_s + prefill_part_s + chosen[0].decode_pass_s()
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -68,6 +68,8 @@
     jobs.NodeBeat,
     jobs.NodeAside,
     observations.SharedObservations,
+    observations.TurnRequest,
+    observations.TurnReply,
 )
 _NUMBERS_BY_TYPE = {
     message_type: type_number for type_number, message_type in enumerate(MESSAGE_TYPES)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -251,3 +251,15 @@
 struct SharedObservations {
   items @0 :List(ObservationItem);
 }
+
+struct TurnRequest {
+  number @0 :Int64;
+  endpoints @1 :List(Text);
+  maxWaitS @2 :Float64;
+}
+
+struct TurnReply {
+  number @0 :Int64;
+  endpoint @1 :Text;
+  waitS @2 :Float64;
+}
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -2,6 +2,7 @@
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
 
 # A request that may be repeated is sent to another endpoint if its response takes
@@ -22,14 +23,12 @@
         """Serve the request; the response is complete when this returns."""
         request, balancer = self._request, self._context.balancer
         while True:
-            endpoint = balancer.choose(
-                request.service, avoided_endpoint_ids=request.avoided_endpoint_ids
-            )
+            endpoint, retry_after_s = self._choose_endpoint()
             if endpoint is None:
                 failure = SendFailure(
                     cause="no endpoint was free in time", may_have_run=False
                 )
-                self._response.fail(failure, self._history)
+                self._response.fail(failure, self._history, retry_after_s=retry_after_s)
                 return
             request.n_sends += 1
             failure = self._run_on(endpoint)
@@ -41,6 +40,43 @@
                 self._response.fail(failure, self._history)
                 return
 
+    def _choose_endpoint(self):
+        """Choose an endpoint, and wait for a turn if it has named a limit.
+
+        Load pattern: some of a few endpoints ask for less than they get. Those without
+        a limit take what the others don't; if all have one, the request waits for the
+        first turn that is in time.
+
+        Returns
+        -------
+        tuple of (Endpoint or None, float)
+            The endpoint, or when the client may come back, in seconds.
+        """
+        request, context = self._request, self._context
+        limiter = context.endpoint_limits.limiter
+        avoided_ids = set(request.avoided_endpoint_ids)
+        limited = []
+        while True:
+            endpoint = context.balancer.choose(
+                request.service, avoided_endpoint_ids=avoided_ids
+            )
+            if endpoint is None or not limiter.is_limited(endpoint.incarnation):
+                break
+            limited.append(endpoint)
+            avoided_ids.add(endpoint.id)
+        if not limited:
+            return endpoint, RETRY_AFTER_S
+        max_wait_s = request.time_left_s() - request.route.target_latency_s
+        turn = context.turns.take(
+            [endpoint.incarnation for endpoint in limited],
+            max_wait_s=0.0 if endpoint is not None else max(0.0, max_wait_s),
+        )
+        for limited_endpoint in limited:
+            if limited_endpoint.incarnation == turn.endpoint:
+                context.clock.sleep(turn.wait_s)
+                return limited_endpoint, 0.0
+        return endpoint, turn.wait_s
+
     def _response_times_out_at(self, started_at):
         """Return when to stop waiting for an endpoint's response."""
         history, request = self._history, self._request
@@ -78,7 +114,9 @@
                 connection.close()
         reader = connection.reader
         if reader.head is not None:
-            self._context.endpoint_limits.note_head(reader.head, endpoint)
+            self._context.endpoint_limits.note_head(
+                reader.head, endpoint, sent_at=started_at
+            )
         if failure is None:
             balancer.note_success(endpoint)
             self._response.write_response(reader.head, reader.take_body(), endpoint.id)
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -11,6 +11,7 @@
 from savoryhill.serving.crash_guard import CrashGuard
 from savoryhill.serving.endpoint_limits import EndpointLimits
 from savoryhill.serving.repeats import RepeatBudgets
+from savoryhill.serving.turns import Turns
 
 # If the store is available, a starting node reads it in a fraction of this time.
 CONFIGURATION_WAIT_S = 0.5
@@ -34,6 +35,7 @@
     repeat_budgets: RepeatBudgets
     crash_guard: CrashGuard
     endpoint_limits: EndpointLimits
+    turns: Turns
     metrics: object
     log: object
     draining_since: float | None = None
--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -4,8 +4,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-import gevent
-
 from savoryhill.core.observations.crashes import (
     CRASH,
     Admission,
@@ -17,7 +15,6 @@
 )
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 
-REVIEW_INTERVAL_S = 1.0
 MAX_STARTED_PARTS = 4_096
 # Parts that are tried at once in one request; it is refused if it has more.
 MAX_PROBED_PARTS = 4
@@ -48,6 +45,7 @@
         self._probing_job_by_part = {}
         self.crashing_by_part = {}
         sharing.on_news.append(self._handle_news)
+        sharing.on_review.append(self.review)
 
     # Requests of this node.
 
@@ -158,14 +156,6 @@
             self._sharing.add(recalled)
         self.review()
 
-    def review_periodically(self):
-        """Review what is known until the greenlet is killed."""
-        while True:
-            gevent.sleep(REVIEW_INTERVAL_S)
-            if len(self._sharing.table):
-                self._sharing.table.expire(self._clock.monotonic())
-                self.review()
-
     def review(self):
         """Find the parts that end engines, and stop waiting prompts that have one."""
         known = self.crashing_by_part
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -9,7 +9,11 @@
 import gevent
 from gevent.event import AsyncResult
 
-from savoryhill.core.observations.messages import SharedObservations
+from savoryhill.core.observations.messages import (
+    SharedObservations,
+    TurnReply,
+    TurnRequest,
+)
 from savoryhill.core.scheduling.messages import (
     CANCELLED,
     FIRST_EVENT,
@@ -67,7 +71,7 @@
     """The jobs of this node and its links to the leader and to followers."""
 
     def __init__(
-        self, *, node, address, clock, cluster_view, scheduling, sharing, record
+        self, *, node, address, clock, cluster_view, scheduling, sharing, turns, record
     ):
         self._node = node
         self._address = address
@@ -76,6 +80,8 @@
         self._scheduling = scheduling
         self._sharing = sharing
         sharing.send = self._send_observations
+        self._turns = turns
+        turns.send_to_leader = self._send_to_leader
         self._record = record
         self._suspected_until = {}
         self._n_failures_by_registration = {}
@@ -294,6 +300,8 @@
             self._handle_leader_heartbeat(message)
         elif isinstance(message, SharedObservations):
             self._sharing.receive(message, self._link)
+        elif isinstance(message, TurnReply):
+            self._turns.handle_reply(message)
         elif isinstance(message, NodeAside):
             self._suspect(
                 self._leader_address,
@@ -358,6 +366,8 @@
                     self._apply_update(link, message)
                 elif isinstance(message, SharedObservations):
                     self._sharing.receive(message, link)
+                elif isinstance(message, TurnRequest):
+                    link.send(self._turns.decide(message))
                 elif isinstance(message, JobReport):
                     if message.what != FIRST_EVENT:
                         job_ids.discard(message.job_id)
@@ -419,6 +429,13 @@
         for link in self._follower_links:
             link.send_frame(frame)
 
+    def _send_to_leader(self, message):
+        """Send a message to the leader; return False if this node has none."""
+        if self._link is None:
+            return False
+        self._link.send(message)
+        return True
+
     def _send_known_observations(self, link):
         """Send all shared observations on a new link, as either side may lack some."""
         message = self._sharing.snapshot()
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -295,7 +295,9 @@
                 continue
             if not is_head_noted:
                 is_head_noted = True
-                self._context.endpoint_limits.note_head(reader.head, endpoint)
+                self._context.endpoint_limits.note_head(
+                    reader.head, endpoint, sent_at=self._check.sent_at
+                )
             if reader.head.status != 200 or not request.is_valid(reader.head):
                 if reader.complete or not is_open:
                     return request.classify_failure(reader, endpoint)
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 from savoryhill.clock import system_clock
+from savoryhill.core.observations.rate_limits import RateLimiter
 from savoryhill.errors import MalformedMessageError, SettingsError
 from savoryhill.observability.metrics import Metrics, observe, prometheus_text
 from savoryhill.platform.boot_settings import load_settings, settings_path
@@ -32,6 +33,7 @@
 from savoryhill.serving.scheduling import Scheduling
 from savoryhill.serving.shared_observations import ObservationSharing
 from savoryhill.serving.start import open_listener
+from savoryhill.serving.turns import Turns
 from savoryhill.serving.watcher import Watcher
 
 MAX_CONNECTIONS = 3000
@@ -89,6 +91,18 @@
         )
         sharing = ObservationSharing(clock=clock)
         crash_guard = CrashGuard(clock=clock, sharing=sharing, record=record)
+        rate_limiter = RateLimiter(
+            random=random,
+            share=lambda: (
+                1.0 / max(1, len(cluster_view.nodes_by_name))
+                if dispatcher.is_standalone()
+                else 1.0
+            ),
+        )
+        endpoint_limits = EndpointLimits(
+            clock=clock, sharing=sharing, limiter=rate_limiter, record=record
+        )
+        turns = Turns(clock=clock, limiter=rate_limiter)
         scheduling = Scheduling(
             node=settings.node,
             clock=clock,
@@ -97,6 +111,7 @@
             is_standalone=lambda: dispatcher.is_standalone(),
             repeat_budgets=repeat_budgets,
             crash_guard=crash_guard,
+            rate_limiter=rate_limiter,
         )
         dispatcher = Dispatcher(
             node=settings.node,
@@ -105,6 +120,7 @@
             cluster_view=cluster_view,
             scheduling=scheduling,
             sharing=sharing,
+            turns=turns,
             record=record,
         )
         self._watcher = Watcher(
@@ -118,6 +134,7 @@
             clock=clock,
         )
         self._store = store
+        self._sharing = sharing
         self._dispatcher = dispatcher
         self.context = NodeContext(
             settings=settings,
@@ -128,7 +145,8 @@
             balancer=Balancer(clock=clock, random=random, cluster_view=cluster_view),
             repeat_budgets=repeat_budgets,
             crash_guard=crash_guard,
-            endpoint_limits=EndpointLimits(record=record),
+            endpoint_limits=endpoint_limits,
+            turns=turns,
             metrics=metrics,
             log=log,
         )
@@ -151,7 +169,7 @@
             log_lines_dropped=lambda: self._lines.n_dropped,
             requests_started=lambda: context.n_started,
             endpoints_limited=lambda: len(
-                context.endpoint_limits.limits_by_incarnation
+                context.endpoint_limits.limiter.limits_by_incarnation
             ),
             parts_refused=lambda: len(context.crash_guard.crashing_by_part),
         )
@@ -181,7 +199,7 @@
             self._dispatcher.place_waiting_periodically,
             self._dispatcher.send_heartbeats_to_followers,
             self._keep_registered,
-            self.context.crash_guard.review_periodically,
+            self._sharing.review_periodically,
         ):
             self._greenlets.append(gevent.spawn(background_task))
         self._record("node.started", {"node": settings.node, "zone": settings.zone})
--- a/src/savoryhill/serving/prompt_check.py
+++ b/src/savoryhill/serving/prompt_check.py
@@ -12,7 +12,7 @@
 
     A request that has started once is sound: its parts are not checked any more.
     ``probed_parts`` holds the parts that the next send tries, ``stop_cause`` is why the
-    current send must not go on, or None.
+    current send must not go on, or None, and ``sent_at`` when it was sent.
     """
 
     def __init__(self, *, request):
@@ -23,7 +23,7 @@
         self._job = None
         self._connection = None
         self._source = ""
-        self._sent_at = 0.0
+        self.sent_at = 0.0
         self.probed_parts = ()
         self.stop_cause = None
 
@@ -77,7 +77,7 @@
         """Record the engine and the connection of the current send."""
         self._source = endpoint.incarnation
         self._connection = connection
-        self._sent_at = self._request.context.clock.monotonic()
+        self.sent_at = self._request.context.clock.monotonic()
 
     def note_start(self):
         """Record the first event of the current send."""
@@ -85,7 +85,7 @@
         self._guard.note_start(
             parts=self._request.part_digests,
             source=self._source,
-            sent_at=self._sent_at,
+            sent_at=self.sent_at,
         )
 
     def note_failure(self, failure, endpoint):
@@ -102,5 +102,5 @@
             parts=self._request.part_digests,
             workspace=self._workspace,
             source=self._source,
-            sent_at=self._sent_at,
+            sent_at=self.sent_at,
         )
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -29,7 +29,8 @@
 
     ``record(event, fields)`` logs each decision. ``is_standalone()`` returns whether
     this node schedules only its own jobs. ``crash_guard`` decides on jobs that try
-    parts of prompts which may end engines.
+    parts of prompts which may end engines; ``rate_limiter`` counts the requests to
+    endpoints that have named a limit.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         is_standalone,
         repeat_budgets,
         crash_guard,
+        rate_limiter,
     ):
         self._node = node
         self._clock = clock
@@ -50,6 +52,7 @@
         self._is_standalone = is_standalone
         self._repeat_budgets = repeat_budgets
         self._crash_guard = crash_guard
+        self._rate_limiter = rate_limiter
         self._submissions_by_job = {}
         self._max_grants_per_s_by_service = {}
         self.schedulers_by_service = {}
@@ -65,7 +68,11 @@
                 continue
             scheduler = self.schedulers_by_service.get(service.name)
             if scheduler is None:
-                scheduler = ServiceScheduler(service=service.name, node=self._node)
+                scheduler = ServiceScheduler(
+                    service=service.name,
+                    node=self._node,
+                    rate_limiter=self._rate_limiter,
+                )
                 self.schedulers_by_service[service.name] = scheduler
             self._max_grants_per_s_by_service[service.name] = service.cold_per_s
             scheduler.set_engines(
@@ -112,6 +119,7 @@
             priority=message.priority,
             avoided_engine_ids=frozenset(message.avoid),
             zone=message.zone,
+            queued_at=now,
         )
         self._update_cold_limits()
         self._submissions_by_job[job.id] = _Submission(
--- a/src/savoryhill/serving/shared_observations.py
+++ b/src/savoryhill/serving/shared_observations.py
@@ -1,5 +1,7 @@
 """A node's copy of the observations that all nodes share."""
 
+import gevent
+
 from savoryhill.core.observations.crashes import ALIVE
 from savoryhill.core.observations.messages import (
     decode_observations,
@@ -7,6 +9,7 @@
 )
 from savoryhill.core.observations.table import ObservationTable
 
+REVIEW_INTERVAL_S = 1.0
 # They must outlast the crashes that they answer.
 LASTING_KINDS = (ALIVE,)
 
@@ -15,7 +18,8 @@
     """Merges observations of this node and of others, and passes on what is news.
 
     ``send(message, except_link)`` sends a message on all links but one. The functions
-    in ``on_news`` are called with the news once they are merged.
+    in ``on_news`` are called with the news once they are merged, those in ``on_review``
+    at intervals, because what is known ends with time.
     """
 
     def __init__(self, *, clock):
@@ -23,6 +27,7 @@
         self.table = ObservationTable(lasting_kinds=LASTING_KINDS)
         self.send = None
         self.on_news = []
+        self.on_review = []
 
     def add(self, observations):
         """Merge observations of this node."""
@@ -43,6 +48,16 @@
         for notify in self.on_news:
             notify(news)
 
+    def review_periodically(self):
+        """Drop what has ended and call the reviews until the greenlet is killed."""
+        while True:
+            gevent.sleep(REVIEW_INTERVAL_S)
+            if not len(self.table):
+                continue
+            self.table.expire(self._clock.monotonic())
+            for review in self.on_review:
+                review()
+
     def snapshot(self):
         """Return a message with all observations, or None if there are none."""
         now = self._clock.monotonic()
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -35,6 +35,10 @@
     zone: str = "zone-a"
     slots: int = 8
 
+    @property
+    def incarnation(self):
+        return f"{self.id}@1"
+
 
 def make_scheduler(n_engines, **fields):
     scheduler = ServiceScheduler(service="pool", **fields)
@@ -428,3 +432,83 @@
             assert n_on_time >= 0.9 * len(delays), (
                 f"{kind}: {n_on_time} of {len(delays)}"
             )
+
+
+class TestNamedLimits:
+    """Engines that have named a limit of requests a second."""
+
+    @staticmethod
+    def make(n_engines, limits):
+        """Return a scheduler whose first engines have these limits."""
+        scheduler = make_scheduler(n_engines)
+        scheduler.rate_limiter.set_limits(
+            {f"e{n:02}@1": limit for n, limit in enumerate(limits)}
+        )
+        return scheduler
+
+    @staticmethod
+    def run_load(scheduler, *, n_per_s, length_s, job_s=0.3):
+        """Submit short jobs evenly, each of which runs for a time."""
+        grants_by_engine, rejections, ends = {}, [], []
+        now, step_s = 100.0, 0.02
+        for step in range(int(length_s / step_s)):
+            now = 100.0 + step * step_s
+            decisions = []
+            for job_id in [job for at, job in ends if at <= now]:
+                decisions += scheduler.cancel(job_id, now)
+            ends = [item for item in ends if item[0] > now]
+            n_due = int((step + 1) * step_s * n_per_s) - int(step * step_s * n_per_s)
+            for number in range(n_due):
+                job = make_job(f"j{step}-{number}", 1_000, now=now)
+                decisions += scheduler.submit(replace(job, queued_at=now), now)
+            decisions += scheduler.place_waiting(now)
+            for decision in decisions:
+                if isinstance(decision, Grant):
+                    engine = decision.endpoint_ids[0]
+                    grants_by_engine.setdefault(engine, []).append(now)
+                    scheduler.note_first_event(decision.job_id, now)
+                    ends.append((now + job_s, decision.job_id))
+                else:
+                    rejections.append((now, decision))
+        return grants_by_engine, rejections
+
+    def test_engines_get_what_they_named_and_the_others_the_rest_at_once(self):
+        # Guards against jobs that wait for limited engines beside free ones.
+        scheduler = self.make(3, [1.0, 2.0])
+        grants, rejections = self.run_load(scheduler, n_per_s=20, length_s=12.0)
+        assert rejections == []
+        assert len(grants["e00"]) <= 1.0 * 12.0 + 2
+        assert len(grants["e01"]) <= 2.0 * 12.0 + 2
+        assert sum(map(len, grants.values())) == 240
+        assert not scheduler.waiting_by_id
+
+    def test_jobs_without_a_turn_in_time_are_rejected_at_once(self):
+        # Guards against jobs that wait until their clients leave, although the limits
+        # of all engines show when they are submitted that they get no turn.
+        scheduler = self.make(2, [5.0, 5.0])
+        grants, rejections = self.run_load(scheduler, n_per_s=30, length_s=10.0)
+        n_granted = sum(map(len, grants.values()))
+        assert 90 <= n_granted <= 110
+        assert n_granted + len(rejections) + len(scheduler.waiting_by_id) == 300
+        assert len(scheduler.waiting_by_id) <= 6
+
+    def test_rejected_clients_return_one_after_the_other(self):
+        # Guards against clients that are all told to return at the same moment.
+        scheduler = self.make(2, [5.0, 5.0])
+        _, rejections = self.run_load(scheduler, n_per_s=30, length_s=4.0)
+        returns = sorted(at + r.retry_after_s for at, r in rejections)
+        in_one_second = [
+            sum(start <= at < start + 1.0 for at in returns) for start in returns
+        ]
+        assert max(in_one_second) <= 11
+
+    def test_limited_engine_reads_a_part_of_a_long_prompt(self):
+        # Guards against long prompts that are late because engines which take few
+        # requests read no part of the prompts of others.
+        scheduler = self.make(4, [0.5, 0.5, 0.5])
+        for engine_id in ("e00@1", "e01@1", "e02@1"):
+            scheduler.rate_limiter.take(engine_id, 100.0)
+        job = make_job("long", 80_000, now=100.0, due_s=0.6, max_gap_s=0.6)
+        (grant,) = scheduler.submit(job, 100.0)
+        assert grant.endpoint_ids[0] == "e03"
+        assert len(grant.endpoint_ids) > 1
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -1,9 +1,17 @@
 """Tests of the dispatcher as leader and as follower, without sockets."""
 
+from dataclasses import replace
+
 import pytest
 
 from savoryhill.core.observations.crashes import CRASH, observe_crash
-from savoryhill.core.observations.messages import ObservationItem, SharedObservations
+from savoryhill.core.observations.messages import (
+    ObservationItem,
+    SharedObservations,
+    TurnReply,
+    TurnRequest,
+)
+from savoryhill.core.observations.rate_limits import unlimited
 from savoryhill.core.scheduling.messages import (
     NodeAside,
     NodeBeat,
@@ -14,6 +22,7 @@
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.dispatch import STEP_DOWN_DELAY_S, Dispatcher
 from savoryhill.serving.shared_observations import ObservationSharing
+from savoryhill.serving.turns import Turns
 
 CRASH_ITEM = ObservationItem(
     kind=CRASH,
@@ -57,6 +66,7 @@
         cluster_view=cluster_view,
         scheduling=None,
         sharing=ObservationSharing(clock=clock),
+        turns=Turns(clock=clock, limiter=unlimited()),
         record=lambda event, fields: None,
     )
 
@@ -195,3 +205,38 @@
         joining = RecordingLink()
         dispatcher._send_known_observations(joining)
         assert joining.sent == []
+
+
+class TestTurns:
+    def make_turns(self, clock, **limits):
+        limiter = unlimited()
+        limiter.set_limits({f"{name}@1": limit for name, limit in limits.items()})
+        return Turns(clock=clock, limiter=limiter)
+
+    def test_leader_gives_each_turn_once(self, clock):
+        turns = self.make_turns(clock, e1=0.5)
+        request = TurnRequest(number=7, endpoints=("e1@1",), max_wait_s=0.0)
+        assert turns.decide(request).endpoint == "e1@1"
+        second = turns.decide(request)
+        assert (second.endpoint, second.wait_s) == ("", 2.0)
+
+    def test_node_with_a_leader_asks_it(self, clock):
+        turns = self.make_turns(clock, e1=0.5)
+        sent = []
+
+        def send(message):
+            sent.append(message)
+            reply = TurnReply(number=message.number, endpoint="e1@1", wait_s=0.25)
+            turns.handle_reply(replace(reply, number=99))
+            turns.handle_reply(reply)
+            return True
+
+        turns.send_to_leader = send
+        assert turns.take(["e1@1"], max_wait_s=1.0).wait_s == 0.25
+        assert [message.endpoints for message in sent] == [("e1@1",)]
+
+    def test_node_without_a_leader_decides_itself(self, clock):
+        turns = self.make_turns(clock, e1=0.5)
+        turns.send_to_leader = lambda message: False
+        assert turns.take(["e1@1"], max_wait_s=0.0).endpoint == "e1@1"
+        assert turns.take(["e1@1"], max_wait_s=0.0).endpoint == ""
--- a/tests/serving/test_named_limits.py
+++ b/tests/serving/test_named_limits.py
@@ -83,3 +83,44 @@
         burst(deployment, "/stock/x", n=100, method=b"GET")
         most = max(most_in_span(endpoint, since=known_at) for endpoint in endpoints)
         assert most <= allowed(2.0)
+
+    def test_plain_request_without_a_turn_in_time_is_refused_at_once(
+        self, deployment, two_nodes
+    ):
+        # Guards against requests that wait until their deadline, and against clients
+        # that are told nothing of when to return.
+        deployment.add_endpoint("app-1", service="app", named_limit="0.1")
+        two_nodes()
+        burst(deployment, "/order/x", n=1)
+        answers = burst(deployment, "/order/x", n=6)
+        refused = [answer for answer in answers if answer[0] == 503]
+        assert len(refused) >= 5
+        for _, headers, took_s in refused:
+            assert took_s < 0.5
+            assert float(headers[b"retry-after"]) > 1.0
+
+    def test_unlimited_endpoint_takes_the_rest_at_once(self, deployment, two_nodes):
+        limited = deployment.add_endpoint("app-1", service="app", named_limit="1")
+        deployment.add_endpoint("app-2", service="app")
+        two_nodes()
+        burst(deployment, "/stock/x", n=6, method=b"GET")
+        known_at = limited.clock.monotonic()
+        answers = burst(deployment, "/stock/x", n=60, method=b"GET")
+        assert [status for status, _, _ in answers] == [200] * 60
+        assert max(took_s for _, _, took_s in answers) < 0.4
+        assert most_in_span(limited, since=known_at) <= allowed(1.0)
+
+    def test_limit_that_is_named_no_more_ends(self, deployment, two_nodes):
+        endpoint = deployment.add_endpoint("app-1", service="app", named_limit="3")
+        two_nodes()
+        burst(deployment, "/stock/x", n=2, method=b"GET")
+        limiters = [node.context.endpoint_limits.limiter for node in deployment.nodes]
+        deployment.wait_until(
+            lambda: all(limiter.is_limited("app-1@1") for limiter in limiters)
+        )
+        endpoint.named_limit = None
+        gevent.sleep(0.6)
+        burst(deployment, "/stock/x", n=1, method=b"GET")
+        deployment.wait_until(
+            lambda: not any(limiter.is_limited("app-1@1") for limiter in limiters)
+        )
