serving: the suspicion of leaders beside their choice

It is a class beside choose_leader now, with the same rule and the same log line. Measured: tests/serving/test_nodes.py and test_dispatch.py, 45 passed; their checks are the same. No decision changes.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -27,7 +27,7 @@
     StoreUpdate,
 )
 from savoryhill.errors import NotConnectedError, PeerError
-from savoryhill.serving.leadership import choose_leader, suspicion_s
+from savoryhill.serving.leadership import LeaderChoice
 from savoryhill.serving.links import Link, encode_frame, open_link
 from savoryhill.serving.store_updates import build_store_update, missing_changes
 
@@ -83,8 +83,9 @@
         self._turns = turns
         turns.send_to_leader = self._send_to_leader
         self._record = record
-        self._suspected_until = {}
-        self._n_failures_by_registration = {}
+        self.leader_choice = LeaderChoice(
+            clock=clock, cluster_view=cluster_view, record=record
+        )
         self._link = None
         self._leader_address = None
         self._leader_contact_age_s = 0.0
@@ -202,7 +203,7 @@
         if now - self._cut_off_since < STEP_DOWN_DELAY_S:
             return
         self._cut_off_since = None
-        self._suspect(
+        self.leader_choice.suspect(
             self._address,
             "this node does not reach the store but its followers do; "
             f"stepping down for {STEP_DOWN_DURATION_S:g} s",
@@ -214,11 +215,7 @@
     def follow_leader(self):
         """Maintain a link to the leader until the greenlet is killed."""
         while True:
-            leader = choose_leader(
-                self._cluster_view.nodes_by_name.values(),
-                suspected_until=self._suspected_until,
-                now=self._clock.monotonic(),
-            )
+            leader = self.leader_choice.choose()
             address = leader.address if leader is not None else None
             if address != self._leader_address:
                 self._leader_address = address
@@ -232,7 +229,7 @@
         try:
             link = open_link(address, node=self._node, silence_s=LEADER_TIMEOUT_S)
         except NotConnectedError as error:
-            self._suspect(address, str(error))
+            self.leader_choice.suspect(address, str(error))
             return
         link.send(self._hello())
         self._send_known_observations(link)
@@ -244,47 +241,16 @@
         try:
             while self._leader_address == address:
                 self._handle_leader_message(link.receive())
-                if not self._is_preferred_leader(address):
+                if not self.leader_choice.is_preferred(address):
                     break
         except PeerError as error:
-            self._suspect(address, str(error))
+            self.leader_choice.suspect(address, str(error))
         finally:
             self._link = None
             heartbeats.kill(block=False)
             link.close()
             self._resubmit_jobs()
 
-    def _is_preferred_leader(self, address):
-        leader = choose_leader(
-            self._cluster_view.nodes_by_name.values(),
-            suspected_until=self._suspected_until,
-            now=self._clock.monotonic(),
-        )
-        return leader is None or leader.address == address
-
-    def _count_failure(self, address):
-        """Count a failure to reach a node; return its failures since it registered."""
-        registered = {
-            (node.address, node.revision)
-            for node in self._cluster_view.nodes_by_name.values()
-        }
-        counts = {
-            key: n
-            for key, n in self._n_failures_by_registration.items()
-            if key in registered
-        }
-        self._n_failures_by_registration = counts
-        keys = [key for key in registered if key[0] == address]
-        for key in keys:
-            counts[key] = counts.get(key, 0) + 1
-        return max((counts[key] for key in keys), default=1)
-
-    def _suspect(self, address, cause, *, duration_s=None):
-        if duration_s is None:
-            duration_s = suspicion_s(self._count_failure(address))
-        self._suspected_until[address] = self._clock.monotonic() + duration_s
-        self._record("leader.lost", {"address": address, "cause": cause})
-
     def _resubmit_jobs(self):
         for job in list(self._jobs_by_id.values()):
             self._send_submission(job)
@@ -303,7 +269,7 @@
         elif isinstance(message, TurnReply):
             self._turns.handle_reply(message)
         elif isinstance(message, NodeAside):
-            self._suspect(
+            self.leader_choice.suspect(
                 self._leader_address,
                 "the leader does not reach the store; "
                 f"it steps down for {message.length_s:g} s",
--- a/src/savoryhill/serving/leadership.py
+++ b/src/savoryhill/serving/leadership.py
@@ -52,3 +52,64 @@
         key=lambda node: (-node.capacity, node.revision, node.name),
         default=None,
     )
+
+
+class LeaderChoice:
+    """Chooses the leader among the registered nodes, without those under suspicion.
+
+    ``record(event, fields)`` logs the loss of a leader.
+    """
+
+    def __init__(self, *, clock, cluster_view, record):
+        self._clock = clock
+        self._cluster_view = cluster_view
+        self._record = record
+        self._n_failures_by_registration = {}
+        self.suspected_until = {}
+
+    def choose(self):
+        """Return the leader, or None if there is no candidate."""
+        return choose_leader(
+            self._cluster_view.nodes_by_name.values(),
+            suspected_until=self.suspected_until,
+            now=self._clock.monotonic(),
+        )
+
+    def is_preferred(self, address):
+        """Tell whether no node is to be chosen instead of the one at an address."""
+        leader = self.choose()
+        return leader is None or leader.address == address
+
+    def suspect(self, address, cause, *, duration_s=None):
+        """Do not choose the node at an address for a time.
+
+        Parameters
+        ----------
+        address : str
+            Address of the node.
+        cause : str
+            Why, for the log.
+        duration_s : float or None
+            Seconds; None doubles with each failure under the node's registration.
+        """
+        if duration_s is None:
+            duration_s = suspicion_s(self._count_failure(address))
+        self.suspected_until[address] = self._clock.monotonic() + duration_s
+        self._record("leader.lost", {"address": address, "cause": cause})
+
+    def _count_failure(self, address):
+        """Count a failure to reach a node; return its failures since it registered."""
+        registered = {
+            (node.address, node.revision)
+            for node in self._cluster_view.nodes_by_name.values()
+        }
+        counts = {
+            key: n
+            for key, n in self._n_failures_by_registration.items()
+            if key in registered
+        }
+        self._n_failures_by_registration = counts
+        keys = [key for key in registered if key[0] == address]
+        for key in keys:
+            counts[key] = counts.get(key, 0) + 1
+        return max((counts[key] for key in keys), default=1)
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -50,15 +50,15 @@
         # Guards against nodes that leave a working leader every few seconds to try one
         # that lost power and whose registration has not expired.
         node = deployment.add_node()
-        dispatcher = node._dispatcher
+        choice = node._dispatcher.leader_choice
         row = json.dumps({"address": "127.0.0.9:9", "zone": "zone-a"}).encode()
         known = node.context.cluster_view.nodes_by_name
         deployment.store.put("nodes/gone", row)
         deployment.wait_until(lambda: "gone" in known)
 
         def suspect():
-            dispatcher._suspect("127.0.0.9:9", "test")
-            until = dispatcher._suspected_until["127.0.0.9:9"]
+            choice.suspect("127.0.0.9:9", "test")
+            until = choice.suspected_until["127.0.0.9:9"]
             return round(until - node.context.clock.monotonic())
 
         assert [suspect() for _ in range(5)] == [3, 6, 12, 24, 24]
