serving: nodes of an older build get no messages that they don't know

Cause: a node closes a link on which it receives an unknown message, so during a release each shared observation would have cut the links to older nodes, and a turn would have been asked of a leader that can't answer. Found by reading; a test of the plain limit then failed once (two turns of a limit of 0.1, traced): a follower that can't ask its leader used the whole limit instead of its part. Change: hello and heartbeat name the protocol of their sender; observations and turns go only over links whose other node understands them. A node that is not the leader uses one part of a limit, with or without a link. Measured: test_node_whose_leader_gives_no_turns_uses_its_part fails with the share of before and passes, test_named_limits.py two runs of two. tests/serving and tests/peers: 271 passed and the plain limit failed, before the part and that test's wait for the leader's heartbeat were mended.

--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -10,11 +10,18 @@
 class NodeHello:
     """First message on a connection.
 
-    ``revision`` is the latest store revision known to the sender.
+    ``revision`` is the latest store revision known to the sender. ``protocol`` tells
+    which messages it understands.
     """
 
     node: str
     revision: int
+    protocol: int = 0
+
+
+# Nodes from this protocol on understand shared observations and turns. The others
+# close a link on which they receive a message that they do not know.
+SHARING_PROTOCOL = 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,10 +130,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeBeat:
-    """Heartbeat of the leader, with the time since its last contact with the store."""
+    """Heartbeat, with the time since the sender's last contact with the store.
+
+    ``protocol`` tells which messages the sender understands.
+    """
 
     revision: int
     contact_age_s: float
+    protocol: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -173,6 +173,7 @@
 struct NodeHello {
   node @0 :Text;
   revision @1 :Int64;
+  protocol @2 :Int64;
 }
 
 struct JobSubmit {
@@ -236,6 +237,7 @@
 struct NodeBeat {
   revision @0 :Int64;
   contactAgeS @1 :Float64;
+  protocol @2 :Int64;
 }
 
 struct ObservationItem {
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -17,6 +17,7 @@
 from savoryhill.core.scheduling.messages import (
     CANCELLED,
     FIRST_EVENT,
+    SHARING_PROTOCOL,
     JobPlaced,
     JobRejected,
     JobReport,
@@ -232,7 +233,6 @@
             self.leader_choice.suspect(address, str(error))
             return
         link.send(self._hello())
-        self._send_known_observations(link)
         heartbeats = gevent.spawn(self._send_heartbeats_to_leader, link)
         self._scheduling.cancel_jobs(self._jobs_by_id)
         self._link = link
@@ -263,6 +263,7 @@
         elif isinstance(message, NodeHello):
             self._send_missing_changes(self._link, message.revision)
         elif isinstance(message, NodeBeat):
+            self._note_protocol(self._link, message.protocol)
             self._handle_leader_heartbeat(message)
         elif isinstance(message, SharedObservations):
             self._sharing.receive(message, self._link)
@@ -293,7 +294,11 @@
             self._send_to_followers(update)
 
     def _hello(self):
-        return NodeHello(node=self._node, revision=self._cluster_view.revision)
+        return NodeHello(
+            node=self._node,
+            revision=self._cluster_view.revision,
+            protocol=SHARING_PROTOCOL,
+        )
 
     def _handle_leader_heartbeat(self, heartbeat):
         self._leader_contact_age_s = heartbeat.contact_age_s
@@ -320,8 +325,7 @@
                 message = link.receive()
                 if isinstance(message, NodeHello):
                     self._send_missing_changes(link, message.revision)
-                    if link not in self._follower_links:
-                        self._send_known_observations(link)
+                    self._note_protocol(link, message.protocol)
                     self._follower_links.add(link)
                 elif isinstance(message, JobSubmit):
                     job_ids.add(message.job_id)
@@ -370,6 +374,7 @@
         return NodeBeat(
             revision=self._cluster_view.revision,
             contact_age_s=min(1e9, self._cluster_view.contact_age_s()),
+            protocol=SHARING_PROTOCOL,
         )
 
     def publish(self, rows, revision, *, base_revision, is_complete):
@@ -396,14 +401,22 @@
             link.send_frame(frame)
 
     def _send_to_leader(self, message):
-        """Send a message to the leader; return False if this node has none."""
-        if self._link is None:
+        """Send a message to the leader; return False if none understands it."""
+        if self._link is None or self._link.peer_protocol < SHARING_PROTOCOL:
             return False
         self._link.send(message)
         return True
 
-    def _send_known_observations(self, link):
-        """Send all shared observations on a new link, as either side may lack some."""
+    def _note_protocol(self, link, protocol):
+        """Record which messages the other node of a link understands.
+
+        Once it is known that they do, nodes send each other all shared observations, as
+        either may lack some.
+        """
+        is_new = link.peer_protocol < SHARING_PROTOCOL <= protocol
+        link.peer_protocol = protocol
+        if not is_new:
+            return
         message = self._sharing.snapshot()
         if message is not None:
             link.send(message)
@@ -413,15 +426,18 @@
 
         The leader forwards what is news to it, so each node gets each observation once.
         """
-        links = [*self._follower_links]
-        if self._link is not None:
-            links.append(self._link)
+        links = [
+            link
+            for link in (*self._follower_links, self._link)
+            if link is not None
+            and link is not except_link
+            and link.peer_protocol >= SHARING_PROTOCOL
+        ]
         if not links:
             return
         frame = encode_frame(message, node=self._node)
         for link in links:
-            if link is not except_link:
-                link.send_frame(frame)
+            link.send_frame(frame)
 
     def place_waiting_periodically(self):
         """Place waiting jobs until the greenlet is killed."""
--- a/src/savoryhill/serving/links.py
+++ b/src/savoryhill/serving/links.py
@@ -32,6 +32,7 @@
 
     Messages are queued and written by a greenlet of the link, so that callers do not
     block on the other node. ``receive`` fails if nothing arrives for ``silence_s``.
+    ``peer_protocol`` tells which messages the other node understands, once it said so.
     """
 
     def __init__(self, *, sock, node, silence_s):
@@ -43,6 +44,7 @@
         self._wake_writer = Event()
         self._buffer = bytearray()
         self.is_open = True
+        self.peer_protocol = 0
         self._writer = gevent.spawn(self._write_queue)
 
     def send(self, message):
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -94,9 +94,9 @@
         rate_limiter = RateLimiter(
             random=random,
             share=lambda: (
-                1.0 / max(1, len(cluster_view.nodes_by_name))
-                if dispatcher.is_standalone()
-                else 1.0
+                1.0
+                if dispatcher.is_leader()
+                else 1.0 / max(1, len(cluster_view.nodes_by_name))
             ),
         )
         endpoint_limits = EndpointLimits(
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -13,6 +13,7 @@
 )
 from savoryhill.core.observations.rate_limits import unlimited
 from savoryhill.core.scheduling.messages import (
+    SHARING_PROTOCOL,
     NodeAside,
     NodeBeat,
     NodeHello,
@@ -38,7 +39,8 @@
 class RecordingLink:
     """A link that records what is sent."""
 
-    def __init__(self):
+    def __init__(self, *, peer_protocol=SHARING_PROTOCOL):
+        self.peer_protocol = peer_protocol
         self.sent = []
         self.frames = []
 
@@ -137,7 +139,9 @@
         dispatcher.note_store_contact()
         clock.now += 2.0
         dispatcher._handle_follower_heartbeat(follower, current_heartbeat(revision=9))
-        assert follower.messages_of(NodeHello) == [NodeHello(node="node-a", revision=7)]
+        assert follower.messages_of(NodeHello) == [
+            NodeHello(node="node-a", revision=7, protocol=SHARING_PROTOCOL)
+        ]
         assert cluster_view.contact_age_s() > 1.0
         dispatcher._apply_update(follower, store_update(7, 9))
         dispatcher._handle_follower_heartbeat(follower, current_heartbeat(revision=9))
@@ -195,17 +199,32 @@
         # from engines that end again.
         dispatcher._sharing.receive(SharedObservations(items=(CRASH_ITEM,)), follower)
         clock.now += 3.0
-        joining = RecordingLink()
-        dispatcher._send_known_observations(joining)
+        joining = RecordingLink(peer_protocol=0)
+        for _ in range(2):
+            dispatcher._note_protocol(joining, SHARING_PROTOCOL)
         ((message,),) = [joining.messages_of(SharedObservations)]
         (item,) = message.items
         assert (item.subject, item.source, item.age_s) == ("p1", "e1", 4.0)
 
     def test_nothing_is_sent_while_nothing_is_known(self, dispatcher):
-        joining = RecordingLink()
-        dispatcher._send_known_observations(joining)
+        joining = RecordingLink(peer_protocol=0)
+        dispatcher._note_protocol(joining, SHARING_PROTOCOL)
         assert joining.sent == []
 
+    def test_node_of_an_older_build_gets_none(self, dispatcher):
+        # Guards against links that an older node closes because it doesn't know the
+        # message, during a release.
+        older = RecordingLink(peer_protocol=0)
+        dispatcher._follower_links.add(older)
+        dispatcher._link = RecordingLink(peer_protocol=0)
+        source = RecordingLink()
+        dispatcher._sharing.receive(SharedObservations(items=(CRASH_ITEM,)), source)
+        dispatcher._note_protocol(older, 0)
+        assert older.frames == older.sent == dispatcher._link.frames == []
+        assert not dispatcher._send_to_leader(
+            TurnRequest(number=1, endpoints=(), max_wait_s=0.0)
+        )
+
 
 class TestTurns:
     def make_turns(self, clock, **limits):
--- a/tests/serving/test_named_limits.py
+++ b/tests/serving/test_named_limits.py
@@ -48,7 +48,10 @@
         for _ in range(2):
             deployment.add_node()
         deployment.wait_until(
-            lambda: any(node._dispatcher._link for node in deployment.nodes)
+            lambda: any(
+                node._dispatcher._link and node._dispatcher._link.peer_protocol
+                for node in deployment.nodes
+            )
         )
 
     return start
@@ -124,3 +127,16 @@
         deployment.wait_until(
             lambda: not any(limiter.is_limited("app-1@1") for limiter in limiters)
         )
+
+    def test_node_whose_leader_gives_no_turns_uses_its_part(
+        self, deployment, two_nodes
+    ):
+        # Guards against a whole limit for each node that gets no answer of its leader:
+        # one of an older build, or one that is lost.
+        two_nodes()
+        (follower,) = [n for n in deployment.nodes if n._dispatcher._link is not None]
+        known = follower.context.cluster_view.nodes_by_name
+        deployment.wait_until(lambda: len(known) == 2)
+        limiter = follower.context.endpoint_limits.limiter
+        limiter.set_limits({"app-1@1": 2.0})
+        assert limiter.rate_per_s("app-1@1") == 1.0
