serving: forward shared observations in one message an interval

Cause: by reading and a measurement of the parts: when the engines of a zone end at once, each node reports the prompts that it had there, and the leader sent each report on to each node, at the moment in which it has to place these jobs again (30 reports to 194 nodes are 5,820 messages). Each node looked at all observations for each report: 10 ms with a full table. Change: news go to the leader at once, before the failure that they explain, and on to the followers together every 30 ms. Only parts with enough crashes are looked at.

--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -226,7 +226,7 @@
         By the digest of each part.
     """
     crashes_by_part = {}
-    for part in table.subjects(CRASH):
+    for part in table.subjects(CRASH, n_min=MIN_CRASHES):
         live = live_crashes(table, part)
         if len(live) >= MIN_CRASHES and not _was_sound(table, part, now):
             crashes_by_part[part] = live
--- a/src/savoryhill/core/observations/table.py
+++ b/src/savoryhill/core/observations/table.py
@@ -79,9 +79,13 @@
         keys = self._keys_by_subject.get((kind, subject), ())
         return [self._by_key[key] for key in keys]
 
-    def subjects(self, kind):
-        """Return the subjects about which there are observations of a kind."""
-        return [subject for known, subject in self._keys_by_subject if known == kind]
+    def subjects(self, kind, *, n_min=1):
+        """Return the subjects about which there are some observations of a kind."""
+        return [
+            subject
+            for (known, subject), keys in self._keys_by_subject.items()
+            if known == kind and len(keys) >= n_min
+        ]
 
     def from_source(self, kind, source):
         """Return the observations of a kind from a source."""
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -81,6 +81,7 @@
         self._scheduling = scheduling
         self._sharing = sharing
         sharing.send = self._send_observations
+        sharing.send_to_followers = self._forward_observations
         self._turns = turns
         turns.send_to_leader = self._send_to_leader
         self._record = record
@@ -422,16 +423,19 @@
             link.send(message)
 
     def _send_observations(self, message, except_link):
-        """Send observations on all links but the one on which they arrived.
+        """Send observations to the leader, unless they are from there.
 
-        The leader forwards what is news to it, so each node gets each observation once.
+        They arrive before what is reported next, such as the failure of a job.
         """
+        if self._link is not except_link:
+            self._send_to_leader(message)
+
+    def _forward_observations(self, message):
+        """Send observations to all followers; those they are from know them."""
         links = [
             link
-            for link in (*self._follower_links, self._link)
-            if link is not None
-            and link is not except_link
-            and link.peer_protocol >= SHARING_PROTOCOL
+            for link in self._follower_links
+            if link.peer_protocol >= SHARING_PROTOCOL
         ]
         if not links:
             return
--- a/src/savoryhill/serving/shared_observations.py
+++ b/src/savoryhill/serving/shared_observations.py
@@ -10,6 +10,7 @@
 from savoryhill.core.observations.table import ObservationTable
 
 REVIEW_INTERVAL_S = 1.0
+FORWARD_INTERVAL_S = 0.03
 # They must outlast the crashes that they answer.
 LASTING_KINDS = (ALIVE,)
 
@@ -17,15 +18,18 @@
 class ObservationSharing:
     """Merges observations of this node and of others, and passes on what is news.
 
-    ``send(message, except_link)`` sends a message on all links but one. The functions
-    in ``on_news`` are called with the news once they are merged, those in ``on_review``
-    at intervals, because what is known ends with time.
+    ``send(message, except_link)`` sends a message to the leader unless that is where it
+    is from, ``send_to_followers(message)`` to all followers. The functions in
+    ``on_news`` are called with the news once they are merged, those in ``on_review`` at
+    intervals, because what is known ends with time.
     """
 
     def __init__(self, *, clock):
         self._clock = clock
         self.table = ObservationTable(lasting_kinds=LASTING_KINDS)
+        self._unforwarded = []
         self.send = None
+        self.send_to_followers = None
         self.on_news = []
         self.on_review = []
 
@@ -45,9 +49,23 @@
             return
         if self.send is not None:
             self.send(encode_observations(news, now), except_link)
+            if not self._unforwarded:
+                gevent.spawn_later(FORWARD_INTERVAL_S, self.forward)
+            self._unforwarded += news
         for notify in self.on_news:
             notify(news)
 
+    def forward(self):
+        """Send the news of the last interval to the followers, in one message.
+
+        Load pattern: the engines of an availability zone end at once, and many nodes
+        report it. A message to each node for each report would take the leader's time
+        when it has to place the jobs again.
+        """
+        news, self._unforwarded = self._unforwarded, []
+        if news:
+            self.send_to_followers(encode_observations(news, self._clock.monotonic()))
+
     def review_periodically(self):
         """Drop what has ended and call the reviews until the greenlet is killed."""
         while True:
