soak: endpoints that name a limit of requests a second

The soak could not see the incident of the named limit: its endpoints named none. Now spans are planned in which one names a limit; a check counts what it gets in any 4 s at undisturbed times. A test of the check and one of the plan.

--- a/src/savoryhill/soak/observations.py
+++ b/src/savoryhill/soak/observations.py
@@ -27,6 +27,12 @@
 CERTAIN_CRASHES = 5
 PART_BOUND_S = 3.0
 MAX_LATER_ARRIVALS = 3
+# What an endpoint may get in any span of this length once it has named a limit: this
+# many times the limit, and some more.
+LIMIT_SPAN_S = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_SLACK = 5
+LIMIT_BOUND_S = 3.0
 STALLED_BOUND_S = 3.0
 
 
@@ -384,3 +390,42 @@
 def _shared_parts(arrival):
     parts = dict(arrival.headers).get(names.PROMPT_PARTS, b"").decode("latin-1")
     return [part.partition(":")[0] for part in parts.split(",")[:-1]]
+
+
+def check_named_limits(limit_spans, *, is_disturbed):
+    """Check what endpoints get while they name a limit of requests a second.
+
+    Parameters
+    ----------
+    limit_spans : sequence of tuple
+        Endpoint stand-in, limit, and start and end of the span in which it named it.
+    is_disturbed : callable
+        Takes the start and the end of a span.
+
+    Returns
+    -------
+    list of Finding
+        The violations.
+    """
+    findings = []
+    for endpoint, limit, start, end in limit_spans:
+        arrivals = [
+            arrival
+            for arrival in endpoint.arrivals
+            if start <= arrival.at <= end and arrival.was_run
+        ]
+        known_from = (arrivals[0].at if arrivals else end) + LIMIT_BOUND_S
+        times = [
+            arrival.at
+            for arrival in arrivals
+            if arrival.at >= known_from
+            and not is_disturbed(arrival.at - LIMIT_BOUND_S, arrival.at)
+        ]
+        most = max(
+            (sum(at <= t < at + LIMIT_SPAN_S for t in times) for at in times),
+            default=0,
+        )
+        if most > LIMIT_TOLERANCE * LIMIT_SPAN_S * limit + LIMIT_SLACK:
+            detail = f"{endpoint.id} named {limit:g} a second and got {most} in 4 s"
+            findings.append(Finding(invariant="named limits are kept", detail=detail))
+    return findings
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -27,6 +27,9 @@
 # Spans in which engines end under a part of prompts, drawn apart as well.
 MEAN_CRASHING_PART_INTERVAL_S = 9.0
 CRASHING_PART_LENGTH_S = 5.0
+# Spans in which an endpoint names a limit of requests a second.
+MEAN_NAMED_LIMIT_INTERVAL_S = 3.0
+NAMED_LIMIT_LENGTH_S = 9.0
 MEAN_CHANGE_INTERVAL_S = 1.0
 # Time without new faults at the end, in which requests must be served again.
 FINAL_QUIET_S = 6.0
@@ -71,8 +74,19 @@
         *_plan_endless_responses(
             Random(f"endless/{seed}"), until=length_s - FINAL_QUIET_S
         ),
-        *_plan_crashing_parts(
-            Random(f"crashing/{seed}"), until=length_s - FINAL_QUIET_S
+        *_plan_spans(
+            "crashing_part",
+            Random(f"crashing/{seed}"),
+            until=length_s - FINAL_QUIET_S,
+            mean_interval_s=MEAN_CRASHING_PART_INTERVAL_S,
+            span_s=CRASHING_PART_LENGTH_S,
+        ),
+        *_plan_spans(
+            "named_limit",
+            Random(f"limits/{seed}"),
+            until=length_s - FINAL_QUIET_S,
+            mean_interval_s=MEAN_NAMED_LIMIT_INTERVAL_S,
+            span_s=NAMED_LIMIT_LENGTH_S,
         ),
     ]
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
@@ -138,15 +152,11 @@
         at_s += random.expovariate(1.0 / MEAN_ENDLESS_INTERVAL_S)
 
 
-def _plan_crashing_parts(random, *, until):
-    """Yield spans in which prompts with one part end the engines that answer them."""
-    at_s = random.uniform(1.0, MEAN_CRASHING_PART_INTERVAL_S)
-    while at_s + CRASHING_PART_LENGTH_S < until:
+def _plan_spans(kind, random, *, until, mean_interval_s, span_s):
+    """Yield spans of a fault, one after the other."""
+    at_s = random.uniform(1.0, mean_interval_s)
+    while at_s + span_s < until:
         yield Fault(
-            at_s=at_s,
-            kind="crashing_part",
-            target=random.randrange(1_000),
-            length_s=CRASHING_PART_LENGTH_S,
+            at_s=at_s, kind=kind, target=random.randrange(1_000), length_s=span_s
         )
-        at_s += CRASHING_PART_LENGTH_S
-        at_s += random.expovariate(1.0 / MEAN_CRASHING_PART_INTERVAL_S)
+        at_s += span_s + random.expovariate(1.0 / mean_interval_s)
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -26,6 +26,7 @@
 REVOCATION_BOUND_S = 2.0
 DRAIN_BOUND_S = 2.0
 EVACUATION_BOUND_S = 5.0
+NAMED_LIMITS_PER_S = (0.5, 1.0, 3.0)
 STORE_FAULT_MODES = {
     "store_silent": "silent",
     "store_busy": "busy",
@@ -70,6 +71,7 @@
     drain_spans: list = field(default_factory=list)
     evacuation_spans: list = field(default_factory=list)
     crashing_parts: list = field(default_factory=list)
+    limit_spans: list = field(default_factory=list)
     fault_greenlets: list = field(default_factory=list)
 
     def is_undisturbed(self, start, end):
@@ -248,6 +250,16 @@
         gevent.sleep(fault.length_s)
         deployment.set_crashing_part(None)
 
+    def _named_limit(self, fault):
+        endpoints = self.deployment.endpoints
+        endpoint = endpoints[fault.target % len(endpoints)]
+        limit = NAMED_LIMITS_PER_S[fault.target % len(NAMED_LIMITS_PER_S)]
+        start = self.clock.monotonic()
+        endpoint.named_limit = f"{limit:g}"
+        gevent.sleep(fault.length_s)
+        endpoint.named_limit = None
+        self.limit_spans.append((endpoint, limit, start, self.clock.monotonic()))
+
     # Checks.
 
     def _build_result(self, ends_at):
@@ -313,6 +325,7 @@
             *checks.check_crashing_parts(
                 endpoints, self.crashing_parts, is_disturbed=is_disturbed
             ),
+            *checks.check_named_limits(self.limit_spans, is_disturbed=is_disturbed),
             *self._check_released_reservations(),
             *self._check_recovery_after_faults(ends_at),
         ]
--- a/tests/soak/test_observations.py
+++ b/tests/soak/test_observations.py
@@ -198,3 +198,28 @@
     def test_plan_has_spans_with_a_crashing_part(self):
         kinds = [fault.kind for fault in make_plan(1, length_s=36.0)]
         assert "crashing_part" in kinds
+
+
+class TestNamedLimits:
+    @pytest.mark.parametrize(
+        ("n", "disturbed", "found"),
+        [(11, False, False), (12, False, True), (30, True, False)],
+        ids=["within", "above", "disturbed"],
+    )
+    def test_requests_to_an_endpoint_that_names_a_limit(self, n, disturbed, found):
+        endpoint = EndpointStandIn(id="e1", clock=None)
+        times = [100.0, *(104.0 + 0.3 * number for number in range(n))]
+        for number, at in enumerate(times):
+            endpoint.arrivals.append(
+                Arrival(
+                    attempt_id=f"r{number}", headers=(), body=b"", at=at, was_run=True
+                )
+            )
+        findings = checks.check_named_limits(
+            [(endpoint, 1.0, 99.0, 120.0)], is_disturbed=lambda start, end: disturbed
+        )
+        assert bool(findings) == found
+
+    def test_plan_has_spans_with_a_named_limit(self):
+        kinds = [fault.kind for fault in make_plan(1, length_s=36.0)]
+        assert "named_limit" in kinds
