serving: requests that are no streams are checked for crashing parts as well

Cause: only streams to engines, which the leader places, were checked; a route of engines that is not streaming is served by Call, which sent a crashing part on to one engine after the other. Found by reading with the question which kinds of requests are covered. And a prompt that was withdrawn from an engine was answered with the cause "closed without an answer". Change: Call checks the parts before each send, tries them by the same rule, and reports crashes and starts. The cause of a withdrawn prompt names the part. Requests without parts, and streams but for that cause, are served as before.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -1,7 +1,10 @@
 """Requests to plain services, whose responses are forwarded only when complete."""
 
+from dataclasses import replace
+
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.prompt_check import PromptCheck
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
 
@@ -18,11 +21,16 @@
         self._response = response
         self._history = history
         self._context = request.context
+        self._check = PromptCheck(request=request)
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
         request, balancer = self._request, self._context.balancer
         while True:
+            cause = self._check.refusal_cause()
+            if cause is not None:
+                self._refuse_parts(cause)
+                return
             endpoint, retry_after_s = self._choose_endpoint()
             if endpoint is None:
                 failure = SendFailure(
@@ -31,7 +39,12 @@
                 self._response.fail(failure, self._history, retry_after_s=retry_after_s)
                 return
             request.n_sends += 1
-            failure = self._run_on(endpoint)
+            with self._check.probe(f"{request.id}.{request.n_sends}") as rejection:
+                if rejection is not None:
+                    self._refuse_parts(rejection.reason)
+                    return
+                with self._check.watch():
+                    failure = self._run_on(endpoint)
             if failure is None:
                 return
             balancer.note_failure(endpoint, is_full=failure.is_full)
@@ -40,6 +53,12 @@
                 self._response.fail(failure, self._history)
                 return
 
+    def _refuse_parts(self, cause):
+        """Refuse a request whose prompt has a part that ends endpoints."""
+        self._context.observe("refused_for_part", 1.0, self._request.route)
+        failure = SendFailure(cause=cause, may_have_run=False)
+        self._response.fail(failure, self._history, retry_after_s=None)
+
     def _choose_endpoint(self):
         """Choose an endpoint, and wait for a turn if it has named a limit.
 
@@ -103,12 +122,16 @@
                     endpoint=endpoint.id,
                 )
             history.n_runs += 1
+            self._check.note_sent(endpoint, connection)
             try:
                 self._request.send(connection, endpoint)
                 failure = self._receive(connection, endpoint, times_out_at)
             except (OSError, MalformedMessageError) as error:
                 failure = SendFailure(
-                    cause=f"broken: {error!r}", may_have_run=True, endpoint=endpoint.id
+                    cause=f"broken: {error!r}",
+                    may_have_run=True,
+                    connection_ended=isinstance(error, ConnectionError),
+                    endpoint=endpoint.id,
                 )
             finally:
                 connection.close()
@@ -118,11 +141,16 @@
                 reader.head, endpoint, sent_at=started_at
             )
         if failure is None:
+            self._check.note_start()
             balancer.note_success(endpoint)
             self._response.write_response(reader.head, reader.take_body(), endpoint.id)
-        elif not failure.may_have_run:
+            return None
+        self._check.note_failure(failure, endpoint)
+        if not failure.may_have_run:
             history.n_runs -= 1
             history.n_refused += 1
+        elif self._check.stop_cause is not None:
+            return replace(failure, cause=self._check.stop_cause)
         return failure
 
     def _receive(self, connection, endpoint, times_out_at):
@@ -142,6 +170,7 @@
                 return SendFailure(
                     cause="closed within the answer",
                     may_have_run=True,
+                    connection_ended=True,
                     endpoint=endpoint.id,
                 )
         if reader.head.status >= 300 or not self._request.is_valid(reader.head):
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -1,5 +1,7 @@
 """Streaming requests: one job per send, and events forwarded as they arrive."""
 
+from dataclasses import replace
+
 import gevent
 
 from savoryhill.core.scheduling.messages import (
@@ -246,6 +248,8 @@
             self._history.n_runs -= 1
             self._history.n_refused += 1
             return _with_endpoint_id(failure, endpoints)
+        if failure is not None and self._check.stop_cause is not None:
+            return replace(failure, cause=self._check.stop_cause)
         return failure
 
     def _silence_limit_s(self, suspicious_s):
--- a/src/savoryhill/serving/prompt_check.py
+++ b/src/savoryhill/serving/prompt_check.py
@@ -44,8 +44,11 @@
         return None
 
     @contextmanager
-    def watch(self, job):
-        """Stop the job inside the context if its parts prove to end engines."""
+    def watch(self, job=None):
+        """Stop the send inside the context if its parts prove to end engines.
+
+        ``job`` is the one that waits for its placement, if any.
+        """
         self._job, self._connection, self.stop_cause = job, None, None
         if self._has_started:
             yield
@@ -64,7 +67,7 @@
         self.stop_cause = cause
         if self._connection is not None:
             self._connection.abort()
-        elif not self._job.decision.ready():
+        elif self._job is not None and not self._job.decision.ready():
             self._job.decision.set(
                 JobRejected(
                     job_id=self._job.submission.job_id,
@@ -73,6 +76,26 @@
                 )
             )
 
+    @contextmanager
+    def probe(self, job_id):
+        """Try parts that may end engines inside the context, without a scheduler.
+
+        Yields
+        ------
+        JobRejected or None
+            None if the request may be sent.
+        """
+        rejection = None
+        if self.probed_parts:
+            dispatcher = self._request.context.dispatcher
+            rejection = self._guard.admit_probe(
+                job_id, self.probed_parts, is_standalone=not dispatcher.is_leader()
+            )
+        try:
+            yield rejection
+        finally:
+            self._guard.end_probe(job_id)
+
     def note_sent(self, endpoint, connection):
         """Record the engine and the connection of the current send."""
         self._source = endpoint.incarnation
@@ -80,7 +103,7 @@
         self.sent_at = self._request.context.clock.monotonic()
 
     def note_start(self):
-        """Record the first event of the current send."""
+        """Record the first event of the current send, or its whole response."""
         self._has_started = True
         self._guard.note_start(
             parts=self._request.part_digests,
--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -148,6 +148,9 @@
         if request.header(names.TOKEN_COUNTS) is not None:
             return self._stream(sock, request, headers, fault)
         gevent.sleep(self.response_delay_s)
+        if self._has_crashing_part(request):
+            self._crash(request)
+            return False
         body = b"done by " + self.id.encode()
         if fault in UNFRAMED_FAULTS:
             return _send_unframed(sock, headers, body, fault)
--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -5,6 +5,7 @@
 
 from savoryhill.core.observations.parts import digest_part
 from savoryhill.observability.metrics import prometheus_text
+from savoryhill.soak.deployment import route
 
 N_ENGINES = 8
 # Crashes after which it is certain that requests with the part end engines, and
@@ -132,10 +133,30 @@
         for number in range(2):
             ask_with_part(deployment, number)
         with gevent.Timeout(0.3):
-            assert deployment.finish(waiting)[0] == 502
+            status, _, body, _ = deployment.finish(waiting)
+        assert (status, digest_part("pool", "dead").encode() in body) == (502, True)
         deployment.wait_until(lambda: slow.n_cancelled == 1, limit_s=1.5)
         assert slow.crashes == []
 
+    def test_part_of_requests_that_are_no_streams_is_refused_as_well(
+        self, deployment, engines
+    ):
+        # Guards against engines that end one after the other under requests which are
+        # not placed by the leader.
+        read = route("read", "idempotent", "pool")
+        deployment.configure(version=2, routes=[read])
+        deployment.add_node()
+        for number in range(12):
+            parts = f"aa:40,bb:900,{number:x}:60"
+            assert deployment.ask("/read/x", x_prompt_prefix=parts)[0] == 200
+            parts = f"aa:40,dead:900,{number:x}:60"
+            status, _, body, _ = deployment.ask("/read/x", x_prompt_prefix=parts)
+            assert status in (502, 503)
+            deployment.wait_until(lambda: not all(e.is_down for e in engines))
+        assert (status, digest_part("pool", "dead").encode() in body) == (503, True)
+        arrivals = arrivals_of_part(engines, b"dead")
+        assert len(arrivals) <= CERTAIN_CRASHES
+
     def test_malformed_list_of_parts_is_served(self, deployment, engines):
         deployment.add_node()
         for value in ("", ",,,", "zz", "aa:-1,:,zz:x,9", "dead:900"):
