serving: a node that stops refuses what it can't finish

What callers saw: a stream that was taken 5.4 s after the signal to stop was cut within its answer 2 s later, when the process ended (LOST). Cause: the nodes of a zone are stopped two at a time, so fewer than half of its nodes are in rotation and the platform goes on sending to all of them. A node that drains served every request that reached it until its end. Change: from 3 s after the signal, when the platform has had the time to take the node out, streams are refused, and calls for which less than twice their target is left: 503, not run, with a short Retry-After and a closed connection.

--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -10,9 +10,12 @@
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.crash_guard import CrashGuard
 from savoryhill.serving.endpoint_limits import EndpointLimits
+from savoryhill.serving.model import STREAM
 from savoryhill.serving.repeats import RepeatBudgets
 from savoryhill.serving.turns import Turns
 
+# A call begins only if this multiple of its target latency is left.
+LATE_CALL_FACTOR = 2.0
 # If the store is available, a starting node reads it in a fraction of this time.
 CONFIGURATION_WAIT_S = 0.5
 
@@ -22,8 +25,9 @@
     """State and services of one node.
 
     ``log(event, **fields)`` writes a log line. ``draining_since`` is None until the
-    node shuts down. ``n_reading`` counts the requests that have arrived in part,
-    ``n_running`` those that are being served.
+    node shuts down; from then on, requests are served as before until
+    ``accepts_all_until``, and the node stops at ``stops_at``. ``n_reading`` counts the
+    requests that have arrived in part, ``n_running`` those that are being served.
     """
 
     settings: object
@@ -39,6 +43,8 @@
     metrics: object
     log: object
     draining_since: float | None = None
+    accepts_all_until: float = 0.0
+    stops_at: float = 0.0
     is_configured: Event = field(default_factory=Event)
     n_reading: int = 0
     n_running: int = 0
@@ -58,6 +64,20 @@
         """Tell whether the node is shutting down."""
         return self.draining_since is not None
 
+    def may_begin(self, route):
+        """Tell whether a request that has just arrived can be served before the end.
+
+        Load pattern: several nodes of an availability zone are stopped at once, and the
+        platform goes on sending requests to all of them. A stream that begins shortly
+        before the end would be cut within its answer.
+        """
+        now = self.clock.monotonic()
+        if not self.is_draining() or now <= self.accepts_all_until:
+            return True
+        if route.kind == STREAM:
+            return False
+        return now + LATE_CALL_FACTOR * route.target_latency_s <= self.stops_at
+
     def is_idle(self):
         """Tell whether no request is being read or served."""
         return self.n_reading == 0 and self.n_running == 0
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -7,6 +7,9 @@
 from savoryhill.serving.response_writer import ResponseWriter
 from savoryhill.serving.served_request import ServedRequest
 
+# The client's next try reaches another node.
+STOPPING_RETRY_AFTER_S = 0.05
+
 
 class Exchange:
     """One request of a client and its response.
@@ -55,6 +58,11 @@
             self._response.refuse(status, cause)
             return
         request = self._request
+        if not self._context.may_begin(request.route):
+            self._response.refuse(
+                503, "the node is stopping", retry_after_s=STOPPING_RETRY_AFTER_S
+            )
+            return
         self._context.repeat_budgets.note_request(request.service, request.arrived_at)
         history = AttemptHistory(
             may_repeat=request.route.may_repeat, max_attempts=request.route.max_attempts
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -297,10 +297,12 @@
         if context.is_draining():
             return
         started_at = context.clock.monotonic()
-        context.draining_since = started_at
-        self._record("node.draining", {"running": context.n_running})
         ends_at = started_at + self._settings.grace_s - GRACE_MARGIN_S
         min_accept_until = min(ends_at, started_at + DRAIN_ACCEPT_S)
+        context.draining_since = started_at
+        context.accepts_all_until = min_accept_until
+        context.stops_at = ends_at
+        self._record("node.draining", {"running": context.n_running})
         while context.clock.monotonic() < ends_at:
             context.clock.sleep(DRAIN_CHECK_S)
             if context.is_idle() and context.clock.monotonic() >= min_accept_until:
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -315,6 +315,40 @@
         assert (status, complete) == (200, True)
         draining.kill()
 
+    @pytest.mark.parametrize(
+        ("path", "status"), [("/chat/x", 503), ("/once/x", 503), ("/stock/x", 200)]
+    )
+    def test_stream_that_arrives_late_while_draining_is_refused_at_once(
+        self, deployment, monkeypatch, path, status
+    ):
+        # Guards against a stream that is taken long after the signal to stop, and cut
+        # within its answer when the process ends.
+        monkeypatch.setattr(process, "DRAIN_ACCEPT_S", 0.2)
+        engine = deployment.add_endpoint("e1", service="pool", event_interval_s=0.5)
+        deployment.add_endpoint("app-1", service="app")
+        node = deployment.add_node()
+        early = deployment.open("/chat/x")
+        deployment.wait_until(lambda: node.context.n_running == 1)
+        draining = gevent.spawn(node.drain)
+        deployment.wait_until(node.context.is_draining)
+        gevent.sleep(0.3)
+        answer = deployment.ask(path)
+        assert (answer[0], answer[3]) == (status, True)
+        assert answer[1][b"connection"] == b"close"
+        assert len(engine.arrivals) == 1
+        early.close()
+        draining.kill()
+
+    def test_call_without_enough_time_to_the_end_is_refused(self, deployment):
+        app = deployment.add_endpoint("app-1", service="app")
+        node = deployment.add_node()
+        context = node.context
+        context.draining_since = context.clock.monotonic() - 4.0
+        context.stops_at = context.clock.monotonic() + 0.4
+        status, headers, _, _ = deployment.ask("/order/x")
+        assert (status, app.arrivals) == (503, [])
+        assert float(headers[b"retry-after"]) < 0.1
+
     def test_new_connections_are_served_while_draining(self, deployment):
         # Guards against refused clients: they are sent to the node until the platform's
         # readiness check has taken it out.
