--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -3,7 +3,6 @@
 import json
 import signal
 import tempfile
-from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -13,19 +12,14 @@
 from savoryhill.clock import system_clock
 from savoryhill.platform import names
 from savoryhill.serving.outgoing_connection import open_connection
-from savoryhill.soak import observations as checks
 from savoryhill.soak.clients import Client
-from savoryhill.soak.deployment import EVENTS_PER_STREAM, SoakDeployment
+from savoryhill.soak.deployment import SoakDeployment
 from savoryhill.soak.plan import make_plan
 from savoryhill.soak.proxy import PASS
+from savoryhill.soak.result import EVACUATION_BOUND_S, SETTLE_S, build_result
 
 RESTART_INTERVAL_S = 0.4
 START_TIMEOUT_S = 20.0
-# Time after the end of a disturbance that still counts as disturbed.
-SETTLE_S = 3.0
-REVOCATION_BOUND_S = 2.0
-DRAIN_BOUND_S = 2.0
-EVACUATION_BOUND_S = 5.0
 NAMED_LIMITS_PER_S = (0.5, 1.0, 3.0)
 STORE_FAULT_MODES = {
     "store_silent": "silent",
@@ -35,23 +29,6 @@
 }
 
 
-@dataclass(kw_only=True)
-class SoakResult:
-    """Findings and request counts of one seed.
-
-    ``n_answered`` counts responses with status 200; the counts at the end cover the
-    requests that were sent in the last ``SETTLE_S`` seconds.
-    """
-
-    seed: int
-    n_requests: int
-    n_answered: int
-    n_answered_at_end: int
-    n_sent_at_end: int
-    findings: list
-    folder: str
-
-
 @dataclass(kw_only=True)
 class Soak:
     """One running soak.
@@ -105,7 +82,7 @@
         gevent.joinall(client_greenlets)
         gevent.joinall(self.fault_greenlets)
         restarter.kill()
-        return self._build_result(ends_at)
+        return build_result(self, ends_at)
 
     def _restart_ended_nodes(self):
         """Restart node processes that have ended, as the platform does."""
@@ -260,116 +237,6 @@
         endpoint.named_limit = None
         self.limit_spans.append((endpoint, limit, start, self.clock.monotonic()))
 
-    # Checks.
-
-    def _build_result(self, ends_at):
-        gevent.sleep(checks.DISCONNECT_SLACK_S)
-        endpoints = self.deployment.endpoints
-        arrivals, runs_by_id, ended_at_by_id = [], defaultdict(list), {}
-        arrival_times_by_engine = defaultdict(list)
-        for endpoint, (service, _) in zip(
-            endpoints, self.deployment.placements, strict=True
-        ):
-            for arrival in endpoint.arrivals:
-                arrivals.append((endpoint.id, arrival.attempt_id, arrival.at))
-                if arrival.was_run:
-                    runs_by_id[arrival.attempt_id].append(arrival.at)
-                if service == "pool":
-                    arrival_times_by_engine[endpoint.id].append(arrival.at)
-            for attempt_id, at in endpoint.ended_at_by_attempt.items():
-                ended_at_by_id[attempt_id] = max(
-                    at, ended_at_by_id.get(attempt_id, 0.0)
-                )
-        endpoint_arrivals = [(endpoint_id, at) for endpoint_id, _, at in arrivals]
-
-        def is_disturbed(start, end):
-            return not self.is_undisturbed(start, end)
-
-        findings = [
-            *checks.check_requests(
-                self.requests, runs_by_id, n_events=EVENTS_PER_STREAM
-            ),
-            *checks.check_disconnects(self.requests, ended_at_by_id),
-            *checks.check_grant_rate(arrival_times_by_engine),
-            *checks.check_repeats(
-                self.requests, [(attempt_id, at) for _, attempt_id, at in arrivals]
-            ),
-            *checks.check_revoked_keys(
-                self.requests,
-                self.revoked_at_by_key,
-                bound_s=REVOCATION_BOUND_S,
-                is_disturbed=is_disturbed,
-            ),
-            *checks.check_excluded_endpoints(
-                endpoint_arrivals,
-                self.drain_spans,
-                bound_s=DRAIN_BOUND_S,
-                is_disturbed=is_disturbed,
-                invariant="leaving endpoints get nothing",
-            ),
-            *checks.check_excluded_endpoints(
-                endpoint_arrivals,
-                self.evacuation_spans,
-                bound_s=EVACUATION_BOUND_S,
-                is_disturbed=is_disturbed,
-                invariant="evacuated zones get nothing",
-            ),
-            *checks.check_lapsed_reservations(
-                [item for endpoint in endpoints for item in endpoint.lapsed],
-                is_disturbed=is_disturbed,
-            ),
-            *checks.check_endless_responses(
-                [item for endpoint in endpoints for item in endpoint.endless],
-                is_disturbed=is_disturbed,
-            ),
-            *checks.check_crashing_parts(
-                endpoints, self.crashing_parts, is_disturbed=is_disturbed
-            ),
-            *checks.check_named_limits(self.limit_spans, is_disturbed=is_disturbed),
-            *self._check_released_reservations(),
-            *self._check_recovery_after_faults(ends_at),
-        ]
-        final_requests = [r for r in self.requests if r.sent_at > ends_at - SETTLE_S]
-        return SoakResult(
-            seed=self.seed,
-            n_requests=len(self.requests),
-            n_answered=sum(r.status == 200 for r in self.requests),
-            n_answered_at_end=sum(r.status == 200 for r in final_requests),
-            n_sent_at_end=len(final_requests),
-            findings=findings,
-            folder=str(self.deployment.folder),
-        )
-
-    def _check_released_reservations(self):
-        gevent.sleep(4.0)
-        held_reservations = [
-            (endpoint.id, reservation_id)
-            for endpoint in self.deployment.endpoints
-            for reservation_id in endpoint.held_reservations()
-        ]
-        return [
-            checks.Finding(
-                invariant="no memory is left set aside", detail=str(reservation)
-            )
-            for reservation in held_reservations
-        ]
-
-    def _check_recovery_after_faults(self, ends_at):
-        final_requests = [
-            request
-            for request in self.requests
-            if request.sent_at > ends_at - SETTLE_S
-            and request.disconnected_at is None
-            and request.key in self.deployment.keys
-        ]
-        n_served = sum(request.status == 200 for request in final_requests)
-        if n_served * 2 >= len(final_requests):
-            return []
-        detail = (
-            f"{n_served} of {len(final_requests)} requests served in the last seconds"
-        )
-        return [checks.Finding(invariant="service returns after faults", detail=detail)]
-
 
 def run_soak(seed, *, length_s, n_nodes, n_engines, first_host=20):
     """Start a deployment and run one seed against it.
