standins: memory that an endpoint held when it ended is not expired memory

Cause: the stand-in that ends under a part forgets the reservations that it held for the long prompts of others; their streams are cut for that, and the check took it for reservations that were not renewed. Work that depends on an engine that is gone is cut, so the case is allowed. Change: reservations that were held when an endpoint ended are kept apart, and only others count. A reservation that was not renewed is a finding as before.

--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -67,7 +67,8 @@
 
     ``n_cancelled`` counts streams whose client disconnected. ``lapsed`` holds the
     attempt id and time of each stream cut because a reservation of it had expired,
-    ``released`` the reservations that were released, and ``endless`` the fault, attempt
+    ``released`` the reservations that were released, ``lost`` those that were held when
+    the endpoint ended, and ``endless`` the fault, attempt
     id, start and end of each response that went on until the caller closed. ``crashes``
     holds the attempt id and time of each crash; ``on_return`` is called when the
     endpoint is back, ``down_s`` later.
@@ -88,6 +89,7 @@
     order_status: int | None = None
     lapsed: list = field(default_factory=list)
     released: set = field(default_factory=set)
+    lost: set = field(default_factory=set)
     endless: list = field(default_factory=list)
     named_limit: str | None = None
     crashing_parts: set = field(default_factory=set)
@@ -245,6 +247,7 @@
         attempt = (request.header(names.ATTEMPT_ID) or b"").decode()
         self.crashes.append((attempt, self.clock.monotonic()))
         self.is_down = True
+        self.lost.update(self.held_until_by_reservation)
         self.held_until_by_reservation.clear()
         for sock in list(self.open_sockets):
             _reset_at_close(sock)
@@ -276,11 +279,14 @@
         return False
 
     def _record_lapse(self, request, missing):
-        """Record a stream cut for reservations, unless its caller released them.
+        """Record a stream cut for reservations, unless they lapsed for another reason.
 
         The caller releases them when it has closed the stream, which may be seen here
-        a little later.
+        a little later. An endpoint that ends loses those that it held.
         """
+        lost = {name for peer in self.fleet for name in peer.lost}
+        if missing <= lost:
+            return
         if missing <= {name for peer in self.fleet for name in peer.released}:
             self.n_cancelled += 1
             return
--- a/tests/soak/test_observations.py
+++ b/tests/soak/test_observations.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from savoryhill.clock import system_clock
+from savoryhill.serving.http import Request
 from savoryhill.soak import observations as checks
 from savoryhill.soak.plan import make_plan
 from savoryhill.standins.serving.endpoint import Arrival, EndpointStandIn
@@ -223,3 +225,24 @@
     def test_plan_has_spans_with_a_named_limit(self):
         kinds = [fault.kind for fault in make_plan(1, length_s=36.0)]
         assert "named_limit" in kinds
+
+
+class TestLostReservations:
+    @pytest.mark.parametrize("ends", [True, False])
+    def test_only_an_endpoint_that_ends_may_lose_memory(self, ends):
+        # Guards against findings for streams whose helper had ended, and against
+        # taking a reservation that was not renewed for one of these.
+        fleet = []
+        first, helper = (
+            EndpointStandIn(id=name, clock=system_clock(), fleet=fleet)
+            for name in ("e1", "e2")
+        )
+        fleet += [first, helper]
+        request = Request(
+            method=b"POST", target=b"/x", headers=[], body=b"", keep_alive=True
+        )
+        helper.held_until_by_reservation["r1-1"] = 0.0
+        if ends:
+            helper._crash(request)
+        first._record_lapse(request, {"r1-1"})
+        assert len(first.lapsed) == (0 if ends else 1)
