serving: one refusal for parts of prompts in place of two

Generation and Call each held the same refusal of a request with a part that ends engines; both have a PromptCheck, which does it now.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -29,7 +29,7 @@
         while True:
             cause = self._check.refusal_cause()
             if cause is not None:
-                self._refuse_parts(cause)
+                self._check.refuse(cause, self._response, self._history)
                 return
             endpoint, retry_after_s = self._choose_endpoint()
             if endpoint is None:
@@ -41,7 +41,7 @@
             request.n_sends += 1
             with self._check.probe(f"{request.id}.{request.n_sends}") as rejection:
                 if rejection is not None:
-                    self._refuse_parts(rejection.reason)
+                    self._check.refuse(rejection.reason, self._response, self._history)
                     return
                 with self._check.watch():
                     failure = self._run_on(endpoint)
@@ -53,12 +53,6 @@
                 self._response.fail(failure, self._history)
                 return
 
-    def _refuse_parts(self, cause):
-        """Refuse a request whose prompt has a part that ends endpoints."""
-        self._context.observe("refused_for_part", 1.0, self._request.route)
-        failure = SendFailure(cause=cause, may_have_run=False)
-        self._response.fail(failure, self._history, retry_after_s=None)
-
     def _choose_endpoint(self):
         """Choose an endpoint, and wait for a turn if it has named a limit.
 
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -55,7 +55,7 @@
         while True:
             cause = self._check.refusal_cause()
             if cause is not None:
-                self._refuse_parts(cause)
+                self._check.refuse(cause, self._response, self._history)
                 return
             job = self._submit()
             try:
@@ -98,15 +98,6 @@
             and waited_s < min(MAX_PROBE_WAIT_S, request.route.target_latency_s)
         )
 
-    def _refuse_parts(self, cause):
-        """Refuse a request whose prompt has a part that ends engines.
-
-        There is no time after which the client's next try would succeed.
-        """
-        self._context.observe("refused_for_part", 1.0, self._request.route)
-        failure = SendFailure(cause=cause, may_have_run=False)
-        self._response.fail(failure, self._history, retry_after_s=None)
-
     def _submit(self):
         request = self._request
         request.n_sends += 1
--- a/src/savoryhill/serving/prompt_check.py
+++ b/src/savoryhill/serving/prompt_check.py
@@ -5,6 +5,7 @@
 from savoryhill.core.observations.crashes import Admission
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 from savoryhill.serving.crash_guard import MAX_PROBED_PARTS, refusal_cause
+from savoryhill.serving.served_request import SendFailure
 
 
 class PromptCheck:
@@ -43,6 +44,16 @@
         self.probed_parts = probed_parts
         return None
 
+    def refuse(self, cause, response, history):
+        """End the request, whose prompt has a part that ends engines.
+
+        There is no time after which the client's next try would succeed.
+        """
+        request = self._request
+        request.context.observe("refused_for_part", 1.0, request.route)
+        failure = SendFailure(cause=cause, may_have_run=False)
+        response.fail(failure, history, retry_after_s=None)
+
     @contextmanager
     def watch(self, job=None):
         """Stop the send inside the context if its parts prove to end engines.
