serving: one way to send a message to all followers in place of three

Updates, heartbeats and shared observations each encoded a frame and sent it on each link of a follower; one function does, for the followers that understand the message. Measured: test_dispatch, test_nodes, test_crashing_parts and test_named_limits, 64 passed.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -365,11 +365,8 @@
         """Send heartbeats to all followers until the greenlet is killed."""
         while True:
             gevent.sleep(LEADER_HEARTBEAT_INTERVAL_S)
-            if not self._follower_links:
-                continue
-            frame = encode_frame(self._heartbeat(), node=self._node)
-            for link in self._follower_links:
-                link.send_frame(frame)
+            if self._follower_links:
+                self._send_to_followers(self._heartbeat())
 
     def _heartbeat(self):
         return NodeBeat(
@@ -394,11 +391,15 @@
         if self._is_leader_stale():
             self._link.send(update)
 
-    def _send_to_followers(self, update):
-        if not self._follower_links:
+    def _send_to_followers(self, message, *, min_protocol=0):
+        """Send a message to the followers that understand it, encoded once."""
+        links = [
+            link for link in self._follower_links if link.peer_protocol >= min_protocol
+        ]
+        if not links:
             return
-        frame = encode_frame(update, node=self._node)
-        for link in self._follower_links:
+        frame = encode_frame(message, node=self._node)
+        for link in links:
             link.send_frame(frame)
 
     def _send_to_leader(self, message):
@@ -432,16 +433,7 @@
 
     def _forward_observations(self, message):
         """Send observations to all followers; those they are from know them."""
-        links = [
-            link
-            for link in self._follower_links
-            if link.peer_protocol >= SHARING_PROTOCOL
-        ]
-        if not links:
-            return
-        frame = encode_frame(message, node=self._node)
-        for link in links:
-            link.send_frame(frame)
+        self._send_to_followers(message, min_protocol=SHARING_PROTOCOL)
 
     def place_waiting_periodically(self):
         """Place waiting jobs until the greenlet is killed."""
