--- a/src/savoryhill/platform/names.py
+++ b/src/savoryhill/platform/names.py
@@ -28,6 +28,8 @@
 ENDPOINT_PREFIX = "servers/"
 NODE_PREFIX = "nodes/"
 
+# Counts how often the store has come back from an older copy of itself.
+STORE_ERA = b"store-era"
 STORE_RANGE_PATH = "/savoryhill/kv-range"
 STORE_WATCH_PATH = "/savoryhill/kv-watch"
 STORE_TRANSACTION_PATH = "/savoryhill/kv-txn"
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -19,6 +19,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
+# Fits the integers of messages between nodes.
+MAX_ERA_DIGITS = 18
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,6 +41,28 @@
     revision: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreResponse:
+    """A response of the store; ``era`` is None if it does not name one."""
+
+    status: int
+    content: object
+    era: int | None
+
+
+def decode_era(value):
+    """Decode the era that a response names, or return None.
+
+    Parameters
+    ----------
+    value : bytes or None
+        The header; anything but a number is no era.
+    """
+    if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    return int(value)
+
+
 def _decode_row(item):
     if item.get("deleted"):
         return StoreRow(
@@ -80,16 +104,20 @@
 class Store:
     """Client of the store at ``address``; each call opens a connection of its own.
 
-    ``observe(operation, seconds, outcome)`` is called after each call.
+    ``observe(operation, seconds, outcome)`` is called after each call. ``era`` is the
+    latest one that a response named: the store counts them up whenever it has come back
+    from an older copy. ``on_new_era(era, before)`` is called when it changes.
     """
 
-    def __init__(self, *, address, clock, observe):
+    def __init__(self, *, address, clock, observe, on_new_era=None):
         self.address = address
         self._clock = clock
         self._observe = observe
+        self._on_new_era = on_new_era
+        self.era = 0
 
     def _call(self, method, target, body=None, *, timeout_s=CALL_TIMEOUT_S):
-        """Send one call and return ``(status, content)``.
+        """Send one call and return its response.
 
         Raises
         ------
@@ -102,9 +130,10 @@
         started = self._clock.monotonic()
         outcome = "lost"
         try:
-            status, content = self._exchange(method, target, body, timeout_s)
-            outcome = str(status)
-            return status, content
+            response = self._exchange(method, target, body, timeout_s)
+            outcome = str(response.status)
+            self._note_era(response.era)
+            return response
         except NotConnectedError as error:
             outcome = "unreachable"
             raise PlatformUnreachableError(f"store: {error}") from error
@@ -126,10 +155,21 @@
             connection.receive_all(timeout_s=timeout_s)
             reader = connection.reader
             received = reader.take_body()
-            return reader.head.status, json.loads(received) if received else {}
+            return StoreResponse(
+                status=reader.head.status,
+                content=json.loads(received) if received else {},
+                era=decode_era(reader.head.header(names.STORE_ERA)),
+            )
         finally:
             connection.close()
 
+    def _note_era(self, era):
+        if era is None or era <= self.era:
+            return
+        before, self.era = self.era, era
+        if self._on_new_era is not None:
+            self._on_new_era(era, before)
+
     def read_prefix(self, prefix, *, after=""):
         """Read all rows whose keys start with ``prefix``.
 
@@ -179,7 +219,7 @@
             f"&after={after_revision}&waitMs={int(wait_s * 1000)}"
         )
         response = self._call(b"GET", target, timeout_s=wait_s + CALL_TIMEOUT_S)
-        if response[0] == 410:
+        if response.status == 410:
             raise HistoryLostError(
                 f"store no longer holds the changes after revision {after_revision}"
             )
@@ -198,7 +238,7 @@
     def renew_lease(self, lease):
         """Renew a lease; return False if it has expired."""
         response = self._call(b"POST", f"{names.STORE_RENEW_PATH}{lease}")
-        if response[0] == 404:
+        if response.status == 404:
             return False
         self._require_ok(response)
         return True
@@ -213,7 +253,8 @@
         return _field(content, "revision", int)
 
     def _require_ok(self, response):
-        status, content = response
-        if status != 200 or not isinstance(content, dict):
-            raise StoreRefusedError(f"store answered {status}", status=status)
-        return content
+        if response.status != 200 or not isinstance(response.content, dict):
+            raise StoreRefusedError(
+                f"store answered {response.status}", status=response.status
+            )
+        return response.content
--- a/src/savoryhill/serving/cluster_view.py
+++ b/src/savoryhill/serving/cluster_view.py
@@ -105,6 +105,10 @@
             False if changes before ``base_revision`` are missing; nothing is applied.
         """
         if is_complete and revision < self.revision:
+            self.record(
+                "store.snapshot_ignored",
+                {"revision": revision, "known": self.revision, "rows": len(rows)},
+            )
             return True
         if not is_complete and base_revision > self.revision:
             self.record(
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -83,7 +83,12 @@
         self._record = record
         random = Random(f"{settings.node}/{os.getpid()}")
         cluster_view = ClusterView(clock=clock, record=record)
-        store = Store(address=settings.store_address, clock=clock, observe=observe_call)
+        store = Store(
+            address=settings.store_address,
+            clock=clock,
+            observe=observe_call,
+            on_new_era=lambda era, before: log("store.new_era", era=era, before=before),
+        )
 
         repeat_budgets = RepeatBudgets(
             settings=lambda: self._settings,
@@ -160,6 +165,7 @@
             configuration_version=lambda: (
                 cluster_view.configuration.version if cluster_view.configuration else 0
             ),
+            store_era=lambda: self._store.era,
             store_contact_age_s=lambda: min(1e9, cluster_view.contact_age_s()),
             nodes_known=lambda: len(cluster_view.nodes_by_name),
             endpoints_known=lambda: len(cluster_view.endpoints_by_id),
--- a/tests/platform/test_untrusted_content.py
+++ b/tests/platform/test_untrusted_content.py
@@ -8,7 +8,7 @@
 
 from savoryhill.errors import PlatformError
 from savoryhill.platform import decode
-from savoryhill.platform.store import Store, StoreRow
+from savoryhill.platform.store import Store, StoreResponse, StoreRow, decode_era
 
 SCALARS = (
     st.none()
@@ -80,7 +80,8 @@
 
 def make_store(status, content):
     store = Store(address="127.0.0.1:9", clock=None, observe=None)
-    store._call = lambda *_args, **_kwargs: (status, content)
+    response = StoreResponse(status=status, content=content, era=None)
+    store._call = lambda *_args, **_kwargs: response
     return store
 
 
@@ -124,3 +125,14 @@
         decode.decode_endpoint(row)
         decode.decode_node(row)
         decode.decode_configuration(value)
+
+
+class TestEra:
+    @pytest.mark.parametrize(
+        "value", [None, b"", b"-1", b"+3", b"1.5", b"two", b"3, 4", b"\xb2", b"9" * 19]
+    )
+    def test_header_that_is_no_number_names_no_era(self, value):
+        assert decode_era(value) is None
+
+    def test_number_is_the_era(self):
+        assert decode_era(b"12") == 12
