tests: reproduce a store that comes back from an older copy

What callers saw: 404 for routes that had been added, answers on routes that had been removed (CONFIG, DENIED). Change: the stand-in of the store can be restored from a copy: revisions go back, what was written since is lost, leases too, and Store-Era rises.

--- a/src/savoryhill/standins/serving/store.py
+++ b/src/savoryhill/standins/serving/store.py
@@ -2,6 +2,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from copy import deepcopy
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
@@ -20,6 +21,16 @@
 LOST = "lost"
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """Content of the store at a moment."""
+
+    rows_by_key: dict
+    revision: int
+    history: tuple
+    ttl_s_by_lease: dict
+
+
 @dataclass(kw_only=True)
 class MetadataStore:
     """Rows, leases and history of the store, and its active fault.
@@ -27,6 +38,7 @@
     ``fault`` is None or one of the module's constants; it applies to every call
     while it is set. ``delay_s`` delays the execution of every call.
     ``compacted_revision`` is the revision up to which the history was discarded.
+    ``era`` counts how often the store has come back from a copy; all responses name it.
     """
 
     clock: object
@@ -34,6 +46,7 @@
     revision: int = 1
     history: list = field(default_factory=list)
     compacted_revision: int = 0
+    era: int = 1
     expires_at_by_lease: dict = field(default_factory=dict)
     ttl_s_by_lease: dict = field(default_factory=dict)
     fault: str | None = None
@@ -72,6 +85,29 @@
         self.compacted_revision = self.revision
         self.history.clear()
 
+    def copy(self):
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(
+            rows_by_key=deepcopy(self.rows_by_key),
+            revision=self.revision,
+            history=tuple(self.history),
+            ttl_s_by_lease=dict(self.ttl_s_by_lease),
+        )
+
+    def restore(self, copy):
+        """Lose everything since a copy; its leases begin anew."""
+        now = self.clock.monotonic()
+        self.rows_by_key = deepcopy(copy.rows_by_key)
+        self.revision = copy.revision
+        self.history[:] = copy.history
+        self.ttl_s_by_lease = dict(copy.ttl_s_by_lease)
+        self.expires_at_by_lease = {
+            lease: now + ttl_s for lease, ttl_s in copy.ttl_s_by_lease.items()
+        }
+        self.era += 1
+        self.history_changed.set()
+        self.history_changed.clear()
+
     def expire_leases(self):
         """Remove expired leases and their rows."""
         now = self.clock.monotonic()
@@ -110,7 +146,10 @@
 
     def _respond(self, sock, status, content):
         body = json.dumps(content).encode()
-        headers = [(b"content-length", str(len(body)).encode())]
+        headers = [
+            (b"content-length", str(len(body)).encode()),
+            (b"store-era", str(self.era).encode()),
+        ]
         sock.sendall(encode_head(status, headers) + body)
         return True
 
@@ -140,7 +179,7 @@
         after, prefix = int(query["after"]), query["pathPrefix"]
         ends_at = self.clock.monotonic() + int(query["waitMs"]) / 1000
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return 410, {}
             events = [
                 event
