platform: a row with an infinite number names no endpoint

Cause: JSON as it is read here knows Infinity, and the conversion of an infinite start or number of slots to an integer raises an error that is none of the platform's. It would end the task that reads the store, for good. Measured: the three cases of the test failed before and pass.

--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 
 from savoryhill.core.scheduling.engine_profile import EngineProfile
 from savoryhill.platform.names import (
@@ -45,7 +46,9 @@
 
 
 def _is_number(value):
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    if isinstance(value, float):
+        return math.isfinite(value)
+    return isinstance(value, int) and not isinstance(value, bool)
 
 
 def decode_route(item):
--- a/tests/platform/test_untrusted_content.py
+++ b/tests/platform/test_untrusted_content.py
@@ -118,6 +118,22 @@
             decode.decode_node(row)
         decode.decode_configuration(value)
 
+    @pytest.mark.parametrize("field", ["born", "slots", "coldRemainingMs"])
+    def test_endpoint_with_an_infinite_number_is_not_used(self, field):
+        # Guards against a row that ends the task which reads the store: no integer
+        # stands for an infinite number.
+        content = {
+            "service": "s",
+            "address": "1.2.3.4:5",
+            "zone": "z",
+            "slots": 1,
+            "state": "ready",
+            field: float("inf"),
+        }
+        value = json.dumps(content).encode()
+        row = StoreRow(key="servers/x", value=value, revision=3)
+        assert decode.decode_endpoint(row) is None
+
     @settings(max_examples=300, deadline=None)
     @given(value=st.binary(max_size=64))
     def test_row_of_any_bytes_is_decoded_or_none(self, value):
