serving: order what the store says by its era and revision

Cause: a revision was taken for the order of everything the store ever says. A store that comes back from a copy gives lost revisions out again. Class of the fault: a counter used as an identity beyond the life of what counts; the id of a lease was used in the same way. Change: rows, updates, greetings and heartbeats carry the era, and positions are compared by era first. Nodes tell others what they retain on new links. A lease renewed in a later era is checked against the node's row.

--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -10,18 +10,22 @@
 class NodeHello:
     """First message on a connection.
 
-    ``revision`` is the latest store revision known to the sender. ``protocol`` tells
-    which messages it understands.
+    ``revision`` is the latest store revision known to the sender, in the era ``era``;
+    an era of 0 is not known. ``protocol`` tells which messages it understands.
     """
 
     node: str
     revision: int
     protocol: int = 0
+    era: int = 0
 
 
 # Nodes from this protocol on understand shared observations and turns. The others
 # close a link on which they receive a message that they do not know.
 SHARING_PROTOCOL = 1
+# Nodes from this protocol on also understand retained rows.
+RETAINING_PROTOCOL = 2
+PROTOCOL = RETAINING_PROTOCOL
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,31 +117,49 @@
     value: bytes
     revision: int
     is_deleted: bool
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreUpdate:
     """Changes to the store after ``base_revision`` up to and including ``revision``.
 
-    If ``is_complete``, ``rows`` holds the whole content of the store instead.
+    ``base_era`` and ``era`` are the eras of these revisions, 0 if not known. If
+    ``is_complete``, ``rows`` holds the whole content of the store instead.
     """
 
     base_revision: int
     revision: int
     is_complete: bool
     rows: tuple[StoreItem, ...]
+    era: int = 0
+    base_era: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RetainedRows:
+    """Rows in force at the sender although the store came back from an older copy.
+
+    A deleted row has the value that was removed. ``age_s`` is the time since the sender
+    learned that the store came back.
+    """
+
+    age_s: float
+    rows: tuple[StoreItem, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeBeat:
     """Heartbeat, with the time since the sender's last contact with the store.
 
-    ``protocol`` tells which messages the sender understands.
+    ``protocol`` tells which messages the sender understands, ``era`` is that of the
+    revision, 0 if not known.
     """
 
     revision: int
     contact_age_s: float
     protocol: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -33,6 +33,7 @@
         messages.JournalReply,
         messages.JournalFinish,
         jobs.StoreUpdate,
+        jobs.RetainedRows,
         observations.SharedObservations,
     }
 )
@@ -70,6 +71,7 @@
     observations.SharedObservations,
     observations.TurnRequest,
     observations.TurnReply,
+    jobs.RetainedRows,
 )
 _NUMBERS_BY_TYPE = {
     message_type: type_number for type_number, message_type in enumerate(MESSAGE_TYPES)
@@ -83,6 +85,7 @@
     (messages.Ack, "updates"): messages.MemberUpdate,
     (messages.Ack, "groups"): messages.GroupSummary,
     (jobs.StoreUpdate, "rows"): jobs.StoreItem,
+    (jobs.RetainedRows, "rows"): jobs.StoreItem,
     (observations.SharedObservations, "items"): observations.ObservationItem,
 }
 
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -174,6 +174,7 @@
   node @0 :Text;
   revision @1 :Int64;
   protocol @2 :Int64;
+  era @3 :Int64;
 }
 
 struct JobSubmit {
@@ -221,6 +222,7 @@
   value @1 :Data;
   revision @2 :Int64;
   isDeleted @3 :Bool;
+  era @4 :Int64;
 }
 
 struct StoreUpdate {
@@ -228,6 +230,13 @@
   isComplete @1 :Bool;
   rows @2 :List(StoreItem);
   baseRevision @3 :Int64;
+  era @4 :Int64;
+  baseEra @5 :Int64;
+}
+
+struct RetainedRows {
+  ageS @0 :Float64;
+  rows @1 :List(StoreItem);
 }
 
 struct NodeAside {
@@ -238,6 +247,7 @@
   revision @0 :Int64;
   contactAgeS @1 :Float64;
   protocol @2 :Int64;
+  era @3 :Int64;
 }
 
 struct ObservationItem {
--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -151,8 +151,8 @@
 def decode_endpoint(row):
     """Decode the row of an endpoint, or return None if a field is invalid.
 
-    Two fields are ignored: ``sequence`` counts heartbeats and does not describe the
-    endpoint, and ``version`` is the version of the endpoint's software.
+    A ``sequence`` that is no number counts as 0, as it does not describe the endpoint.
+    ``version``, that of the endpoint's software, is ignored.
     """
     content = _decode_object(row.value)
     if content is None:
@@ -169,6 +169,7 @@
     cold_ms, born_ms = content.get("coldRemainingMs", 0), content.get("born", 0)
     if not _is_number(cold_ms) or not _is_number(born_ms):
         return None
+    sequence = content.get("sequence", 0)
     return Endpoint(
         id=row.key[len(ENDPOINT_PREFIX) :],
         service=service,
@@ -179,6 +180,7 @@
         cold_remaining_s=cold_ms * SECONDS_PER_MS,
         born_ms=int(born_ms),
         revision=row.revision,
+        sequence=int(sequence) if _is_number(sequence) else 0,
     )
 
 
--- a/src/savoryhill/platform/names.py
+++ b/src/savoryhill/platform/names.py
@@ -30,6 +30,7 @@
 
 # Counts how often the store has come back from an older copy of itself.
 STORE_ERA = b"store-era"
+STORE_KEY_PATH = "/savoryhill/kv-key"
 STORE_RANGE_PATH = "/savoryhill/kv-range"
 STORE_WATCH_PATH = "/savoryhill/kv-watch"
 STORE_TRANSACTION_PATH = "/savoryhill/kv-txn"
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -16,6 +16,7 @@
 from savoryhill.platform import names
 from savoryhill.serving.http import encode_request
 from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.store_position import StorePosition
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
@@ -25,33 +26,59 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreRow:
-    """One row; ``value`` is empty if the row was deleted."""
+    """One row; ``value`` is empty if the row was deleted.
+
+    ``era`` is that of the response, or 0 if it named none. ``lease`` is 0 for a row
+    without a lease.
+    """
 
     key: str
     value: bytes
     revision: int
     is_deleted: bool = False
+    era: int = 0
+    lease: int = 0
+
+    @property
+    def position(self):
+        """The moment of the store's history at which the row was written."""
+        return StorePosition(era=self.era, revision=self.revision)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Lease:
+    """A lease, and the era in which the store last named it.
+
+    After the store has come back from a copy, the id may be that of another lease.
+    """
+
+    id: int
+    era: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreRows:
-    """Rows, and the store revision up to which they are complete."""
+    """Rows, and the store revision up to which they are complete.
+
+    ``era`` is 0 if the response named none.
+    """
 
     rows: tuple[StoreRow, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoreResponse:
-    """A response of the store; ``era`` is None if it does not name one."""
+    """A response of the store; ``era`` is 0 if it does not name one."""
 
     status: int
     content: object
-    era: int | None
+    era: int
 
 
 def decode_era(value):
-    """Decode the era that a response names, or return None.
+    """Decode the era that a response names, or return 0.
 
     Parameters
     ----------
@@ -59,25 +86,33 @@
         The header; anything but a number is no era.
     """
     if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
-        return None
+        return 0
     return int(value)
 
 
-def _decode_row(item):
+def _decode_row(item, era):
     if item.get("deleted"):
         return StoreRow(
-            key=item["key"], value=b"", revision=item["revision"], is_deleted=True
+            key=item["key"],
+            value=b"",
+            revision=item["revision"],
+            is_deleted=True,
+            era=era,
         )
     return StoreRow(
-        key=item["key"], value=b64decode(item["value"]), revision=item["revision"]
+        key=item["key"],
+        value=b64decode(item["value"]),
+        revision=item["revision"],
+        era=era,
+        lease=item.get("lease", 0),
     )
 
 
-def _decode_rows(items):
+def _decode_rows(items, era):
     rows = []
     for item in items:
         try:
-            rows.append(_decode_row(item))
+            rows.append(_decode_row(item, era))
         except (AttributeError, KeyError, TypeError, ValueError):
             # Written by another writer; it names nothing that can be used.
             continue
@@ -164,7 +199,7 @@
             connection.close()
 
     def _note_era(self, era):
-        if era is None or era <= self.era:
+        if era <= self.era:
             return
         before, self.era = self.era, era
         if self._on_new_era is not None:
@@ -182,22 +217,29 @@
 
         Raises
         ------
+        HistoryLostError
+            If the store came back from a copy between two pages.
         PlatformError
             If a page could not be read.
         """
-        rows, revision = [], None
+        rows, revision, era = [], None, None
         while True:
             target = f"{names.STORE_RANGE_PATH}?pathPrefix={quote(prefix, safe='')}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            content = self._require_ok(self._call(b"GET", target))
-            items = _field(content, "items", list)
-            page = _decode_rows(items)
+            response = self._call(b"GET", target)
+            content = self._require_ok(response)
+            era = response.era if era is None else era
+            if response.era != era:
+                raise HistoryLostError(
+                    f"store came back from a copy between two pages of {prefix!r}"
+                )
+            page = _decode_rows(_field(content, "items", list), era)
             rows += page
             if revision is None:
                 revision = _field(content, "asOf", int)
             if not content.get("truncated"):
-                return StoreRows(rows=tuple(rows), revision=revision)
+                return StoreRows(rows=tuple(rows), revision=revision, era=era)
             if not page or page[-1].key <= after:
                 raise OutcomeUnknownError(
                     f"store: a page of {prefix!r} after {after!r} leads no further"
@@ -225,32 +267,53 @@
             )
         content = self._require_ok(response)
         return StoreRows(
-            rows=_decode_rows(_field(content, "events", list)),
+            rows=_decode_rows(_field(content, "events", list), response.era),
             revision=_field(content, "asOf", int),
+            era=response.era,
         )
 
+    def read_row(self, key):
+        """Read one row; return None if there is none.
+
+        Raises
+        ------
+        PlatformError
+            If the row could not be read.
+        """
+        target = f"{names.STORE_KEY_PATH}?key={quote(key, safe='')}"
+        response = self._call(b"GET", target)
+        if response.status == 404:
+            return None
+        rows = _decode_rows([self._require_ok(response)], response.era)
+        if not rows:
+            raise OutcomeUnknownError(f"store: the row {key!r} can't be read")
+        return rows[0]
+
     def grant_lease(self, *, ttl_s):
-        """Create a lease and return its id."""
+        """Create a lease and return it."""
         body = {"ttlMs": int(ttl_s * 1000)}
-        content = self._require_ok(self._call(b"POST", names.STORE_LEASE_PATH, body))
-        return _field(content, "lease", int)
+        response = self._call(b"POST", names.STORE_LEASE_PATH, body)
+        content = self._require_ok(response)
+        return Lease(id=_field(content, "lease", int), era=response.era)
 
     def renew_lease(self, lease):
-        """Renew a lease; return False if it has expired."""
-        response = self._call(b"POST", f"{names.STORE_RENEW_PATH}{lease}")
+        """Renew the lease with the id of ``lease``; return it, or None if it ended.
+
+        In another era than that of ``lease``, it may be somebody else's.
+        """
+        response = self._call(b"POST", f"{names.STORE_RENEW_PATH}{lease.id}")
         if response.status == 404:
-            return False
+            return None
         self._require_ok(response)
-        return True
+        return Lease(id=lease.id, era=response.era)
 
-    def put(self, key, value, *, lease=0):
-        """Write a row without a precondition and return its revision."""
-        row = {"key": key, "value": b64encode(value).decode(), "lease": lease}
+    def put(self, key, value, *, lease_id=0):
+        """Write a row without a precondition and return its position."""
+        row = {"key": key, "value": b64encode(value).decode(), "lease": lease_id}
         body = {"precondition": [], "writes": [row], "remove": []}
-        content = self._require_ok(
-            self._call(b"POST", names.STORE_TRANSACTION_PATH, body)
-        )
-        return _field(content, "revision", int)
+        response = self._call(b"POST", names.STORE_TRANSACTION_PATH, body)
+        revision = _field(self._require_ok(response), "revision", int)
+        return StorePosition(era=response.era, revision=revision)
 
     def _require_ok(self, response):
         if response.status != 200 or not isinstance(response.content, dict):
--- a/src/savoryhill/serving/cluster_view.py
+++ b/src/savoryhill/serving/cluster_view.py
@@ -4,8 +4,7 @@
 the store and by updates from other nodes.
 """
 
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from savoryhill.platform.decode import (
     classify_key,
@@ -13,8 +12,15 @@
     decode_endpoint,
     decode_node,
 )
-from savoryhill.platform.store import StoreRow
 from savoryhill.serving.model import Endpoint, NodeRecord, ServingConfiguration
+from savoryhill.serving.retained_rows import (
+    RetainedRow,
+    WithdrawnRows,
+    outranks,
+    retained_until,
+)
+from savoryhill.serving.row_history import RowHistory
+from savoryhill.serving.store_position import StorePosition
 
 # A longer gap between contacts with the store counts as an outage. The first limit
 # holds if one of this node's own calls failed during the gap, the second if none did.
@@ -25,27 +31,25 @@
 # Endpoints whose rows expired during an outage register again within two seconds of
 # its end. They stay in use for this long after it.
 LAPSE_GRACE_S = 2.3
-# Limit of the removals that are kept to update nodes that are some revisions behind.
-MAX_REMOVALS = 2_000
-# Limit of the snapshots over which nodes that are behind are still sent changes only.
-MAX_SKIPPED_SPANS = 16
 
 
 @dataclass(kw_only=True)
 class ClusterView:
-    """Decoded rows of the store, with the revision and time of the last contact.
-
-    ``lapsed_until`` maps endpoints whose rows expired during an outage to the time
-    until which they are still used. ``removals`` holds the rows removed after the
-    revision ``removals_since``, oldest first. ``skipped_spans`` holds the revisions
-    before and after each snapshot that replaced changes which this view has not seen
-    one by one. ``record(event, fields)`` logs changes of the view; the functions in
-    ``on_change`` are called after each update.
+    """Decoded rows of the store, with their position and the time of the last contact.
+
+    ``revision`` and ``era`` are the position up to which the view is complete.
+    ``history`` holds the rows as the store has them. ``lapsed_until`` maps endpoints
+    whose rows expired during an outage to the time until which they are still used.
+    ``retained_by_key`` holds what stays in force although the store, which came back
+    from a copy, says otherwise. ``record(event, fields)`` logs changes of the view; the
+    functions in ``on_change`` are called after each update.
     """
 
     clock: object
     record: object
     revision: int = 0
+    era: int = 0
+    era_began_at: float = float("-inf")
     contact_at: float = float("-inf")
     call_failed_at: float = float("-inf")
     outage_ended_at: float = float("-inf")
@@ -54,12 +58,22 @@
     evacuated_zones: set[str] = field(default_factory=set)
     nodes_by_name: dict[str, NodeRecord] = field(default_factory=dict)
     lapsed_until: dict[str, float] = field(default_factory=dict)
-    rows_by_key: dict = field(default_factory=dict)
-    removals: deque = field(default_factory=deque)
-    removals_since: int = 0
-    skipped_spans: deque = field(default_factory=deque)
+    history: RowHistory = field(default_factory=RowHistory)
+    retained_by_key: dict[str, RetainedRow] = field(default_factory=dict)
     on_change: list = field(default_factory=list)
 
+    def __post_init__(self):
+        self._withdrawn = WithdrawnRows(clock=self.clock)
+
+    @property
+    def position(self):
+        """The moment of the store's history up to which the view is complete."""
+        return StorePosition(era=self.era, revision=self.revision)
+
+    def resolve(self, *, era, revision):
+        """Return a position; an era of 0, which is not known, is the present one."""
+        return StorePosition(era=era or self.era, revision=revision)
+
     def contact_age_s(self):
         """Return the seconds since the view was last known to be current."""
         return self.clock.monotonic() - self.contact_at
@@ -82,110 +96,193 @@
         """Record that one of this node's own calls to the store failed."""
         self.call_failed_at = self.clock.monotonic()
 
-    def apply(self, rows, revision, *, base_revision=0, is_complete=False):
-        """Apply rows up to a revision.
-
-        The view already covers everything up to ``self.revision``. Older rows are
+    def apply(
+        self,
+        rows,
+        revision,
+        *,
+        base_revision=0,
+        is_complete=False,
+        era=0,
+        base_era=0,
+    ):
+        """Apply rows up to a position.
+
+        The view already covers everything up to its own position. Older rows are
         ignored, because they could restore a row that has been removed since.
 
         Parameters
         ----------
         rows : sequence of StoreRow
-            Changes in the order of their revisions.
-        revision : int
-            Revision that the view has reached once the rows are applied.
-        base_revision : int
-            The rows are all changes after this revision.
+            Changes in the order of their positions.
+        revision, era : int
+            Position that the view has reached once the rows are applied. An era of 0
+            is not known; it is taken for the present one.
+        base_revision, base_era : int
+            The rows are all changes after this position; its era is ``era`` if not
+            known.
         is_complete : bool
             Whether the rows are a full snapshot; rows that it lacks are removed.
 
         Returns
         -------
         bool
-            False if changes before ``base_revision`` are missing; nothing is applied.
+            False if changes before the base are missing; nothing is applied.
         """
-        if is_complete and revision < self.revision:
+        position = self.resolve(era=era, revision=revision)
+        base = StorePosition(era=base_era or position.era, revision=base_revision)
+        if is_complete and position < self.position:
             self.record(
                 "store.snapshot_ignored",
                 {"revision": revision, "known": self.revision, "rows": len(rows)},
             )
             return True
-        if not is_complete and base_revision > self.revision:
+        if not is_complete and not self._continues(base, position):
             self.record(
                 "store.update_skipped",
                 {"base_revision": base_revision, "known": self.revision},
             )
             return False
+        is_restored = self._note_restoration(position)
         changed = is_complete
         if is_complete:
-            self._remove_missing_rows(rows, revision)
+            self._remove_missing_rows(rows, position, is_restored)
         for row in rows:
-            if self._is_known(row, is_complete):
+            named = row if row.era else replace(row, era=position.era)
+            if self._is_known(named, is_complete):
                 continue
-            if row.is_deleted:
-                self._remove_row(row.key)
-                self._keep_removal(row)
+            is_from_copy = is_restored and named.era == position.era
+            if named.is_deleted:
+                self._remove_row(named.key, is_from_copy)
+                self.history.keep_removal(named.key, named.position)
             else:
-                self._apply_row(row)
+                self._apply_row(named, is_from_copy)
             changed = True
-        self.revision = max(self.revision, revision)
+        if position > self.position:
+            self.era, self.revision = position.era, position.revision
         if changed:
             self.notify()
         return True
 
-    def _remove_missing_rows(self, rows, revision):
-        """Remove the rows that a snapshot lacks.
+    def _continues(self, base, position):
+        """Tell whether changes after a base lead from this view to a position.
 
-        A view that already held rows keeps their removals, so that nodes up to its
-        previous revision need no snapshot to follow. The snapshot of a large cluster
-        takes the leader's link to all nodes for longer than they wait for a heartbeat.
+        A view that is ahead of the base in an era that has ended knows changes which
+        the store has lost, and of which the update says nothing.
         """
-        if not self.rows_by_key:
-            self.removals_since = revision
-            return
-        present_keys = {row.key for row in rows}
-        for key in [key for key in self.rows_by_key if key not in present_keys]:
-            self._remove_row(key)
-            self._keep_removal(
-                StoreRow(key=key, value=b"", revision=revision, is_deleted=True)
-            )
-        self.skipped_spans.append((self.revision, revision))
-        if len(self.skipped_spans) > MAX_SKIPPED_SPANS:
-            _, span_end = self.skipped_spans.popleft()
-            self.removals_since = max(self.removals_since, span_end)
-
-    def _keep_removal(self, row):
-        self.removals.append(row)
-        if len(self.removals) > MAX_REMOVALS:
-            self.removals_since = self.removals.popleft().revision
+        if base > self.position:
+            return False
+        return position.era <= self.era or base == self.position
 
-    def rows_after(self, revision):
-        """Return the changes after a revision, or None if some are no longer kept.
+    def _note_restoration(self, position):
+        """Return whether a position is of a later era than the rows of this view."""
+        if position.era <= self.era or not self.history.rows_by_key:
+            return False
+        self.era_began_at = self.outage_ended_at = self.clock.monotonic()
+        self.record(
+            "store.restored",
+            {
+                "era": position.era,
+                "revision": position.revision,
+                "known_era": self.era,
+                "known": self.revision,
+            },
+        )
+        return True
 
-        Parameters
-        ----------
-        revision : int
-            Revision that the other node has reached.
+    def _remove_missing_rows(self, rows, position, is_restored):
+        for key in self.history.begin_snapshot(
+            rows, before=self.position, after=position
+        ):
+            self._remove_row(key, is_restored)
+            self.history.keep_removal(key, position)
 
-        Returns
-        -------
-        tuple of StoreRow or None
-            In the order of their revisions.
-        """
-        if revision < self.removals_since:
-            return None
-        # A row that came and went within a skipped span is not known here.
-        if any(start < revision < end for start, end in self.skipped_spans):
-            return None
-        rows = [row for row in self.rows_by_key.values() if row.revision > revision]
-        rows += [row for row in self.removals if row.revision > revision]
-        return tuple(sorted(rows, key=lambda row: row.revision))
+    def rows_after(self, position):
+        """Return the changes after a position, or None if some are no longer kept."""
+        return self.history.rows_after(position)
 
     def _is_known(self, row, is_complete):
-        if not is_complete and row.revision <= self.revision:
+        if not is_complete and row.position <= self.position:
             return True
-        known = self.rows_by_key.get(row.key)
-        return known is not None and known.revision >= row.revision
+        known = self.history.rows_by_key.get(row.key)
+        if known is None:
+            return False
+        if known.era == row.era:
+            return known.revision >= row.revision
+        # The copy and what was known have the history before the copy in common.
+        return known.revision == row.revision and known.value == row.value
+
+    # What stays in force after the store has come back from a copy.
+
+    def _is_news(self, row, present):
+        """Tell whether a row that another node retains is news."""
+        if present is not None:
+            return outranks(row, present)
+        return not row.is_deleted and classify_key(row.key)[0] != "endpoint"
+
+    def _known_row(self, key):
+        """Return the row of a key that is in force, a removed one as deleted."""
+        if key in self.retained_by_key:
+            return self.retained_by_key[key].row
+        return self.history.rows_by_key.get(key) or self._withdrawn.get(key)
+
+    def _retain(self, known):
+        until = retained_until(known, self.era_began_at)
+        self.retained_by_key[known.key] = RetainedRow(row=known, until=until)
+        self.record(
+            "store.row_retained",
+            {
+                "key": known.key,
+                "revision": known.revision,
+                "era": known.era,
+                "removed": known.is_deleted,
+            },
+        )
+
+    def release_retained_rows(self):
+        """Let the store's rows count whose writers have not written again in time."""
+        now = self.clock.monotonic()
+        ended = [key for key, kept in self.retained_by_key.items() if kept.until <= now]
+        for key in ended:
+            del self.retained_by_key[key]
+            row = self.history.rows_by_key.get(key)
+            self.record("store.row_released", {"key": key, "removed": row is None})
+            if row is None:
+                self._withdraw(key)
+            else:
+                self._put_in_force(row)
+        if ended:
+            self.notify()
+
+    def merge_retained(self, rows, *, age_s):
+        """Keep what another node retains, if it is news against the store's copy.
+
+        Load pattern: a node starts, or was cut off, while the store came back, and
+        knows only what the copy holds.
+
+        Parameters
+        ----------
+        rows : iterable of StoreRow
+            Rows of earlier eras that are in force at the other node; removed ones are
+            deleted and have the value that was removed.
+        age_s : float
+            Seconds since the other node has learned of the present era.
+        """
+        began_at = self.clock.monotonic() - age_s
+        self.era_began_at = max(self.era_began_at, began_at)
+        changed = False
+        for row in rows:
+            present = self._known_row(row.key)
+            if not self._is_news(row, present):
+                continue
+            self._retain(row)
+            if row.is_deleted:
+                self._withdraw(row.key)
+            else:
+                self._put_in_force(row)
+            changed = True
+        if changed:
+            self.notify()
 
     def notify(self):
         """Call the functions in ``on_change``."""
@@ -215,11 +312,19 @@
         """Return whether new requests may be sent to an endpoint."""
         return not endpoint.is_draining and endpoint.zone not in self.evacuated_zones
 
-    def _apply_row(self, row):
-        subject, name = classify_key(row.key)
-        if subject == "other":
+    def _apply_row(self, row, is_from_copy):
+        if classify_key(row.key)[0] == "other":
+            return
+        known = self._known_row(row.key) if is_from_copy else None
+        self.history.rows_by_key[row.key] = row
+        if known is not None and outranks(known, row):
+            self._retain(known)
             return
-        self.rows_by_key[row.key] = row
+        self.retained_by_key.pop(row.key, None)
+        self._put_in_force(row)
+
+    def _put_in_force(self, row):
+        subject, name = classify_key(row.key)
         if subject == "configuration":
             self._apply_configuration(row)
         elif subject == "evacuation":
@@ -269,12 +374,25 @@
                 },
             )
 
-    def _remove_row(self, key):
-        self.rows_by_key.pop(key, None)
+    def _remove_row(self, key, is_from_copy):
+        known = self._known_row(key)
+        row = self.history.rows_by_key.pop(key, None)
+        if is_from_copy and known is not None and not known.is_deleted:
+            # Endpoints have a grace period of their own.
+            if classify_key(key)[0] != "endpoint":
+                self._retain(known)
+                return
+        elif row is not None:
+            self._withdrawn.add(row)
+        self.retained_by_key.pop(key, None)
+        self._withdraw(key)
+
+    def _withdraw(self, key):
         subject, name = classify_key(key)
         if subject == "evacuation":
-            self.evacuated_zones.discard(name)
-            self.record("zone.restored", {"zone": name})
+            if name in self.evacuated_zones:
+                self.evacuated_zones.discard(name)
+                self.record("zone.restored", {"zone": name})
         elif subject == "node":
             self.nodes_by_name.pop(name, None)
         elif subject == "endpoint" and name in self.endpoints_by_id:
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -17,6 +17,8 @@
 from savoryhill.core.scheduling.messages import (
     CANCELLED,
     FIRST_EVENT,
+    PROTOCOL,
+    RETAINING_PROTOCOL,
     SHARING_PROTOCOL,
     JobPlaced,
     JobRejected,
@@ -25,12 +27,18 @@
     NodeAside,
     NodeBeat,
     NodeHello,
+    RetainedRows,
     StoreUpdate,
 )
 from savoryhill.errors import NotConnectedError, PeerError
 from savoryhill.serving.leadership import LeaderChoice
 from savoryhill.serving.links import Link, encode_frame, open_link
-from savoryhill.serving.store_updates import build_store_update, missing_changes
+from savoryhill.serving.store_updates import (
+    build_retained_rows,
+    build_store_update,
+    missing_changes,
+    read_rows,
+)
 
 # The leader sends heartbeats often, so that its loss is detected within the latency
 # objective of most streams. Followers send them rarely: until the loss of a follower
@@ -192,7 +200,7 @@
         is_cut_off = now - self._store_contact_at > STALE_CONTACT_S
         if not is_cut_off or heartbeat.contact_age_s > STALE_CONTACT_S / 2:
             return
-        if heartbeat.revision > self._cluster_view.revision:
+        if self._position_of(heartbeat) > self._cluster_view.position:
             link.send(self._hello())
         else:
             self._cluster_view.note_contact(now - heartbeat.contact_age_s)
@@ -262,10 +270,12 @@
         elif isinstance(message, StoreUpdate):
             self._apply_update(self._link, message)
         elif isinstance(message, NodeHello):
-            self._send_missing_changes(self._link, message.revision)
+            self._send_missing_changes(self._link, message)
         elif isinstance(message, NodeBeat):
             self._note_protocol(self._link, message.protocol)
             self._handle_leader_heartbeat(message)
+        elif isinstance(message, RetainedRows):
+            self._merge_retained(message)
         elif isinstance(message, SharedObservations):
             self._sharing.receive(message, self._link)
         elif isinstance(message, TurnReply):
@@ -278,34 +288,48 @@
                 duration_s=message.length_s,
             )
 
+    def _position_of(self, message):
+        """Return the position that a message names.
+
+        Nodes of an older build name no era. It is that of this node, as they take what
+        the store says for older while it is not.
+        """
+        return self._cluster_view.resolve(era=message.era, revision=message.revision)
+
     def _apply_update(self, link, update):
-        known_revision = self._cluster_view.revision
+        known = self._cluster_view.position
         is_applied = self._cluster_view.apply(
-            update.rows,
+            read_rows(update),
             update.revision,
             base_revision=update.base_revision,
             is_complete=update.is_complete,
+            era=update.era,
+            base_era=update.base_era,
         )
         if not is_applied:
             link.send(self._hello())
-        elif self._cluster_view.revision > known_revision:
+        elif self._cluster_view.position > known:
             # Nodes that have not switched to the new leader still follow this one.
-            # Only newer revisions are forwarded: two nodes that follow each other
+            # Only newer positions are forwarded: two nodes that follow each other
             # would otherwise send the same update back and forth forever.
             self._send_to_followers(update)
 
+    def _merge_retained(self, message):
+        self._cluster_view.merge_retained(read_rows(message), age_s=message.age_s)
+
     def _hello(self):
         return NodeHello(
             node=self._node,
             revision=self._cluster_view.revision,
-            protocol=SHARING_PROTOCOL,
+            protocol=PROTOCOL,
+            era=self._cluster_view.era,
         )
 
     def _handle_leader_heartbeat(self, heartbeat):
         self._leader_contact_age_s = heartbeat.contact_age_s
-        # A heartbeat with a revision that has not arrived here yet does not confirm
+        # A heartbeat with a position that has not arrived here yet does not confirm
         # that this node is up to date.
-        if heartbeat.revision <= self._cluster_view.revision:
+        if self._position_of(heartbeat) <= self._cluster_view.position:
             contact_at = self._clock.monotonic() - heartbeat.contact_age_s
             self._cluster_view.note_contact(contact_at)
 
@@ -325,7 +349,7 @@
             while True:
                 message = link.receive()
                 if isinstance(message, NodeHello):
-                    self._send_missing_changes(link, message.revision)
+                    self._send_missing_changes(link, message)
                     self._note_protocol(link, message.protocol)
                     self._follower_links.add(link)
                 elif isinstance(message, JobSubmit):
@@ -335,6 +359,8 @@
                     self._handle_follower_heartbeat(link, message)
                 elif isinstance(message, StoreUpdate):
                     self._apply_update(link, message)
+                elif isinstance(message, RetainedRows):
+                    self._merge_retained(message)
                 elif isinstance(message, SharedObservations):
                     self._sharing.receive(message, link)
                 elif isinstance(message, TurnRequest):
@@ -351,9 +377,10 @@
             sock.close()
             self._scheduling.cancel_jobs(job_ids)
 
-    def _send_missing_changes(self, link, known_revision):
-        if known_revision < self._cluster_view.revision:
-            link.send(missing_changes(self._cluster_view, known_revision))
+    def _send_missing_changes(self, link, hello):
+        known = self._position_of(hello)
+        if known < self._cluster_view.position:
+            link.send(missing_changes(self._cluster_view, known))
 
     def _send_heartbeats_to_leader(self, link):
         """Send heartbeats to the leader while the link is open."""
@@ -372,10 +399,11 @@
         return NodeBeat(
             revision=self._cluster_view.revision,
             contact_age_s=min(1e9, self._cluster_view.contact_age_s()),
-            protocol=SHARING_PROTOCOL,
+            protocol=PROTOCOL,
+            era=self._cluster_view.era,
         )
 
-    def publish(self, rows, revision, *, base_revision, is_complete):
+    def publish(self, rows, position, *, base, is_complete):
         """Forward rows of the store to the followers of this node.
 
         If the leader's store contact is stale, forwards them to the leader as well.
@@ -384,9 +412,7 @@
             return
         if not (self._follower_links or self._is_leader_stale()):
             return
-        update = build_store_update(
-            rows, revision, base_revision=base_revision, is_complete=is_complete
-        )
+        update = build_store_update(rows, position, base=base, is_complete=is_complete)
         self._send_to_followers(update)
         if self._is_leader_stale():
             self._link.send(update)
@@ -412,16 +438,18 @@
     def _note_protocol(self, link, protocol):
         """Record which messages the other node of a link understands.
 
-        Once it is known that they do, nodes send each other all shared observations, as
-        either may lack some.
+        Once it is known that they do, nodes send each other all shared observations,
+        and what they retain against the store's copy, as either may lack some.
         """
-        is_new = link.peer_protocol < SHARING_PROTOCOL <= protocol
-        link.peer_protocol = protocol
-        if not is_new:
-            return
-        message = self._sharing.snapshot()
-        if message is not None:
-            link.send(message)
+        before, link.peer_protocol = link.peer_protocol, protocol
+        messages = []
+        if before < SHARING_PROTOCOL <= protocol:
+            messages.append(self._sharing.snapshot())
+        if before < RETAINING_PROTOCOL <= protocol:
+            messages.append(build_retained_rows(self._cluster_view))
+        for message in messages:
+            if message is not None:
+                link.send(message)
 
     def _send_observations(self, message, except_link):
         """Send observations to the leader, unless they are from there.
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -92,7 +92,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Endpoint:
-    """A registered endpoint; ``born_ms`` distinguishes its incarnations."""
+    """A registered endpoint; ``born_ms`` distinguishes its incarnations.
+
+    ``sequence`` counts what an incarnation has written to its row.
+    """
 
     id: str
     service: str
@@ -103,6 +106,7 @@
     cold_remaining_s: float
     born_ms: int
     revision: int
+    sequence: int = 0
 
     @property
     def incarnation(self):
--- a/src/savoryhill/serving/store_updates.py
+++ b/src/savoryhill/serving/store_updates.py
@@ -1,19 +1,47 @@
-"""Builds the messages that pass changes of the store to other nodes."""
+"""Builds and reads the messages that pass rows of the store to other nodes."""
 
-from savoryhill.core.scheduling.messages import StoreItem, StoreUpdate
+from savoryhill.core.scheduling.messages import RetainedRows, StoreItem, StoreUpdate
+from savoryhill.platform.store import StoreRow
 
 
-def build_store_update(rows, revision, *, base_revision, is_complete):
+def _to_items(rows):
+    return tuple(
+        StoreItem(
+            key=row.key,
+            value=row.value,
+            revision=row.revision,
+            is_deleted=row.is_deleted,
+            era=row.era,
+        )
+        for row in rows
+    )
+
+
+def read_rows(message):
+    """Return the rows of a message."""
+    return tuple(
+        StoreRow(
+            key=item.key,
+            value=item.value,
+            revision=item.revision,
+            is_deleted=item.is_deleted,
+            era=item.era,
+        )
+        for item in message.rows
+    )
+
+
+def build_store_update(rows, position, *, base, is_complete):
     """Return a message with rows of the store for other nodes.
 
     Parameters
     ----------
     rows : iterable of StoreRow
-        Changes after ``base_revision``, or a full snapshot.
-    revision : int
-        Revision that a node has reached once it has applied the rows.
-    base_revision : int
-        The rows are all changes after this revision.
+        Changes after ``base``, or a full snapshot.
+    position : StorePosition
+        Position that a node has reached once it has applied the rows.
+    base : StorePosition
+        The rows are all changes after this position.
     is_complete : bool
         Whether the rows are a full snapshot.
 
@@ -22,34 +50,34 @@
     StoreUpdate
     """
     return StoreUpdate(
-        base_revision=base_revision,
-        revision=revision,
+        base_revision=base.revision,
+        revision=position.revision,
         is_complete=is_complete,
-        rows=tuple(
-            StoreItem(
-                key=row.key,
-                value=row.value,
-                revision=row.revision,
-                is_deleted=row.is_deleted,
-            )
-            for row in rows
-        ),
+        rows=_to_items(rows),
+        era=position.era,
+        base_era=base.era,
     )
 
 
-def missing_changes(cluster_view, known_revision):
-    """Return the changes after the revision that a node knows.
+def missing_changes(cluster_view, known):
+    """Return the changes after the position that a node knows.
 
     The update is a full snapshot if some of these changes are no longer kept.
     """
-    rows = cluster_view.rows_after(known_revision)
-    if rows is None:
-        return build_store_update(
-            cluster_view.rows_by_key.values(),
-            cluster_view.revision,
-            base_revision=0,
-            is_complete=True,
-        )
+    rows = cluster_view.rows_after(known)
+    is_complete = rows is None
+    if is_complete:
+        rows = cluster_view.history.rows_by_key.values()
     return build_store_update(
-        rows, cluster_view.revision, base_revision=known_revision, is_complete=False
+        rows, cluster_view.position, base=known, is_complete=is_complete
+    )
+
+
+def build_retained_rows(cluster_view):
+    """Return a message with what the view retains, or None if it retains nothing."""
+    if not cluster_view.retained_by_key:
+        return None
+    return RetainedRows(
+        age_s=cluster_view.clock.monotonic() - cluster_view.era_began_at,
+        rows=_to_items(kept.row for kept in cluster_view.retained_by_key.values()),
     )
--- a/src/savoryhill/serving/watcher.py
+++ b/src/savoryhill/serving/watcher.py
@@ -7,6 +7,7 @@
 import gevent
 
 from savoryhill.errors import HistoryLostError, PlatformError
+from savoryhill.serving.store_position import StorePosition
 
 # Short, so that even without changes a response confirms twice a second that the view
 # is current.
@@ -37,7 +38,7 @@
     must_watch : callable
         Returns whether this node watches continuously; checked before each call.
     publish : callable
-        Called with the rows and the revision of each response.
+        Called with the rows and the position of each response.
     on_contact : callable
         Called after each response from the store.
     must_stagger : callable
@@ -77,6 +78,7 @@
         """Watch until the greenlet is killed."""
         while True:
             self._cluster_view.remove_lapsed_endpoints()
+            self._cluster_view.release_retained_rows()
             if not self._is_due():
                 gevent.sleep(POLL_S)
                 continue
@@ -86,6 +88,7 @@
             except HistoryLostError as error:
                 self._needs_snapshot = True
                 self._cluster_view.record("store.history_lost", {"cause": str(error)})
+                gevent.sleep(BATCH_DELAY_S)
             except PlatformError as error:
                 self._cluster_view.note_failed_call()
                 if not self._is_disconnected:
@@ -117,38 +120,47 @@
         if self._needs_snapshot:
             response = self._store.read_prefix("")
             self._needs_snapshot = False
-            self._apply_response(response, called_at, base_revision=0, is_complete=True)
+            self._apply_response(
+                response, called_at, base=StorePosition(), is_complete=True
+            )
             return
-        base_revision = self._cluster_view.revision
+        base = self._cluster_view.position
         response = self._store.watch(
-            "", after_revision=base_revision, wait_s=WATCH_TIMEOUT_S
+            "", after_revision=base.revision, wait_s=WATCH_TIMEOUT_S
         )
+        if response.era > base.era:
+            # The changes are those after a revision that has been given out again.
+            raise HistoryLostError(
+                f"store came back from a copy: era {response.era} after {base.era}"
+            )
         self._apply_response(
-            response,
-            self._clock.monotonic(),
-            base_revision=base_revision,
-            is_complete=False,
+            response, self._clock.monotonic(), base=base, is_complete=False
         )
         if response.rows:
             gevent.sleep(BATCH_DELAY_S)
 
-    def _apply_response(self, response, at, *, base_revision, is_complete):
+    def _apply_response(self, response, at, *, base, is_complete):
+        view = self._cluster_view
+        if response.era and response.era < view.era:
+            # Sent before the store was restored, as another node has learned meanwhile.
+            return
         self._is_disconnected = False
         self._retry_delay_s = MIN_RETRY_S / 2
-        view = self._cluster_view
-        known_revision = view.revision
+        known = view.position
+        position = view.resolve(era=response.era, revision=response.revision)
         view.note_contact(at)
-        update = {"base_revision": base_revision, "is_complete": is_complete}
-        view.apply(response.rows, response.revision, **update)
-        changes = view.rows_after(known_revision) if is_complete else None
+        view.apply(
+            response.rows,
+            position.revision,
+            base_revision=base.revision,
+            is_complete=is_complete,
+            era=position.era,
+            base_era=base.era,
+        )
+        changes = view.rows_after(known) if is_complete else None
         if changes is not None:
-            # Other nodes that know the previous revision need no snapshot.
-            self._publish(
-                changes,
-                view.revision,
-                base_revision=known_revision,
-                is_complete=False,
-            )
+            # Other nodes that know the previous position need no snapshot.
+            self._publish(changes, view.position, base=known, is_complete=False)
         else:
-            self._publish(response.rows, response.revision, **update)
+            self._publish(response.rows, position, base=base, is_complete=is_complete)
         self._on_contact()
--- a/src/savoryhill/standins/serving/store.py
+++ b/src/savoryhill/standins/serving/store.py
@@ -154,6 +154,9 @@
         return True
 
     def _dispatch(self, path, query, body):
+        if path == names.STORE_KEY_PATH:
+            row = self.rows_by_key.get(query["key"])
+            return (200, row) if row else (404, {})
         if path == names.STORE_RANGE_PATH:
             return self._read_range(query)
         if path == names.STORE_WATCH_PATH:
--- a/tests/platform/test_untrusted_content.py
+++ b/tests/platform/test_untrusted_content.py
@@ -8,7 +8,7 @@
 
 from savoryhill.errors import PlatformError
 from savoryhill.platform import decode
-from savoryhill.platform.store import Store, StoreResponse, StoreRow, decode_era
+from savoryhill.platform.store import Lease, Store, StoreResponse, StoreRow, decode_era
 
 SCALARS = (
     st.none()
@@ -80,7 +80,7 @@
 
 def make_store(status, content):
     store = Store(address="127.0.0.1:9", clock=None, observe=None)
-    response = StoreResponse(status=status, content=content, era=None)
+    response = StoreResponse(status=status, content=content, era=1)
     store._call = lambda *_args, **_kwargs: response
     return store
 
@@ -89,7 +89,8 @@
     "read_prefix": lambda store: store.read_prefix("op/"),
     "watch": lambda store: store.watch("op/", after_revision=1, wait_s=0.5),
     "grant_lease": lambda store: store.grant_lease(ttl_s=4.0),
-    "renew_lease": lambda store: store.renew_lease(3),
+    "renew_lease": lambda store: store.renew_lease(Lease(id=3, era=1)),
+    "read_row": lambda store: store.read_row("nodes/a"),
     "put": lambda store: store.put("nodes/a", b"{}"),
 }
 
@@ -148,7 +149,7 @@
         "value", [None, b"", b"-1", b"+3", b"1.5", b"two", b"3, 4", b"\xb2", b"9" * 19]
     )
     def test_header_that_is_no_number_names_no_era(self, value):
-        assert decode_era(value) is None
+        assert decode_era(value) == 0
 
     def test_number_is_the_era(self):
         assert decode_era(b"12") == 12
--- a/tests/serving/test_cluster_view.py
+++ b/tests/serving/test_cluster_view.py
@@ -6,7 +6,9 @@
 
 from savoryhill.clock import system_clock
 from savoryhill.platform.store import StoreRow
-from savoryhill.serving.cluster_view import MAX_REMOVALS, MAX_SKIPPED_SPANS, ClusterView
+from savoryhill.serving.cluster_view import ClusterView
+from savoryhill.serving.row_history import MAX_REMOVALS, MAX_SKIPPED_SPANS
+from savoryhill.serving.store_position import StorePosition
 from savoryhill.serving.watcher import FALLBACK_AGE_S
 
 
@@ -14,6 +16,11 @@
     return ClusterView(clock=system_clock(), record=lambda event, fields: None)
 
 
+def at(revision):
+    """Return the position of a revision in the era of a view that knows none."""
+    return StorePosition(revision=revision)
+
+
 def zone_row(name, revision, *, is_deleted=False):
     return StoreRow(
         key=f"op/evacuate/{name}",
@@ -103,7 +110,7 @@
             rows[snapshot_revision:], len(rows), base_revision=snapshot_revision
         )
         behind.apply(rows[:behind_revision], behind_revision)
-        missing = ahead.rows_after(behind_revision)
+        missing = ahead.rows_after(at(behind_revision))
         if behind_revision < snapshot_revision:
             assert missing is None
         else:
@@ -125,7 +132,7 @@
             rows[snapshot_revision:], len(rows), base_revision=snapshot_revision
         )
         behind.apply(rows[:behind_revision], behind_revision)
-        missing = ahead.rows_after(behind_revision)
+        missing = ahead.rows_after(at(behind_revision))
         if missing is None:
             is_between = known_revision < behind_revision < snapshot_revision
             assert is_between or not remaining_rows(rows[:known_revision])
@@ -138,17 +145,17 @@
         view.apply([zone_row("a", 1)], 1)
         for revision in range(3, 3 + 2 * MAX_SKIPPED_SPANS):
             view.apply([zone_row("a", 1)], revision, is_complete=True)
-        assert len(view.skipped_spans) == MAX_SKIPPED_SPANS
-        assert view.rows_after(1) is None
+        assert len(view.history.skipped_spans) == MAX_SKIPPED_SPANS
+        assert view.rows_after(at(1)) is None
 
     def test_number_of_kept_removals_is_bounded(self):
         view = make_view()
         for number in range(1, MAX_REMOVALS + 10):
             removal = zone_row("a", number, is_deleted=True)
             view.apply([removal], number, base_revision=number - 1)
-        assert len(view.removals) == MAX_REMOVALS
-        assert view.rows_after(5) is None
-        assert len(view.rows_after(20)) == MAX_REMOVALS + 9 - 20
+        assert len(view.history.removals) == MAX_REMOVALS
+        assert view.rows_after(at(5)) is None
+        assert len(view.rows_after(at(20))) == MAX_REMOVALS + 9 - 20
 
 
 def endpoint_row(revision):
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -13,6 +13,7 @@
 )
 from savoryhill.core.observations.rate_limits import unlimited
 from savoryhill.core.scheduling.messages import (
+    PROTOCOL,
     SHARING_PROTOCOL,
     NodeAside,
     NodeBeat,
@@ -23,6 +24,7 @@
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.dispatch import STEP_DOWN_DELAY_S, Dispatcher
 from savoryhill.serving.shared_observations import ObservationSharing
+from savoryhill.serving.store_position import StorePosition
 from savoryhill.serving.turns import Turns
 
 CRASH_ITEM = ObservationItem(
@@ -140,7 +142,7 @@
         clock.now += 2.0
         dispatcher._handle_follower_heartbeat(follower, current_heartbeat(revision=9))
         assert follower.messages_of(NodeHello) == [
-            NodeHello(node="node-a", revision=7, protocol=SHARING_PROTOCOL)
+            NodeHello(node="node-a", revision=7, protocol=PROTOCOL)
         ]
         assert cluster_view.contact_age_s() > 1.0
         dispatcher._apply_update(follower, store_update(7, 9))
@@ -153,7 +155,9 @@
         link = RecordingLink()
         dispatcher._link = link
         dispatcher._leader_contact_age_s = 2.0
-        dispatcher.publish((), 9, base_revision=0, is_complete=True)
+        dispatcher.publish(
+            (), StorePosition(revision=9), base=StorePosition(), is_complete=True
+        )
         assert [message.revision for message in link.messages_of(StoreUpdate)] == [9]
 
 
--- a/tests/serving/test_restored_store.py
+++ b/tests/serving/test_restored_store.py
@@ -29,7 +29,7 @@
         # Guards against nodes that take what the store says for older than what they
         # know, because its revisions have gone back.
         deployment.add_endpoint("e", service="app")
-        for _ in range(2):
+        for _ in range(3):
             deployment.add_node()
         copy = deployment.store.copy()
         for version in (2, 3, 4):
--- a/tests/serving/test_watcher.py
+++ b/tests/serving/test_watcher.py
@@ -35,8 +35,14 @@
         # and half of the nodes changed to other leaders.
         watcher = make_watcher(clock, 1, n_nodes=3)
         published = []
-        watcher._publish = lambda rows, revision, **fields: published.append(
-            (sorted(row.key for row in rows), revision, fields)
+        watcher._publish = lambda rows, position, *, base, is_complete: (
+            published.append(
+                (
+                    sorted(row.key for row in rows),
+                    position.revision,
+                    {"base_revision": base.revision, "is_complete": is_complete},
+                )
+            )
         )
         watcher._on_contact = lambda: None
 
