platform: follow a key-value service that was restored from a backup

What nodes saw: every answer refused as stale until the process was started again, as its revision was lower than one before. A restored service is another cluster, and its answers name it. Change: the client begins anew with the revisions of another cluster, reports key_value.other_cluster, and refuses late answers of the former one. Measured: the first of the two new tests failed before (the read was refused); tests of platform, node and config pass.

--- a/src/savoryhill/platform/key_value.py
+++ b/src/savoryhill/platform/key_value.py
@@ -47,9 +47,11 @@
 
     ``writes`` and ``reads`` limit the rate of this node's calls. ``counts`` holds the
     number of calls by operation and of failures by operation and cause.
-    ``max_revision`` is the highest revision in any response so far. ``report`` is
-    called with an event's name and fields when a response has a lower revision than an
-    earlier one, or when a watch is silent.
+    ``max_revision`` is the highest revision in any response of the cluster
+    ``cluster_id`` so far; a service that is restored from a backup is another cluster,
+    whose revisions begin anew. ``report`` is called with an event's name and fields
+    when a response has a lower revision than an earlier one, when the cluster is
+    another one, or when a watch is silent.
     """
 
     address: str
@@ -60,6 +62,7 @@
     reads: TokenBucket
     report: Callable = _report_nothing
     max_revision: int = 0
+    cluster_id: str = ""
     counts: Counter = field(default_factory=Counter)
 
 
@@ -174,7 +177,7 @@
         If the response has a lower revision than was known when the call was sent.
     """
     service = f"key-value service at {client.address}"
-    min_revision = client.max_revision
+    min_revision, asked_cluster_id = client.max_revision, client.cluster_id
     try:
         status, _, content = request_once(
             client.transport,
@@ -199,12 +202,21 @@
         response = json.loads(content)
         response = response.get("result", response)
         revision = int(response["header"]["revision"])
-    except (ValueError, KeyError, TypeError) as error:
+        cluster_id = str(response["header"].get("cluster_id", ""))
+    except (AttributeError, ValueError, KeyError, TypeError) as error:
         client.counts[operation, "undecodable"] += 1
         raise OutcomeUnknownError(
             f"{service}: undecodable answer: {error!r}"
         ) from error
-    if revision < min_revision:
+    if cluster_id not in ("", client.cluster_id):
+        if client.cluster_id != asked_cluster_id:
+            raise StaleRevisionError(
+                f"{service} answered for cluster {cluster_id} while "
+                f"{client.cluster_id} took its place"
+            )
+        _follow_cluster(client, cluster_id, revision)
+        return response
+    if revision < min_revision and client.cluster_id == asked_cluster_id:
         # Concurrent calls may be answered in any order, so the revision is compared
         # with the highest one known when this call was sent, not with the current one.
         client.counts[operation, "revision_went_back"] += 1
@@ -221,6 +233,20 @@
     return response
 
 
+def _follow_cluster(client, cluster_id, revision):
+    """Begin anew with the revisions of another cluster, such as one from a backup."""
+    if client.cluster_id:
+        client.report(
+            "key_value.other_cluster",
+            cluster=cluster_id,
+            before=client.cluster_id,
+            revision=revision,
+            known=client.max_revision,
+        )
+    client.cluster_id = cluster_id
+    client.max_revision = revision
+
+
 def _read_with_retries(client, body):
     """Send a read, and repeat it after a jittered pause if it fails."""
     for n_failed in range(READ_TRIES):
--- a/src/savoryhill/standins/platform_store.py
+++ b/src/savoryhill/standins/platform_store.py
@@ -21,9 +21,11 @@
     ``rows_by_key`` holds each value with the revision of its last write, and
     ``leases_by_id`` each lease's TTL and the time at which it expires. Listeners are
     called with the revision, the key and the value, which is None for a deletion.
+    A store that is restored from a backup has another ``cluster_id``.
     """
 
     revision: int = 1
+    cluster_id: int = 1
     rows_by_key: dict[bytes, tuple[bytes, int]] = field(default_factory=dict)
     leases_by_id: dict[int, list] = field(default_factory=dict)
     lease_ids_by_key: dict[bytes, int] = field(default_factory=dict)
@@ -46,7 +48,7 @@
 
 
 def _header(store):
-    return {"revision": str(store.revision)}
+    return {"revision": str(store.revision), "cluster_id": str(store.cluster_id)}
 
 
 def _write_row(store, key, value):
--- a/tests/platform/test_key_value.py
+++ b/tests/platform/test_key_value.py
@@ -147,6 +147,31 @@
         assert reports[0][0] == "key_value.revision_went_back"
         assert client.counts["read", "revision_went_back"] == 3
 
+    def test_lower_revision_of_another_cluster_is_taken(
+        self, platform, client, reports
+    ):
+        # Guards against nodes that refuse all that a service says for good, once it
+        # was restored from a backup, until they are started again.
+        transact(client, compares=ABSENT, puts=PUT)
+        platform.cluster_id, platform.revision = 2, 1
+        assert read_range(client, "key").revision == 1
+        assert [name for name, _ in reports] == ["key_value.other_cluster"]
+        platform.revision = 0
+        with pytest.raises(PlatformUnreachableError):
+            read_range(client, "key")
+
+    def test_late_answer_of_the_former_cluster_is_not_taken(self, platform, client):
+        # Guards against a client that goes back to the former cluster's revisions.
+        transact(client, compares=ABSENT, puts=PUT)
+        set_faults(platform, {"delay_s": 0.05})
+        late = gevent.spawn(read_range, client, "key")
+        gevent.sleep(0.01)
+        client.cluster_id, client.max_revision = "2", 1
+        gevent.sleep(0.06)
+        platform.cluster_id = 2
+        late.join()
+        assert (client.cluster_id, client.counts["read", "calls"]) == ("2", 2)
+
 
 class TestBudget:
     def test_calls_over_the_rate_limit_wait_and_then_fail_unsent(self, address):
