soak: a store that comes back from older copies

Change: the store is copied every second and restored from the oldest copy, after versions have come into force that the copy lacks; then the operator and the endpoints write again what differs. Once more at the end of the disturbed phase, so that the bounds of the undisturbed one follow it.

--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from base64 import b64decode
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -165,6 +166,10 @@
     def configure(self):
         """Write a new version of the configuration to the store."""
         self.version += 3
+        self.write_configuration()
+
+    def write_configuration(self):
+        """Write the present version of the configuration to the store."""
         content = {
             "version": self.version,
             "routes": ROUTES,
@@ -175,7 +180,14 @@
             "limits": {"idleTimeoutMs": 15_000, "headerTimeoutMs": 3000},
             "tenants": [{"name": "ws", "keys": self.keys, "priority": 1}],
         }
-        self.store.put(names.CONFIGURATION_KEY, json.dumps(content).encode())
+        self._write(names.CONFIGURATION_KEY, content)
+
+    def _write(self, key, content):
+        """Write a row unless the store has it as it is, as after a heartbeat."""
+        value = json.dumps(content).encode()
+        row = self.store.rows_by_key.get(key)
+        if row is None or b64decode(row["value"]) != value:
+            self.store.put(key, value)
 
     def set_crashing_part(self, part):
         """Set the part of prompts under which engines end; None is no part."""
@@ -217,8 +229,7 @@
             "sequence": 1,
             "born": 1 + len(self.endpoints[index].crashes),
         }
-        key = names.ENDPOINT_PREFIX + self.endpoints[index].id
-        self.store.put(key, json.dumps(row).encode())
+        self._write(names.ENDPOINT_PREFIX + self.endpoints[index].id, row)
 
     def _add_node(self, number):
         host = f"127.0.{self.first_host}.{number + 1}"
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -30,6 +30,9 @@
 # Spans in which an endpoint names a limit of requests a second.
 MEAN_NAMED_LIMIT_INTERVAL_S = 3.0
 NAMED_LIMIT_LENGTH_S = 9.0
+# Outages after which the store comes back from an older copy.
+MEAN_RESTORATION_INTERVAL_S = 6.0
+RESTORATION_LENGTH_S = 1.0
 MEAN_CHANGE_INTERVAL_S = 1.0
 # Time without new faults at the end, in which requests must be served again.
 FINAL_QUIET_S = 6.0
@@ -81,6 +84,20 @@
             mean_interval_s=MEAN_CRASHING_PART_INTERVAL_S,
             span_s=CRASHING_PART_LENGTH_S,
         ),
+        *_plan_spans(
+            "restoration",
+            Random(f"restorations/{seed}"),
+            until=disturbed_until,
+            mean_interval_s=MEAN_RESTORATION_INTERVAL_S,
+            span_s=RESTORATION_LENGTH_S,
+        ),
+        # The last one, after which the bounds for undisturbed times hold.
+        Fault(
+            at_s=disturbed_until,
+            kind="restoration",
+            target=0,
+            length_s=RESTORATION_LENGTH_S,
+        ),
         *_plan_spans(
             "named_limit",
             Random(f"limits/{seed}"),
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import tempfile
+from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -20,6 +21,13 @@
 
 RESTART_INTERVAL_S = 0.4
 START_TIMEOUT_S = 20.0
+COPY_INTERVAL_S = 1.0
+# The store is restored from the oldest copy that is kept.
+MAX_COPIES = 5
+# Versions that are in force when the store loses them, and how long before they are
+# written.
+N_LOST_VERSIONS = 20
+LOST_VERSIONS_SPAN_S = 0.5
 NAMED_LIMITS_PER_S = (0.5, 1.0, 3.0)
 STORE_FAULT_MODES = {
     "store_silent": "silent",
@@ -49,6 +57,8 @@
     evacuation_spans: list = field(default_factory=list)
     crashing_parts: list = field(default_factory=list)
     limit_spans: list = field(default_factory=list)
+    evacuation_keys: set = field(default_factory=set)
+    store_copies: deque = field(default_factory=lambda: deque(maxlen=MAX_COPIES))
     fault_greenlets: list = field(default_factory=list)
 
     def is_undisturbed(self, start, end):
@@ -75,13 +85,16 @@
             for number in range(6 * len(self.deployment.nodes))
         ]
         client_greenlets = [gevent.spawn(client.run, ends_at) for client in clients]
-        restarter = gevent.spawn(self._restart_ended_nodes)
+        background = [
+            gevent.spawn(self._restart_ended_nodes),
+            gevent.spawn(self._copy_store),
+        ]
         for fault in make_plan(self.seed, length_s=self.length_s):
             gevent.sleep(max(0.0, started_at + fault.at_s - self.clock.monotonic()))
             self.fault_greenlets.append(gevent.spawn(self._apply, fault))
         gevent.joinall(client_greenlets)
         gevent.joinall(self.fault_greenlets)
-        restarter.kill()
+        gevent.killall(background)
         return build_result(self, ends_at)
 
     def _restart_ended_nodes(self):
@@ -93,6 +106,11 @@
                     self._record_disturbance(1.5)
                     node.start()
 
+    def _copy_store(self):
+        while True:
+            self.store_copies.append(self.deployment.store.copy())
+            gevent.sleep(COPY_INTERVAL_S)
+
     def _record_disturbance(self, length_s):
         now = self.clock.monotonic()
         self.disturbances.append((now, now + length_s))
@@ -175,6 +193,31 @@
         for index in range(len(self.deployment.endpoints)):
             self.deployment.write_endpoint_row(index)
 
+    def _restoration(self, fault):
+        """Restore the store from a copy; its writers then write what they had again."""
+        deployment, store = self.deployment, self.deployment.store
+        self._record_disturbance(fault.length_s)
+        copy = self.store_copies[0]
+        for _ in range(N_LOST_VERSIONS):
+            deployment.configure()
+        gevent.sleep(LOST_VERSIONS_SPAN_S)
+        store.fault = "reset"
+        gevent.sleep(fault.length_s)
+        store.restore(copy)
+        self.store_copies.clear()
+        self.store_copies.append(store.copy())
+        store.fault = None
+        deployment.write_configuration()
+        in_copy = {
+            key for key in store.rows_by_key if key.startswith(names.EVACUATION_PREFIX)
+        }
+        for key in in_copy - self.evacuation_keys:
+            store.remove(key)
+        for key in self.evacuation_keys - in_copy:
+            store.put(key, json.dumps({}).encode())
+        for index in range(len(deployment.endpoints)):
+            deployment.write_endpoint_row(index)
+
     # Changes.
 
     def _revoke(self, _fault):
@@ -206,12 +249,14 @@
     def _evacuate(self, fault):
         zone = f"zone-{fault.target % 3}"
         key = names.EVACUATION_PREFIX + zone
-        if key in self.deployment.store.rows_by_key:
+        if key in self.evacuation_keys:
             return
         start = self.clock.monotonic()
+        self.evacuation_keys.add(key)
         self.deployment.store.put(key, json.dumps({}).encode())
         gevent.sleep(fault.length_s + EVACUATION_BOUND_S)
         end = self.clock.monotonic()
+        self.evacuation_keys.discard(key)
         self.deployment.store.remove(key)
         for endpoint, (_, endpoint_zone) in zip(
             self.deployment.endpoints, self.deployment.placements, strict=True
