observability: failed sends log a digest of their request

Cause: request.send_failed tells the parts of a prompt, but not whether two failed sends, at other nodes or on other connections, were of the same request. Change: a digest of host, path, caller and body, by the hash that the digests of parts have; the body is added as it arrives. Bodies are never logged. No decision changes. Measured: tests of the digest pass, for bodies with a length and in chunks, in pieces of any size; tests of serving that touch it pass.

--- a/src/savoryhill/core/observations/parts.py
+++ b/src/savoryhill/core/observations/parts.py
@@ -1,4 +1,4 @@
-"""Identification of the parts that prompts share."""
+"""Identification of requests, and of the parts that their prompts share."""
 
 from functools import lru_cache
 from hashlib import blake2b
@@ -7,6 +7,7 @@
 DIGEST_BYTES = 8
 # Bounds the memory and the log line of one prompt.
 MAX_PARTS = 64
+REQUEST_PREFIX = "request-"
 DIGEST_CACHE_ENTRIES = 4_096
 
 
@@ -29,6 +30,40 @@
     return tuple(digest_part(service, part_id) for part_id in unique_ids)
 
 
+def start_body_digest():
+    """Return a hash to which a request's body is added as it arrives."""
+    return blake2b(digest_size=DIGEST_BYTES)
+
+
+def digest_request(*, host, path, caller, body_digest):
+    """Return the digest that a request has in common with its repetitions.
+
+    Parameters
+    ----------
+    host, path : bytes
+        Where the request is sent to, with its query.
+    caller : str
+        Name of the caller's workspace; empty if it has none.
+    body_digest : bytes
+        Digest of the body, see `start_body_digest`.
+
+    Returns
+    -------
+    str
+        ``DIGEST_BYTES`` bytes in hexadecimal, after a prefix that no part has.
+    """
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for field in (host, path, caller.encode("utf-8", "replace"), body_digest):
+        digest.update(len(field).to_bytes(4))
+        digest.update(field)
+    return REQUEST_PREFIX + digest.hexdigest()
+
+
+def is_request(subject):
+    """Tell whether a digest is that of a request, not of a part of prompts."""
+    return subject.startswith(REQUEST_PREFIX)
+
+
 @lru_cache(maxsize=DIGEST_CACHE_ENTRIES)
 def digest_part(service, part_id):
     """Return the digest of one part, in hexadecimal."""
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from savoryhill.core.observations.parts import start_body_digest
 from savoryhill.errors import MalformedMessageError
 
 # Limit of the bytes in a row that belong to no final head and no body: headers,
@@ -35,6 +36,7 @@
     target: bytes
     headers: list
     body: bytes
+    body_digest: bytes
     keep_alive: bool
 
     def header(self, name):
@@ -72,6 +74,7 @@
         self._target = []
         self._headers = []
         self._body = []
+        self._body_digest = start_body_digest()
         self._n_body_bytes = 0
         self._n_header_bytes = 0
 
@@ -138,6 +141,7 @@
                 f"request body exceeds {self._max_body_bytes} bytes"
             )
         self._body.append(data)
+        self._body_digest.update(data)
 
     def on_message_complete(self):
         """Queue the complete request."""
@@ -147,6 +151,7 @@
                 target=b"".join(self._target),
                 headers=self._headers,
                 body=b"".join(self._body),
+                body_digest=self._body_digest.digest(),
                 keep_alive=self._parser.should_keep_alive(),
             )
         )
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from savoryhill.core.observations.parts import digest_parts
+from savoryhill.core.observations.parts import digest_parts, digest_request
 from savoryhill.platform import headers as platform_headers
 from savoryhill.serving.http import encode_request
 
@@ -45,7 +45,8 @@
     ``deadline_at`` is when the final response is due, ``client_deadline_at`` when the
     client stops waiting. ``avoided_endpoint_ids`` holds the endpoints that failed this
     request. ``needs_budget`` tells whether the next send draws on the leader's repeat
-    budget. ``part_digests`` identifies the parts that the prompt may share with others.
+    budget. ``part_digests`` identifies the parts that the prompt may share with others,
+    ``digest`` the request and all its repetitions.
     """
 
     def __init__(self, *, context, message):
@@ -63,6 +64,7 @@
         self.avoided_endpoint_ids = set()
         self.needs_budget = False
         self.part_digests = ()
+        self.digest = ""
 
     @property
     def id(self):
@@ -80,6 +82,12 @@
         self.client_deadline_at = self.arrived_at + remaining_s
         self.deadline_at = self.arrived_at + min(remaining_s, route.timeout_s)
         self.part_digests = digest_parts(service.name, self.metadata.shared_parts)
+        self.digest = digest_request(
+            host=self.message.header(b"host") or b"",
+            path=self.message.target,
+            caller=workspace.name if workspace else "",
+            body_digest=self.message.body_digest,
+        )
 
     def time_left_s(self):
         """Return the seconds until the final response is due."""
@@ -175,6 +183,7 @@
             send=self.n_sends,
             started=has_started,
             parts=",".join(self.part_digests),
+            digest=self.digest,
         )
         if self.time_left_s() <= 0 or not history.may_send():
             return False
