tests: reproduce a request that ends the endpoints which run it

What callers saw: streams cut and late, as one request ended engine after engine (BUDGET). Change: endpoint stand-ins end under a body, a stream at any of its events.

--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -65,6 +65,10 @@
     ``helped_event_interval_s``. ``order_status`` is the status with which reservations
     are refused, if they are.
 
+    It ends when it begins to run a request with a part of ``crashing_parts`` in its
+    prompt or with a body of ``crashing_bodies``; a stream before the event number
+    ``crashes_at_event``.
+
     ``n_cancelled`` counts streams whose client disconnected. ``lapsed`` holds the
     attempt id and time of each stream cut because a reservation of it had expired,
     ``released`` the reservations that were released, ``lost`` those that were held when
@@ -93,6 +97,8 @@
     endless: list = field(default_factory=list)
     named_limit: str | None = None
     crashing_parts: set = field(default_factory=set)
+    crashing_bodies: set = field(default_factory=set)
+    crashes_at_event: int = 1
     crashes: list = field(default_factory=list)
     down_s: float = DOWN_S
     on_return: object = None
@@ -150,7 +156,7 @@
         if request.header(names.TOKEN_COUNTS) is not None:
             return self._stream(sock, request, headers, fault)
         gevent.sleep(self.response_delay_s)
-        if self._has_crashing_part(request):
+        if self._ends_under(request):
             self._crash(request)
             return False
         body = b"done by " + self.id.encode()
@@ -210,7 +216,8 @@
                 return False
             for number in range(last_event_id + 1, self.n_events + 1):
                 gevent.sleep(interval_s)
-                if self.crashing_parts and self._has_crashing_part(request):
+                is_begun = number - last_event_id >= self.crashes_at_event
+                if is_begun and self._ends_under(request):
                     if _is_closed_by_caller(sock):
                         self.n_cancelled += 1
                     else:
@@ -238,7 +245,11 @@
             self.ended_at_by_attempt[attempt] = self.clock.monotonic()
         return is_framed
 
-    def _has_crashing_part(self, request):
+    def _ends_under(self, request):
+        if request.body in self.crashing_bodies:
+            return True
+        if not self.crashing_parts:
+            return False
         parts = (request.header(names.PROMPT_PARTS) or b"").decode("latin-1").split(",")
         return any(part.partition(":")[0] in self.crashing_parts for part in parts[:-1])
 
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -29,7 +29,12 @@
 
 
 def configuration(
-    version=1, routes=None, keys=("key-a",), limits=LIMITS, engine=ENGINE_FIGURES
+    version=1,
+    routes=None,
+    keys=("key-a",),
+    other_keys=(),
+    limits=LIMITS,
+    engine=ENGINE_FIGURES,
 ):
     """Return a configuration in the format that the operator writes."""
     if routes is None:
@@ -47,7 +52,10 @@
             {"name": "app", "coldPerS": 0.0},
         ],
         "limits": limits,
-        "tenants": [{"name": "ws-a", "keys": list(keys), "priority": 1}],
+        "tenants": [
+            {"name": "ws-a", "keys": list(keys), "priority": 1},
+            {"name": "ws-b", "keys": list(other_keys), "priority": 1},
+        ],
     }
 
 
