serving: refuse requests that end the endpoints which run them

Cause: only parts of prompts could be at fault. A request that shares its parts with sound ones, or has none, was sent on from endpoint to endpoint. Class of the fault: a retry that carries the cause of the failure with it. Change: the digest of a request is a subject beside the parts of its prompt, in the same table and the same decision. A complete answer clears it, not the first event; it is tried again after 60 s, then four times later each time. News of limits alone start no review, and the condition for a refusal stands in one place. The counter refused_for_part is refused_for_crashes now.

--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -1,24 +1,33 @@
-"""Which parts of prompts end the engines that answer them.
+"""Which requests, and which parts of prompts, end the endpoints that run them.
 
-Load pattern: requests with one part arrive at all nodes. Each ends the engine that
-begins to answer it, and is sent again or replaced by the next; other requests on the
-engine, with sound parts, are broken off with it.
+Load pattern: one request, or requests with one part, arrive at all nodes. Each ends the
+endpoint that begins to run it, and is sent again or replaced by the next; other
+requests on the endpoint, with nothing at fault, are broken off with it.
+
+The subjects of what is observed are the digests of requests and of parts. A part is
+sound once a request with it has started; a request, which may end its endpoint at any
+moment of its run, once it has been answered.
 """
 
 from dataclasses import dataclass
 from enum import Enum
 
+from savoryhill.core.observations.parts import is_request_digest
 from savoryhill.core.observations.table import Observation
 
 # A part was in a request that had not started on an engine (the source) when its
-# connection ended. The value is how long before the request had been sent, in seconds.
+# connection ended; a request had not been answered. The value is how long before the
+# request had been sent, in seconds.
 CRASH = "crash"
-# A request with the part has started since, so its crashes so far don't count.
+# A request with the part has started since, or the request has been answered, so the
+# crashes so far don't count.
 SOUND = "sound"
-# A request with the part had started shortly before its first crash.
+# A request with the part had started, or the request had been answered, shortly before
+# the first crash.
 KNOWN = "known"
 # A request that was sent to the engine later has started, so the engine had not ended.
 ALIVE = "alive"
+CRASH_KINDS = frozenset((CRASH, SOUND, KNOWN, ALIVE))
 
 # Crashes in succession. Fewer may be chance while engines end for other reasons.
 MIN_CRASHES = 3
@@ -26,7 +35,12 @@
 # engines that all end for another reason would speak against the parts of most prompts.
 SOUND_S = 20.0
 FIRST_PROBE_DELAY_S = 30.0
+PROBE_DELAY_FACTOR = 2
+# Nobody but its caller misses a request, so it is tried less often than a part.
+FIRST_REQUEST_PROBE_DELAY_S = 60.0
+REQUEST_PROBE_DELAY_FACTOR = 4
 MAX_PROBE_DELAY_S = 600.0
+MAX_PROBE_DELAYS = 10
 
 
 class Admission(Enum):
@@ -40,7 +54,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CrashingParts:
-    """Parts that end engines when they are together in a prompt.
+    """Parts that end engines when they are together in a prompt, or a request.
 
     There are several if all crashes had them in common. ``sources`` are the engines
     that ended, ``workspaces`` those whose requests they ended under.
@@ -61,10 +75,19 @@
 
     def next_probe_at(self):
         """Return when a request with the parts is tried again."""
-        n_doublings = min(self.n_crashes - MIN_CRASHES, 10)
-        delay_s = FIRST_PROBE_DELAY_S * 2**n_doublings
+        delay_s, factor = FIRST_PROBE_DELAY_S, PROBE_DELAY_FACTOR
+        if any(is_request_digest(part) for part in self.parts):
+            delay_s, factor = FIRST_REQUEST_PROBE_DELAY_S, REQUEST_PROBE_DELAY_FACTOR
+        delay_s *= factor ** min(self.n_crashes - MIN_CRASHES, MAX_PROBE_DELAYS)
         return self.last_crash_at + min(MAX_PROBE_DELAY_S, delay_s)
 
+    def refuses(self, parts, now):
+        """Return whether a request with parts is refused, not tried.
+
+        One that lacks some of the parts which were in all crashes may be sound.
+        """
+        return self.parts <= parts and now < self.next_probe_at()
+
 
 def observe_crash(table, *, parts, source, workspace, sent_at, now):
     """Return the observations of a connection that ended before its first event.
@@ -102,10 +125,10 @@
 
 
 def observe_start(table, *, parts, source, sent_at, now):
-    """Return the observations of the first event of a request.
+    """Return the observations of the first event, or of the end, of a request.
 
-    There are none unless a part or the engine is under suspicion. The parameters are
-    those of `observe_crash`.
+    There are none unless a subject or the engine is under suspicion. The parameters are
+    those of `observe_crash`; ``parts`` are those that this shows to be sound.
     """
     observations = []
     for part in parts:
@@ -288,7 +311,7 @@
         crashing = crashing_by_part.get(part)
         if crashing is None or not crashing.binds(workspace):
             continue
-        if crashing.parts <= parts and now < crashing.next_probe_at():
+        if crashing.refuses(parts, now):
             return Admission.REFUSE, crashing
         decision = Admission.PROBE, crashing
     return decision
--- a/src/savoryhill/core/observations/parts.py
+++ b/src/savoryhill/core/observations/parts.py
@@ -59,7 +59,7 @@
     return REQUEST_PREFIX + digest.hexdigest()
 
 
-def is_request(subject):
+def is_request_digest(subject):
     """Tell whether a digest is that of a request, not of a part of prompts."""
     return subject.startswith(REQUEST_PREFIX)
 
--- a/src/savoryhill/observability/explain.py
+++ b/src/savoryhill/observability/explain.py
@@ -7,10 +7,17 @@
 from savoryhill.errors import SavoryhillError
 
 FINAL_EVENTS = ("request.finished", "request.client_gone")
-# Lines about a part of prompts, not about one request.
-PART_EVENTS = ("crash.observed", "part.refused", "part.served_again")
+# Lines about a part of prompts, or all repetitions of a request, not about one request.
+PART_EVENTS = (
+    "crash.observed",
+    "part.refused",
+    "part.served_again",
+    "request.refused_for_crashes",
+    "request.served_again",
+)
 MAX_PART_LINES = 12
 _REFUSED_PARTS = re.compile(r"prompt with part ([0-9a-f,]+)")
+_REFUSED_REQUESTS = re.compile(r"request-[0-9a-f]+")
 
 
 class UnknownRequestError(SavoryhillError):
@@ -83,13 +90,15 @@
 
 
 def _lines_about_refused_parts(lines, part_lines):
-    """Return the lines about the parts for which a request was refused.
+    """Return the lines about what a request was refused for, parts or itself.
 
     All nodes come to the same decision, so only that of the request's node is shown.
     """
     causes = [line.fields.get("cause", "") for line in lines]
     found = [match for cause in causes for match in _REFUSED_PARTS.findall(cause)]
     refused_parts = {part for match in found for part in match.split(",")}
+    for cause in causes:
+        refused_parts.update(_REFUSED_REQUESTS.findall(cause))
     return [
         line
         for line in part_lines
@@ -100,7 +109,9 @@
 
 
 def _parts_of(line):
-    return (line.fields.get("parts") or line.fields.get("part", "")).split(",")
+    fields = line.fields
+    digests = fields.get("parts") or fields.get("part") or fields.get("digest", "")
+    return digests.split(",")
 
 
 def explain(request_id, texts):
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -3,8 +3,8 @@
 from dataclasses import replace
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
+from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.outgoing_connection import open_connection
-from savoryhill.serving.prompt_check import PromptCheck
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
 
@@ -21,7 +21,7 @@
         self._response = response
         self._history = history
         self._context = request.context
-        self._check = PromptCheck(request=request)
+        self._check = CrashCheck(request=request)
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
@@ -135,7 +135,7 @@
                 reader.head, endpoint, sent_at=started_at
             )
         if failure is None:
-            self._check.note_start()
+            self._check.note_answer()
             balancer.note_success(endpoint)
             self._response.write_response(reader.head, reader.take_body(), endpoint.id)
             return None
--- a/src/savoryhill/serving/prompt_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -1,4 +1,4 @@
-"""Checks the parts of one request's prompt, over all of its sends."""
+"""Checks whether one request ends the endpoints that run it, over all of its sends."""
 
 from contextlib import contextmanager
 
@@ -8,12 +8,13 @@
 from savoryhill.serving.served_request import SendFailure
 
 
-class PromptCheck:
-    """Refuses a request with a part that ends engines, and reports what it shows.
+class CrashCheck:
+    """Refuses a request that ends endpoints, and reports what its sends show.
 
-    A request that has started once is sound: its parts are not checked any more.
-    ``probed_parts`` holds the parts that the next send tries, ``stop_cause`` is why the
-    current send must not go on, or None, and ``sent_at`` when it was sent.
+    Once a send has started, the parts of the prompt are sound and not checked any more.
+    The request itself is until it has been answered. ``probed_parts`` holds the digests
+    that the next send tries, ``stop_cause`` is why the current send must not go on, or
+    None, and ``sent_at`` when it was sent.
     """
 
     def __init__(self, *, request):
@@ -21,6 +22,7 @@
         self._guard = request.context.crash_guard
         self._workspace = request.workspace.name if request.workspace else ""
         self._has_started = False
+        self._is_answering = False
         self._job = None
         self._connection = None
         self._source = ""
@@ -28,44 +30,45 @@
         self.probed_parts = ()
         self.stop_cause = None
 
+    def _suspects(self):
+        """Return the digests that may be at fault if an endpoint ends."""
+        parts = () if self._has_started else self._request.part_digests
+        return (*parts, self._request.digest)
+
     def refusal_cause(self):
         """Decide on the next send; return why the request is refused, or None."""
         self.probed_parts = ()
-        if self._has_started:
-            return None
-        parts = self._request.part_digests
-        admission, crashing = self._guard.admit(parts, self._workspace)
+        suspects = self._suspects()
+        admission, crashing = self._guard.admit(suspects, self._workspace)
         if admission is Admission.ADMIT:
             return None
         known = self._guard.crashing_by_part
-        probed_parts = tuple(part for part in parts if part in known)
+        probed_parts = tuple(part for part in suspects if part in known)
         if admission is Admission.REFUSE or len(probed_parts) > MAX_PROBED_PARTS:
             return refusal_cause(crashing)
         self.probed_parts = probed_parts
         return None
 
     def refuse(self, cause, response, history):
-        """End the request, whose prompt has a part that ends engines.
+        """End the request, which ends endpoints or has a part that does.
 
         There is no time after which the client's next try would succeed.
         """
         request = self._request
-        request.context.observe("refused_for_part", 1.0, request.route)
+        request.context.observe("refused_for_crashes", 1.0, request.route)
         failure = SendFailure(cause=cause, may_have_run=False)
         response.fail(failure, history, retry_after_s=None)
 
     @contextmanager
     def watch(self, job=None):
-        """Stop the send inside the context if its parts prove to end engines.
+        """Stop the send inside the context if it proves to end endpoints.
 
         ``job`` is the one that waits for its placement, if any.
         """
         self._job, self._connection, self.stop_cause = job, None, None
-        if self._has_started:
-            yield
-            return
+        self._is_answering = False
         with self._guard.watch(
-            parts=self._request.part_digests,
+            parts=self._suspects(),
             workspace=self._workspace,
             is_probe=bool(self.probed_parts),
             stop=self._stop,
@@ -73,7 +76,7 @@
             yield
 
     def _stop(self, cause):
-        if self._has_started:
+        if self._is_answering:
             return
         self.stop_cause = cause
         if self._connection is not None:
@@ -89,7 +92,7 @@
 
     @contextmanager
     def probe(self, job_id):
-        """Try parts that may end engines inside the context, without a scheduler.
+        """Try what may end endpoints inside the context, without a scheduler.
 
         Yields
         ------
@@ -108,32 +111,39 @@
             self._guard.end_probe(job_id)
 
     def note_sent(self, endpoint, connection):
-        """Record the engine and the connection of the current send."""
+        """Record the endpoint and the connection of the current send."""
         self._source = endpoint.incarnation
         self._connection = connection
         self.sent_at = self._request.context.clock.monotonic()
 
     def note_start(self):
-        """Record the first event of the current send, or its whole response."""
-        self._has_started = True
-        self._guard.note_start(
-            parts=self._request.part_digests,
-            source=self._source,
-            sent_at=self.sent_at,
-        )
+        """Record the first event of the current send."""
+        self._has_started = self._is_answering = True
+        self._note_sound(self._request.part_digests)
+
+    def note_answer(self):
+        """Record that the current send has been answered completely."""
+        self._has_started = self._is_answering = True
+        self._note_sound((*self._request.part_digests, self._request.digest))
+
+    def _note_sound(self, digests):
+        self._guard.note_start(parts=digests, source=self._source, sent_at=self.sent_at)
 
     def note_failure(self, failure, endpoint):
-        """Record a failed send, if its engine may have ended under it.
+        """Record a failed send, if its endpoint may have ended under it.
 
-        An engine that leaves ends its connections in any case.
+        An endpoint that leaves ends its connections in any case; one that answers with
+        a failure of its own has not ended.
         """
-        if not failure.connection_ended or self._has_started or self.stop_cause:
+        if failure.head is not None:
+            self._note_sound((self._request.digest,))
+        if not failure.connection_ended or self.stop_cause:
             return
         if not self._request.context.cluster_view.is_usable(endpoint):
             return
         self._guard.note_crash(
             request=self._request.id,
-            parts=self._request.part_digests,
+            parts=self._suspects(),
             workspace=self._workspace,
             source=self._source,
             sent_at=self.sent_at,
--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -1,4 +1,4 @@
-"""Keeps requests with parts that end engines away from the engines."""
+"""Keeps requests that end endpoints, or have parts that do, away from endpoints."""
 
 from collections import OrderedDict
 from contextlib import contextmanager
@@ -6,6 +6,7 @@
 
 from savoryhill.core.observations.crashes import (
     CRASH,
+    CRASH_KINDS,
     Admission,
     admit,
     find_crashing_parts,
@@ -13,6 +14,7 @@
     observe_start,
     recall_starts,
 )
+from savoryhill.core.observations.parts import is_request_digest
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 
 MAX_STARTED_PARTS = 4_096
@@ -21,8 +23,8 @@
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
-class _WaitingPrompt:
-    """A prompt that no engine has begun to answer; ``stop`` is called with a cause."""
+class _WaitingRequest:
+    """One that no endpoint has begun to answer; ``stop`` is called with a cause."""
 
     parts: tuple[str, ...]
     workspace: str
@@ -31,9 +33,10 @@
 
 
 class CrashGuard:
-    """Which parts end engines, as this node knows it, and the prompts that wait.
+    """Which requests and parts end endpoints, as this node knows it, and what waits.
 
-    ``crashing_by_part`` holds the parts that end engines by their digest.
+    ``crashing_by_part`` holds what ends endpoints by its digest: parts of prompts, and
+    requests as a whole.
     """
 
     def __init__(self, *, clock, sharing, record):
@@ -47,6 +50,12 @@
         sharing.on_news.append(self._handle_news)
         sharing.on_review.append(self.review)
 
+    def n_refused(self, *, is_request):
+        """Return how many requests, or parts of prompts, are refused."""
+        return sum(
+            is_request_digest(part) == is_request for part in self.crashing_by_part
+        )
+
     # Requests of this node.
 
     def admit(self, parts, workspace):
@@ -59,7 +68,7 @@
         )
 
     def note_crash(self, *, request, parts, workspace, source, sent_at):
-        """Record that an engine's connection ended before the first event."""
+        """Record that the connection to an endpoint ended under parts or a request."""
         observations = observe_crash(
             self._sharing.table,
             parts=parts,
@@ -77,7 +86,7 @@
         self._sharing.add(observations)
 
     def note_start(self, *, parts, source, sent_at):
-        """Record the first event of a request."""
+        """Record that parts, or a request, have shown themselves to be sound."""
         now = self._clock.monotonic()
         for part in parts:
             self._started_at_by_part[part] = now
@@ -93,14 +102,14 @@
     @contextmanager
     def watch(self, *, parts, workspace, is_probe, stop):
         """Call ``stop(cause)`` inside the context once the request must be refused."""
-        prompt = _WaitingPrompt(
+        waiting = _WaitingRequest(
             parts=parts, workspace=workspace, is_probe=is_probe, stop=stop
         )
-        self._waiting.add(prompt)
+        self._waiting.add(waiting)
         try:
             yield
         finally:
-            self._waiting.discard(prompt)
+            self._waiting.discard(waiting)
 
     # Jobs that this node schedules.
 
@@ -128,7 +137,7 @@
             if crashing is None:
                 continue
             is_whole = crashing.parts <= set(parts)
-            if is_whole and (is_standalone or now < crashing.next_probe_at()):
+            if crashing.refuses(set(parts), now) or (is_whole and is_standalone):
                 return _reject(job_id, crashing)
             if self._probing_job_by_part.get(part, job_id) != job_id:
                 return _reject(job_id, crashing, awaits_probe=not is_whole)
@@ -145,6 +154,8 @@
     # What is known of parts.
 
     def _handle_news(self, news):
+        if not any(observation.kind in CRASH_KINDS for observation in news):
+            return
         crashes = [observation for observation in news if observation.kind == CRASH]
         recalled = recall_starts(
             self._sharing.table,
@@ -157,31 +168,45 @@
         self.review()
 
     def review(self):
-        """Find the parts that end engines, and stop waiting prompts that have one."""
+        """Find what ends endpoints, and stop the requests that wait and are refused."""
         known = self.crashing_by_part
         found = find_crashing_parts(self._sharing.table, self._clock.monotonic())
         self.crashing_by_part = found
         self._sharing.table.protected_subjects = frozenset(found)
         for part in found.keys() - known.keys():
-            self._record("part.refused", _describe(part, found[part]))
+            if is_request_digest(part):
+                self._record(
+                    "request.refused_for_crashes", _describe("digest", part, found)
+                )
+            else:
+                self._record("part.refused", _describe("part", part, found))
         for part in known.keys() - found.keys():
-            self._record("part.served_again", {"part": part})
+            if is_request_digest(part):
+                self._record("request.served_again", {"digest": part})
+            else:
+                self._record("part.served_again", {"part": part})
         if found:
-            self._stop_waiting_prompts()
+            self._stop_waiting_requests()
 
-    def _stop_waiting_prompts(self):
-        for prompt in list(self._waiting):
-            if prompt.is_probe:
+    def _stop_waiting_requests(self):
+        for waiting in list(self._waiting):
+            if waiting.is_probe:
                 continue
-            decision, crashing = self.admit(prompt.parts, prompt.workspace)
+            decision, crashing = self.admit(waiting.parts, waiting.workspace)
             if decision is Admission.REFUSE:
-                prompt.stop(refusal_cause(crashing))
+                waiting.stop(refusal_cause(crashing))
 
 
 def refusal_cause(crashing):
     """Return the cause that a client is told."""
-    parts = ",".join(sorted(crashing.parts))
-    return f"engines end when they answer a prompt with part {parts}"
+    requests = sorted(part for part in crashing.parts if is_request_digest(part))
+    parts = sorted(part for part in crashing.parts if not is_request_digest(part))
+    if not parts:
+        return f"endpoints end when they run {','.join(requests)}"
+    cause = f"engines end when they answer a prompt with part {','.join(parts)}"
+    if requests:
+        cause += f" in {','.join(requests)}"
+    return cause
 
 
 def _reject(job_id, crashing, *, awaits_probe=False):
@@ -193,9 +218,10 @@
     )
 
 
-def _describe(part, crashing):
+def _describe(name, part, crashing_by_part):
+    crashing = crashing_by_part[part]
     return {
-        "part": part,
+        name: part,
         "together_with": ",".join(sorted(crashing.parts - {part})),
         "crashes": crashing.n_crashes,
         "endpoints": ",".join(crashing.sources),
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -12,9 +12,9 @@
     JobSubmit,
 )
 from savoryhill.errors import EndpointError, MalformedMessageError, NotConnectedError
+from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.event_splitter import EventSplitter
 from savoryhill.serving.outgoing_connection import open_connection
-from savoryhill.serving.prompt_check import PromptCheck
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
@@ -47,7 +47,7 @@
         self._history = history
         self._context = request.context
         self._splitter = EventSplitter(last_id=request.metadata.last_event_id)
-        self._check = PromptCheck(request=request)
+        self._check = CrashCheck(request=request)
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
@@ -339,6 +339,7 @@
                 connection_ended=reader.is_close_delimited,
                 endpoint=endpoint.id,
             )
+        self._check.note_answer()
         self._response.finish_stream(reader.head, endpoint)
         return None
 
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -36,8 +36,8 @@
     target: bytes
     headers: list
     body: bytes
-    body_digest: bytes
     keep_alive: bool
+    body_digest: bytes = b""
 
     def header(self, name):
         """Return the first value of a header, or None."""
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -177,7 +177,10 @@
             endpoints_limited=lambda: len(
                 context.endpoint_limits.limiter.limits_by_incarnation
             ),
-            parts_refused=lambda: len(context.crash_guard.crashing_by_part),
+            parts_refused=lambda: context.crash_guard.n_refused(is_request=False),
+            requests_refused_for_crashes=lambda: context.crash_guard.n_refused(
+                is_request=True
+            ),
         )
 
     def start(self, *, client_listener=None):
--- a/tests/core/observations/test_crashes.py
+++ b/tests/core/observations/test_crashes.py
@@ -1,8 +1,12 @@
 """Tests of the decision which parts of prompts end engines."""
 
+from collections import Counter
+from random import Random
+
 import pytest
 
 from savoryhill.core.observations.crashes import (
+    ALIVE,
     CRASH,
     FIRST_PROBE_DELAY_S,
     MAX_PROBE_DELAY_S,
@@ -204,3 +208,90 @@
             )
             assert table.merge([bad], 100.0) == ()
         assert len(table) == 0
+
+
+class TestRandomSchedules:
+    """Endpoints with several requests each, some of which end them."""
+
+    N_ENDPOINTS = 8
+    N_SLOTS = 6
+    STEPS = 1_500
+    STEP_S = 0.05
+
+    def play(self, seed, *, n_deadly, n_common):
+        """Return how often deadly requests ran too late, sound ones were refused."""
+        random = Random(seed)
+        table = ObservationTable(lasting_kinds=(ALIVE,))
+        deadly = [f"request-d{n}" for n in range(n_deadly)]
+        common = [f"request-c{n}" for n in range(n_common)]
+        # Each endpoint: its incarnation, the requests that run, when it is back.
+        incarnations = dict.fromkeys(range(self.N_ENDPOINTS), 0)
+        running = {n: [] for n in range(self.N_ENDPOINTS)}
+        back_at = dict.fromkeys(range(self.N_ENDPOINTS), 0.0)
+        n_crashes_by_request = Counter()
+        n_sound = n_refused = n_late = 0
+        waiting = []
+        for step in range(self.STEPS):
+            now = 100.0 + step * self.STEP_S
+            if random.random() < 0.5:
+                waiting.append(f"request-u{step}")
+            if random.random() < 0.2:
+                waiting.append(random.choice(common))
+            if random.random() < 0.05:
+                waiting.append(random.choice(deadly))
+            known = find_crashing_parts(table, now)
+            arrived, waiting = waiting, []
+            for request in arrived:
+                up = [n for n in running if back_at[n] <= now]
+                up = [n for n in up if len(running[n]) < self.N_SLOTS]
+                decision, _ = admit(known, parts=(request,), workspace="w", now=now)
+                is_deadly = request in deadly
+                n_sound += not is_deadly
+                if decision is Admission.REFUSE:
+                    n_refused += not is_deadly
+                elif up:
+                    is_certain = n_crashes_by_request[request] >= MIN_CRASHES
+                    n_late += is_deadly and is_certain
+                    ends_at = now + random.uniform(0.1, 1.5)
+                    running[random.choice(up)].append((request, now, ends_at))
+            for number, requests in running.items():
+                source = f"e{number}@{incarnations[number]}"
+                ended = [r for r in requests if r[0] in deadly and now - r[1] > 0.05]
+                if ended:
+                    for name, sent_at, _ in requests:
+                        table.merge(
+                            observe_crash(
+                                table,
+                                parts=[name],
+                                source=source,
+                                workspace="w",
+                                sent_at=sent_at,
+                                now=now,
+                            ),
+                            now,
+                        )
+                        waiting.append(name)
+                    n_crashes_by_request.update(r[0] for r in ended)
+                    incarnations[number] += 1
+                    back_at[number] = now + 3.0
+                    requests.clear()
+                    continue
+                for name, sent_at, _ in [r for r in requests if r[2] <= now]:
+                    table.merge(
+                        observe_start(
+                            table, parts=[name], source=source, sent_at=sent_at, now=now
+                        ),
+                        now,
+                    )
+                running[number] = [r for r in requests if r[2] > now]
+            table.expire(now)
+        return n_late, n_refused, n_sound
+
+    @pytest.mark.parametrize("n_deadly", [1, 2, 4])
+    @pytest.mark.parametrize("seed", range(6))
+    def test_both_errors_are_rare(self, seed, n_deadly):
+        # Guards against crashing requests that go on, and against sound ones that are
+        # refused because they ran beside them.
+        n_late, n_refused, n_sound = self.play(seed, n_deadly=n_deadly, n_common=3)
+        assert n_late <= 3 * n_deadly
+        assert n_refused <= 0.01 * n_sound
--- a/tests/core/observations/test_parts.py
+++ b/tests/core/observations/test_parts.py
@@ -6,7 +6,7 @@
     MAX_PARTS,
     digest_parts,
     digest_request,
-    is_request,
+    is_request_digest,
 )
 from savoryhill.serving.http import RequestReader
 
@@ -37,8 +37,8 @@
 
     def test_differs_from_digests_of_parts(self):
         (part,) = digest_parts("pool", ["5c1e"])
-        assert is_request(digest_request(**FIELDS))
-        assert not is_request(part)
+        assert is_request_digest(digest_request(**FIELDS))
+        assert not is_request_digest(part)
 
     @pytest.mark.parametrize("framing", ["length", "chunks"])
     def test_body_has_one_digest_however_it_arrives(self, framing):
--- a/tests/serving/test_log_lines.py
+++ b/tests/serving/test_log_lines.py
@@ -114,3 +114,24 @@
         ]
         assert "request=c0" in report[2]
         assert report[-1].startswith("cause: refused with 503")
+
+    def test_refusal_of_a_request_names_its_crashes_under_other_sends(self):
+        # Guards against a refused caller who is told nothing of the endpoints that
+        # ended under earlier repetitions, at other nodes.
+        digest = "request-804cc1ae4ba280a3"
+        crash = "time=9.{} node=n2 event=crash.observed request=c{} endpoint=e{} parts="
+        refused = "time=9.6 node=n1 event=request.refused_for_crashes digest="
+        lines = (
+            crash.format(1, 1, 1) + f"aa11,{digest}",
+            crash.format(2, 2, 2) + "request-0000000000000000",
+            refused + digest,
+            refused + "request-0000000000000000",
+            "time=10.0 node=n1 event=request.finished request=r1 outcome=refused "
+            f'status=503 cause="endpoints end when they run {digest}"',
+        )
+        report = explain("r1", lines)
+        assert [line.split()[3] for line in report[2:-1]] == [
+            "crash.observed",
+            "request.refused_for_crashes",
+        ]
+        assert "request=c1" in report[2]
