soak: requests that end the endpoints which run them

Change: spans in which endpoints end under one request of one kind, sent by all clients among others; every request has a body of its own. The checks of what ends endpoints stand in a module of their own, one for parts and requests.

--- a/src/savoryhill/soak/clients.py
+++ b/src/savoryhill/soak/clients.py
@@ -16,6 +16,7 @@
 # Probability of one of the initial keys, which may have been revoked since.
 INITIAL_KEY_PROBABILITY = 0.2
 CRASHING_PART_PROBABILITY = 0.15
+CRASHING_BODY_PROBABILITY = 0.4
 MEAN_THINK_TIME_S = 0.15
 # How long a client waits for the response after the request's deadline.
 RESPONSE_GRACE_S = 2.0
@@ -29,6 +30,7 @@
         self._deployment = deployment
         self._random = random
         self._part_random = Random(f"parts/{number}")
+        self._body_random = Random(f"bodies/{number}")
         self._clock = clock
         self._requests = requests
         self._is_undisturbed = is_undisturbed
@@ -99,6 +101,14 @@
             parts.insert(1, f"{crashing_part}:900")
         return ",".join(parts).encode()
 
+    def _choose_body(self, request_id, kind):
+        """Return a body, at times the one under which endpoints end."""
+        crashing_kind, crashing_body = self._deployment.crashing_request
+        is_crashing = self._body_random.random() < CRASHING_BODY_PROBABILITY
+        if is_crashing and kind == crashing_kind:
+            return crashing_body
+        return request_id.encode()
+
     def _exchange(self, request_id, kind, key, remaining_s, disconnects):
         connection = self._connection
         reader = connection.reader = ResponseReader()
@@ -118,7 +128,10 @@
         give_up_at = self._clock.monotonic() + remaining_s + RESPONSE_GRACE_S
         body, disconnected_at = b"", None
         try:
-            connection.send(encode_request(method, path, headers, b""), timeout_s=1.0)
+            request_body = self._choose_body(request_id, kind)
+            connection.send(
+                encode_request(method, path, headers, request_body), timeout_s=1.0
+            )
             if disconnects:
                 gevent.sleep(self._random.uniform(0.0, 0.4))
                 disconnected_at = self._clock.monotonic()
--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -133,7 +133,8 @@
 
     ``placements`` holds service and availability zone of each endpoint, and
     ``draining_indexes`` the indexes of the endpoints that are registered as draining.
-    Engines end when they begin to answer a prompt with the ``crashing_part``, if any.
+    Engines end when they begin to answer a prompt with the ``crashing_part``, if any,
+    and endpoints under the kind and the body of ``crashing_request``.
     """
 
     folder: Path
@@ -148,6 +149,7 @@
     draining_indexes: set = field(default_factory=set)
     version: int = 0
     crashing_part: str | None = None
+    crashing_request: tuple = (None, b"")
     keys: list = field(default_factory=lambda: ["key-0", "key-1", "key-2"])
 
     def start(self):
@@ -196,6 +198,12 @@
             if service == "pool":
                 endpoint.crashing_parts = {part} if part else set()
 
+    def set_crashing_request(self, kind, body):
+        """Set the kind and the body of requests under which endpoints end."""
+        self.crashing_request = kind, body
+        for endpoint in self.endpoints:
+            endpoint.crashing_bodies = {body} if kind else set()
+
     def _add_endpoint(self, name, service, zone):
         index = len(self.endpoints)
         endpoint = EndpointStandIn(
--- a/src/savoryhill/soak/observations.py
+++ b/src/savoryhill/soak/observations.py
@@ -4,7 +4,6 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
-from savoryhill.platform import names
 from savoryhill.serving.reservations import RESERVATION_TTL_S
 
 # Statuses that tell a client that its request was not run.
@@ -22,11 +21,6 @@
 # Bytes without end reach their limit at once; a stalled stream ends when its client
 # would leave.
 ENDLESS_BOUND_S = 1.0
-# Engines that end under a part before all nodes must know it, how soon they must, and
-# how many requests with it may reach engines later.
-CERTAIN_CRASHES = 5
-PART_BOUND_S = 3.0
-MAX_LATER_ARRIVALS = 3
 # What an endpoint may get in any span of this length once it has named a limit: this
 # many times the limit, and some more.
 LIMIT_SPAN_S = 4.0
@@ -338,60 +332,6 @@
     ]
 
 
-def check_crashing_parts(endpoints, parts, *, is_disturbed):
-    """Check that parts under which engines end are soon kept away from engines.
-
-    Parameters
-    ----------
-    endpoints : sequence of EndpointStandIn
-        Endpoints with the requests that reached them.
-    parts : sequence of str
-        Parts of prompts under which engines ended, at some time.
-    is_disturbed : callable
-        Takes the start and the end of a span; at disturbed times nodes may know less.
-
-    Returns
-    -------
-    list of Finding
-        The violations.
-    """
-    findings = []
-    for part in parts:
-        arrivals = [
-            arrival
-            for endpoint in endpoints
-            for arrival in endpoint.arrivals
-            if part in _shared_parts(arrival)
-        ]
-        ids = {arrival.attempt_id for arrival in arrivals}
-        crashed_at = sorted(
-            at
-            for endpoint in endpoints
-            for attempt_id, at in endpoint.crashes
-            if attempt_id in ids
-        )
-        if len(crashed_at) < CERTAIN_CRASHES:
-            continue
-        known_at = crashed_at[CERTAIN_CRASHES - 1] + PART_BOUND_S
-        later = [
-            arrival
-            for arrival in arrivals
-            if arrival.at > known_at
-            and not is_disturbed(arrival.at - PART_BOUND_S, arrival.at)
-        ]
-        if len(later) > MAX_LATER_ARRIVALS:
-            detail = f"{len(later)} with {part}, {len(crashed_at)} engines ended"
-            findings.append(
-                Finding(invariant="crashing parts reach no engine", detail=detail)
-            )
-    return findings
-
-
-def _shared_parts(arrival):
-    parts = dict(arrival.headers).get(names.PROMPT_PARTS, b"").decode("latin-1")
-    return [part.partition(":")[0] for part in parts.split(",")[:-1]]
-
-
 def check_named_limits(limit_spans, *, is_disturbed):
     """Check what endpoints get while they name a limit of requests a second.
 
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -27,6 +27,9 @@
 # Spans in which engines end under a part of prompts, drawn apart as well.
 MEAN_CRASHING_PART_INTERVAL_S = 9.0
 CRASHING_PART_LENGTH_S = 5.0
+# Spans in which endpoints end under one request.
+MEAN_CRASHING_REQUEST_INTERVAL_S = 3.0
+CRASHING_REQUEST_LENGTH_S = 8.0
 # Spans in which an endpoint names a limit of requests a second.
 MEAN_NAMED_LIMIT_INTERVAL_S = 3.0
 NAMED_LIMIT_LENGTH_S = 9.0
@@ -84,6 +87,13 @@
             mean_interval_s=MEAN_CRASHING_PART_INTERVAL_S,
             span_s=CRASHING_PART_LENGTH_S,
         ),
+        *_plan_spans(
+            "crashing_request",
+            Random(f"requests/{seed}"),
+            until=length_s - FINAL_QUIET_S,
+            mean_interval_s=MEAN_CRASHING_REQUEST_INTERVAL_S,
+            span_s=CRASHING_REQUEST_LENGTH_S,
+        ),
         *_plan_spans(
             "restoration",
             Random(f"restorations/{seed}"),
--- a/src/savoryhill/soak/result.py
+++ b/src/savoryhill/soak/result.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from savoryhill.soak import crash_checks
 from savoryhill.soak import observations as checks
 from savoryhill.soak.deployment import EVENTS_PER_STREAM
 
@@ -101,9 +102,12 @@
             [item for endpoint in endpoints for item in endpoint.endless],
             is_disturbed=is_disturbed,
         ),
-        *checks.check_crashing_parts(
+        *crash_checks.check_crashing_parts(
             endpoints, soak.crashing_parts, is_disturbed=is_disturbed
         ),
+        *crash_checks.check_crashing_requests(
+            endpoints, soak.crashing_bodies, is_disturbed=is_disturbed
+        ),
         *checks.check_named_limits(soak.limit_spans, is_disturbed=is_disturbed),
         *_check_released_reservations(soak),
         *_check_recovery_after_faults(soak, ends_at),
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -28,6 +28,7 @@
 # written.
 N_LOST_VERSIONS = 20
 LOST_VERSIONS_SPAN_S = 0.5
+CRASHING_KINDS = ("chat", "order", "once", "stock")
 NAMED_LIMITS_PER_S = (0.5, 1.0, 3.0)
 STORE_FAULT_MODES = {
     "store_silent": "silent",
@@ -56,6 +57,7 @@
     drain_spans: list = field(default_factory=list)
     evacuation_spans: list = field(default_factory=list)
     crashing_parts: list = field(default_factory=list)
+    crashing_bodies: list = field(default_factory=list)
     limit_spans: list = field(default_factory=list)
     evacuation_keys: set = field(default_factory=set)
     store_copies: deque = field(default_factory=lambda: deque(maxlen=MAX_COPIES))
@@ -272,6 +274,14 @@
         gevent.sleep(fault.length_s)
         deployment.set_crashing_part(None)
 
+    def _crashing_request(self, fault):
+        kind = CRASHING_KINDS[fault.target % len(CRASHING_KINDS)]
+        body = b"dead%d" % len(self.crashing_bodies)
+        self.crashing_bodies.append(body)
+        self.deployment.set_crashing_request(kind, body)
+        gevent.sleep(fault.length_s)
+        self.deployment.set_crashing_request(None, b"")
+
     def _named_limit(self, fault):
         endpoints = self.deployment.endpoints
         endpoint = endpoints[fault.target % len(endpoints)]
--- a/tests/soak/test_observations.py
+++ b/tests/soak/test_observations.py
@@ -6,6 +6,7 @@
 
 from savoryhill.clock import system_clock
 from savoryhill.serving.http import Request
+from savoryhill.soak import crash_checks
 from savoryhill.soak import observations as checks
 from savoryhill.soak.plan import make_plan
 from savoryhill.standins.serving.endpoint import Arrival, EndpointStandIn
@@ -186,20 +187,24 @@
                 Arrival(
                     attempt_id=f"r{n}",
                     headers=((b"x-prompt-prefix", b"aa:40,dead:900,1:60"),),
-                    body=b"",
+                    body=b"deadly",
                     at=at,
                     was_run=True,
                 )
             )
             engine.crashes.append((f"r{n}", at))
-        findings = checks.check_crashing_parts(
+        findings = crash_checks.check_crashing_parts(
             [engine], ["dead"], is_disturbed=lambda start, end: disturbed
         )
         assert bool(findings) == found
+        findings = crash_checks.check_crashing_requests(
+            [engine], [b"deadly", b"other"], is_disturbed=lambda start, end: disturbed
+        )
+        assert len(findings) == found
 
     def test_plan_has_spans_with_a_crashing_part(self):
         kinds = [fault.kind for fault in make_plan(1, length_s=36.0)]
-        assert "crashing_part" in kinds
+        assert {"crashing_part", "crashing_request", "restoration"} <= set(kinds)
 
 
 class TestNamedLimits:
