serving: a call that waits for its turn is not sent to an endpoint that leaves

What endpoints saw: one that had begun to leave got a call 3 s later, from a node that knew (DRAIN). Cause: a call to an endpoint that has named a limit waits for its turn, and was sent to the endpoint as it was chosen before the wait. Class of the fault: a decision whose grounds are not looked at again after a wait. Evidence: c18-116 sent at revision 78 of the row, 3 s after revision 99 said draining. Change: after the wait the endpoint is looked at again, and another one is chosen if it leaves, has left or was started again. Measured: the new test failed before (two calls more at the leaving endpoint) and passes; tests of named limits, exchange, crashing requests and endless endpoints pass.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -54,7 +54,35 @@
                 return
 
     def _choose_endpoint(self):
-        """Choose an endpoint, and wait for a turn if it has named a limit.
+        """Choose an endpoint, and wait for its turn if it has named a limit.
+
+        An endpoint that has begun to leave, or has left, by the end of the wait is not
+        sent the request; another one is chosen.
+
+        Returns
+        -------
+        tuple of (Endpoint or None, float)
+            The endpoint, or when the client may come back, in seconds.
+        """
+        while True:
+            endpoint, turn_wait_s = self._choose_turn()
+            if endpoint is None or turn_wait_s <= 0.0:
+                return endpoint, turn_wait_s
+            self._context.clock.sleep(turn_wait_s)
+            if self._is_still_usable(endpoint):
+                return endpoint, 0.0
+
+    def _is_still_usable(self, endpoint):
+        view = self._context.cluster_view
+        present = view.endpoints_by_id.get(endpoint.id)
+        return (
+            present is not None
+            and present.incarnation == endpoint.incarnation
+            and view.is_usable(present)
+        )
+
+    def _choose_turn(self):
+        """Choose an endpoint and, if it has named a limit, a turn at it.
 
         Load pattern: some of a few endpoints ask for less than they get. Those without
         a limit take what the others don't; if all have one, the request waits for the
@@ -63,7 +91,8 @@
         Returns
         -------
         tuple of (Endpoint or None, float)
-            The endpoint, or when the client may come back, in seconds.
+            The endpoint and the seconds until its turn; without an endpoint, when the
+            client may come back, in seconds.
         """
         request, context = self._request, self._context
         limiter = context.endpoint_limits.limiter
@@ -78,7 +107,7 @@
             limited.append(endpoint)
             avoided_ids.add(endpoint.id)
         if not limited:
-            return endpoint, RETRY_AFTER_S
+            return endpoint, 0.0 if endpoint is not None else RETRY_AFTER_S
         max_wait_s = request.time_left_s() - request.route.target_latency_s
         turn = context.turns.take(
             [endpoint.incarnation for endpoint in limited],
@@ -86,9 +115,8 @@
         )
         for limited_endpoint in limited:
             if limited_endpoint.incarnation == turn.endpoint:
-                context.clock.sleep(turn.wait_s)
-                return limited_endpoint, 0.0
-        return endpoint, turn.wait_s
+                return limited_endpoint, turn.wait_s
+        return endpoint, 0.0 if endpoint is not None else turn.wait_s
 
     def _response_times_out_at(self, started_at):
         """Return when to stop waiting for an endpoint's response."""
--- a/tests/serving/test_named_limits.py
+++ b/tests/serving/test_named_limits.py
@@ -147,3 +147,28 @@
         limiter = follower.context.endpoint_limits.limiter
         limiter.set_limits({"app-1@1": 2.0})
         assert limiter.rate_per_s("app-1@1") == 1.0
+
+
+class TestLeavingEndpoint:
+    def test_call_that_waits_for_a_turn_is_not_sent_to_an_endpoint_that_leaves(
+        self, deployment
+    ):
+        # Guards against an endpoint that gets a request seconds after the node knew
+        # that it leaves, because it was chosen before.
+        leaving = deployment.add_endpoint("app-1", service="app", named_limit="0.6")
+        node = deployment.add_node()
+        deployment.ask("/stock/x", method=b"GET")
+        wait_until_limited(deployment)
+        calls = [
+            gevent.spawn(deployment.ask, "/stock/x", method=b"GET") for _ in range(3)
+        ]
+        gevent.sleep(0.1)
+        n_arrivals = len(leaving.arrivals)
+        deployment.add_endpoint("app-2", service="app")
+        deployment.register("app-1", service="app", state="draining")
+        view = node.context.cluster_view
+        deployment.wait_until(lambda: view.endpoints_by_id["app-1"].is_draining)
+        gevent.joinall(calls)
+        assert len(leaving.arrivals) == n_arrivals
+        waited = [call.get()[2] for call in calls if call.get()[0] == 200]
+        assert b"done by app-2" in waited
