tests: more nodes in one run than the last byte of an address can number

The tests of serving number their nodes through one run, and the cases of the faulty answers brought the count over 254. Change: the number is added to the network's first address.

--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -3,6 +3,7 @@
 import json
 import os
 from dataclasses import dataclass, field
+from ipaddress import IPv4Address
 from itertools import count
 
 import gevent
@@ -19,8 +20,9 @@
 from savoryhill.standins.serving.store import MetadataStore, start_store
 
 # Each test process uses its own loopback network, so that parallel test runs on one
-# machine do not use the same addresses.
-_NETWORK = 20 + os.getpid() % 200
+# machine do not use the same addresses. One run starts more nodes than the last byte
+# of an address can number.
+_FIRST_HOST = IPv4Address(f"127.{20 + os.getpid() % 200}.1.0")
 _HOST_NUMBERS = count(2)
 ENGINE_FIGURES = {**ENGINE, "slots": 4, "pairs_per_m": 0.162}
 
@@ -126,7 +128,7 @@
 
     def add_node(self, *, store_address=None):
         """Start a node and wait until it is ready."""
-        host = f"127.{_NETWORK}.1.{next(_HOST_NUMBERS)}"
+        host = str(_FIRST_HOST + next(_HOST_NUMBERS))
         settings = ServingSettings(
             node=f"node-{host}",
             zone="zone-a",
