serving: what outranks the store's copy reaches nodes that were linked before

A node tells what it retains on a new link only. A node that was linked before its leader noticed the restoration, or one whose leader knows only the copy while another follower ran before, is told nothing and serves the copy until its writers have written again. Cause: the news ended at the node that received it, and what was retained later than the greeting was told to nobody. A removed row that is known as removed is no news, else two nodes would send it to each other for ever.

--- a/src/savoryhill/serving/cluster_view.py
+++ b/src/savoryhill/serving/cluster_view.py
@@ -42,7 +42,8 @@
     whose rows expired during an outage to the time until which they are still used.
     ``retained_by_key`` holds what stays in force although the store, which came back
     from a copy, says otherwise. ``record(event, fields)`` logs changes of the view; the
-    functions in ``on_change`` are called after each update.
+    functions in ``on_change`` are called after each update, those in ``on_retained``
+    with the keys of the rows that it has made the view retain.
     """
 
     clock: object
@@ -61,8 +62,10 @@
     history: RowHistory = field(default_factory=RowHistory)
     retained_by_key: dict[str, RetainedRow] = field(default_factory=dict)
     on_change: list = field(default_factory=list)
+    on_retained: list = field(default_factory=list)
 
     def __post_init__(self):
+        self._newly_retained = []
         self._withdrawn = WithdrawnRows(clock=self.clock)
 
     @property
@@ -216,9 +219,11 @@
 
     def _is_news(self, row, present):
         """Tell whether a row that another node retains is news."""
-        if present is not None:
-            return outranks(row, present)
-        return not row.is_deleted and classify_key(row.key)[0] != "endpoint"
+        if present is None:
+            return not row.is_deleted and classify_key(row.key)[0] != "endpoint"
+        if row.is_deleted and present.is_deleted:
+            return row.position > present.position
+        return outranks(row, present)
 
     def _known_row(self, key):
         """Return the row of a key that is in force, a removed one as deleted."""
@@ -229,6 +234,7 @@
     def _retain(self, known):
         until = retained_until(known, self.era_began_at)
         self.retained_by_key[known.key] = RetainedRow(row=known, until=until)
+        self._newly_retained.append(known.key)
         self.record(
             "store.row_retained",
             {
@@ -285,9 +291,13 @@
             self.notify()
 
     def notify(self):
-        """Call the functions in ``on_change``."""
+        """Call the functions in ``on_change`` and, if need be, in ``on_retained``."""
         for listener in self.on_change:
             listener()
+        retained_keys, self._newly_retained = self._newly_retained, []
+        if retained_keys:
+            for listener in self.on_retained:
+                listener(retained_keys)
 
     def remove_lapsed_endpoints(self):
         """Remove endpoints that have not registered again after an outage."""
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import replace
+from functools import partial
 
 import gevent
 from gevent.event import AsyncResult
@@ -33,8 +34,8 @@
 from savoryhill.errors import NotConnectedError, PeerError
 from savoryhill.serving.leadership import LeaderChoice
 from savoryhill.serving.links import Link, encode_frame, open_link
+from savoryhill.serving.retention_sharing import RetentionSharing
 from savoryhill.serving.store_updates import (
-    build_retained_rows,
     build_store_update,
     missing_changes,
     read_rows,
@@ -92,6 +93,15 @@
         sharing.send_to_followers = self._forward_observations
         self._turns = turns
         turns.send_to_leader = self._send_to_leader
+        self._retention_sharing = RetentionSharing(
+            cluster_view=cluster_view,
+            send_to_followers=partial(
+                self._send_to_followers, min_protocol=RETAINING_PROTOCOL
+            ),
+            send_to_leader=partial(
+                self._send_to_leader, min_protocol=RETAINING_PROTOCOL
+            ),
+        )
         self._record = record
         self.leader_choice = LeaderChoice(
             clock=clock, cluster_view=cluster_view, record=record
@@ -245,6 +255,7 @@
         heartbeats = gevent.spawn(self._send_heartbeats_to_leader, link)
         self._scheduling.cancel_jobs(self._jobs_by_id)
         self._link = link
+        self._retention_sharing.forget_leader()
         self._leader_contact_age_s = 0.0
         self._resubmit_jobs()
         try:
@@ -275,7 +286,7 @@
             self._note_protocol(self._link, message.protocol)
             self._handle_leader_heartbeat(message)
         elif isinstance(message, RetainedRows):
-            self._merge_retained(message)
+            self._retention_sharing.receive(message, is_from_leader=True)
         elif isinstance(message, SharedObservations):
             self._sharing.receive(message, self._link)
         elif isinstance(message, TurnReply):
@@ -314,9 +325,6 @@
             # would otherwise send the same update back and forth forever.
             self._send_to_followers(update)
 
-    def _merge_retained(self, message):
-        self._cluster_view.merge_retained(read_rows(message), age_s=message.age_s)
-
     def _hello(self):
         return NodeHello(
             node=self._node,
@@ -360,7 +368,7 @@
                 elif isinstance(message, StoreUpdate):
                     self._apply_update(link, message)
                 elif isinstance(message, RetainedRows):
-                    self._merge_retained(message)
+                    self._retention_sharing.receive(message, is_from_leader=False)
                 elif isinstance(message, SharedObservations):
                     self._sharing.receive(message, link)
                 elif isinstance(message, TurnRequest):
@@ -428,9 +436,9 @@
         for link in links:
             link.send_frame(frame)
 
-    def _send_to_leader(self, message):
+    def _send_to_leader(self, message, *, min_protocol=SHARING_PROTOCOL):
         """Send a message to the leader; return False if none understands it."""
-        if self._link is None or self._link.peer_protocol < SHARING_PROTOCOL:
+        if self._link is None or self._link.peer_protocol < min_protocol:
             return False
         self._link.send(message)
         return True
@@ -442,14 +450,15 @@
         and what they retain against the store's copy, as either may lack some.
         """
         before, link.peer_protocol = link.peer_protocol, protocol
-        messages = []
         if before < SHARING_PROTOCOL <= protocol:
-            messages.append(self._sharing.snapshot())
+            observations = self._sharing.snapshot()
+            if observations is not None:
+                link.send(observations)
         if before < RETAINING_PROTOCOL <= protocol:
-            messages.append(build_retained_rows(self._cluster_view))
-        for message in messages:
-            if message is not None:
-                link.send(message)
+            if link is self._link:
+                self._retention_sharing.report_to_leader()
+            else:
+                self._retention_sharing.greet_follower(link)
 
     def _send_observations(self, message, except_link):
         """Send observations to the leader, unless they are from there.
--- a/src/savoryhill/serving/store_updates.py
+++ b/src/savoryhill/serving/store_updates.py
@@ -73,11 +73,21 @@
     )
 
 
-def build_retained_rows(cluster_view):
-    """Return a message with what the view retains, or None if it retains nothing."""
-    if not cluster_view.retained_by_key:
+def build_retained_rows(cluster_view, keys=None):
+    """Return a message with what the view retains, or None if it retains nothing.
+
+    Parameters
+    ----------
+    cluster_view : ClusterView
+        The view of the sending node.
+    keys : iterable of str or None
+        The rows to name, if they are still retained; None for all.
+    """
+    kept_by_key = cluster_view.retained_by_key
+    keys = kept_by_key if keys is None else [key for key in keys if key in kept_by_key]
+    if not keys:
         return None
     return RetainedRows(
         age_s=cluster_view.clock.monotonic() - cluster_view.era_began_at,
-        rows=_to_items(kept.row for kept in cluster_view.retained_by_key.values()),
+        rows=_to_items(kept_by_key[key].row for key in keys),
     )
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -18,13 +18,16 @@
     NodeAside,
     NodeBeat,
     NodeHello,
+    RetainedRows,
     StoreItem,
     StoreUpdate,
 )
+from savoryhill.platform.store import StoreRow
 from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.dispatch import STEP_DOWN_DELAY_S, Dispatcher
 from savoryhill.serving.shared_observations import ObservationSharing
 from savoryhill.serving.store_position import StorePosition
+from savoryhill.serving.store_updates import read_rows
 from savoryhill.serving.turns import Turns
 
 CRASH_ITEM = ObservationItem(
@@ -246,6 +249,93 @@
         )
 
 
+class TestRetainedRows:
+    """A node that links to others while the store comes back from a copy."""
+
+    ROW = StoreItem(
+        key="op/evacuate/zone-a", value=b"{}", revision=7, is_deleted=False, era=1
+    )
+
+    @pytest.fixture(autouse=True)
+    def without_timers(self, monkeypatch):
+        monkeypatch.setattr(
+            "savoryhill.serving.retention_sharing.gevent.spawn_later",
+            lambda *_: True,
+        )
+
+    @pytest.fixture
+    def restored_view(self, cluster_view):
+        """A view that retains an evacuation against the copy."""
+        cluster_view.apply(read_rows(RetainedRows(age_s=0.0, rows=(self.ROW,))), 7)
+        cluster_view.era, cluster_view.revision = 1, 7
+        return cluster_view
+
+    @pytest.fixture
+    def follower(self, dispatcher):
+        link = RecordingLink(peer_protocol=PROTOCOL)
+        dispatcher._follower_links.add(link)
+        return link
+
+    def test_node_linked_before_the_restoration_was_noticed_is_told(
+        self, dispatcher, follower, restored_view
+    ):
+        # Guards against a node that knows only the copy and serves it, because its
+        # leader has begun to retain rows after it was greeted.
+        restored_view.apply([], 6, is_complete=True, era=2)
+        assert restored_view.evacuated_zones == {"zone-a"}
+        assert len(follower.frames) == 1
+
+    def test_leader_that_knows_only_the_copy_passes_on_what_it_is_told(
+        self, dispatcher, cluster_view, follower
+    ):
+        # Guards against news that end at a leader which has just started.
+        cluster_view.apply([], 6, is_complete=True, era=2)
+        for _ in range(3):
+            dispatcher._retention_sharing.receive(
+                RetainedRows(age_s=1.0, rows=(self.ROW,)), is_from_leader=False
+            )
+        assert cluster_view.evacuated_zones == {"zone-a"}
+        assert len(follower.frames) == 1
+
+    def test_removed_row_is_passed_on_once(self, dispatcher, cluster_view, follower):
+        # Guards against removals that two nodes send each other for ever.
+        removed = replace(self.ROW, is_deleted=True)
+        cluster_view.apply(
+            [StoreRow(key=self.ROW.key, value=b"{}", revision=7)],
+            7,
+            is_complete=True,
+            era=2,
+        )
+        for _ in range(3):
+            dispatcher._retention_sharing.receive(
+                RetainedRows(age_s=1.0, rows=(removed,)), is_from_leader=False
+            )
+        assert cluster_view.evacuated_zones == set()
+        assert len(follower.frames) == 1
+
+    def test_follower_tells_a_leader_that_has_not_named_the_row(
+        self, dispatcher, restored_view
+    ):
+        dispatcher._link = RecordingLink(peer_protocol=PROTOCOL)
+        restored_view.apply([], 6, is_complete=True, era=2)
+        for _ in range(2):
+            dispatcher._retention_sharing.report_to_leader()
+        ((message,),) = [dispatcher._link.messages_of(RetainedRows)]
+        assert [item.key for item in message.rows] == [self.ROW.key]
+
+    def test_followers_of_a_leader_that_named_the_row_tell_it_nothing(
+        self, dispatcher, restored_view
+    ):
+        # Guards against a message from each of hundreds of followers.
+        dispatcher._link = RecordingLink(peer_protocol=PROTOCOL)
+        restored_view.apply([], 6, is_complete=True, era=2)
+        dispatcher._retention_sharing.receive(
+            RetainedRows(age_s=0.0, rows=(self.ROW,)), is_from_leader=True
+        )
+        dispatcher._retention_sharing.report_to_leader()
+        assert dispatcher._link.sent == []
+
+
 class TestTurns:
     def make_turns(self, clock, **limits):
         limiter = unlimited()
