serving: a node that starts awaits the word of others before it serves

Seen: a node that starts while the store has come back from a copy was ready with the copy's configuration and learned the later version only once it was linked: test_does_not_serve_what_only_the_copy_says failed with version 1, though a node that ran before had 4 in force. Cause: knowing any configuration was taken for being ready. Change: a node that finds others registered is ready after the first word of its leader, or 0.3 s after it has read the store if none answers; a leader answers a greeting with a heartbeat at once. Requests that arrive meanwhile wait, as they did for the first configuration.

--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import gevent
 from gevent.event import Event
 
 from savoryhill.observability.metrics import observe
@@ -18,6 +19,8 @@
 LATE_CALL_FACTOR = 2.0
 # If the store is available, a starting node reads it in a fraction of this time.
 CONFIGURATION_WAIT_S = 0.5
+# A starting node that knows of others serves after this time without their word.
+GREETING_WAIT_S = 0.3
 
 
 @dataclass(kw_only=True)
@@ -49,16 +52,35 @@
     n_reading: int = 0
     n_running: int = 0
     n_started: int = 0
+    _awaits_greeting: bool = field(default=False, init=False)
+    _was_greeted: bool = field(default=False, init=False)
 
     def on_cluster_view_change(self):
-        """Wake requests that wait for the first configuration, once it is known."""
+        """Wake requests that wait for the first configuration, once it is known.
+
+        Load pattern: a node starts just after the store has come back from an older
+        copy. Others know what outranks the copy, so their word is awaited.
+        """
+        if self.cluster_view.configuration is None or self._awaits_greeting:
+            return
+        if self._was_greeted or not self._knows_other_nodes():
+            self.is_configured.set()
+            return
+        self._awaits_greeting = True
+        gevent.spawn_later(GREETING_WAIT_S, self.is_configured.set)
+
+    def on_greeting(self):
+        """Note that another node has told what it knows."""
+        self._was_greeted = True
         if self.cluster_view.configuration is not None:
             self.is_configured.set()
 
+    def _knows_other_nodes(self):
+        return bool(self.cluster_view.nodes_by_name.keys() - {self.settings.node})
+
     def await_configuration(self):
         """Wait a short time for the first configuration after a start."""
-        if self.cluster_view.configuration is None:
-            self.is_configured.wait(timeout=CONFIGURATION_WAIT_S)
+        self.is_configured.wait(timeout=CONFIGURATION_WAIT_S)
 
     def is_draining(self):
         """Tell whether the node is shutting down."""
@@ -84,7 +106,11 @@
 
     def is_ready(self):
         """Tell whether the node accepts new connections."""
-        return not self.is_draining() and self.cluster_view.configuration is not None
+        return (
+            not self.is_draining()
+            and self.is_configured.is_set()
+            and self.cluster_view.configuration is not None
+        )
 
     def choose_target(self, targets):
         """Choose the name of a service at random by weight."""
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -78,7 +78,10 @@
 
 
 class Dispatcher:
-    """The jobs of this node and its links to the leader and to followers."""
+    """The jobs of this node and its links to the leader and to followers.
+
+    The functions in ``on_greeting`` are called once a leader has told what it knows.
+    """
 
     def __init__(
         self, *, node, address, clock, cluster_view, scheduling, sharing, turns, record
@@ -103,6 +106,7 @@
             ),
         )
         self._record = record
+        self.on_greeting = []
         self.leader_choice = LeaderChoice(
             clock=clock, cluster_view=cluster_view, record=record
         )
@@ -335,6 +339,8 @@
 
     def _handle_leader_heartbeat(self, heartbeat):
         self._leader_contact_age_s = heartbeat.contact_age_s
+        for listener in self.on_greeting:
+            listener()
         # A heartbeat with a position that has not arrived here yet does not confirm
         # that this node is up to date.
         if self._position_of(heartbeat) <= self._cluster_view.position:
@@ -360,6 +366,7 @@
                     self._send_missing_changes(link, message)
                     self._note_protocol(link, message.protocol)
                     self._follower_links.add(link)
+                    link.send(self._heartbeat())
                 elif isinstance(message, JobSubmit):
                     job_ids.add(message.job_id)
                     self._scheduling.submit(message, deliver)
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -156,6 +156,7 @@
             log=log,
         )
         cluster_view.on_change.append(self.context.on_cluster_view_change)
+        dispatcher.on_greeting.append(self.context.on_greeting)
         self._set_gauges(metrics, scheduling)
 
     def _set_gauges(self, metrics, scheduling):
--- a/tests/serving/test_restored_store.py
+++ b/tests/serving/test_restored_store.py
@@ -79,3 +79,27 @@
         deployment.wait_until(
             lambda: names <= set(deployment.store.rows_by_key), limit_s=6.0
         )
+
+
+class TestNodeThatStartsAfterARestoration:
+    def test_does_not_serve_what_only_the_copy_says(self, deployment):
+        # Guards against a node that is ready with the configuration of the copy while
+        # another one, which ran before, knows a later version.
+        deployment.add_endpoint("e", service="app")
+        view = deployment.add_node().context.cluster_view
+        copy = deployment.store.copy()
+        deployment.configure(version=4, routes=new_routes())
+        deployment.wait_until(lambda: view.configuration.version == 4)
+        restore(deployment, copy)
+        deployment.wait_until(lambda: view.era == 2)
+        started = deployment.add_node()
+        assert started.context.cluster_view.configuration.version == 4
+        assert deployment.ask("/lager/1", node=1, method=b"GET")[0] == 200
+
+    def test_serves_soon_if_no_other_node_answers(self, deployment):
+        # Guards against a node that waits for ever for others whose registrations
+        # have come back with the copy.
+        value = b'{"address":"127.0.0.1:9","zone":"zone-a","capacity":9.0}'
+        deployment.store.put("nodes/lost", value)
+        started = deployment.add_node()
+        assert started.context.cluster_view.configuration.version == 1
