serving: what is refused for crashes outlasts a restart of all nodes

Cause: what is refused was known to the memory of the nodes only. Change: the leader writes the crashes behind each refusal to one row of the store, when they change and at most once a second. Nodes merge the row into their observations when they read the store. Times are those of the wall clock, as nothing else outlasts a process; one that is ahead counts as the present. A row that a copy of the store lacks is written again. A store that is away while the nodes start leaves them without the record.

--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -7,12 +7,15 @@
 import json
 import math
 
+from savoryhill.core.observations.crashes import CRASH
+from savoryhill.core.observations.table import Observation
 from savoryhill.core.scheduling.engine_profile import EngineProfile
 from savoryhill.platform.names import (
     CONFIGURATION_KEY,
     ENDPOINT_PREFIX,
     EVACUATION_PREFIX,
     NODE_PREFIX,
+    REFUSALS_KEY,
 )
 from savoryhill.serving.model import (
     IDEMPOTENT,
@@ -35,6 +38,8 @@
 SECONDS_PER_MS = 0.001
 # Unit of ``pairs_per_m``, the prefill cost in milliseconds per million token pairs.
 _SECONDS_PER_PAIR_UNIT = 0.001 / 1e6
+# Fits the integers of messages between nodes.
+MAX_OBSERVATION_VERSION = 2**31
 
 
 def _decode_object(value):
@@ -212,18 +217,86 @@
     return NODE_PREFIX + name
 
 
+def encode_refusals(crashes, *, now, wall_now):
+    """Encode the row of the crashes because of which something is refused.
+
+    Parameters
+    ----------
+    crashes : iterable of Observation
+        Observations of the node that writes the row.
+    now, wall_now : float
+        The present time on the clock of the observations and in seconds since 1970.
+        Other nodes, and this one after a restart, have the latter in common only.
+    """
+    items = [
+        {
+            "subject": crash.subject,
+            "source": crash.source,
+            "version": crash.version,
+            "observedAt": crash.observed_at - now + wall_now,
+            "value": crash.value,
+            "workspace": crash.workspace,
+        }
+        for crash in crashes
+    ]
+    return json.dumps({"crashes": items}).encode()
+
+
+def decode_refusals(value, *, now, wall_now):
+    """Decode the row of crashes; what cannot be read is left out.
+
+    The parameters are those of `encode_refusals`. A crash of the future, which clocks
+    that differ bring about, counts as one of the present.
+
+    Returns
+    -------
+    list of Observation
+    """
+    items = (_decode_object(value) or {}).get("crashes")
+    if not isinstance(items, list):
+        return []
+    crashes = (_decode_crash(item, now, wall_now) for item in items)
+    return [crash for crash in crashes if crash is not None]
+
+
+def _decode_crash(item, now, wall_now):
+    if not isinstance(item, dict):
+        return None
+    texts = [item.get(name) for name in ("subject", "source", "workspace")]
+    numbers = [item.get(name) for name in ("version", "observedAt", "value")]
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    if not all(_is_number(number) for number in numbers):
+        return None
+    subject, source, workspace = texts
+    version, observed_at, crash_value = numbers
+    if not 0 < version <= MAX_OBSERVATION_VERSION:
+        return None
+    return Observation(
+        kind=CRASH,
+        subject=subject,
+        source=source,
+        version=int(version),
+        observed_at=now - max(0.0, wall_now - observed_at),
+        value=float(crash_value),
+        workspace=workspace,
+    )
+
+
 def classify_key(key):
     """Return the subject of the row under ``key``, and the name of that subject.
 
     Returns
     -------
     tuple of (str, str)
-        The subject is ``configuration``, ``evacuation``, ``endpoint`` or ``node``, and
-        the name is the key without its prefix. For all other rows the subject is
-        ``other`` and the name is the whole key.
+        The subject is ``configuration``, ``refusals``, ``evacuation``, ``endpoint`` or
+        ``node``, and the name is the key without its prefix. For all other rows the
+        subject is ``other`` and the name is the whole key.
     """
     if key == CONFIGURATION_KEY:
         return "configuration", ""
+    if key == REFUSALS_KEY:
+        return "refusals", ""
     for prefix, subject in (
         (EVACUATION_PREFIX, "evacuation"),
         (ENDPOINT_PREFIX, "endpoint"),
--- a/src/savoryhill/platform/names.py
+++ b/src/savoryhill/platform/names.py
@@ -27,6 +27,8 @@
 EVACUATION_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
 NODE_PREFIX = "nodes/"
+# The crashes because of which requests and parts of prompts are refused.
+REFUSALS_KEY = "refusals"
 
 # Counts how often the store has come back from an older copy of itself.
 STORE_ERA = b"store-era"
--- a/src/savoryhill/serving/cluster_view.py
+++ b/src/savoryhill/serving/cluster_view.py
@@ -200,6 +200,11 @@
             self._remove_row(key, is_restored)
             self.history.keep_removal(key, position)
 
+    def stored_value(self, key):
+        """Return the value that the store has under a key, or None."""
+        row = self.history.rows_by_key.get(key)
+        return None if row is None else row.value
+
     def rows_after(self, position):
         """Return the changes after a position, or None if some are no longer kept."""
         return self.history.rows_after(position)
@@ -342,7 +347,7 @@
             self.record("zone.evacuated", {"zone": name, "revision": row.revision})
         elif subject == "endpoint":
             self._apply_endpoint(name, row)
-        else:
+        elif subject == "node":
             node = decode_node(row)
             if node is not None:
                 self.nodes_by_name[name] = node
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -28,6 +28,7 @@
 from savoryhill.serving.http import RequestReader, encode_head
 from savoryhill.serving.log_lines import LogWriter
 from savoryhill.serving.outgoing_connection import split_address
+from savoryhill.serving.refusal_record import RefusalRecord
 from savoryhill.serving.registration import keep_registered
 from savoryhill.serving.repeats import RepeatBudgets
 from savoryhill.serving.scheduling import Scheduling
@@ -138,6 +139,15 @@
             random=random,
             clock=clock,
         )
+        self._refusal_record = RefusalRecord(
+            store=store,
+            clock=clock,
+            cluster_view=cluster_view,
+            sharing=sharing,
+            crash_guard=crash_guard,
+            is_leader=dispatcher.is_leader,
+            record=record,
+        )
         self._store = store
         self._sharing = sharing
         self._dispatcher = dispatcher
@@ -210,6 +220,7 @@
             self._dispatcher.send_heartbeats_to_followers,
             self._keep_registered,
             self._sharing.review_periodically,
+            self._refusal_record.run,
         ):
             self._greenlets.append(gevent.spawn(background_task))
         self._record("node.started", {"node": settings.node, "zone": settings.zone})
