observations: what was sound is refused once it ends endpoints again and again

Cause: what had been answered within 20 s was not at fault at all. The rule protects requests that ran beside others when engines end for another reason; it protected the one at fault as well, and its crashes were then somebody else's. Change: six crashes in succession, in place of three, speak against what was answered lately.

--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -31,8 +31,10 @@
 
 # Crashes in succession. Fewer may be chance while engines end for other reasons.
 MIN_CRASHES = 3
-# A part that was in a request which started this recently is not at fault. Otherwise
-# engines that all end for another reason would speak against the parts of most prompts.
+# More of them speak against a part that was in a request which started this recently:
+# engines that all end for another reason end under the parts of most prompts, but one
+# that was sound may also have begun to end engines.
+MIN_CRASHES_OF_SOUND = 6
 SOUND_S = 20.0
 FIRST_PROBE_DELAY_S = 30.0
 PROBE_DELAY_FACTOR = 2
@@ -188,6 +190,11 @@
     return any(o is not None and now - o.observed_at <= SOUND_S for o in starts)
 
 
+def _min_crashes(table, part, now):
+    """Return how many successive crashes show that a part ends engines."""
+    return MIN_CRASHES_OF_SOUND if _was_sound(table, part, now) else MIN_CRASHES
+
+
 def _settle(kind, subject, source, crashes, now):
     return Observation(
         kind=kind,
@@ -251,7 +258,7 @@
     crashes_by_part = {}
     for part in table.subjects(CRASH, n_min=MIN_CRASHES):
         live = live_crashes(table, part)
-        if len(live) >= MIN_CRASHES and not _was_sound(table, part, now):
+        if len(live) >= _min_crashes(table, part, now):
             crashes_by_part[part] = live
     found, explained = {}, set()
     most_crashes_first = sorted(
@@ -262,7 +269,7 @@
             continue
         unexplained = [c for c in crashes_by_part[part] if c.source not in explained]
         n_crashes = count_successive(unexplained)
-        if n_crashes < MIN_CRASHES:
+        if n_crashes < _min_crashes(table, part, now):
             continue
         sources = {crash.source for crash in unexplained}
         together = {
--- a/tests/core/observations/test_crashes.py
+++ b/tests/core/observations/test_crashes.py
@@ -217,27 +217,39 @@
     N_SLOTS = 6
     STEPS = 1_500
     STEP_S = 0.05
+    # When the common requests that turn begin to end endpoints, and how long after its
+    # third crash a request may still reach some.
+    TURNS_AT = 130.0
+    BOUND_S = 3.0
 
-    def play(self, seed, *, n_deadly, n_common):
-        """Return how often deadly requests ran too late, sound ones were refused."""
+    def play(self, seed, *, n_deadly, n_common, n_turning=0):
+        """Return how often deadly requests ran too late, sound ones were refused.
+
+        Of the common requests, ``n_turning`` end endpoints from ``TURNS_AT`` on; these
+        are late only after ``BOUND_S``.
+        """
         random = Random(seed)
         table = ObservationTable(lasting_kinds=(ALIVE,))
         deadly = [f"request-d{n}" for n in range(n_deadly)]
         common = [f"request-c{n}" for n in range(n_common)]
+        turning = common[:n_turning]
+        crashed_at = {name: [] for name in turning}
         # Each endpoint: its incarnation, the requests that run, when it is back.
         incarnations = dict.fromkeys(range(self.N_ENDPOINTS), 0)
         running = {n: [] for n in range(self.N_ENDPOINTS)}
         back_at = dict.fromkeys(range(self.N_ENDPOINTS), 0.0)
         n_crashes_by_request = Counter()
+        answered_at = {}
         n_sound = n_refused = n_late = 0
         waiting = []
         for step in range(self.STEPS):
             now = 100.0 + step * self.STEP_S
+            ending = deadly + (turning if now >= self.TURNS_AT else [])
             if random.random() < 0.5:
                 waiting.append(f"request-u{step}")
             if random.random() < 0.2:
                 waiting.append(random.choice(common))
-            if random.random() < 0.05:
+            if deadly and random.random() < 0.05:
                 waiting.append(random.choice(deadly))
             known = find_crashing_parts(table, now)
             arrived, waiting = waiting, []
@@ -245,21 +257,24 @@
                 up = [n for n in running if back_at[n] <= now]
                 up = [n for n in up if len(running[n]) < self.N_SLOTS]
                 decision, _ = admit(known, parts=(request,), workspace="w", now=now)
-                is_deadly = request in deadly
+                is_deadly = request in ending
                 n_sound += not is_deadly
                 if decision is Admission.REFUSE:
                     n_refused += not is_deadly
                 elif up:
                     is_certain = n_crashes_by_request[request] >= MIN_CRASHES
+                    if request in turning:
+                        crashes = [*crashed_at[request], now, now, now]
+                        is_certain = now - crashes[MIN_CRASHES - 1] > self.BOUND_S
                     n_late += is_deadly and is_certain
                     ends_at = now + random.uniform(0.1, 1.5)
                     running[random.choice(up)].append((request, now, ends_at))
             for number, requests in running.items():
                 source = f"e{number}@{incarnations[number]}"
-                ended = [r for r in requests if r[0] in deadly and now - r[1] > 0.05]
+                ended = [r for r in requests if r[0] in ending and now - r[1] > 0.05]
                 if ended:
                     for name, sent_at, _ in requests:
-                        table.merge(
+                        news = table.merge(
                             observe_crash(
                                 table,
                                 parts=[name],
@@ -270,13 +285,20 @@
                             ),
                             now,
                         )
+                        recalled = recall_starts(
+                            table, crashes=news, started_at_by_part=answered_at, now=now
+                        )
+                        table.merge(recalled, now)
                         waiting.append(name)
                     n_crashes_by_request.update(r[0] for r in ended)
+                    for name in {r[0] for r in ended} & crashed_at.keys():
+                        crashed_at[name].append(now)
                     incarnations[number] += 1
                     back_at[number] = now + 3.0
                     requests.clear()
                     continue
                 for name, sent_at, _ in [r for r in requests if r[2] <= now]:
+                    answered_at[name] = now
                     table.merge(
                         observe_start(
                             table, parts=[name], source=source, sent_at=sent_at, now=now
@@ -287,7 +309,7 @@
             table.expire(now)
         return n_late, n_refused, n_sound
 
-    @pytest.mark.parametrize("n_deadly", [1, 2, 4])
+    @pytest.mark.parametrize("n_deadly", [1, 2, 4, 8])
     @pytest.mark.parametrize("seed", range(6))
     def test_both_errors_are_rare(self, seed, n_deadly):
         # Guards against crashing requests that go on, and against sound ones that are
@@ -295,3 +317,14 @@
         n_late, n_refused, n_sound = self.play(seed, n_deadly=n_deadly, n_common=3)
         assert n_late <= 3 * n_deadly
         assert n_refused <= 0.01 * n_sound
+
+    @pytest.mark.parametrize("n_turning", [1, 2])
+    @pytest.mark.parametrize("seed", range(6))
+    def test_request_that_turns_is_refused_soon(self, seed, n_turning):
+        # Guards against a request that goes on ending endpoints for as long as its
+        # last answer counts in its favour.
+        n_late, n_refused, n_sound = self.play(
+            seed, n_deadly=0, n_common=3, n_turning=n_turning
+        )
+        assert n_late <= 3 * n_turning
+        assert n_refused <= 0.01 * n_sound
