soak: a crashing request through the whole undisturbed phase

Change: the spans at random moments end with the disturbed phase, and one lasts from the start to the end of the undisturbed phase.

--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -71,29 +71,35 @@
         Sorted by time.
     """
     random = Random(seed)
-    disturbed_until = DISTURBED_SHARE * (length_s - FINAL_QUIET_S)
+    request_random = Random(f"requests/{seed}")
+    ends_at = length_s - FINAL_QUIET_S
+    disturbed_until = DISTURBED_SHARE * ends_at
+    undisturbed_from = disturbed_until + SETTLE_S
     faults = [
         *_plan_disturbed_phase(random, disturbed_until),
-        *_plan_undisturbed_phase(
-            random, disturbed_until + SETTLE_S, length_s - FINAL_QUIET_S
-        ),
-        *_plan_endless_responses(
-            Random(f"endless/{seed}"), until=length_s - FINAL_QUIET_S
-        ),
+        *_plan_undisturbed_phase(random, undisturbed_from, ends_at),
+        *_plan_endless_responses(Random(f"endless/{seed}"), until=ends_at),
         *_plan_spans(
             "crashing_part",
             Random(f"crashing/{seed}"),
-            until=length_s - FINAL_QUIET_S,
+            until=ends_at,
             mean_interval_s=MEAN_CRASHING_PART_INTERVAL_S,
             span_s=CRASHING_PART_LENGTH_S,
         ),
         *_plan_spans(
             "crashing_request",
-            Random(f"requests/{seed}"),
-            until=length_s - FINAL_QUIET_S,
+            request_random,
+            until=disturbed_until,
             mean_interval_s=MEAN_CRASHING_REQUEST_INTERVAL_S,
             span_s=CRASHING_REQUEST_LENGTH_S,
         ),
+        # Long enough without a disturbance that it must be refused meanwhile.
+        Fault(
+            at_s=undisturbed_from,
+            kind="crashing_request",
+            target=request_random.randrange(1_000),
+            length_s=ends_at - undisturbed_from,
+        ),
         *_plan_spans(
             "restoration",
             Random(f"restorations/{seed}"),
@@ -111,7 +117,7 @@
         *_plan_spans(
             "named_limit",
             Random(f"limits/{seed}"),
-            until=length_s - FINAL_QUIET_S,
+            until=ends_at,
             mean_interval_s=MEAN_NAMED_LIMIT_INTERVAL_S,
             span_s=NAMED_LIMIT_LENGTH_S,
         ),
