soak: stalled streams may last for as long as the clients of their route wait

The log of node-3: c13-55 is a request of the route huge; its stream started at 560.01, nothing came after its first event, and the node gave it up at 563.21 as silent, which is four of the route's pauses of 800 ms. Cause: the check bounded all routes by 3 s, 1 s more than clients of chat wait. Clients of huge wait for 12 s (four times the objective of 3 s).

--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -77,6 +77,14 @@
     route("stock", "idempotent", "app"),
 ]
 
+# How long clients wait for the next event.
+PATIENCE_S_BY_KIND = {
+    item["name"]: max(
+        2.0, 4 * item["targetLatencyMs"] / 1000, 8 * item["targetGapMs"] / 1000
+    )
+    for item in ROUTES
+}
+
 
 @dataclass(kw_only=True)
 class NodeProcess:
--- a/src/savoryhill/soak/observations.py
+++ b/src/savoryhill/soak/observations.py
@@ -27,7 +27,7 @@
 LIMIT_TOLERANCE = 1.5
 LIMIT_SLACK = 5
 LIMIT_BOUND_S = 3.0
-STALLED_BOUND_S = 3.0
+STALLED_SLACK_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -270,13 +270,15 @@
     ]
 
 
-def check_endless_responses(endless, *, is_disturbed):
+def check_endless_responses(endless, *, patience_s_by_id, is_disturbed):
     """Check that nodes close the connections of responses that have no end.
 
     Parameters
     ----------
     endless : iterable of (str, str, float, float)
         Fault of the endpoint, attempt id, and start and end of each such response.
+    patience_s_by_id : dict of str to float
+        How long the client of an attempt waits for an event, in seconds.
     is_disturbed : callable
         Tells whether a span, from start to end, overlaps a disturbance.
 
@@ -286,7 +288,9 @@
     """
     findings = []
     for fault, attempt_id, started_at, ended_at in endless:
-        bound_s = STALLED_BOUND_S if fault == "stalled" else ENDLESS_BOUND_S
+        bound_s = ENDLESS_BOUND_S
+        if fault == "stalled":
+            bound_s = patience_s_by_id[attempt_id] + STALLED_SLACK_S
         lasted_s = ended_at - started_at
         if lasted_s > bound_s and not is_disturbed(started_at, ended_at):
             findings.append(
--- a/src/savoryhill/soak/result.py
+++ b/src/savoryhill/soak/result.py
@@ -7,7 +7,7 @@
 
 from savoryhill.soak import crash_checks
 from savoryhill.soak import observations as checks
-from savoryhill.soak.deployment import EVENTS_PER_STREAM
+from savoryhill.soak.deployment import EVENTS_PER_STREAM, PATIENCE_S_BY_KIND
 
 # Time after the end of a disturbance that still counts as disturbed.
 SETTLE_S = 3.0
@@ -100,6 +100,7 @@
         ),
         *checks.check_endless_responses(
             [item for endpoint in endpoints for item in endpoint.endless],
+            patience_s_by_id={r.id: PATIENCE_S_BY_KIND[r.kind] for r in soak.requests},
             is_disturbed=is_disturbed,
         ),
         *crash_checks.check_crashing_parts(
