serving: endpoints that want a pause get none of this node's requests

Cause: the Retry-After of an endpoint's refusal was not read. A full endpoint was left alone for 0.1 to 0.2 s at first and got the next requests then, whatever it had asked for. Change: a refusal of this request that names a pause (seconds with fractions, a date; the longest of several; no more than an hour) keeps this node's requests from that start of the endpoint until its end: the scheduler of the leader leaves it out for the jobs of this node (JobSubmit.excluded), a placement that crosses it is taken back, calls choose others. Other nodes may go on, as the endpoint told this one. If all endpoints of a service want one, a request that can still be served after the first end waits, any other one is refused at once with that time. After its end an endpoint gets one request in 0.2 s, and twice as many with each that it accepts.

--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -36,9 +36,15 @@
     max_gap_s: float
     priority: int
     avoided_engine_ids: frozenset[str] = frozenset()
+    excluded_engine_ids: frozenset[str] = frozenset()
     zone: str = ""
     queued_at: float = 0.0
 
+    @property
+    def has_own_engines(self):
+        """Whether the job chooses among other engines than most jobs."""
+        return bool(self.avoided_engine_ids or self.excluded_engine_ids)
+
 
 @dataclass(kw_only=True, slots=True)
 class PlacedJob:
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -40,6 +40,8 @@
     whether the request was sent to an endpoint before, ``needs_budget`` whether this
     send counts against the leader's budget of repeats. ``probed_parts`` holds the
     digests of parts of the prompt that no other job may try at the same time.
+    ``avoid`` names engines on which the job failed before; they are better than none.
+    ``excluded`` names those that want nothing from the sender now.
     """
 
     job_id: str
@@ -59,6 +61,7 @@
     needs_budget: bool = False
     reserved_tokens: tuple[int, ...] = ()
     probed_parts: tuple[str, ...] = ()
+    excluded: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -202,7 +202,7 @@
             if (
                 unplaced_tokens is not None
                 and job.prompt_tokens >= unplaced_tokens
-                and not job.avoided_engine_ids
+                and not job.has_own_engines
             ):
                 is_late = job.first_event_due_at <= now
                 decision = self._reject_if_unservable(job, now) if is_late else None
@@ -213,7 +213,7 @@
                 decision = self.limited_turns.reject_if_late(job, n_ahead, rate, now)
             n_left -= 1
             if decision is None:
-                if not job.avoided_engine_ids:
+                if not job.has_own_engines:
                     unplaced_tokens_by_gap[job.max_gap_s] = job.prompt_tokens
                 continue
             del self.waiting_by_id[job.id]
@@ -248,6 +248,7 @@
             engine
             for engine in self.engines_by_id.values()
             if engine.is_usable
+            and engine.id not in job.excluded_engine_ids
             and engine.ejected_until <= now
             # A failed engine gets a single job until a first event shows that it works.
             and not (engine.n_failures and engine.jobs_by_id)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -195,6 +195,7 @@
   needsBudget @14 :Bool;
   reservedTokens @15 :List(Int64);
   probedParts @16 :List(Text);
+  excluded @17 :List(Text);
 }
 
 struct JobPlaced {
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -65,6 +65,9 @@
             The endpoint, or when the client may come back, in seconds.
         """
         while True:
+            pause_s = self._request.await_pauses()
+            if pause_s > 0.0:
+                return None, pause_s
             endpoint, turn_wait_s = self._choose_turn()
             if endpoint is None or turn_wait_s <= 0.0:
                 return endpoint, turn_wait_s
@@ -95,8 +98,10 @@
             client may come back, in seconds.
         """
         request, context = self._request, self._context
-        limiter = context.endpoint_statements.limiter
-        avoided_ids = set(request.avoided_endpoint_ids)
+        statements = context.endpoint_statements
+        limiter = statements.limiter
+        paused_ids = statements.paused_ids(request.service.name)
+        avoided_ids = request.avoided_endpoint_ids | paused_ids
         limited = []
         while True:
             endpoint = context.balancer.choose(
@@ -131,6 +136,7 @@
         balancer, history = self._context.balancer, self._history
         started_at = self._context.clock.monotonic()
         times_out_at = self._response_times_out_at(started_at)
+        self._context.endpoint_statements.note_sent(endpoint)
         with balancer.track_request(endpoint):
             try:
                 connection = open_connection(
--- a/src/savoryhill/serving/endpoint_statements.py
+++ b/src/savoryhill/serving/endpoint_statements.py
@@ -1,6 +1,7 @@
 """What endpoints say of themselves in their answers, and what follows from it."""
 
 from savoryhill.core.observations.leaving import LEAVING, observe_leaving
+from savoryhill.core.observations.pauses import WantedPauses
 from savoryhill.core.observations.rate_limits import (
     LIMIT,
     limits_in_force,
@@ -10,11 +11,12 @@
 
 
 class EndpointStatements:
-    """Keeps what endpoints say: that they leave, and their limits.
+    """Keeps what endpoints say: that they leave, their limits, and wanted pauses.
 
     All of it holds for one start of an endpoint. That it leaves and its limit are
     shared with the other nodes; the first goes before what the store says, which may be
-    older. ``limiter`` is the `RateLimiter` of the node.
+    older. A pause is meant for this node only. ``limiter`` is the `RateLimiter` of the
+    node, ``pauses`` its `WantedPauses`.
     """
 
     def __init__(self, *, clock, sharing, cluster_view, limiter, record):
@@ -23,8 +25,10 @@
         self._cluster_view = cluster_view
         self._record = record
         self.limiter = limiter
+        self.pauses = WantedPauses()
         sharing.on_news.append(self._handle_news)
         sharing.on_review.append(self.review)
+        cluster_view.on_change.append(self._forget_pauses)
 
     # What the answers to this node say.
 
@@ -58,6 +62,7 @@
 
     def _note_statement(self, statement, incarnation):
         now = self._clock.monotonic()
+        self._note_pause(incarnation, statement, now)
         if statement.is_leaving:
             observations = observe_leaving(
                 self._sharing.table, incarnation=incarnation, now=now
@@ -65,6 +70,58 @@
             if observations:
                 self._sharing.add(observations)
 
+    def _note_pause(self, incarnation, statement, now):
+        if statement.pause_s > 0.0:
+            self.pauses.note_refusal(incarnation, statement.pause_s, now)
+            self._record(
+                "endpoint.pause_wanted",
+                {"endpoint": incarnation, "pause_s": round(statement.pause_s, 3)},
+            )
+        elif not statement.is_refusal:
+            self.pauses.note_accepted(incarnation, now)
+
+    # What this node may send.
+
+    def note_sent(self, endpoint):
+        """Record a request to an endpoint."""
+        self.pauses.note_sent(endpoint.incarnation, self._clock.monotonic())
+
+    def wants_pause(self, endpoint):
+        """Tell whether an endpoint wants no request from this node now."""
+        return self.pauses.next_at(endpoint.incarnation) > self._clock.monotonic()
+
+    def paused_ids(self, service):
+        """Return the ids of the endpoints of a service that want no request now."""
+        if not len(self.pauses):
+            return frozenset()
+        return frozenset(
+            endpoint.id
+            for endpoint in self._cluster_view.usable_endpoints(service)
+            if self.wants_pause(endpoint)
+        )
+
+    def wait_s(self, service):
+        """Return the seconds until some endpoint of a service takes a request.
+
+        Returns
+        -------
+        float
+            0 if one takes some now, or if there is none.
+        """
+        if not len(self.pauses):
+            return 0.0
+        endpoints = self._cluster_view.usable_endpoints(service)
+        next_at = min(
+            (self.pauses.next_at(endpoint.incarnation) for endpoint in endpoints),
+            default=0.0,
+        )
+        return max(0.0, next_at - self._clock.monotonic())
+
+    def _forget_pauses(self):
+        if len(self.pauses):
+            endpoints = self._cluster_view.endpoints_by_id.values()
+            self.pauses.forget({endpoint.incarnation for endpoint in endpoints})
+
     # What this node and the others have been told.
 
     def _handle_news(self, news):
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -8,6 +8,7 @@
     ENDPOINT_FAILED,
     ENDPOINT_FULL,
     FINISHED,
+    JobPlaced,
     JobRejected,
     JobSubmit,
 )
@@ -57,16 +58,21 @@
             if cause is not None:
                 self._check.refuse(cause, self._response, self._history)
                 return
+            wait_s = request.await_pauses()
+            if wait_s > 0.0:
+                self._refuse_until(wait_s)
+                return
             job = self._submit()
             try:
                 with self._check.watch(job):
                     decision = self._await_decision(job)
                     if self._awaits_probe(decision):
-                        dispatcher.cancel(job)
-                        request.n_sends -= 1
-                        request.needs_budget = job.submission.needs_budget
+                        self._withdraw(job)
                         gevent.sleep(PROBE_CHECK_S)
                         continue
+                    if self._wants_pause(decision):
+                        self._withdraw(job)
+                        continue
                     if decision is None or isinstance(decision, JobRejected):
                         dispatcher.cancel(job)
                         self._fail_unplaced(decision)
@@ -88,6 +94,27 @@
                 self._response.fail(failure, self._history)
                 return
 
+    def _refuse_until(self, wait_s):
+        """Refuse the request, which cannot wait for the pauses of the engines."""
+        failure = SendFailure(
+            cause=f"all engines want a pause of {wait_s:.2f} s", may_have_run=False
+        )
+        self._response.fail(failure, self._history, retry_after_s=wait_s)
+
+    def _withdraw(self, job):
+        """Take a job back that was not sent, to submit the request again."""
+        self._context.dispatcher.cancel(job)
+        self._request.n_sends -= 1
+        self._request.needs_budget = job.submission.needs_budget
+
+    def _wants_pause(self, decision):
+        """Tell whether an engine has asked for a pause since the job was submitted."""
+        statements = self._context.endpoint_statements
+        paused_ids = statements.paused_ids(self._request.service.name)
+        return isinstance(decision, JobPlaced) and not paused_ids.isdisjoint(
+            decision.endpoints
+        )
+
     def _awaits_probe(self, decision):
         """Tell whether another request is about to show that this one can be served."""
         request = self._request
@@ -125,6 +152,9 @@
                 is_repeat=request.n_sends > 1,
                 needs_budget=needs_budget,
                 probed_parts=self._check.probed_parts,
+                excluded=tuple(
+                    self._context.endpoint_statements.paused_ids(request.service.name)
+                ),
             )
         )
 
@@ -152,6 +182,7 @@
         failure = self._find_unusable(decision.endpoints, endpoints)
         if failure is not None:
             return failure
+        self._context.endpoint_statements.note_sent(endpoints[0])
         with Reservations(
             request_id=job.submission.job_id,
             clock=self._context.clock,
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -118,6 +118,7 @@
             max_gap_s=message.pause_s,
             priority=message.priority,
             avoided_engine_ids=frozenset(message.avoid),
+            excluded_engine_ids=frozenset(message.excluded),
             zone=message.zone,
             queued_at=now,
         )
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -138,6 +138,25 @@
             return False
         return platform_headers.is_signed(head) or head.status >= 300
 
+    def await_pauses(self):
+        """Wait while all endpoints of the service want nothing from this node.
+
+        Load pattern: a burst brings all endpoints of a service into need at once.
+
+        Returns
+        -------
+        float
+            0 if one takes a request now; else the seconds until one does, which are too
+            many for this request.
+        """
+        while True:
+            wait_s = self.context.endpoint_statements.wait_s(self.service.name)
+            if wait_s <= 0.0:
+                return 0.0
+            if wait_s > self.time_left_s() - self.route.target_latency_s:
+                return wait_s
+            self.context.clock.sleep(wait_s)
+
     def classify_failure(self, reader, endpoint):
         """Return the failure that an unsuccessful response stands for."""
         head = reader.head
