soak: endpoints that say that they leave, or that they want a pause

The stand-ins say both; the plan has spans of each at random moments and one through the undisturbed phase; the checks: nothing reaches an endpoint 2 s after its first answer that says that it leaves, and at most two requests of a node reach one between 0.5 s after it was turned away and the end of the pause.

--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from base64 import b64decode
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -141,6 +142,7 @@
 
     ``placements`` holds service and availability zone of each endpoint, and
     ``draining_indexes`` the indexes of the endpoints that are registered as draining.
+    ``n_restarts_by_index`` counts the planned restarts of endpoints.
     Engines end when they begin to answer a prompt with the ``crashing_part``, if any,
     and endpoints under the kind and the body of ``crashing_request``.
     """
@@ -155,6 +157,7 @@
     endpoint_proxies: list = field(default_factory=list)
     placements: list = field(default_factory=list)
     draining_indexes: set = field(default_factory=set)
+    n_restarts_by_index: Counter = field(default_factory=Counter)
     version: int = 0
     crashing_part: str | None = None
     crashing_request: tuple = (None, b"")
@@ -243,7 +246,9 @@
             "state": "draining" if index in self.draining_indexes else "ready",
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1 + len(self.endpoints[index].crashes),
+            "born": 1
+            + len(self.endpoints[index].crashes)
+            + self.n_restarts_by_index[index],
         }
         self._write(names.ENDPOINT_PREFIX + self.endpoints[index].id, row)
 
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -33,6 +33,11 @@
 # Spans in which an endpoint names a limit of requests a second.
 MEAN_NAMED_LIMIT_INTERVAL_S = 3.0
 NAMED_LIMIT_LENGTH_S = 9.0
+# Spans in which an endpoint says that it leaves, or wants a pause.
+MEAN_SPOKEN_LEAVE_INTERVAL_S = 4.0
+SPOKEN_LEAVE_LENGTH_S = 6.0
+MEAN_WANTED_PAUSE_INTERVAL_S = 4.0
+WANTED_PAUSE_LENGTH_S = 5.0
 # Outages after which the store comes back from an older copy.
 MEAN_RESTORATION_INTERVAL_S = 6.0
 RESTORATION_LENGTH_S = 1.0
@@ -71,7 +76,6 @@
         Sorted by time.
     """
     random = Random(seed)
-    request_random = Random(f"requests/{seed}")
     ends_at = length_s - FINAL_QUIET_S
     disturbed_until = DISTURBED_SHARE * ends_at
     undisturbed_from = disturbed_until + SETTLE_S
@@ -88,18 +92,11 @@
         ),
         *_plan_spans(
             "crashing_request",
-            request_random,
+            Random(f"requests/{seed}"),
             until=disturbed_until,
             mean_interval_s=MEAN_CRASHING_REQUEST_INTERVAL_S,
             span_s=CRASHING_REQUEST_LENGTH_S,
         ),
-        # Long enough without a disturbance that it must be refused meanwhile.
-        Fault(
-            at_s=undisturbed_from,
-            kind="crashing_request",
-            target=request_random.randrange(1_000),
-            length_s=ends_at - undisturbed_from,
-        ),
         *_plan_spans(
             "restoration",
             Random(f"restorations/{seed}"),
@@ -121,6 +118,23 @@
             mean_interval_s=MEAN_NAMED_LIMIT_INTERVAL_S,
             span_s=NAMED_LIMIT_LENGTH_S,
         ),
+        *_plan_spans(
+            "spoken_leave",
+            Random(f"leaves/{seed}"),
+            until=disturbed_until,
+            mean_interval_s=MEAN_SPOKEN_LEAVE_INTERVAL_S,
+            span_s=SPOKEN_LEAVE_LENGTH_S,
+        ),
+        *_plan_spans(
+            "wanted_pause",
+            Random(f"pauses/{seed}"),
+            until=disturbed_until,
+            mean_interval_s=MEAN_WANTED_PAUSE_INTERVAL_S,
+            span_s=WANTED_PAUSE_LENGTH_S,
+        ),
+        *_plan_long_spans(
+            Random(f"long/{seed}"), start=undisturbed_from, until=ends_at
+        ),
     ]
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
@@ -185,6 +199,17 @@
         at_s += random.expovariate(1.0 / MEAN_ENDLESS_INTERVAL_S)
 
 
+def _plan_long_spans(random, *, start, until):
+    """Yield spans through the whole undisturbed phase, of different endpoints.
+
+    What they are checked for must hold at undisturbed times, once it is known.
+    """
+    target = random.randrange(1_000)
+    for kind in ("crashing_request", "spoken_leave", "wanted_pause"):
+        target += random.randint(1, 2)
+        yield Fault(at_s=start, kind=kind, target=target, length_s=until - start)
+
+
 def _plan_spans(kind, random, *, until, mean_interval_s, span_s):
     """Yield spans of a fault, one after the other."""
     at_s = random.uniform(1.0, mean_interval_s)
--- a/src/savoryhill/soak/result.py
+++ b/src/savoryhill/soak/result.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from savoryhill.soak import crash_checks
+from savoryhill.soak import crash_checks, statement_checks
 from savoryhill.soak import observations as checks
 from savoryhill.soak.deployment import EVENTS_PER_STREAM, PATIENCE_S_BY_KIND
 
@@ -110,6 +110,14 @@
             endpoints, soak.crashing_bodies, is_disturbed=is_disturbed
         ),
         *checks.check_named_limits(soak.limit_spans, is_disturbed=is_disturbed),
+        *statement_checks.check_spoken_leaves(
+            soak.leaving_spans, is_disturbed=is_disturbed
+        ),
+        *statement_checks.check_wanted_pauses(
+            soak.pause_spans,
+            {r.id: (r.node, r.incarnation) for r in soak.requests},
+            is_disturbed=is_disturbed,
+        ),
         *_check_released_reservations(soak),
         *_check_recovery_after_faults(soak, ends_at),
     ]
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -30,6 +30,7 @@
 LOST_VERSIONS_SPAN_S = 0.5
 CRASHING_KINDS = ("chat", "order", "once", "stock")
 NAMED_LIMITS_PER_S = (0.5, 1.0, 3.0)
+WANTED_PAUSE_S = 2.0
 STORE_FAULT_MODES = {
     "store_silent": "silent",
     "store_busy": "busy",
@@ -59,6 +60,8 @@
     crashing_parts: list = field(default_factory=list)
     crashing_bodies: list = field(default_factory=list)
     limit_spans: list = field(default_factory=list)
+    leaving_spans: list = field(default_factory=list)
+    pause_spans: list = field(default_factory=list)
     evacuation_keys: set = field(default_factory=set)
     store_copies: deque = field(default_factory=lambda: deque(maxlen=MAX_COPIES))
     fault_greenlets: list = field(default_factory=list)
@@ -292,6 +295,33 @@
         endpoint.named_limit = None
         self.limit_spans.append((endpoint, limit, start, self.clock.monotonic()))
 
+    def _spoken_leave(self, fault):
+        """Have an endpoint say that it leaves, which the store does not, then restart.
+
+        It goes on serving meanwhile.
+        """
+        index = fault.target % len(self.deployment.endpoints)
+        endpoint = self.deployment.endpoints[index]
+        start = self.clock.monotonic()
+        endpoint.is_leaving = True
+        gevent.sleep(fault.length_s)
+        self.leaving_spans.append((endpoint, start, self.clock.monotonic()))
+        endpoint.is_leaving = False
+        self.deployment.n_restarts_by_index[index] += 1
+        self.deployment.write_endpoint_row(index)
+
+    def _wanted_pause(self, fault):
+        """Have an endpoint turn all requests away and name a pause."""
+        endpoints = self.deployment.endpoints
+        endpoint = endpoints[fault.target % len(endpoints)]
+        start = self.clock.monotonic()
+        endpoint.wanted_pause = f"{WANTED_PAUSE_S:g}"
+        gevent.sleep(fault.length_s)
+        self.pause_spans.append(
+            (endpoint, WANTED_PAUSE_S, start, self.clock.monotonic())
+        )
+        endpoint.wanted_pause = None
+
 
 def run_soak(seed, *, length_s, n_nodes, n_engines, first_host=20):
     """Start a deployment and run one seed against it.
