serving: jobs of a node, and the state in force, in modules of their own

LocalJobs has the first, ClusterState the second; no decision is changed. That an endpoint leaves outlasts the 120 s of other observations, for nodes that start later.

--- a/src/savoryhill/serving/cluster_view.py
+++ b/src/savoryhill/serving/cluster_view.py
@@ -6,13 +6,8 @@
 
 from dataclasses import dataclass, field, replace
 
-from savoryhill.platform.decode import (
-    classify_key,
-    decode_configuration,
-    decode_endpoint,
-    decode_node,
-)
-from savoryhill.serving.model import Endpoint, NodeRecord, ServingConfiguration
+from savoryhill.platform.decode import classify_key
+from savoryhill.serving.cluster_state import ClusterState
 from savoryhill.serving.retained_rows import (
     RetainedRow,
     WithdrawnRows,
@@ -28,45 +23,25 @@
 # store itself, and is shorter than the three missed heartbeats after which rows expire.
 OUTAGE_AFTER_FAILURE_S = 1.0
 OUTAGE_WITHOUT_FAILURE_S = 2.0
-# Endpoints whose rows expired during an outage register again within two seconds of
-# its end. They stay in use for this long after it.
-LAPSE_GRACE_S = 2.3
-# Bounds the endpoints that are remembered to leave; the oldest ones have ended.
-MAX_LEAVING = 2_000
 
 
 @dataclass(kw_only=True)
-class ClusterView:
-    """Decoded rows of the store, with their position and the time of the last contact.
+class ClusterView(ClusterState):
+    """The state of the cluster as the rows of the store tell it, with their position.
 
     ``revision`` and ``era`` are the position up to which the view is complete.
-    ``history`` holds the rows as the store has them. ``lapsed_until`` maps endpoints
-    whose rows expired during an outage to the time until which they are still used.
-    ``retained_by_key`` holds what stays in force although the store, which came back
-    from a copy, says otherwise. ``record(event, fields)`` logs changes of the view; the
-    functions in ``on_change`` are called after each update, those in ``on_retained``
-    with the keys of the rows that it has made the view retain.
-    ``leaving_incarnations`` holds the endpoints that have said in an answer that they
-    leave, whatever the store says.
+    ``history`` holds the rows as the store has them. ``retained_by_key`` holds what
+    stays in force although the store, which came back from a copy, says otherwise; the
+    functions in ``on_retained`` are called with the keys of newly retained rows.
     """
 
-    clock: object
-    record: object
     revision: int = 0
     era: int = 0
     era_began_at: float = float("-inf")
     contact_at: float = float("-inf")
     call_failed_at: float = float("-inf")
-    outage_ended_at: float = float("-inf")
-    configuration: ServingConfiguration | None = None
-    endpoints_by_id: dict[str, Endpoint] = field(default_factory=dict)
-    leaving_incarnations: dict[str, None] = field(default_factory=dict)
-    evacuated_zones: set[str] = field(default_factory=set)
-    nodes_by_name: dict[str, NodeRecord] = field(default_factory=dict)
-    lapsed_until: dict[str, float] = field(default_factory=dict)
     history: RowHistory = field(default_factory=RowHistory)
     retained_by_key: dict[str, RetainedRow] = field(default_factory=dict)
-    on_change: list = field(default_factory=list)
     on_retained: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -264,9 +239,9 @@
             row = self.history.rows_by_key.get(key)
             self.record("store.row_released", {"key": key, "removed": row is None})
             if row is None:
-                self._withdraw(key)
+                self.withdraw(key)
             else:
-                self._put_in_force(row)
+                self.put_in_force(row)
         if ended:
             self.notify()
 
@@ -293,61 +268,21 @@
                 continue
             self._retain(row)
             if row.is_deleted:
-                self._withdraw(row.key)
+                self.withdraw(row.key)
             else:
-                self._put_in_force(row)
+                self.put_in_force(row)
             changed = True
         if changed:
             self.notify()
 
     def notify(self):
         """Call the functions in ``on_change`` and, if need be, in ``on_retained``."""
-        for listener in self.on_change:
-            listener()
+        super().notify()
         retained_keys, self._newly_retained = self._newly_retained, []
         if retained_keys:
             for listener in self.on_retained:
                 listener(retained_keys)
 
-    def remove_lapsed_endpoints(self):
-        """Remove endpoints that have not registered again after an outage."""
-        now = self.clock.monotonic()
-        lapsed_ids = [key for key, until in self.lapsed_until.items() if until <= now]
-        for endpoint_id in lapsed_ids:
-            del self.lapsed_until[endpoint_id]
-            self.endpoints_by_id.pop(endpoint_id, None)
-            self.record("endpoint.gone", {"endpoint": endpoint_id, "cause": "lapsed"})
-        if lapsed_ids:
-            self.notify()
-
-    def usable_endpoints(self, service):
-        """Return the endpoints of a service that accept new requests."""
-        return [
-            endpoint
-            for endpoint in self.endpoints_by_id.values()
-            if endpoint.service == service and self.is_usable(endpoint)
-        ]
-
-    def is_usable(self, endpoint):
-        """Return whether new requests may be sent to an endpoint."""
-        return (
-            not endpoint.is_draining
-            and endpoint.zone not in self.evacuated_zones
-            and endpoint.incarnation not in self.leaving_incarnations
-        )
-
-    def note_leaving(self, incarnations):
-        """Record that endpoints have said that they leave.
-
-        Those that start again are others, and are in use once the store names them.
-        """
-        for incarnation in incarnations:
-            self.leaving_incarnations[incarnation] = None
-            self.record("endpoint.leaving", {"endpoint": incarnation})
-        while len(self.leaving_incarnations) > MAX_LEAVING:
-            del self.leaving_incarnations[next(iter(self.leaving_incarnations))]
-        self.notify()
-
     def _apply_row(self, row, is_from_copy):
         if classify_key(row.key)[0] == "other":
             return
@@ -357,58 +292,7 @@
             self._retain(known)
             return
         self.retained_by_key.pop(row.key, None)
-        self._put_in_force(row)
-
-    def _put_in_force(self, row):
-        subject, name = classify_key(row.key)
-        if subject == "configuration":
-            self._apply_configuration(row)
-        elif subject == "evacuation":
-            self.evacuated_zones.add(name)
-            self.record("zone.evacuated", {"zone": name, "revision": row.revision})
-        elif subject == "endpoint":
-            self._apply_endpoint(name, row)
-        elif subject == "node":
-            node = decode_node(row)
-            if node is not None:
-                self.nodes_by_name[name] = node
-
-    def _apply_configuration(self, row):
-        configuration = decode_configuration(row.value)
-        if configuration is None:
-            self.record("configuration.unreadable", {"revision": row.revision})
-            return
-        if self.configuration and configuration.version < self.configuration.version:
-            self.record(
-                "configuration.older",
-                {
-                    "version": configuration.version,
-                    "in_force": self.configuration.version,
-                },
-            )
-            return
-        self.configuration = configuration
-        self.record("configuration.in_force", {"version": configuration.version})
-
-    def _apply_endpoint(self, name, row):
-        endpoint = decode_endpoint(row)
-        if endpoint is None:
-            self.endpoints_by_id.pop(name, None)
-            self.record("endpoint.unreadable", {"endpoint": name})
-            return
-        self.lapsed_until.pop(name, None)
-        previous = self.endpoints_by_id.get(name)
-        self.endpoints_by_id[name] = endpoint
-        if previous is None or previous.is_draining != endpoint.is_draining:
-            self.record(
-                "endpoint.registered",
-                {
-                    "endpoint": name,
-                    "zone": endpoint.zone,
-                    "draining": endpoint.is_draining,
-                    "revision": row.revision,
-                },
-            )
+        self.put_in_force(row)
 
     def _remove_row(self, key, is_from_copy):
         known = self._known_row(key)
@@ -421,24 +305,4 @@
         elif row is not None:
             self._withdrawn.add(row)
         self.retained_by_key.pop(key, None)
-        self._withdraw(key)
-
-    def _withdraw(self, key):
-        subject, name = classify_key(key)
-        if subject == "evacuation":
-            if name in self.evacuated_zones:
-                self.evacuated_zones.discard(name)
-                self.record("zone.restored", {"zone": name})
-        elif subject == "node":
-            self.nodes_by_name.pop(name, None)
-        elif subject == "endpoint" and name in self.endpoints_by_id:
-            self._remove_endpoint(name)
-
-    def _remove_endpoint(self, name):
-        grace_ends_at = self.outage_ended_at + LAPSE_GRACE_S
-        if self.clock.monotonic() < grace_ends_at:
-            self.lapsed_until[name] = grace_ends_at
-            self.record("endpoint.lapsed", {"endpoint": name})
-            return
-        del self.endpoints_by_id[name]
-        self.record("endpoint.gone", {"endpoint": name, "cause": "removed"})
+        self.withdraw(key)
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -1,14 +1,12 @@
-"""Submission of jobs to the leader, and the links between leader and followers.
+"""The links between leader and followers, and what they carry.
 
 The leader is the node that schedules the jobs of all nodes. A node that has no link to
 a leader schedules its own jobs.
 """
 
-from dataclasses import replace
 from functools import partial
 
 import gevent
-from gevent.event import AsyncResult
 
 from savoryhill.core.observations.messages import (
     SharedObservations,
@@ -16,7 +14,6 @@
     TurnRequest,
 )
 from savoryhill.core.scheduling.messages import (
-    CANCELLED,
     FIRST_EVENT,
     PROTOCOL,
     RETAINING_PROTOCOL,
@@ -34,6 +31,7 @@
 from savoryhill.errors import NotConnectedError, PeerError
 from savoryhill.serving.leadership import LeaderChoice
 from savoryhill.serving.links import Link, encode_frame, open_link
+from savoryhill.serving.local_jobs import LocalJobs
 from savoryhill.serving.retention_sharing import RetentionSharing
 from savoryhill.serving.store_updates import (
     build_store_update,
@@ -66,21 +64,11 @@
 PLACEMENT_INTERVAL_S = 0.02
 
 
-class SubmittedJob:
-    """One job of this node, from its submission to its end."""
-
-    def __init__(self, *, submission, submitted_at):
-        self.submission = submission
-        self.submitted_at = submitted_at
-        self.decision = AsyncResult()
-        self.placement = None
-        self.has_started = False
-
-
 class Dispatcher:
-    """The jobs of this node and its links to the leader and to followers.
+    """The links of this node to the leader and to followers.
 
-    The functions in ``on_greeting`` are called once a leader has told what it knows.
+    ``jobs`` holds the jobs of this node. The functions in ``on_greeting`` are called
+    with each heartbeat of the leader, the first of which follows all that it knows.
     """
 
     def __init__(
@@ -106,6 +94,7 @@
             ),
         )
         self._record = record
+        self.jobs = LocalJobs(clock=clock, scheduling=scheduling)
         self.on_greeting = []
         self.leader_choice = LeaderChoice(
             clock=clock, cluster_view=cluster_view, record=record
@@ -113,67 +102,11 @@
         self._link = None
         self._leader_address = None
         self._leader_contact_age_s = 0.0
-        self._jobs_by_id = {}
         self._follower_links = set()
         self._store_contact_at = float("-inf")
         self._cut_off_since = None
         self._cut_off_reported_at = float("-inf")
 
-    # Jobs of this node.
-
-    def submit(self, message):
-        """Submit a job and return its state."""
-        job = SubmittedJob(submission=message, submitted_at=self._clock.monotonic())
-        self._jobs_by_id[message.job_id] = job
-        self._send_submission(job)
-        return job
-
-    def report_first_event(self, job):
-        """Report that the first event of a job was received."""
-        job.has_started = True
-        self._report(job, FIRST_EVENT, "")
-
-    def finish(self, job, what, endpoint=""):
-        """Report the end of a job; ``what`` is a constant of the messages module."""
-        if self._jobs_by_id.pop(job.submission.job_id, None) is not None:
-            self._report(job, what, endpoint)
-
-    def cancel(self, job):
-        """Report that a job is no longer needed."""
-        self.finish(job, CANCELLED)
-
-    def _report(self, job, what, endpoint):
-        report = JobReport(job_id=job.submission.job_id, what=what, endpoint=endpoint)
-        if self._link is not None:
-            self._link.send(report)
-        else:
-            self._scheduling.report(report)
-
-    def _send_submission(self, job):
-        message = job.submission
-        elapsed_s = self._clock.monotonic() - job.submitted_at
-        if elapsed_s > 0.0 or job.placement is not None:
-            message = replace(
-                message,
-                due_s=message.due_s - elapsed_s,
-                ends_s=message.ends_s - elapsed_s,
-                endpoints=job.placement.endpoints if job.placement else (),
-                reserved_tokens=job.placement.reserved_tokens if job.placement else (),
-                has_started=job.has_started,
-            )
-        if self._link is not None:
-            self._link.send(message)
-        else:
-            self._scheduling.submit(message, self._handle_decision)
-
-    def _handle_decision(self, decision):
-        job = self._jobs_by_id.get(decision.job_id)
-        if job is None or job.decision.ready():
-            return
-        if isinstance(decision, JobPlaced):
-            job.placement = decision
-        job.decision.set(decision)
-
     # The link to the leader.
 
     def is_leader(self):
@@ -257,11 +190,10 @@
             return
         link.send(self._hello())
         heartbeats = gevent.spawn(self._send_heartbeats_to_leader, link)
-        self._scheduling.cancel_jobs(self._jobs_by_id)
         self._link = link
         self._retention_sharing.forget_leader()
         self._leader_contact_age_s = 0.0
-        self._resubmit_jobs()
+        self.jobs.use_leader(link)
         try:
             while self._leader_address == address:
                 self._handle_leader_message(link.receive())
@@ -273,15 +205,11 @@
             self._link = None
             heartbeats.kill(block=False)
             link.close()
-            self._resubmit_jobs()
-
-    def _resubmit_jobs(self):
-        for job in list(self._jobs_by_id.values()):
-            self._send_submission(job)
+            self.jobs.leave_leader()
 
     def _handle_leader_message(self, message):
         if isinstance(message, JobPlaced | JobRejected):
-            self._handle_decision(message)
+            self.jobs.handle_decision(message)
         elif isinstance(message, StoreUpdate):
             self._apply_update(self._link, message)
         elif isinstance(message, NodeHello):
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -52,7 +52,7 @@
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
-        request, dispatcher = self._request, self._context.dispatcher
+        request, jobs = self._request, self._context.dispatcher.jobs
         while True:
             cause = self._check.refusal_cause()
             if cause is not None:
@@ -72,21 +72,27 @@
                         continue
                     if self._wants_pause(decision):
                         self._withdraw(job)
+                        self._context.log(
+                            "request.placement_withdrawn",
+                            request=request.id,
+                            endpoints=",".join(decision.endpoints),
+                            cause="an engine wants a pause",
+                        )
                         continue
                     if decision is None or isinstance(decision, JobRejected):
-                        dispatcher.cancel(job)
+                        jobs.cancel(job)
                         self._fail_unplaced(decision)
                         return
                     failure = self._run_placed(job, decision)
             except BaseException:
-                dispatcher.cancel(job)
+                jobs.cancel(job)
                 raise
             if failure is None:
-                dispatcher.finish(job, FINISHED)
+                jobs.finish(job, FINISHED)
                 return
             failed_endpoint = failure.endpoint or decision.endpoints[0]
             what = ENDPOINT_FULL if failure.is_full else ENDPOINT_FAILED
-            dispatcher.finish(job, what, failed_endpoint)
+            jobs.finish(job, what, failed_endpoint)
             request.avoided_endpoint_ids.add(failed_endpoint)
             if not request.allow_repeat(
                 self._history, failure, has_started=job.has_started
@@ -103,7 +109,7 @@
 
     def _withdraw(self, job):
         """Take a job back that was not sent, to submit the request again."""
-        self._context.dispatcher.cancel(job)
+        self._context.dispatcher.jobs.cancel(job)
         self._request.n_sends -= 1
         self._request.needs_budget = job.submission.needs_budget
 
@@ -134,7 +140,7 @@
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         now = self._context.clock.monotonic()
-        return self._context.dispatcher.submit(
+        return self._context.dispatcher.jobs.submit(
             JobSubmit(
                 job_id=f"{request.id}.{request.n_sends}",
                 service=request.service.name,
@@ -365,7 +371,7 @@
         has_data = self._splitter.n_with_data > n_with_data
         if has_data and not job.has_started:
             self._check.note_start()
-            self._context.dispatcher.report_first_event(job)
+            self._context.dispatcher.jobs.report_first_event(job)
             self._record_first_event(endpoint)
         self._response.write_events(reader.head, events)
         return has_data
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -192,6 +192,11 @@
             endpoints_limited=lambda: len(
                 context.endpoint_statements.limiter.limits_by_incarnation
             ),
+            endpoints_leaving=lambda: sum(
+                endpoint.incarnation in cluster_view.leaving_incarnations
+                for endpoint in cluster_view.endpoints_by_id.values()
+            ),
+            endpoints_pausing=lambda: len(context.endpoint_statements.pauses),
             parts_refused=lambda: context.crash_guard.n_refused(is_request=False),
             requests_refused_for_crashes=lambda: context.crash_guard.n_refused(
                 is_request=True
--- a/src/savoryhill/serving/shared_observations.py
+++ b/src/savoryhill/serving/shared_observations.py
@@ -3,6 +3,7 @@
 import gevent
 
 from savoryhill.core.observations.crashes import ALIVE
+from savoryhill.core.observations.leaving import LEAVING
 from savoryhill.core.observations.messages import (
     decode_observations,
     encode_observations,
@@ -11,8 +12,9 @@
 
 REVIEW_INTERVAL_S = 1.0
 FORWARD_INTERVAL_S = 0.03
-# They must outlast the crashes that they answer.
-LASTING_KINDS = (ALIVE,)
+# The first must outlast the crashes that they answer, the second the endpoints that
+# leave, which may serve for long and be named by the store meanwhile.
+LASTING_KINDS = (ALIVE, LEAVING)
 
 
 class ObservationSharing:
--- a/tests/core/observations/test_pauses.py
+++ b/tests/core/observations/test_pauses.py
@@ -3,6 +3,8 @@
 import math
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from savoryhill.core.observations.pauses import (
     FIRST_RETURN_INTERVAL_S,
@@ -76,6 +78,39 @@
         assert len(pauses) == 1
 
 
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["refused", "accepted", "accepted", "accepted", "sent"]),
+        st.sampled_from(["e1@1", "e1@2"]),
+        st.floats(0.0, 3.0),
+        st.floats(0.0, 0.2),
+    ),
+    max_size=40,
+)
+
+
+class TestModel:
+    @settings(max_examples=300, deadline=None)
+    @given(steps=STEPS)
+    def test_no_request_may_be_sent_within_any_pause_of_that_start(self, steps):
+        # Guards against answers in any order that end a pause, and against a pause of
+        # an earlier start.
+        pauses, now = WantedPauses(), 100.0
+        ends_at = dict.fromkeys(["e1@1", "e1@2"], 0.0)
+        for what, incarnation, pause_s, passes_s in steps:
+            now += passes_s
+            if what == "refused":
+                pauses.note_refusal(incarnation, pause_s, now)
+                ends_at[incarnation] = max(ends_at[incarnation], now + pause_s)
+            elif what == "accepted":
+                pauses.note_accepted(incarnation, now)
+            elif may_send(pauses, now, incarnation):
+                pauses.note_sent(incarnation, now)
+            for known, end in ends_at.items():
+                assert not (may_send(pauses, now, known) and now < end)
+                assert pauses.next_at(known) <= max(now, end) + FIRST_RETURN_INTERVAL_S
+
+
 class TestRetryAfter:
     @pytest.mark.parametrize(
         ("values", "pause_s"),
--- a/tests/serving/test_retained_rows.py
+++ b/tests/serving/test_retained_rows.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from savoryhill.platform.store import StoreRow
-from savoryhill.serving.cluster_view import LAPSE_GRACE_S, ClusterView
+from savoryhill.serving.cluster_state import LAPSE_GRACE_S
+from savoryhill.serving.cluster_view import ClusterView
 from savoryhill.serving.retained_rows import RETENTION_S
 from savoryhill.serving.store_position import StorePosition
 from savoryhill.serving.store_updates import build_retained_rows, read_rows
