serving: what ends endpoints of one release is sent to those of another

Endpoints of one release bear a request or a part of prompts that ends those of another; each answer of the first cleared the crashes of the second, so that three in succession were never seen. Cause: what shows a subject to be sound counted for all endpoints of a service, whatever software they run. Change: a start or an answer clears the crashes of its own release only (the version in the endpoint's row). Once a subject is refused, requests with it go to endpoints of the releases that have borne it (JobSubmit.excluded, and the choice for calls), and are refused if there is none; a release that was not tried counts as one that does not, so that a request that ends all endpoints costs no more than before.

--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -6,10 +6,11 @@
 
 The subjects of what is observed are the digests of requests and of parts. A part is
 sound once a request with it has started; a request, which may end its endpoint at any
-moment of its run, once it has been answered.
+moment of its run, once it has been answered. Endpoints with another release of their
+software may bear what ends the others, so that this holds for each release by itself.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from savoryhill.core.observations.parts import is_request_digest
@@ -19,11 +20,11 @@
 # connection ended; a request had not been answered. The value is how long before the
 # request had been sent, in seconds.
 CRASH = "crash"
-# A request with the part has started since, or the request has been answered, so the
-# crashes so far don't count.
+# A request with the part has started since, or the request has been answered, at an
+# endpoint of a release (the source), so the crashes of that release so far don't count.
 SOUND = "sound"
 # A request with the part had started, or the request had been answered, shortly before
-# the first crash.
+# the first crash, at an endpoint of a release (the source).
 KNOWN = "known"
 # A request that was sent to the engine later has started, so the engine had not ended.
 ALIVE = "alive"
@@ -43,12 +44,16 @@
 REQUEST_PROBE_DELAY_FACTOR = 4
 MAX_PROBE_DELAY_S = 600.0
 MAX_PROBE_DELAYS = 10
+# How often nodes tell each other that a release bears what others don't.
+CONFIRMATION_INTERVAL_S = 15.0
 
 
 class Admission(Enum):
     """What to do with a request."""
 
     ADMIT = "admit"
+    # Admit at endpoints of the releases that bear the part.
+    ELSEWHERE = "elsewhere"
     # Admit if no other request with the part is being tried.
     PROBE = "probe"
     REFUSE = "refuse"
@@ -60,6 +65,7 @@
 
     There are several if all crashes had them in common. ``sources`` are the engines
     that ended, ``workspaces`` those whose requests they ended under.
+    ``sound_releases`` are the releases that have borne the parts and not ended since.
     """
 
     parts: frozenset[str]
@@ -67,6 +73,7 @@
     sources: tuple[str, ...]
     workspaces: frozenset[str]
     last_crash_at: float
+    sound_releases: frozenset[str] = frozenset()
 
     def binds(self, workspace):
         """Return whether requests of a workspace are refused.
@@ -91,7 +98,7 @@
         return self.parts <= parts and now < self.next_probe_at()
 
 
-def observe_crash(table, *, parts, source, workspace, sent_at, now):
+def observe_crash(table, *, parts, source, workspace, sent_at, now, release=""):
     """Return the observations of a connection that ended before its first event.
 
     Parameters
@@ -106,6 +113,8 @@
         Name of the request's workspace.
     sent_at, now : float
         When the request was sent, and the current time, in seconds.
+    release : str
+        Release of the engine's software; empty if it is not known.
 
     Returns
     -------
@@ -116,17 +125,18 @@
             kind=CRASH,
             subject=part,
             source=source,
-            version=1 + _settled_version(table, part, source),
+            version=1 + _settled_version(table, part, source, release),
             observed_at=now,
             value=now - sent_at,
             workspace=workspace,
+            release=release,
         )
         for part in parts
         if not _is_live(table, table.get(CRASH, part, source))
     ]
 
 
-def observe_start(table, *, parts, source, sent_at, now):
+def observe_start(table, *, parts, source, sent_at, now, release=""):
     """Return the observations of the first event, or of the end, of a request.
 
     There are none unless a subject or the engine is under suspicion. The parameters are
@@ -134,9 +144,7 @@
     """
     observations = []
     for part in parts:
-        live = live_crashes(table, part)
-        if live:
-            observations.append(_settle(SOUND, part, "", live, now))
+        observations += _confirm_sound(table, part, release, now)
     earlier = [
         crash
         for crash in table.from_source(CRASH, source)
@@ -147,6 +155,25 @@
     return observations
 
 
+def _confirm_sound(table, part, release, now):
+    """Return the observation that a release bears a part under suspicion, if news."""
+    live = live_crashes(table, part)
+    at_release = [crash for crash in live if crash.release == release]
+    if at_release:
+        return [_settle(SOUND, part, release, at_release, now)]
+    known = table.get(SOUND, part, release)
+    if not live or (
+        known is not None and now - known.observed_at < CONFIRMATION_INTERVAL_S
+    ):
+        return []
+    version = 1 if known is None else known.version + 1
+    return [
+        Observation(
+            kind=SOUND, subject=part, source=release, version=version, observed_at=now
+        )
+    ]
+
+
 def recall_starts(table, *, crashes, started_at_by_part, now):
     """Return the observations of parts that a node saw start before their crash.
 
@@ -156,8 +183,9 @@
         The observations known so far.
     crashes : iterable of Observation
         Observations that the node has just learned of.
-    started_at_by_part : dict of str to float
-        When a request with a part last started at the node, in seconds.
+    started_at_by_part : dict of (str, str) to float
+        When a request with a part last started at the node, at an endpoint of a
+        release, in seconds.
     now : float
         Current time of the node's clock, in seconds.
 
@@ -165,18 +193,19 @@
     -------
     list of Observation
     """
-    parts = {crash.subject for crash in crashes if crash.kind == CRASH}
+    parts = {o.subject for o in crashes if o.kind == CRASH}
     observations = []
-    for part in sorted(parts & started_at_by_part.keys()):
-        started_at = started_at_by_part[part]
-        if now - started_at > SOUND_S or _was_sound(table, part, now):
+    for (part, release), started_at in started_at_by_part.items():
+        if part not in parts:
             continue
-        known = table.get(KNOWN, part)
+        if now - started_at > SOUND_S or _was_sound(table, part, release, now):
+            continue
+        known = table.get(KNOWN, part, release)
         observations.append(
             Observation(
                 kind=KNOWN,
                 subject=part,
-                source="",
+                source=release,
                 version=1 + (known.version if known else 0),
                 observed_at=started_at,
             )
@@ -184,15 +213,52 @@
     return observations
 
 
-def _was_sound(table, part, now):
-    """Return whether a request with a part started recently, at any node."""
-    starts = (table.get(SOUND, part), table.get(KNOWN, part))
+def _was_sound(table, part, release, now):
+    """Return whether a request with a part started recently at a release."""
+    starts = (table.get(SOUND, part, release), table.get(KNOWN, part, release))
     return any(o is not None and now - o.observed_at <= SOUND_S for o in starts)
 
 
-def _min_crashes(table, part, now):
-    """Return how many successive crashes show that a part ends engines."""
-    return MIN_CRASHES_OF_SOUND if _was_sound(table, part, now) else MIN_CRASHES
+def _count_against(table, part, crashes, now):
+    """Return how many successive crashes show that a part ends engines, or 0.
+
+    Those of releases that have borne it lately count by themselves, and only if there
+    are more of them.
+    """
+    by_release = _by_release(crashes)
+    unsound = [
+        crash
+        for release, some in by_release.items()
+        if not _was_sound(table, part, release, now)
+        for crash in some
+    ]
+    if count_successive(unsound) >= MIN_CRASHES:
+        return count_successive(unsound)
+    n_most = max(map(count_successive, by_release.values()), default=0)
+    return n_most if n_most >= MIN_CRASHES_OF_SOUND else 0
+
+
+def _by_release(crashes):
+    by_release = {}
+    for crash in crashes:
+        by_release.setdefault(crash.release, []).append(crash)
+    return by_release
+
+
+def _sound_releases(table, parts, now):
+    """Return the releases that bear all parts."""
+    releases_by_part = []
+    for part in parts:
+        starts = [*table.about(SOUND, part), *table.about(KNOWN, part)]
+        borne = {start.source for start in starts}
+        ended = {
+            release
+            for release, crashes in _by_release(live_crashes(table, part)).items()
+            if count_successive(crashes) >= MIN_CRASHES_OF_SOUND
+            or not _was_sound(table, part, release, now)
+        }
+        releases_by_part.append(frozenset(borne - ended))
+    return frozenset.intersection(*releases_by_part)
 
 
 def _settle(kind, subject, source, crashes, now):
@@ -205,16 +271,17 @@
     )
 
 
-def _settled_version(table, part, source):
+def _settled_version(table, part, source, release):
     """Return the version up to which crashes of a part at an engine don't count."""
-    settled = (table.get(SOUND, part), table.get(ALIVE, source))
+    settled = (table.get(SOUND, part, release), table.get(ALIVE, source))
     return max((o.version for o in settled if o is not None), default=0)
 
 
 def _is_live(table, crash):
     if crash is None:
         return False
-    return crash.version > _settled_version(table, crash.subject, crash.source)
+    settled = _settled_version(table, crash.subject, crash.source, crash.release)
+    return crash.version > settled
 
 
 def live_crashes(table, part):
@@ -258,7 +325,7 @@
     crashes_by_part = {}
     for part in table.subjects(CRASH, n_min=MIN_CRASHES):
         live = live_crashes(table, part)
-        if len(live) >= _min_crashes(table, part, now):
+        if _count_against(table, part, live, now):
             crashes_by_part[part] = live
     found, explained = {}, set()
     most_crashes_first = sorted(
@@ -268,8 +335,8 @@
         if part in found:
             continue
         unexplained = [c for c in crashes_by_part[part] if c.source not in explained]
-        n_crashes = count_successive(unexplained)
-        if n_crashes < _min_crashes(table, part, now):
+        n_crashes = _count_against(table, part, unexplained, now)
+        if not n_crashes:
             continue
         sources = {crash.source for crash in unexplained}
         together = {
@@ -283,6 +350,7 @@
             sources=tuple(sorted(sources)),
             workspaces=frozenset(crash.workspace for crash in unexplained),
             last_crash_at=max(crash.observed_at for crash in unexplained),
+            sound_releases=_sound_releases(table, together, now),
         )
         found.update(dict.fromkeys(together, crashing))
         explained |= sources
@@ -309,16 +377,33 @@
     Returns
     -------
     tuple of (Admission, CrashingParts or None)
+        With ``ELSEWHERE``, the ``sound_releases`` are those that bear all of the parts.
     """
     if not crashing_by_part:
         return Admission.ADMIT, None
     parts = frozenset(parts)
-    decision = Admission.ADMIT, None
+    probed = elsewhere = None
     for part in parts:
         crashing = crashing_by_part.get(part)
         if crashing is None or not crashing.binds(workspace):
             continue
-        if crashing.refuses(parts, now):
+        if crashing.sound_releases and crashing.parts <= parts:
+            elsewhere = _borne_by_both(elsewhere, crashing)
+        elif crashing.refuses(parts, now):
             return Admission.REFUSE, crashing
-        decision = Admission.PROBE, crashing
-    return decision
+        else:
+            probed = crashing
+    if elsewhere is not None and not elsewhere.sound_releases:
+        return Admission.REFUSE, elsewhere
+    if probed is not None:
+        return Admission.PROBE, probed
+    if elsewhere is not None:
+        return Admission.ELSEWHERE, elsewhere
+    return Admission.ADMIT, None
+
+
+def _borne_by_both(known, crashing):
+    if known is None:
+        return crashing
+    releases = known.sound_releases & crashing.sound_releases
+    return replace(crashing, sound_releases=releases)
--- a/src/savoryhill/core/observations/messages.py
+++ b/src/savoryhill/core/observations/messages.py
@@ -16,6 +16,7 @@
     age_s: float
     value: float
     workspace: str
+    release: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,6 +63,7 @@
                 age_s=max(0.0, now - o.observed_at),
                 value=o.value,
                 workspace=o.workspace,
+                release=o.release,
             )
             for o in observations
         )
@@ -82,6 +84,7 @@
             observed_at=now - (item.age_s if item.age_s > 0.0 else 0.0),
             value=item.value,
             workspace=item.workspace,
+            release=item.release,
         )
         for item in message.items
     ]
--- a/src/savoryhill/core/observations/table.py
+++ b/src/savoryhill/core/observations/table.py
@@ -20,7 +20,8 @@
 class Observation:
     """One observation; a node holds the latest of each kind, subject and source.
 
-    ``subject`` and ``source`` depend on the kind, as do ``value`` and ``workspace``.
+    ``subject`` and ``source`` depend on the kind, as do ``value``, ``workspace`` and
+    ``release``, that of an endpoint's software.
     ``version`` is higher than that of all observations which this one succeeds.
     ``observed_at`` is in seconds of the clock of the node that holds the copy.
     """
@@ -32,6 +33,7 @@
     observed_at: float
     value: float = 0.0
     workspace: str = ""
+    release: str = ""
 
     @property
     def key(self):
@@ -43,7 +45,7 @@
         return self._rank() > other._rank()
 
     def _rank(self):
-        return self.version, self.value, self.workspace
+        return self.version, self.value, self.workspace, self.release
 
 
 class ObservationTable:
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -259,6 +259,7 @@
   ageS @4 :Float64;
   value @5 :Float64;
   workspace @6 :Text;
+  release @7 :Text;
 }
 
 struct SharedObservations {
--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -40,6 +40,8 @@
 _SECONDS_PER_PAIR_UNIT = 0.001 / 1e6
 # Fits the integers of messages between nodes.
 MAX_OBSERVATION_VERSION = 2**31
+# Bounds what other writers of rows can make nodes keep and send.
+MAX_RELEASE_LENGTH = 64
 
 
 def _decode_object(value):
@@ -156,8 +158,8 @@
 def decode_endpoint(row):
     """Decode the row of an endpoint, or return None if a field is invalid.
 
-    A ``sequence`` that is no number counts as 0, as it does not describe the endpoint.
-    ``version``, that of the endpoint's software, is ignored.
+    A ``sequence`` that is no number counts as 0, and a ``version`` that is no text as
+    none, as they don't tell where and what the endpoint is.
     """
     content = _decode_object(row.value)
     if content is None:
@@ -186,9 +188,14 @@
         born_ms=int(born_ms),
         revision=row.revision,
         sequence=int(sequence) if _is_number(sequence) else 0,
+        release=_text_or_empty(content.get("version")),
     )
 
 
+def _text_or_empty(value):
+    return value[:MAX_RELEASE_LENGTH] if isinstance(value, str) else ""
+
+
 def decode_node(row):
     """Decode the row of a node, or return None if a field is invalid."""
     content = _decode_object(row.value)
@@ -236,6 +243,7 @@
             "observedAt": crash.observed_at - now + wall_now,
             "value": crash.value,
             "workspace": crash.workspace,
+            "release": crash.release,
         }
         for crash in crashes
     ]
@@ -280,6 +288,7 @@
         observed_at=now - max(0.0, wall_now - observed_at),
         value=float(crash_value),
         workspace=workspace,
+        release=_text_or_empty(item.get("release")),
     )
 
 
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -100,8 +100,11 @@
         request, context = self._request, self._context
         statements = context.endpoint_statements
         limiter = statements.limiter
-        paused_ids = statements.paused_ids(request.service.name)
-        avoided_ids = request.avoided_endpoint_ids | paused_ids
+        avoided_ids = (
+            request.avoided_endpoint_ids
+            | statements.paused_ids(request.service.name)
+            | self._check.excluded_ids()
+        )
         limited = []
         while True:
             endpoint = context.balancer.choose(
--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -25,7 +25,8 @@
         self._is_answering = False
         self._job = None
         self._connection = None
-        self._source = ""
+        self._endpoint = None
+        self._sound_releases = None
         self.sent_at = 0.0
         self.probed_parts = ()
         self.stop_cause = None
@@ -38,10 +39,15 @@
     def refusal_cause(self):
         """Decide on the next send; return why the request is refused, or None."""
         self.probed_parts = ()
+        self._sound_releases = None
         suspects = self._suspects()
         admission, crashing = self._guard.admit(suspects, self._workspace)
         if admission is Admission.ADMIT:
             return None
+        if admission is Admission.ELSEWHERE:
+            self._sound_releases = crashing.sound_releases
+            is_borne = len(self._endpoints()) > len(self.excluded_ids())
+            return None if is_borne else refusal_cause(crashing)
         known = self._guard.crashing_by_part
         probed_parts = tuple(part for part in suspects if part in known)
         if admission is Admission.REFUSE or len(probed_parts) > MAX_PROBED_PARTS:
@@ -49,6 +55,24 @@
         self.probed_parts = probed_parts
         return None
 
+    def _endpoints(self):
+        view = self._request.context.cluster_view
+        return view.usable_endpoints(self._request.service.name)
+
+    def excluded_ids(self):
+        """Return the ids of the endpoints that the next send might end.
+
+        Load pattern: a release is under way, and only one of the two releases bears a
+        part of prompts, or a request.
+        """
+        if self._sound_releases is None:
+            return frozenset()
+        return frozenset(
+            endpoint.id
+            for endpoint in self._endpoints()
+            if endpoint.release not in self._sound_releases
+        )
+
     def refuse(self, cause, response, history):
         """End the request, which ends endpoints or has a part that does.
 
@@ -112,7 +136,7 @@
 
     def note_sent(self, endpoint, connection):
         """Record the endpoint and the connection of the current send."""
-        self._source = endpoint.incarnation
+        self._endpoint = endpoint
         self._connection = connection
         self.sent_at = self._request.context.clock.monotonic()
 
@@ -127,7 +151,9 @@
         self._note_sound((*self._request.part_digests, self._request.digest))
 
     def _note_sound(self, digests):
-        self._guard.note_start(parts=digests, source=self._source, sent_at=self.sent_at)
+        self._guard.note_start(
+            parts=digests, endpoint=self._endpoint, sent_at=self.sent_at
+        )
 
     def note_failure(self, failure, endpoint):
         """Record a failed send, if its endpoint may have ended under it.
@@ -145,6 +171,6 @@
             request=self._request.id,
             parts=self._suspects(),
             workspace=self._workspace,
-            source=self._source,
+            endpoint=self._endpoint,
             sent_at=self.sent_at,
         )
--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -67,8 +67,9 @@
             now=self._clock.monotonic(),
         )
 
-    def note_crash(self, *, request, parts, workspace, source, sent_at):
+    def note_crash(self, *, request, parts, workspace, endpoint, sent_at):
         """Record that the connection to an endpoint ended under parts or a request."""
+        source = endpoint.incarnation
         observations = observe_crash(
             self._sharing.table,
             parts=parts,
@@ -76,6 +77,7 @@
             workspace=workspace,
             sent_at=sent_at,
             now=self._clock.monotonic(),
+            release=endpoint.release,
         )
         if not observations:
             return
@@ -85,16 +87,21 @@
         )
         self._sharing.add(observations)
 
-    def note_start(self, *, parts, source, sent_at):
-        """Record that parts, or a request, have shown themselves to be sound."""
+    def note_start(self, *, parts, endpoint, sent_at):
+        """Record that an endpoint has borne parts, or a request."""
         now = self._clock.monotonic()
         for part in parts:
-            self._started_at_by_part[part] = now
-            self._started_at_by_part.move_to_end(part)
+            self._started_at_by_part[part, endpoint.release] = now
+            self._started_at_by_part.move_to_end((part, endpoint.release))
         while len(self._started_at_by_part) > MAX_STARTED_PARTS:
             self._started_at_by_part.popitem(last=False)
         observations = observe_start(
-            self._sharing.table, parts=parts, source=source, sent_at=sent_at, now=now
+            self._sharing.table,
+            parts=parts,
+            source=endpoint.incarnation,
+            sent_at=sent_at,
+            now=now,
+            release=endpoint.release,
         )
         if observations:
             self._sharing.add(observations)
@@ -226,4 +233,5 @@
         "crashes": crashing.n_crashes,
         "endpoints": ",".join(crashing.sources),
         "workspaces": ",".join(sorted(crashing.workspaces)),
+        "borne_by": ",".join(sorted(crashing.sound_releases)),
     }
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -115,12 +115,17 @@
 
     def _wants_pause(self, decision):
         """Tell whether an engine has asked for a pause since the job was submitted."""
-        statements = self._context.endpoint_statements
-        paused_ids = statements.paused_ids(self._request.service.name)
-        return isinstance(decision, JobPlaced) and not paused_ids.isdisjoint(
+        return isinstance(decision, JobPlaced) and not self._excluded_ids().isdisjoint(
             decision.endpoints
         )
 
+    def _excluded_ids(self):
+        """Return the ids of the engines to which the request must not be sent now."""
+        paused_ids = self._context.endpoint_statements.paused_ids(
+            self._request.service.name
+        )
+        return paused_ids | self._check.excluded_ids()
+
     def _awaits_probe(self, decision):
         """Tell whether another request is about to show that this one can be served."""
         request = self._request
@@ -158,9 +163,7 @@
                 is_repeat=request.n_sends > 1,
                 needs_budget=needs_budget,
                 probed_parts=self._check.probed_parts,
-                excluded=tuple(
-                    self._context.endpoint_statements.paused_ids(request.service.name)
-                ),
+                excluded=tuple(self._excluded_ids()),
             )
         )
 
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -94,7 +94,8 @@
 class Endpoint:
     """A registered endpoint; ``born_ms`` distinguishes its incarnations.
 
-    ``sequence`` counts what an incarnation has written to its row.
+    ``sequence`` counts what an incarnation has written to its row. ``release`` is that
+    of its software, empty if it is not known.
     """
 
     id: str
@@ -107,6 +108,7 @@
     born_ms: int
     revision: int
     sequence: int = 0
+    release: str = ""
 
     @property
     def incarnation(self):
--- a/tests/core/observations/test_crashes.py
+++ b/tests/core/observations/test_crashes.py
@@ -11,6 +11,7 @@
     FIRST_PROBE_DELAY_S,
     MAX_PROBE_DELAY_S,
     MIN_CRASHES,
+    MIN_CRASHES_OF_SOUND,
     SOUND_S,
     Admission,
     admit,
@@ -32,7 +33,7 @@
     return ObservationTable()
 
 
-def crash(table, parts, *, engine, now, sent_at=None, workspace="ws-a"):
+def crash(table, parts, *, engine, now, sent_at=None, workspace="ws-a", release=""):
     """Merge the observations of an engine that ended."""
     return table.merge(
         observe_crash(
@@ -42,12 +43,13 @@
             workspace=workspace,
             sent_at=now - 0.1 if sent_at is None else sent_at,
             now=now,
+            release=release,
         ),
         now,
     )
 
 
-def start(table, parts, *, now, engine="e9", sent_at=None):
+def start(table, parts, *, now, engine="e9", sent_at=None, release=""):
     """Merge the observations of a request that started."""
     table.merge(
         observe_start(
@@ -56,6 +58,7 @@
             source=engine,
             sent_at=now - 0.1 if sent_at is None else sent_at,
             now=now,
+            release=release,
         ),
         now,
     )
@@ -105,7 +108,10 @@
         # or the parts that sound prompts share with those that end engines.
         news = crash(table, ["aa", "dead"], engine="e8", now=99.0)
         recalled = recall_starts(
-            table, crashes=news, started_at_by_part={"aa": 95.0, "zz": 98.0}, now=99.0
+            table,
+            crashes=news,
+            started_at_by_part={("aa", ""): 95.0, ("zz", ""): 98.0},
+            now=99.0,
         )
         assert [o.subject for o in recalled] == ["aa"]
         table.merge(recalled, 99.0)
@@ -154,6 +160,81 @@
         assert decide(table, ["dead", "aa"]) is Admission.REFUSE
 
 
+class TestReleases:
+    """Engines of one release bear a part that ends those of another."""
+
+    def mix(self, table, parts, *, n=MIN_CRASHES):
+        for number in range(n):
+            now = 100.0 + number
+            crash(table, parts, engine=f"e{number}", now=now, release="v1")
+            start(table, parts, now=now + 0.5, engine="new", release="v2")
+
+    def test_start_at_another_release_does_not_clear(self, table):
+        # Guards against a part that ends engine after engine of the old release,
+        # because those of the new one bear it in between.
+        self.mix(table, ["dead"])
+        assert decide(table, ["dead"]) is Admission.ELSEWHERE
+        (crashing,) = find_crashing_parts(table, 110.0).values()
+        assert crashing.sound_releases == {"v2"}
+
+    def test_part_that_ends_both_is_refused(self, table):
+        self.mix(table, ["dead"])
+        for number in range(MIN_CRASHES_OF_SOUND):
+            assert decide(table, ["dead"]) is Admission.ELSEWHERE
+            now = 105.0 + number
+            crash(table, ["dead"], engine=f"n{number}", now=now, release="v2")
+        assert decide(table, ["dead"], now=112.0) is Admission.REFUSE
+
+    def test_crash_of_a_release_that_bore_it_long_ago_counts_at_once(self, table):
+        self.mix(table, ["dead"])
+        now = 102.5 + SOUND_S
+        crash(table, ["dead"], engine="n1", now=now, release="v2")
+        assert decide(table, ["dead"], now=now + 0.5) is Admission.REFUSE
+
+    def test_release_that_was_not_tried_may_not_bear_it(self, table):
+        # Guards against three more engines that end for each new release.
+        crash_in_succession(table, ["dead"])
+        assert decide(table, ["dead"]) is Admission.REFUSE
+
+    def test_start_at_the_same_release_clears(self, table):
+        self.mix(table, ["dead"])
+        start(table, ["dead"], now=106.0, release="v1")
+        assert decide(table, ["dead"]) is Admission.ADMIT
+
+    def test_two_parts_are_sent_where_both_are_borne(self, table):
+        for part, other in (("a", "v2"), ("b", "v3")):
+            for number in range(MIN_CRASHES):
+                now = 100.0 + number
+                engine = f"{part}{number}"
+                crash(table, [part], engine=engine, now=now, release="v1")
+            start(table, [part], now=105.0, engine="new", release=other)
+        assert decide(table, ["a"]) is Admission.ELSEWHERE
+        assert decide(table, ["a", "b"]) is Admission.REFUSE
+
+    def test_start_before_the_first_crash_tells_that_a_release_bears_it(self, table):
+        news = crash(table, ["dead"], engine="e8", now=99.0, release="v1")
+        started_at = {("dead", "v2"): 95.0}
+        table.merge(
+            recall_starts(table, crashes=news, started_at_by_part=started_at, now=99.0),
+            99.0,
+        )
+        for number in range(MIN_CRASHES):
+            now = 100.0 + number
+            crash(table, ["dead"], engine=f"e{number}", now=now, release="v1")
+        assert decide(table, ["dead"]) is Admission.ELSEWHERE
+
+    def test_nodes_are_not_told_of_each_start(self, table):
+        # Guards against a message to all nodes for each request during a release.
+        self.mix(table, ["dead"])
+        observations = [
+            observe_start(
+                table, parts=["dead"], source="new", sent_at=now, now=now, release="v2"
+            )
+            for now in (103.0, 104.0, 105.0)
+        ]
+        assert observations == [[], [], []]
+
+
 class TestProbes:
     def test_part_is_tried_again_after_a_delay_that_grows(self, table):
         crash_in_succession(table, ["dead"])
@@ -298,7 +379,7 @@
                     requests.clear()
                     continue
                 for name, sent_at, _ in [r for r in requests if r[2] <= now]:
-                    answered_at[name] = now
+                    answered_at[name, ""] = now
                     table.merge(
                         observe_start(
                             table, parts=[name], source=source, sent_at=sent_at, now=now
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -94,7 +94,9 @@
         value = json.dumps(configuration(**fields)).encode()
         self.store.put("op/config", value)
 
-    def add_endpoint(self, endpoint_id, *, service, zone="zone-a", **fields):
+    def add_endpoint(
+        self, endpoint_id, *, service, zone="zone-a", release="v1", **fields
+    ):
         """Start and register an endpoint."""
         endpoint = EndpointStandIn(
             id=endpoint_id,
@@ -106,7 +108,7 @@
         self.servers.append(server)
         self.endpoints_by_id[endpoint_id] = endpoint
         endpoint.address = f"127.0.0.1:{server.server_port}"
-        self.register(endpoint_id, service=service, zone=zone)
+        self.register(endpoint_id, service=service, zone=zone, release=release)
         return endpoint
 
     def register(
@@ -118,13 +120,14 @@
         state="ready",
         address=None,
         born=1,
+        release="v1",
     ):
         """Write the store row of an endpoint, by default of a started stand-in."""
         row = {
             "service": service,
             "address": address or self.endpoints_by_id[endpoint_id].address,
             "zone": zone,
-            "version": "v1",
+            "version": release,
             "slots": 4,
             "state": state,
             "coldRemainingMs": 0,
--- a/tests/serving/test_crashing_requests.py
+++ b/tests/serving/test_crashing_requests.py
@@ -142,3 +142,59 @@
             deployment.wait_until(lambda: not any(e.is_down for e in endpoints))
         assert answers.count(200) >= len(answers) - 3
         assert deployment.ask("/stock/x", body=b"health")[0] == 200
+
+
+class TestRelease:
+    """Endpoints of the new release bear the request that ends those of the old one."""
+
+    PATHS_BY_SERVICE = [
+        ("pool", "/chat/x"),
+        ("pool", "/once/x"),
+        ("app", "/order/x"),
+        ("app", "/stock/x"),
+    ]
+
+    @pytest.fixture
+    def start(self, deployment):
+        """Starts endpoints of both releases, of which the new ones come first."""
+
+        def start(service, path):
+            new = deployment.add_endpoint("new", service=service, release="v2")
+            add_linked_nodes(deployment)
+            assert deployment.ask(path, body=DEADLY)[0] == 200
+            old = add_endpoints(deployment, service)
+            views = [node.context.cluster_view for node in deployment.nodes]
+            deployment.wait_until(
+                lambda: all(len(v.endpoints_by_id) > N_ENDPOINTS for v in views)
+            )
+            return new, old
+
+        return start
+
+    @pytest.mark.parametrize(("service", "path"), PATHS_BY_SERVICE)
+    def test_request_that_one_release_bears_is_served_there(
+        self, deployment, start, service, path
+    ):
+        # Guards against a request that ends engine after engine of the old release,
+        # because answers of the new one clear it in between.
+        new, old = start(service, path)
+        ask_in_turn(deployment, path, old, n_rounds=30)
+        assert n_later_arrivals(old) <= MAX_LATER_ARRIVALS
+        n_before = len(new.arrivals)
+        answers = [deployment.ask(path, node=n % 2, body=DEADLY)[0] for n in range(6)]
+        assert answers == [200] * 6
+        assert len(new.arrivals) == n_before + 6
+
+    def test_request_is_refused_once_the_release_that_bears_it_is_gone(
+        self, deployment, start
+    ):
+        start("app", "/stock/x")
+        guard = deployment.nodes[0].context.crash_guard
+        for _ in range(40):
+            deployment.ask("/stock/x", body=DEADLY)
+        assert guard.crashing_by_part
+        deployment.store.remove("servers/new")
+        view = deployment.nodes[0].context.cluster_view
+        deployment.wait_until(lambda: "new" not in view.endpoints_by_id)
+        status, headers, _, _ = deployment.ask("/stock/x", body=DEADLY)
+        assert (status, b"retry-after" in headers) == (503, False)
