serving: no message without rows when what was retained is written again at once

Change: nothing is sent then; the update itself says it. Measured: test_row_written_again_within_the_same_update_... failed before ("module 'messages.capnp' has no attribute 'NoneType'"); 73 tests of dispatch, nodes and pauses passed. The log line of a placement that is taken back names both causes.

--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -70,13 +70,13 @@
                         self._withdraw(job)
                         gevent.sleep(PROBE_CHECK_S)
                         continue
-                    if self._wants_pause(decision):
+                    if self._is_excluded(decision):
                         self._withdraw(job)
                         self._context.log(
                             "request.placement_withdrawn",
                             request=request.id,
                             endpoints=",".join(decision.endpoints),
-                            cause="an engine wants a pause",
+                            cause="an engine wants a pause or ends under the request",
                         )
                         continue
                     if decision is None or isinstance(decision, JobRejected):
@@ -113,8 +113,8 @@
         self._request.n_sends -= 1
         self._request.needs_budget = job.submission.needs_budget
 
-    def _wants_pause(self, decision):
-        """Tell whether an engine has asked for a pause since the job was submitted."""
+    def _is_excluded(self, decision):
+        """Tell whether an engine was placed that has been excluded meanwhile."""
         return isinstance(decision, JobPlaced) and not self._excluded_ids().isdisjoint(
             decision.endpoints
         )
--- a/src/savoryhill/serving/retention_sharing.py
+++ b/src/savoryhill/serving/retention_sharing.py
@@ -49,7 +49,11 @@
         self._positions_known_to_leader.update((row.key, row.position) for row in rows)
 
     def _handle_retained(self, keys):
-        self._send_to_followers(build_retained_rows(self._cluster_view, keys))
+        message = build_retained_rows(self._cluster_view, keys)
+        if message is None:
+            # The writers had written again within the same update.
+            return
+        self._send_to_followers(message)
         if self._reporter is None:
             self._reporter = gevent.spawn_later(
                 LEADER_REPORT_DELAY_S, self.report_to_leader
--- a/tests/serving/test_dispatch.py
+++ b/tests/serving/test_dispatch.py
@@ -285,6 +285,21 @@
         assert restored_view.evacuated_zones == {"zone-a"}
         assert len(follower.frames) == 1
 
+    def test_row_written_again_within_the_same_update_is_passed_on_by_the_update(
+        self, dispatcher, follower, restored_view
+    ):
+        # Guards against a message without rows, which ends the task that reads the
+        # store.
+        removed = StoreRow(
+            key=self.ROW.key, value=b"", revision=5, is_deleted=True, era=2
+        )
+        again = StoreRow(key=self.ROW.key, value=b"{}", revision=6, era=2)
+        assert restored_view.apply(
+            [removed, again], 6, base_revision=7, base_era=1, era=2
+        )
+        assert restored_view.evacuated_zones == {"zone-a"}
+        assert follower.frames == []
+
     def test_leader_that_knows_only_the_copy_passes_on_what_it_is_told(
         self, dispatcher, cluster_view, follower
     ):
