--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -45,6 +45,7 @@
 DRAIN_CHECK_S = 0.05
 EXIT_INVALID_SETTINGS = 2
 SETTINGS_CHECK_S = 1.0
+TASK_RESTART_DELAY_S = 0.5
 # Changes of these settings take effect only after a restart.
 RESTART_ONLY_SETTINGS = frozenset(
     (
@@ -231,9 +232,25 @@
             self._sharing.review_periodically,
             self._refusal_record.run,
         ):
-            self._greenlets.append(gevent.spawn(background_task))
+            self._greenlets.append(gevent.spawn(self._keep_running, background_task))
         self._record("node.started", {"node": settings.node, "zone": settings.zone})
 
+    def _keep_running(self, task):
+        """Run a background task, and start it again if it fails.
+
+        A node without one of them would go on with what it knows, for as long as the
+        process runs.
+        """
+        while True:
+            try:
+                task()
+                return
+            except Exception as error:
+                self._record(
+                    "task.failed", {"task": task.__qualname__, "cause": repr(error)}
+                )
+                gevent.sleep(TASK_RESTART_DELAY_S)
+
     def stop(self):
         """Close the listeners and kill the background tasks immediately."""
         for server in self._servers:
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -302,6 +302,28 @@
         assert not node.context.is_ready()
 
 
+class TestBackgroundTasks:
+    def test_task_that_failed_is_started_again(self, deployment, monkeypatch):
+        # Guards against a node that goes on with what it knows for as long as its
+        # process runs, because a task has ended with an error that nobody expected.
+        monkeypatch.setattr(process, "TASK_RESTART_DELAY_S", 0.01)
+        node = deployment.add_node()
+        view, read_store = node.context.cluster_view, node._watcher._read_store
+        failures = [TypeError("unexpected")]
+
+        def fail_once():
+            if failures:
+                raise failures.pop()
+            read_store()
+
+        monkeypatch.setattr(node._watcher, "_read_store", fail_once)
+        deployment.wait_until(lambda: not failures)
+        deployment.configure(version=7)
+        deployment.wait_until(lambda: view.configuration.version == 7)
+        (fields,) = deployment.lines[0].fields_of("task.failed")
+        assert fields == {"task": "Watcher.run", "cause": "TypeError('unexpected')"}
+
+
 class TestShutdown:
     def test_running_stream_is_finished_while_draining(self, deployment):
         deployment.add_endpoint("e1", service="pool", event_interval_s=0.1)
