serving: an endpoint's own failure does not show that a request is sound

Cause: any complete answer cleared the crashes of a request. An endpoint that fails part of its requests answers one that would have ended it. Change: such an answer shows that the endpoint goes on, and nothing of the request. Measured: TestEndpointThatFails, 35 (streams) and 5 (lookups) runs after the fifth crash before, at most 3 now; test_crashing_requests.py 18 passed.

--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -159,10 +159,10 @@
         """Record a failed send, if its endpoint may have ended under it.
 
         An endpoint that leaves ends its connections in any case; one that answers with
-        a failure of its own has not ended.
+        a failure of its own has not ended, but may not have run the request either.
         """
         if failure.head is not None:
-            self._note_sound((self._request.digest,))
+            self._note_sound(())
         if not failure.connection_ended or self.stop_cause:
             return
         if not self._request.context.cluster_view.is_usable(endpoint):
--- a/tests/serving/test_crashing_requests.py
+++ b/tests/serving/test_crashing_requests.py
@@ -144,6 +144,26 @@
         assert deployment.ask("/stock/x", body=b"health")[0] == 200
 
 
+class TestEndpointThatFails:
+    @pytest.mark.parametrize(
+        ("service", "path"), [("pool", "/chat/x"), ("app", "/stock/x")]
+    )
+    def test_its_failures_do_not_show_that_the_request_is_sound(
+        self, deployment, service, path
+    ):
+        # Guards against a request that ends endpoint after endpoint, because some fail
+        # part of their requests before they run them.
+        endpoints = add_endpoints(deployment, service)
+        add_linked_nodes(deployment)
+        for number in range(24):
+            for endpoint in endpoints:
+                endpoint.faults.clear()
+                endpoint.faults.extend(["failing"] * (number % 2))
+            deployment.ask(path, node=number // 2 % 2, body=DEADLY)
+            deployment.wait_until(lambda: not all(e.is_down for e in endpoints))
+        assert n_later_arrivals(endpoints) <= MAX_LATER_ARRIVALS
+
+
 class TestRelease:
     """Endpoints of the new release bear the request that ends those of the old one."""
 
