--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -24,28 +24,48 @@
 SETTLE_S = 4.0
 MEAN_ENDPOINT_FAULT_INTERVAL_S = 0.4
 MEAN_ENDLESS_INTERVAL_S = 2.0
-# Spans in which engines end under a part of prompts, drawn apart as well.
-MEAN_CRASHING_PART_INTERVAL_S = 9.0
-CRASHING_PART_LENGTH_S = 5.0
-# Spans in which endpoints end under one request.
-MEAN_CRASHING_REQUEST_INTERVAL_S = 3.0
-CRASHING_REQUEST_LENGTH_S = 8.0
-# Spans in which an endpoint names a limit of requests a second.
-MEAN_NAMED_LIMIT_INTERVAL_S = 3.0
-NAMED_LIMIT_LENGTH_S = 9.0
-# Spans in which an endpoint says that it leaves, or wants a pause.
-MEAN_SPOKEN_LEAVE_INTERVAL_S = 4.0
-SPOKEN_LEAVE_LENGTH_S = 6.0
-MEAN_WANTED_PAUSE_INTERVAL_S = 4.0
-WANTED_PAUSE_LENGTH_S = 5.0
-# Outages after which the store comes back from an older copy.
-MEAN_RESTORATION_INTERVAL_S = 6.0
-RESTORATION_LENGTH_S = 1.0
 MEAN_CHANGE_INTERVAL_S = 1.0
+RESTORATION_LENGTH_S = 1.0
 # Time without new faults at the end, in which requests must be served again.
 FINAL_QUIET_S = 6.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SpanKind:
+    """A fault that lasts, the seed of its spans and how they follow one another.
+
+    Each kind is drawn apart, so that the plans of earlier seeds stay what they were.
+    """
+
+    kind: str
+    stream: str
+    mean_interval_s: float
+    span_s: float
+
+
+# Spans while something is disturbed: endpoints end under one request, the store comes
+# back from an older copy, an endpoint says that it leaves, or wants a pause.
+DISTURBED_SPAN_KINDS = (
+    SpanKind(
+        kind="crashing_request", stream="requests", mean_interval_s=3.0, span_s=8.0
+    ),
+    SpanKind(
+        kind="restoration",
+        stream="restorations",
+        mean_interval_s=6.0,
+        span_s=RESTORATION_LENGTH_S,
+    ),
+    SpanKind(kind="spoken_leave", stream="leaves", mean_interval_s=4.0, span_s=6.0),
+    SpanKind(kind="wanted_pause", stream="pauses", mean_interval_s=4.0, span_s=5.0),
+)
+# Spans at any time: engines end under a part of prompts, or an endpoint names a limit
+# of requests a second.
+SPAN_KINDS = (
+    SpanKind(kind="crashing_part", stream="crashing", mean_interval_s=9.0, span_s=5.0),
+    SpanKind(kind="named_limit", stream="limits", mean_interval_s=3.0, span_s=9.0),
+)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Fault:
     """One entry of the plan.
@@ -83,27 +103,6 @@
         *_plan_disturbed_phase(random, disturbed_until),
         *_plan_undisturbed_phase(random, undisturbed_from, ends_at),
         *_plan_endless_responses(Random(f"endless/{seed}"), until=ends_at),
-        *_plan_spans(
-            "crashing_part",
-            Random(f"crashing/{seed}"),
-            until=ends_at,
-            mean_interval_s=MEAN_CRASHING_PART_INTERVAL_S,
-            span_s=CRASHING_PART_LENGTH_S,
-        ),
-        *_plan_spans(
-            "crashing_request",
-            Random(f"requests/{seed}"),
-            until=disturbed_until,
-            mean_interval_s=MEAN_CRASHING_REQUEST_INTERVAL_S,
-            span_s=CRASHING_REQUEST_LENGTH_S,
-        ),
-        *_plan_spans(
-            "restoration",
-            Random(f"restorations/{seed}"),
-            until=disturbed_until,
-            mean_interval_s=MEAN_RESTORATION_INTERVAL_S,
-            span_s=RESTORATION_LENGTH_S,
-        ),
         # The last one, after which the bounds for undisturbed times hold.
         Fault(
             at_s=disturbed_until,
@@ -111,31 +110,14 @@
             target=0,
             length_s=RESTORATION_LENGTH_S,
         ),
-        *_plan_spans(
-            "named_limit",
-            Random(f"limits/{seed}"),
-            until=ends_at,
-            mean_interval_s=MEAN_NAMED_LIMIT_INTERVAL_S,
-            span_s=NAMED_LIMIT_LENGTH_S,
-        ),
-        *_plan_spans(
-            "spoken_leave",
-            Random(f"leaves/{seed}"),
-            until=disturbed_until,
-            mean_interval_s=MEAN_SPOKEN_LEAVE_INTERVAL_S,
-            span_s=SPOKEN_LEAVE_LENGTH_S,
-        ),
-        *_plan_spans(
-            "wanted_pause",
-            Random(f"pauses/{seed}"),
-            until=disturbed_until,
-            mean_interval_s=MEAN_WANTED_PAUSE_INTERVAL_S,
-            span_s=WANTED_PAUSE_LENGTH_S,
-        ),
         *_plan_long_spans(
             Random(f"long/{seed}"), start=undisturbed_from, until=ends_at
         ),
     ]
+    for span_kind in DISTURBED_SPAN_KINDS:
+        faults += _plan_spans(span_kind, seed, until=disturbed_until)
+    for span_kind in SPAN_KINDS:
+        faults += _plan_spans(span_kind, seed, until=ends_at)
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
@@ -210,11 +192,16 @@
         yield Fault(at_s=start, kind=kind, target=target, length_s=until - start)
 
 
-def _plan_spans(kind, random, *, until, mean_interval_s, span_s):
+def _plan_spans(span_kind, seed, *, until):
     """Yield spans of a fault, one after the other."""
-    at_s = random.uniform(1.0, mean_interval_s)
-    while at_s + span_s < until:
+    random = Random(f"{span_kind.stream}/{seed}")
+    at_s = random.uniform(1.0, span_kind.mean_interval_s)
+    while at_s + span_kind.span_s < until:
         yield Fault(
-            at_s=at_s, kind=kind, target=random.randrange(1_000), length_s=span_s
+            at_s=at_s,
+            kind=span_kind.kind,
+            target=random.randrange(1_000),
+            length_s=span_kind.span_s,
         )
-        at_s += span_s + random.expovariate(1.0 / mean_interval_s)
+        interval_s = random.expovariate(1.0 / span_kind.mean_interval_s)
+        at_s += span_kind.span_s + interval_s
