standins: an endpoint's text does not name its whole fleet

Change: the fleet and the arrivals are left out of the text. No test and no deployed code is changed.

--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -87,11 +87,11 @@
     helped_event_interval_s: float = 0.005
     response_delay_s: float = 0.005
     faults: deque = field(default_factory=deque)
-    arrivals: list = field(default_factory=list)
+    arrivals: list = field(default_factory=list, repr=False)
     n_cancelled: int = 0
     ended_at_by_attempt: dict = field(default_factory=dict)
     held_until_by_reservation: dict = field(default_factory=dict)
-    fleet: object = ()
+    fleet: object = field(default=(), repr=False)
     order_status: int | None = None
     lapsed: list = field(default_factory=list)
     released: set = field(default_factory=set)
