soak: the time to act on a leave counts from the answer that says so

The logs: c20-44 reached engine-0 at 2798.92 and got headers without end, so no head and no word; c12-30, at 2802.95, got the first answer that says that engine-0 leaves; all nodes knew it at 2803.01 and sent it nothing more until its next start. Cause: the check counted from the first request, answered or not. Change: it counts from the first head that says so; 2 s as before.

--- a/src/savoryhill/soak/statement_checks.py
+++ b/src/savoryhill/soak/statement_checks.py
@@ -29,14 +29,15 @@
     for endpoint, start, end in spans:
         ends = [at for _, at in endpoint.crashes if start < at < end]
         end = min([end, *ends])
-        times = [a.at for a in endpoint.arrivals if start < a.at < end]
-        if not times:
-            continue
+        # A request may be left without an answer; the first answer tells the nodes.
+        said_at = min(
+            (at for at in endpoint.said_leaving_at if at > start), default=end
+        )
         late = [
-            at
-            for at in times
-            if at > times[0] + LEAVING_BOUND_S
-            and not is_disturbed(at - LEAVING_BOUND_S, at)
+            arrival.at
+            for arrival in endpoint.arrivals
+            if said_at + LEAVING_BOUND_S < arrival.at < end
+            and not is_disturbed(arrival.at - LEAVING_BOUND_S, arrival.at)
         ]
         if late:
             findings.append(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,8 @@
     622,
     # An endpoint's own failure cleared a request that ends endpoints.
     720,
+    # The check counted from a request that an endpoint had left without an answer.
+    752,
 )
 
 
