--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -41,7 +41,8 @@
     send counts against the leader's budget of repeats. ``probed_parts`` holds the
     digests of parts of the prompt that no other job may try at the same time.
     ``avoid`` names engines on which the job failed before; they are better than none.
-    ``excluded`` names those that want nothing from the sender now.
+    ``excluded`` names those that want nothing from the sender now, or that the request
+    might end; they are not used.
     """
 
     job_id: str
