scheduling: log each ejection of an engine, with the report that led to it

The leader did not say when it ejects an engine, for how long and on whose report, so that sound engines that are ejected could not be told from engines whose places are taken.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -138,10 +138,15 @@
         that an engine is leaving. An engine that is merely full is ejected for a
         shorter time at first, as the first event of another job soon shows that it
         works and resets the backoff.
+
+        Returns
+        -------
+        float
+            Seconds from now for which the engine gets no jobs; 0 if it is not known.
         """
         engine = self.engines_by_id.get(engine_id)
         if engine is None:
-            return
+            return 0.0
         if is_full:
             ejection_s = min(
                 MAX_EJECTION_S, INITIAL_FULL_EJECTION_S * 2**engine.n_refusals
@@ -151,6 +156,19 @@
             ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2**engine.n_failures)
             engine.n_failures += 1
         engine.ejected_until = max(engine.ejected_until, now + ejection_s)
+        return engine.ejected_until - now
+
+    def n_ejected(self, now):
+        """Return how many engines get no jobs because they failed or refused some."""
+        return sum(engine.ejected_until > now for engine in self.engines_by_id.values())
+
+    def n_free_slots(self):
+        """Return how many more jobs the usable engines could generate at once."""
+        return sum(
+            max(0, engine.slots - len(engine.jobs_by_id))
+            for engine in self.engines_by_id.values()
+            if engine.is_usable
+        )
 
     def adopt(self, job, engine_ids, *, has_started, now, reserved_tokens=()):
         """Add a running job that another scheduler placed.
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -166,13 +166,30 @@
             )
             return
         if message.what in (ENDPOINT_FAILED, ENDPOINT_FULL):
-            scheduler.note_failure(
-                message.endpoint, now, is_full=message.what == ENDPOINT_FULL
-            )
+            self._eject(scheduler, message, now)
         if message.what in (FINISHED, CANCELLED, ENDPOINT_FAILED, ENDPOINT_FULL):
             del self._submissions_by_job[message.job_id]
             self._deliver_all(scheduler, scheduler.cancel(message.job_id, now))
 
+    def _eject(self, scheduler, report, now):
+        """Keep jobs from the engine that a report blames, and log who blames it."""
+        ejected_s = scheduler.note_failure(
+            report.endpoint, now, is_full=report.what == ENDPOINT_FULL
+        )
+        self._record(
+            "engine.ejected",
+            {
+                "endpoint": report.endpoint,
+                "request": report.job_id,
+                "what": report.what,
+                "for_s": round(ejected_s, 3),
+                "ejected": scheduler.n_ejected(now),
+                "engines": len(scheduler.engines_by_id),
+                "free_slots": scheduler.n_free_slots(),
+                "waiting": len(scheduler.waiting_by_id),
+            },
+        )
+
     def cancel_jobs(self, job_ids):
         """Cancel jobs, such as those of a node whose link was lost."""
         for job_id in list(job_ids):
