serving: connections to endpoints leave from the node's own address

On a host with several addresses, what a node sends came from any of them, so that neither another node nor a test could tell whose connection it is. Connections to endpoints are opened in one place now, serving/ways, which orders use as well.

--- a/src/savoryhill/platform/memory_reservations.py
+++ b/src/savoryhill/platform/memory_reservations.py
@@ -9,13 +9,12 @@
 )
 from savoryhill.platform import names
 from savoryhill.serving.http import encode_request
-from savoryhill.serving.outgoing_connection import open_connection
 
 CONNECT_TIMEOUT_S = 0.3
 ORDER_TIMEOUT_S = 0.5
 
 
-def reserve_memory(endpoint, *, reservation, n_tokens, hold_s, on_head):
+def reserve_memory(endpoint, *, reservation, n_tokens, hold_s, on_head, connect):
     """Reserve memory at an engine, or renew the reservation with the same id.
 
     Parameters
@@ -30,6 +29,8 @@
         Seconds after which the engine frees the memory unless it is renewed.
     on_head : callable
         Called with the head of the answer and the engine.
+    connect : callable
+        ``connect(endpoint, timeout_s=...)`` opens a connection to the engine.
 
     Raises
     ------
@@ -42,7 +43,7 @@
         "tokens": n_tokens,
         "holdMs": int(hold_s * 1000),
     }
-    head = _send_order(endpoint, body)
+    head = _send_order(endpoint, body, connect)
     on_head(head, endpoint)
     if head.status != 200:
         raise EndpointRefusedError(
@@ -50,8 +51,8 @@
         )
 
 
-def release_memory(endpoint, *, reservation, on_head):
-    """Release a reservation; ``on_head`` is as for `reserve_memory`.
+def release_memory(endpoint, *, reservation, on_head, connect):
+    """Release a reservation; the callables are as for `reserve_memory`.
 
     Raises
     ------
@@ -59,13 +60,14 @@
         If the engine did not confirm the release. The reservation then lasts until it
         expires.
     """
-    head = _send_order(endpoint, {"operation": "release", "id": reservation})
+    body = {"operation": "release", "id": reservation}
+    head = _send_order(endpoint, body, connect)
     on_head(head, endpoint)
     if head.status not in (200, 202):
         raise EndpointRefusedError(f"{endpoint.id} answered a release {head.status}")
 
 
-def _send_order(endpoint, body):
+def _send_order(endpoint, body, connect):
     content = json.dumps(body).encode()
     headers = [
         (b"host", endpoint.address.encode()),
@@ -73,7 +75,7 @@
         (names.EXPECTED_ENDPOINT, endpoint.id.encode()),
     ]
     message = encode_request(b"POST", names.ORDER_PATH, headers, content)
-    connection = open_connection(endpoint.address, timeout_s=CONNECT_TIMEOUT_S)
+    connection = connect(endpoint, timeout_s=CONNECT_TIMEOUT_S)
     try:
         connection.send(message, timeout_s=ORDER_TIMEOUT_S)
         connection.receive_all(timeout_s=ORDER_TIMEOUT_S)
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -15,8 +15,8 @@
 )
 from savoryhill.platform import names
 from savoryhill.serving.http import encode_request
-from savoryhill.serving.outgoing_connection import open_connection
 from savoryhill.serving.store_position import StorePosition
+from savoryhill.serving.ways.connection import open_connection
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -4,7 +4,6 @@
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
-from savoryhill.serving.outgoing_connection import open_connection
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
 
@@ -142,8 +141,8 @@
         self._context.endpoint_statements.note_sent(endpoint)
         with balancer.track_request(endpoint):
             try:
-                connection = open_connection(
-                    endpoint.address, timeout_s=CONNECT_TIMEOUT_S
+                connection = self._context.ways.open(
+                    endpoint, timeout_s=CONNECT_TIMEOUT_S
                 )
             except NotConnectedError as error:
                 return SendFailure(
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -14,6 +14,7 @@
 from savoryhill.serving.model import STREAM
 from savoryhill.serving.repeats import RepeatBudgets
 from savoryhill.serving.turns import Turns
+from savoryhill.serving.ways.endpoint_ways import EndpointWays
 
 # A call begins only if this multiple of its target latency is left.
 LATE_CALL_FACTOR = 2.0
@@ -43,6 +44,7 @@
     crash_guard: CrashGuard
     endpoint_statements: EndpointStatements
     turns: Turns
+    ways: EndpointWays
     metrics: object
     log: object
     draining_since: float | None = None
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -15,7 +15,6 @@
 from savoryhill.errors import EndpointError, MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.event_splitter import EventSplitter
-from savoryhill.serving.outgoing_connection import open_connection
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
@@ -197,6 +196,7 @@
             clock=self._context.clock,
             log=self._context.log,
             on_head=self._context.endpoint_statements.note_order_head,
+            connect=self._context.ways.open,
         ) as reservations:
             try:
                 helpers = reservations.reserve(
@@ -240,8 +240,8 @@
                 reached_endpoint=False,
             )
         try:
-            connection = open_connection(
-                first.address,
+            connection = self._context.ways.open(
+                first,
                 timeout_s=CONNECT_TIMEOUT_S,
                 max_buffered_bytes=MAX_BUFFERED_STREAM_BYTES,
             )
--- a/src/savoryhill/serving/links.py
+++ b/src/savoryhill/serving/links.py
@@ -9,7 +9,7 @@
 
 from savoryhill.errors import NotConnectedError, PeerError
 from savoryhill.peers.codec import Envelope, decode, encode
-from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.ways.connection import open_connection
 
 _LENGTH = struct.Struct("!I")
 MAX_FRAME_BYTES = 8 * 1024 * 1024
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -27,7 +27,6 @@
 from savoryhill.serving.endpoint_statements import EndpointStatements
 from savoryhill.serving.http import RequestReader, encode_head
 from savoryhill.serving.log_lines import LogWriter
-from savoryhill.serving.outgoing_connection import split_address
 from savoryhill.serving.refusal_record import RefusalRecord
 from savoryhill.serving.registration import keep_registered
 from savoryhill.serving.repeats import RepeatBudgets
@@ -36,6 +35,8 @@
 from savoryhill.serving.start import open_listener
 from savoryhill.serving.turns import Turns
 from savoryhill.serving.watcher import Watcher
+from savoryhill.serving.ways.connection import split_address
+from savoryhill.serving.ways.endpoint_ways import EndpointWays
 
 MAX_CONNECTIONS = 3000
 METRICS_PORT = 9464
@@ -167,6 +168,7 @@
             crash_guard=crash_guard,
             endpoint_statements=endpoint_statements,
             turns=turns,
+            ways=EndpointWays(host=split_address(settings.peer_address)[0]),
             metrics=metrics,
             log=log,
         )
--- a/src/savoryhill/serving/reservations.py
+++ b/src/savoryhill/serving/reservations.py
@@ -62,13 +62,16 @@
         ``log(event, **fields)`` writes a log line.
     on_head : callable
         Called with the head of each answer and the endpoint that sent it.
+    connect : callable
+        ``connect(endpoint, timeout_s=...)`` opens a connection to an endpoint.
     """
 
-    def __init__(self, *, request_id, clock, log, on_head):
+    def __init__(self, *, request_id, clock, log, on_head, connect):
         self._request_id = request_id
         self._clock = clock
         self._log = log
         self._on_head = on_head
+        self._connect = connect
         self._held = []
         self.last_endpoint_id = None
         self.lost = None
@@ -134,6 +137,7 @@
             n_tokens=held.n_tokens,
             hold_s=RESERVATION_TTL_S,
             on_head=self._on_head,
+            connect=self._connect,
         )
         held.expires_at = sent_at + RESERVATION_TTL_S
 
@@ -176,7 +180,12 @@
 
     def _release(self, held):
         try:
-            release_memory(held.endpoint, reservation=held.id, on_head=self._on_head)
+            release_memory(
+                held.endpoint,
+                reservation=held.id,
+                on_head=self._on_head,
+                connect=self._connect,
+            )
         except SavoryhillError as error:
             self._log(
                 "reservation.not_released",
--- a/src/savoryhill/serving/outgoing_connection.py
+++ b/src/savoryhill/serving/ways/connection.py
@@ -10,6 +10,9 @@
 from savoryhill.serving.http import MAX_BUFFERED_BYTES, ResponseReader
 
 RECV_BYTES = 65_536
+# Linux socket option: the port is chosen at the connect, when the destination is known,
+# so that ports are shared between destinations.
+IP_BIND_ADDRESS_NO_PORT = 24
 
 
 def split_address(address):
@@ -81,10 +84,13 @@
         self.sock.close()
 
 
-def open_connection(address, *, timeout_s, max_buffered_bytes=MAX_BUFFERED_BYTES):
+def open_connection(
+    address, *, timeout_s, max_buffered_bytes=MAX_BUFFERED_BYTES, source_host=None
+):
     """Connect to ``ip:port``.
 
     At most ``max_buffered_bytes`` of a response's body are kept until they are taken.
+    ``source_host`` is the address of this host from which to connect, if it matters.
 
     Raises
     ------
@@ -95,6 +101,8 @@
     try:
         sock.settimeout(timeout_s)
         sock.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
+        if source_host is not None:
+            _bind(sock, source_host)
         sock.connect(split_address(address))
     except OSError as error:
         sock.close()
@@ -104,3 +112,9 @@
         raise
     reader = ResponseReader(max_buffered_bytes=max_buffered_bytes)
     return Connection(sock=sock, reader=reader)
+
+
+def _bind(sock, host):
+    with suppress(OSError):
+        sock.setsockopt(gsocket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+    sock.bind((host, 0))
--- a/src/savoryhill/soak/clients.py
+++ b/src/savoryhill/soak/clients.py
@@ -6,7 +6,7 @@
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.http import ResponseReader, encode_request
-from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.ways.connection import open_connection
 from savoryhill.soak.observations import ObservedRequest
 
 REQUEST_KINDS = ("chat", "chat", "chat", "once", "order", "stock", "huge")
--- a/src/savoryhill/soak/proxy.py
+++ b/src/savoryhill/soak/proxy.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from savoryhill.serving.outgoing_connection import split_address
+from savoryhill.serving.ways.connection import split_address
 
 # Modes of the proxy: relay unchanged, delay the data, reset connections, hold back
 # data in both directions, and hold back data to or from the target only.
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -12,7 +12,7 @@
 
 from savoryhill.clock import system_clock
 from savoryhill.platform import names
-from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.ways.connection import open_connection
 from savoryhill.soak.clients import Client
 from savoryhill.soak.deployment import SoakDeployment
 from savoryhill.soak.plan import make_plan
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -13,8 +13,8 @@
 from savoryhill.clock import system_clock
 from savoryhill.platform.boot_settings import ServingSettings
 from savoryhill.serving.http import encode_request
-from savoryhill.serving.outgoing_connection import open_connection
 from savoryhill.serving.process import ServingNode
+from savoryhill.serving.ways.connection import open_connection
 from savoryhill.soak.deployment import ENGINE, route
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
 from savoryhill.standins.serving.store import MetadataStore, start_store
--- a/tests/serving/test_endless_endpoints.py
+++ b/tests/serving/test_endless_endpoints.py
@@ -13,7 +13,7 @@
     encode_chunk,
     encode_head,
 )
-from savoryhill.serving.outgoing_connection import RECV_BYTES
+from savoryhill.serving.ways.connection import RECV_BYTES
 
 BLOCK = b"x" * 16_384
 # Upper bound of what the sockets' buffers of both sides take up besides the node.
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -7,7 +7,7 @@
 from savoryhill.core.observations.parts import digest_part
 from savoryhill.platform import names
 from savoryhill.serving.http import encode_head
-from savoryhill.serving.outgoing_connection import open_connection
+from savoryhill.serving.ways.connection import open_connection
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)]
 
--- a/tests/serving/test_reservations.py
+++ b/tests/serving/test_reservations.py
@@ -12,6 +12,7 @@
     RETRY_INTERVAL_S,
     Reservations,
 )
+from savoryhill.serving.ways.endpoint_ways import EndpointWays
 from savoryhill.soak.deployment import ENGINE, route
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
 
@@ -90,6 +91,7 @@
             clock=clock,
             log=lambda event, **_: lines.append(event),
             on_head=lambda *_: None,
+            connect=EndpointWays(host="127.0.0.1").open,
         ) as reservations:
             entries = reservations.reserve(endpoints, [1000, 2000])
             assert entries == [f"{e.address}/r-{n}" for n, e in enumerate(endpoints)]
@@ -108,6 +110,7 @@
                 clock=clock,
                 log=lambda *_, **__: None,
                 on_head=lambda *_: None,
+                connect=EndpointWays(host="127.0.0.1").open,
             ) as reservations,
         ):
             reservations.reserve(endpoints, [1000, 1000])
@@ -123,6 +126,7 @@
             clock=clock,
             log=lambda event, **_: lines.append(event),
             on_head=lambda *_: None,
+            connect=EndpointWays(host="127.0.0.1").open,
         ) as reservations:
             reservations.reserve(endpoints, [1000, 0])
             reservations.abort_when_lost(connection)
@@ -145,6 +149,7 @@
             clock=clock,
             log=lambda event, **_: lines.append(event),
             on_head=lambda *_: None,
+            connect=EndpointWays(host="127.0.0.1").open,
         ) as reservations:
             reservations.reserve(endpoints[:1], [1000])
             reservations.abort_when_lost(connection)
