serving: a node that has lost its way to endpoints reaches them through others

Clients of a node that had lost all endpoints were refused, and those of other nodes waited for engines that nobody used.

Cause: a node knew no way to an endpoint but a connection of its own, and took its failure for one of the endpoint.

Change: what a failed connect shows is decided by another node. While a connect of its own is not made after 40 ms, or at once if it fails, a node asks others to relay a connection (one hop; a port of its own; registered nodes only; the endpoint is named by its start). Nothing is sent until a connection is chosen, so this is no repeat, and holds for orders. If the other node connects, the path is lost: nothing is reported of the engine. If a relay that has a way does not connect either, the engine is at fault. Otherwise, nothing is reported, and the request is refused after two tries. A response that breaks off or goes silent is judged in the same way before it counts as a crash or an ejection. Once two paths are lost, the rest of the zone, or all, are presumed so and not tried by requests; probes find out that they are back, and few requests go first.

--- a/src/savoryhill/errors.py
+++ b/src/savoryhill/errors.py
@@ -37,6 +37,14 @@
     """No connection could be made, so nothing was sent."""
 
 
+class WayLostError(NotConnectedError):
+    """No connection could be made, and nothing shows that the endpoint is at fault."""
+
+
+class RelayLostError(SavoryhillError, OSError):
+    """The node that relayed a connection ended it; the request may have run."""
+
+
 class ResendPreventedError(SavoryhillError):
     """An attempt of the HTTP client to send a request again was prevented."""
 
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -16,6 +16,7 @@
 
 from savoryhill.core import messages
 from savoryhill.core.observations import messages as observations
+from savoryhill.core.reachability import messages as reachability
 from savoryhill.core.scheduling import messages as jobs
 from savoryhill.errors import PeerError
 
@@ -72,6 +73,8 @@
     observations.TurnRequest,
     observations.TurnReply,
     jobs.RetainedRows,
+    reachability.RelayRequest,
+    reachability.RelayReply,
 )
 _NUMBERS_BY_TYPE = {
     message_type: type_number for type_number, message_type in enumerate(MESSAGE_TYPES)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -277,3 +277,16 @@
   endpoint @1 :Text;
   waitS @2 :Float64;
 }
+
+struct RelayRequest {
+  node @0 :Text;
+  request @1 :Text;
+  endpoint @2 :Text;
+  remainingS @3 :Float64;
+  isOrder @4 :Bool;
+}
+
+struct RelayReply {
+  outcome @0 :Text;
+  hasWay @1 :Bool;
+}
--- a/src/savoryhill/platform/boot_settings.py
+++ b/src/savoryhill/platform/boot_settings.py
@@ -11,7 +11,9 @@
 class ServingSettings:
     """Settings of one node process, under the project's own names.
 
-    ``peer_address`` is the address at which other nodes reach this node. The ``*_s``
+    ``peer_address`` is the address at which other nodes reach this node, and
+    ``relay_address`` the one at which it relays their connections to endpoints, empty
+    if there is no port for it. The ``*_s``
     fields are bounds set by the platform. ``repeat_slack`` is the number of repeated
     sends that all nodes together may make beyond ``repeat_ratio`` of the requests in
     ``repeat_window_s``. ``capacity`` is the relative capacity of the node: usable
@@ -29,6 +31,7 @@
     repeat_slack: float
     repeat_window_s: float
     capacity: float = 1.0
+    relay_address: str = ""
 
 
 def parse_assignments(text):
@@ -111,12 +114,14 @@
     ports = required_text("internalPorts").split(",")
     if not ports[0].isdigit():
         findings.append(f"internalPorts: expected first,last, got {ports!r}")
+    host = required_text("ipAddress")
     settings = ServingSettings(
         node=required_text("node"),
         zone=required_text("zone"),
         client_address=required_address("listen.frontend"),
         readiness_address=required_address("listen.readiness"),
-        peer_address=f"{required_text('ipAddress')}:{ports[0]}",
+        peer_address=f"{host}:{ports[0]}",
+        relay_address=_relay_address(host, ports),
         store_address=required_address("platform.address"),
         grace_s=number_or_default("bounds.graceS", 8.0),
         repeat_ratio=number_or_default("bounds.retryBudgetRatio", 0.2),
@@ -129,3 +134,11 @@
     if findings:
         raise SettingsError(f"settings file {path}:\n" + "\n".join(findings))
     return settings
+
+
+def _relay_address(host, ports):
+    """Return the address with the second of the internal ports, if there is one."""
+    if len(ports) != 2 or not all(port.isdigit() for port in ports):
+        return ""
+    first, last = (int(port) for port in ports)
+    return f"{host}:{first + 1}" if first < last else ""
--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -210,12 +210,15 @@
         zone=str(content.get("zone", "")),
         capacity=float(capacity),
         revision=row.revision,
+        relay_address=_text_or_empty(content.get("relay")),
     )
 
 
-def encode_node(*, address, zone, capacity):
+def encode_node(*, address, zone, capacity, relay_address):
     """Encode the value of a node's row."""
     row = {"address": address, "zone": zone, "capacity": capacity}
+    if relay_address:
+        row["relay"] = relay_address
     return json.dumps(row).encode()
 
 
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -2,10 +2,17 @@
 
 from dataclasses import replace
 
+import gevent
+
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.response_writer import RETRY_AFTER_S
-from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
+from savoryhill.serving.served_request import (
+    CONNECT_TIMEOUT_S,
+    SendFailure,
+    describe_break,
+    describe_unreached,
+)
 
 # A request that may be repeated is sent to another endpoint if its response takes
 # longer than this multiple of the route's target latency.
@@ -46,7 +53,8 @@
                     failure = self._run_on(endpoint)
             if failure is None:
                 return
-            balancer.note_failure(endpoint, is_full=failure.is_full)
+            if not failure.lost_way:
+                balancer.note_failure(endpoint, is_full=failure.is_full)
             request.avoided_endpoint_ids.add(endpoint.id)
             if not request.allow_repeat(self._history, failure):
                 self._response.fail(failure, self._history)
@@ -142,27 +150,20 @@
         with balancer.track_request(endpoint):
             try:
                 connection = self._context.ways.open(
-                    endpoint, timeout_s=CONNECT_TIMEOUT_S
+                    endpoint,
+                    timeout_s=CONNECT_TIMEOUT_S,
+                    request_id=self._request.id,
+                    remaining_s=self._request.time_left_s(),
                 )
             except NotConnectedError as error:
-                return SendFailure(
-                    cause=f"no connection: {error}",
-                    may_have_run=False,
-                    reached_endpoint=False,
-                    endpoint=endpoint.id,
-                )
+                return describe_unreached(error, endpoint)
             history.n_runs += 1
             self._check.note_sent(endpoint, connection)
             try:
                 self._request.send(connection, endpoint)
                 failure = self._receive(connection, endpoint, times_out_at)
             except (OSError, MalformedMessageError) as error:
-                failure = SendFailure(
-                    cause=f"broken: {error!r}",
-                    may_have_run=True,
-                    connection_ended=isinstance(error, ConnectionError),
-                    endpoint=endpoint.id,
-                )
+                failure = describe_break(error, endpoint)
             finally:
                 connection.close()
         reader = connection.reader
@@ -178,6 +179,15 @@
             balancer.note_success(endpoint)
             self._response.write_response(reader.head, reader.take_body(), endpoint.id)
             return None
+        failure = self._request.judge_end(failure, endpoint, connection)
+        if failure.is_silent:
+            # Learns whether the path was lost; the request goes on meanwhile.
+            gevent.spawn(
+                self._context.ways.is_path_at_fault,
+                endpoint,
+                relay=connection.relay,
+                was_silent=True,
+            )
         self._check.note_failure(failure, endpoint)
         if not failure.may_have_run:
             history.n_runs -= 1
@@ -193,7 +203,10 @@
             wait_s = times_out_at - self._context.clock.monotonic()
             if wait_s <= 0:
                 return SendFailure(
-                    cause="endpoint is silent", may_have_run=True, endpoint=endpoint.id
+                    cause="endpoint is silent",
+                    may_have_run=True,
+                    is_silent=True,
+                    endpoint=endpoint.id,
                 )
             try:
                 is_open = connection.receive(timeout_s=wait_s)
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -31,7 +31,8 @@
     ``log(event, **fields)`` writes a log line. ``draining_since`` is None until the
     node shuts down; from then on, requests are served as before until
     ``accepts_all_until``, and the node stops at ``stops_at``. ``n_reading`` counts the
-    requests that have arrived in part, ``n_running`` those that are being served.
+    requests that have arrived in part, ``n_running`` those that are being served, and
+    ``n_relayed`` the connections of other nodes that this one relays.
     """
 
     settings: object
@@ -54,6 +55,7 @@
     n_reading: int = 0
     n_running: int = 0
     n_started: int = 0
+    n_relayed: int = 0
     _awaits_greeting: bool = field(default=False, init=False)
     _was_greeted: bool = field(default=False, init=False)
 
@@ -103,8 +105,8 @@
         return now + LATE_CALL_FACTOR * route.target_latency_s <= self.stops_at
 
     def is_idle(self):
-        """Tell whether no request is being read or served."""
-        return self.n_reading == 0 and self.n_running == 0
+        """Tell whether no request is being read, served or relayed."""
+        return self.n_reading == self.n_running == self.n_relayed == 0
 
     def is_ready(self):
         """Tell whether the node accepts new connections."""
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -12,12 +12,22 @@
     JobRejected,
     JobSubmit,
 )
-from savoryhill.errors import EndpointError, MalformedMessageError, NotConnectedError
+from savoryhill.errors import (
+    EndpointError,
+    MalformedMessageError,
+    NotConnectedError,
+    WayLostError,
+)
 from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.event_splitter import EventSplitter
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
-from savoryhill.serving.served_request import CONNECT_TIMEOUT_S, SendFailure
+from savoryhill.serving.served_request import (
+    CONNECT_TIMEOUT_S,
+    SendFailure,
+    describe_break,
+    describe_unreached,
+)
 
 # The first event times out after this constant plus a multiple of the predicted time.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
@@ -48,6 +58,7 @@
         self._context = request.context
         self._splitter = EventSplitter(last_id=request.metadata.last_event_id)
         self._check = CrashCheck(request=request)
+        self._relay_name = ""
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
@@ -90,8 +101,7 @@
                 jobs.finish(job, FINISHED)
                 return
             failed_endpoint = failure.endpoint or decision.endpoints[0]
-            what = ENDPOINT_FULL if failure.is_full else ENDPOINT_FAILED
-            jobs.finish(job, what, failed_endpoint)
+            self._report_failure(job, failure, failed_endpoint)
             request.avoided_endpoint_ids.add(failed_endpoint)
             if not request.allow_repeat(
                 self._history, failure, has_started=job.has_started
@@ -99,6 +109,29 @@
                 self._response.fail(failure, self._history)
                 return
 
+    def _report_failure(self, job, failure, endpoint_id):
+        """Report a failed job to the scheduler, and whether the engine is at fault.
+
+        A silence may be that of the path. Finding out takes a moment, in which the
+        request is sent elsewhere already.
+        """
+        jobs = self._context.dispatcher.jobs
+        endpoint = self._context.cluster_view.endpoints_by_id.get(endpoint_id)
+        if failure.lost_way:
+            jobs.cancel(job)
+        elif failure.is_silent and endpoint is not None:
+            gevent.spawn(self._report_silence, job, endpoint, self._relay_name)
+        else:
+            what = ENDPOINT_FULL if failure.is_full else ENDPOINT_FAILED
+            jobs.finish(job, what, endpoint_id)
+
+    def _report_silence(self, job, endpoint, relay):
+        jobs = self._context.dispatcher.jobs
+        if self._context.ways.is_path_at_fault(endpoint, relay=relay, was_silent=True):
+            jobs.cancel(job)
+        else:
+            jobs.finish(job, ENDPOINT_FAILED, endpoint.id)
+
     def _refuse_until(self, wait_s):
         """Refuse the request, which cannot wait for the pauses of the engines."""
         failure = SendFailure(
@@ -196,7 +229,7 @@
             clock=self._context.clock,
             log=self._context.log,
             on_head=self._context.endpoint_statements.note_order_head,
-            connect=self._context.ways.open,
+            connect=self._context.ways.open_for_order,
         ) as reservations:
             try:
                 helpers = reservations.reserve(
@@ -208,6 +241,7 @@
                     may_have_run=False,
                     reached_endpoint=False,
                     is_full=True,
+                    lost_way=isinstance(error, WayLostError),
                     endpoint=reservations.last_endpoint_id,
                 )
             # A helper may have said in its answer that it leaves.
@@ -243,16 +277,14 @@
             connection = self._context.ways.open(
                 first,
                 timeout_s=CONNECT_TIMEOUT_S,
+                request_id=self._request.id,
+                remaining_s=self._request.time_left_s(),
                 max_buffered_bytes=MAX_BUFFERED_STREAM_BYTES,
             )
         except NotConnectedError as error:
-            return SendFailure(
-                cause=f"no connection: {error}",
-                may_have_run=False,
-                reached_endpoint=False,
-                endpoint=first.id,
-            )
+            return describe_unreached(error, first)
         reservations.abort_when_lost(connection)
+        self._relay_name = connection.relay
         self._check.note_sent(first, connection)
         self._history.n_runs += 1
         # Discards the partial event of an earlier run, which must not be joined with
@@ -272,12 +304,7 @@
             )
             failure = self._relay(connection, job, first, times_out_at)
         except (OSError, MalformedMessageError) as error:
-            failure = SendFailure(
-                cause=f"broken: {error!r}",
-                may_have_run=True,
-                connection_ended=isinstance(error, ConnectionError),
-                endpoint=first.id,
-            )
+            failure = describe_break(error, first)
         finally:
             connection.close()
         if failure is not None and reservations.lost is not None:
@@ -287,6 +314,7 @@
                 endpoint=reservations.lost.endpoint_id,
             )
         if failure is not None:
+            failure = self._request.judge_end(failure, first, connection)
             self._check.note_failure(failure, first)
         if failure is not None and not failure.may_have_run:
             self._history.n_runs -= 1
@@ -326,8 +354,12 @@
             )
             if wait_s <= 0:
                 is_late = request.time_left_s() <= 0
-                cause = "deadline passed" if is_late else "endpoint is silent"
-                return SendFailure(cause=cause, may_have_run=True, endpoint=endpoint.id)
+                return SendFailure(
+                    cause="deadline passed" if is_late else "endpoint is silent",
+                    may_have_run=True,
+                    is_silent=True,
+                    endpoint=endpoint.id,
+                )
             try:
                 is_open = connection.receive(timeout_s=wait_s)
             except TimeoutError:
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -118,10 +118,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NodeRecord:
-    """A node as registered in the store; nodes are ranked by ``capacity``."""
+    """A node as registered in the store; nodes are ranked by ``capacity``.
+
+    ``relay_address`` is where it relays connections of other nodes to endpoints, empty
+    if it does not.
+    """
 
     name: str
     address: str
     zone: str
     capacity: float
     revision: int
+    relay_address: str = ""
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -37,6 +37,7 @@
 from savoryhill.serving.watcher import Watcher
 from savoryhill.serving.ways.connection import split_address
 from savoryhill.serving.ways.endpoint_ways import EndpointWays
+from savoryhill.serving.ways.relay_server import RelayServer
 
 MAX_CONNECTIONS = 3000
 METRICS_PORT = 9464
@@ -54,6 +55,7 @@
         "client_address",
         "readiness_address",
         "peer_address",
+        "relay_address",
         "store_address",
     )
 )
@@ -135,6 +137,15 @@
             turns=turns,
             record=record,
         )
+        host = split_address(settings.peer_address)[0]
+        ways = EndpointWays(
+            settings=lambda: self._settings,
+            host=host,
+            clock=clock,
+            random=random,
+            cluster_view=cluster_view,
+            record=record,
+        )
         self._watcher = Watcher(
             store=store,
             cluster_view=cluster_view,
@@ -154,6 +165,7 @@
             is_leader=dispatcher.is_leader,
             record=record,
         )
+        self._ways = ways
         self._store = store
         self._sharing = sharing
         self._dispatcher = dispatcher
@@ -168,10 +180,13 @@
             crash_guard=crash_guard,
             endpoint_statements=endpoint_statements,
             turns=turns,
-            ways=EndpointWays(host=split_address(settings.peer_address)[0]),
+            ways=ways,
             metrics=metrics,
             log=log,
         )
+        self._relay_server = RelayServer(
+            context=self.context, paths=ways.paths, host=host, record=record
+        )
         cluster_view.on_change.append(self.context.on_cluster_view_change)
         dispatcher.on_greeting.append(self.context.on_greeting)
         self._set_gauges(metrics, scheduling)
@@ -199,6 +214,11 @@
                 endpoint.incarnation in cluster_view.leaving_incarnations
                 for endpoint in cluster_view.endpoints_by_id.values()
             ),
+            endpoints_out_of_reach=lambda: len(context.ways.paths.lost_by_id),
+            has_lost_way=lambda: int(context.ways.paths.is_cut()),
+            connections_own=lambda: context.ways.n_own,
+            connections_relayed=lambda: context.ways.n_relayed,
+            relayed_for_others=lambda: context.n_relayed,
             endpoints_pausing=lambda: len(context.endpoint_statements.pauses),
             parts_refused=lambda: context.crash_guard.n_refused(is_request=False),
             requests_refused_for_crashes=lambda: context.crash_guard.n_refused(
@@ -222,6 +242,9 @@
         self._serve(readiness_listener, self._serve_readiness)
         peer_listener = open_listener(settings.peer_address)
         self._serve(peer_listener, self._dispatcher.serve_link)
+        if settings.relay_address:
+            relay_listener = open_listener(settings.relay_address)
+            self._serve(relay_listener, self._relay_server.serve)
         metrics_host = split_address(settings.client_address)[0]
         metrics_listener = open_listener(f"{metrics_host}:{METRICS_PORT}")
         self._serve(metrics_listener, self._serve_metrics)
@@ -233,6 +256,7 @@
             self._keep_registered,
             self._sharing.review_periodically,
             self._refusal_record.run,
+            self._ways.probe_periodically,
         ):
             self._greenlets.append(gevent.spawn(self._keep_running, background_task))
         self._record("node.started", {"node": settings.node, "zone": settings.zone})
--- a/src/savoryhill/serving/registration.py
+++ b/src/savoryhill/serving/registration.py
@@ -20,6 +20,7 @@
         address=settings.peer_address,
         zone=settings.zone,
         capacity=settings.capacity,
+        relay_address=settings.relay_address,
     )
     lease, retry_delay_s = None, MIN_RETRY_S
     while True:
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -1,10 +1,11 @@
 """A request while it is sent to endpoints: its deadlines, sends and failures."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import gevent
 
 from savoryhill.core.observations.parts import digest_parts, digest_request
+from savoryhill.errors import RelayLostError, WayLostError
 from savoryhill.platform import headers as platform_headers
 from savoryhill.serving.http import encode_request
 
@@ -12,6 +13,8 @@
 # after one second, which is too late for most latency objectives.
 CONNECT_TIMEOUT_S = 0.2
 UNROUTED_TIMEOUT_S = 0.5
+# A request for which this node has found no way to so many endpoints is refused.
+MAX_LOST_WAYS = 2
 # Requests up to this size fit into the connection's send buffer.
 MAX_BUFFERED_REQUEST_BYTES = 16_384
 
@@ -24,15 +27,19 @@
     ``reached_endpoint`` is False if nothing reached an endpoint; such a send does not
     draw on the repeat budget. ``connection_ended`` tells whether the endpoint ended the
     connection before its response was complete. ``endpoint`` is the id of the endpoint
-    at fault, or the address under which another endpoint named it. ``head`` and
+    at fault, or the address under which another endpoint named it. ``is_silent`` tells
+    that it was given up because nothing came any more. ``head`` and
     ``body`` are set if the endpoint responded with an error of its own that may be
-    forwarded to the client.
+    forwarded to the client. ``lost_way`` tells that this node has no way to the
+    endpoint, which may be sound.
     """
 
     cause: str
     may_have_run: bool
     reached_endpoint: bool = True
     is_full: bool = False
+    lost_way: bool = False
+    is_silent: bool = False
     connection_ended: bool = False
     endpoint: str | None = None
     head: object = None
@@ -61,6 +68,7 @@
         self.service = None
         self.workspace = None
         self.n_sends = 0
+        self.n_lost_ways = 0
         self.avoided_endpoint_ids = set()
         self.needs_budget = False
         self.part_digests = ()
@@ -120,6 +128,7 @@
             endpoint_revision=endpoint.revision,
             helpers=len(helpers),
             send=self.n_sends,
+            relay=connection.relay,
             last_event_id=last_event_id,
         )
         if len(data) <= MAX_BUFFERED_REQUEST_BYTES:
@@ -138,6 +147,16 @@
             return False
         return platform_headers.is_signed(head) or head.status >= 300
 
+    def judge_end(self, failure, endpoint, connection):
+        """Return the failure of a send, without blame if only its path was lost."""
+        if not failure.connection_ended:
+            return failure
+        if not self.context.ways.is_path_at_fault(
+            endpoint, relay=connection.relay, was_silent=False
+        ):
+            return failure
+        return replace(failure, connection_ended=False, lost_way=True)
+
     def await_pauses(self):
         """Wait while all endpoints of the service want nothing from this node.
 
@@ -203,7 +222,11 @@
             started=has_started,
             parts=",".join(self.part_digests),
             digest=self.digest,
+            lost_way=failure.lost_way,
         )
+        self.n_lost_ways += failure.lost_way and not failure.reached_endpoint
+        if self.n_lost_ways >= MAX_LOST_WAYS:
+            return False
         if self.time_left_s() <= 0 or not history.may_send():
             return False
         if not failure.reached_endpoint:
@@ -215,6 +238,28 @@
         return self.needs_budget
 
 
+def describe_unreached(error, endpoint):
+    """Return the failure of a send for which no connection could be made."""
+    return SendFailure(
+        cause=f"no connection: {error}",
+        may_have_run=False,
+        reached_endpoint=False,
+        lost_way=isinstance(error, WayLostError),
+        endpoint=endpoint.id,
+    )
+
+
+def describe_break(error, endpoint):
+    """Return the failure of a send whose connection broke, or carried no response."""
+    return SendFailure(
+        cause=f"broken: {error!r}",
+        may_have_run=True,
+        connection_ended=isinstance(error, ConnectionError),
+        lost_way=isinstance(error, RelayLostError),
+        endpoint=endpoint.id,
+    )
+
+
 def _send_in_background(connection, data):
     try:
         connection.sock.sendall(data)
--- a/src/savoryhill/serving/ways/connection.py
+++ b/src/savoryhill/serving/ways/connection.py
@@ -23,10 +23,14 @@
 
 @dataclass(kw_only=True)
 class Connection:
-    """An outgoing connection to an HTTP server, for one exchange at a time."""
+    """An outgoing connection to an HTTP server, for one exchange at a time.
+
+    ``relay`` names the node through which it goes, empty if there is none.
+    """
 
     sock: object
     reader: ResponseReader
+    relay: str = ""
 
     def send(self, data, *, timeout_s):
         """Send all bytes, or raise an error."""
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -145,6 +145,7 @@
             client_address=f"{host}:18080",
             readiness_address=f"{host}:18081",
             peer_address=f"{host}:18082",
+            relay_address=f"{host}:18083",
             store_address=store_address or self.store_address,
             grace_s=3.0,
             repeat_ratio=0.2,
--- a/tests/serving/test_endless_endpoints.py
+++ b/tests/serving/test_endless_endpoints.py
@@ -52,7 +52,11 @@
     def _serve(self, sock, _address):
         received = b""
         while b"\r\n\r\n" not in received:
-            received += sock.recv(65_536)
+            data = sock.recv(65_536)
+            if not data:
+                # A node may connect only to see whether the endpoint is there.
+                return
+            received += data
         self.n_requests += 1
         _, _, rest = received.partition(b"x-attempt-id: ")
         try:
--- a/tests/serving/test_nodes_without_a_way.py
+++ b/tests/serving/test_nodes_without_a_way.py
@@ -33,6 +33,8 @@
         deployment.add_endpoint(f"a{number}", service="app", zone=f"zone-{number}")
     for _ in range(3):
         deployment.add_node()
+    views = [node.context.cluster_view for node in deployment.nodes]
+    deployment.wait_until(lambda: all(len(view.nodes_by_name) == 3 for view in views))
     followers = deployment.nodes[1:]
     deployment.wait_until(lambda: all(n._dispatcher.has_leader() for n in followers))
     return deployment
--- a/tests/serving/test_reservations.py
+++ b/tests/serving/test_reservations.py
@@ -12,7 +12,7 @@
     RETRY_INTERVAL_S,
     Reservations,
 )
-from savoryhill.serving.ways.endpoint_ways import EndpointWays
+from savoryhill.serving.ways.connection import open_connection
 from savoryhill.soak.deployment import ENGINE, route
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
 
@@ -38,6 +38,11 @@
     return deployment
 
 
+def connect(endpoint, *, timeout_s):
+    """Connect to an endpoint as a node does that has no others."""
+    return open_connection(endpoint.address, timeout_s=timeout_s)
+
+
 class RecordedConnection:
     """Records whether the request's connection was aborted."""
 
@@ -91,7 +96,7 @@
             clock=clock,
             log=lambda event, **_: lines.append(event),
             on_head=lambda *_: None,
-            connect=EndpointWays(host="127.0.0.1").open,
+            connect=connect,
         ) as reservations:
             entries = reservations.reserve(endpoints, [1000, 2000])
             assert entries == [f"{e.address}/r-{n}" for n, e in enumerate(endpoints)]
@@ -110,7 +115,7 @@
                 clock=clock,
                 log=lambda *_, **__: None,
                 on_head=lambda *_: None,
-                connect=EndpointWays(host="127.0.0.1").open,
+                connect=connect,
             ) as reservations,
         ):
             reservations.reserve(endpoints, [1000, 1000])
@@ -126,7 +131,7 @@
             clock=clock,
             log=lambda event, **_: lines.append(event),
             on_head=lambda *_: None,
-            connect=EndpointWays(host="127.0.0.1").open,
+            connect=connect,
         ) as reservations:
             reservations.reserve(endpoints, [1000, 0])
             reservations.abort_when_lost(connection)
@@ -149,7 +154,7 @@
             clock=clock,
             log=lambda event, **_: lines.append(event),
             on_head=lambda *_: None,
-            connect=EndpointWays(host="127.0.0.1").open,
+            connect=connect,
         ) as reservations:
             reservations.reserve(endpoints[:1], [1000])
             reservations.abort_when_lost(connection)
