--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -78,7 +78,8 @@
     the endpoint ended, and ``endless`` the fault, attempt
     id, start and end of each response that went on until the caller closed. ``crashes``
     holds the attempt id and time of each crash; ``on_return`` is called when the
-    endpoint is back, ``down_s`` later.
+    endpoint is back, ``down_s`` later. Until ``silent_until`` it sends nothing and then
+    goes on.
     """
 
     id: str
@@ -109,6 +110,7 @@
     down_s: float = DOWN_S
     on_return: object = None
     is_down: bool = False
+    silent_until: float = 0.0
     open_sockets: set = field(default_factory=set)
 
     def handle(self, sock, request):
@@ -122,6 +124,10 @@
         finally:
             self.open_sockets.discard(sock)
 
+    def _await_silence(self):
+        """Wait until the endpoint is not silent any more."""
+        gevent.sleep(max(0.0, self.silent_until - self.clock.monotonic()))
+
     def _respond(self, sock, request):
         if request.target == names.ORDER_PATH:
             return self._handle_order(sock, json.loads(request.body))
@@ -130,6 +136,7 @@
         is_full = fault == "full" or self.wanted_pause is not None
         refused = expected != self.id.encode() or is_full
         attempt = request.header(names.ATTEMPT_ID) or b""
+        self._await_silence()
         self.arrivals.append(
             Arrival(
                 attempt_id=attempt.decode(),
@@ -238,6 +245,7 @@
                 return False
             for number in range(last_event_id + 1, self.n_events + 1):
                 gevent.sleep(interval_s)
+                self._await_silence()
                 is_begun = number - last_event_id >= self.crashes_at_event
                 if is_begun and self._ends_under(request):
                     if _is_closed_by_caller(sock):
--- a/tests/serving/test_nodes_without_a_way.py
+++ b/tests/serving/test_nodes_without_a_way.py
@@ -3,7 +3,11 @@
 import gevent
 import pytest
 
+from savoryhill.core.reachability.messages import NOT_USABLE, STOPPING, RelayRequest
+from savoryhill.observability.metrics import prometheus_text
+from savoryhill.serving.links import encode_frame
 from savoryhill.serving.ways import connection as connection_module
+from savoryhill.serving.ways.relay_stream import read_message
 from savoryhill.standins.serving.network import (
     HANG,
     REFUSE,
@@ -76,3 +80,238 @@
             line for lines in fleet.lines for line in lines.fields_of("engine.ejected")
         ]
         assert ejected == []
+
+    def test_only_the_first_requests_try_the_lost_paths(self, fleet, network):
+        # Guards against a delay of each request by a connect that cannot succeed.
+        cut_node(fleet, network, 1, HANG)
+        for _ in range(4):
+            fleet.ask("/stock/x", node=1)
+        gevent.sleep(0.3)
+        host, n_before = host_of(fleet.nodes[1]), len(network.connects)
+        for _ in range(6):
+            fleet.ask("/chat/x", node=1)
+        own = {endpoint.address for endpoint in fleet.endpoints_by_id.values()}
+        tried = [path for path in network.connects[n_before:] if path[0] == host]
+        # At most one background probe falls into the time.
+        assert sum(target in own for _, target in tried) <= 1
+
+    def test_cut_is_logged_and_counted(self, fleet, network):
+        cut_node(fleet, network, 1, REFUSE)
+        for _ in range(4):
+            fleet.ask("/stock/x", node=1)
+        lines, node = fleet.lines[1], fleet.nodes[1]
+        assert lines.fields_of("path.lost")
+        assert lines.fields_of("node.way_lost")
+        text = prometheus_text(node.context.metrics)
+        assert "has_lost_way{} 1" in text
+        network.heal()
+        fleet.wait_until(lambda: lines.fields_of("node.way_regained"))
+        assert "has_lost_way{} 0" in prometheus_text(node.context.metrics)
+
+    def test_own_path_is_used_again_once_it_is_back(self, fleet, network):
+        cut_node(fleet, network, 1, REFUSE)
+        for _ in range(4):
+            fleet.ask("/stock/x", node=1)
+        network.heal()
+        ways = fleet.nodes[1].context.ways
+        fleet.wait_until(lambda: not ways.paths.lost_by_id)
+        for _ in range(12):
+            fleet.ask("/stock/x", node=1)
+            gevent.sleep(0.05)
+        n_own = ways.n_own
+        fleet.ask("/stock/x", node=1)
+        assert ways.n_own == n_own + 1
+
+
+class TestNodeCutOffFromSomeEndpoints:
+    def test_others_are_reached_by_its_own_path(self, fleet, network):
+        zone_b = [fleet.endpoints_by_id[name] for name in ("e1", "e3", "a1")]
+        cut_node(fleet, network, 1, REFUSE, zone_b)
+        for path in PATHS * 3:
+            assert fleet.ask(path, node=1)[0] == 200
+        ways = fleet.nodes[1].context.ways
+        assert ways.n_own > 0
+        assert {lost.zone for lost in ways.paths.lost_by_id.values()} <= {
+            "zone-1",
+            "zone-b",
+        }
+        assert not ways.paths.is_cut()
+
+
+class TestNoNodeHasAWay:
+    @pytest.mark.parametrize("path", PATHS)
+    def test_request_is_refused_at_once_with_a_time_to_return(
+        self, fleet, network, path
+    ):
+        # Guards against requests that are held until their clients leave although no
+        # way is left.
+        for index in range(3):
+            cut_node(fleet, network, index, HANG)
+        fleet.ask("/stock/x", node=1)
+        fleet.ask("/stock/x", node=1)
+        with gevent.Timeout(1.5):
+            status, headers, _, _ = fleet.ask(path, node=1)
+        assert status == 503
+        assert 0.0 < float(headers[b"retry-after"]) <= 1.0
+
+
+@pytest.fixture
+def relayed(fleet, network):
+    """The fleet, whose second node relays all that it sends."""
+    cut_node(fleet, network, 1, REFUSE)
+    for _ in range(4):
+        fleet.ask("/stock/x", node=1)
+    return fleet
+
+
+def relay_of(deployment):
+    """Return the index of the node that relays a connection, once one does."""
+    nodes = deployment.nodes
+    deployment.wait_until(lambda: any(node.context.n_relayed for node in nodes))
+    return next(i for i, node in enumerate(nodes) if node.context.n_relayed)
+
+
+def n_arrivals(deployment, attempt_id):
+    return sum(
+        arrival.attempt_id == attempt_id
+        for endpoint in deployment.endpoints_by_id.values()
+        for arrival in endpoint.arrivals
+    )
+
+
+def delay_all(deployment, seconds):
+    for endpoint in deployment.endpoints_by_id.values():
+        endpoint.event_interval_s = endpoint.response_delay_s = seconds
+
+
+class TestRelayedRequest:
+    @pytest.mark.parametrize("fault", ["unframed", "unframed_reset", "unframed_cut"])
+    def test_answer_without_a_length_is_whole_only_if_the_endpoint_closed_it(
+        self, relayed, fault
+    ):
+        # Guards against an answer that broke off at the endpoint reaching the client as
+        # complete because the relay closed the connection properly.
+        for endpoint in relayed.endpoints_by_id.values():
+            endpoint.faults.append(fault)
+        status, _, _, complete = relayed.ask("/once/x", node=1)
+        assert (status, complete) == (200, fault == "unframed")
+
+    @pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/order/x"])
+    def test_loss_of_the_relay_repeats_only_what_may_be_repeated(self, relayed, path):
+        # Guards against orders that run twice, and streams that are lost or look
+        # complete, when the relay ends within the answer.
+        delay_all(relayed, 0.1)
+        connection = relayed.open(path, node=1, x_attempt_id="lost")
+        index = relay_of(relayed)
+        gevent.sleep(0.05 if path == "/order/x" else 0.25)
+        relayed.nodes[index].stop()
+        status, _, _, complete = relayed.finish(connection)
+        n_runs = n_arrivals(relayed, "lost")
+        assert (status, complete, n_runs) == {
+            "/chat/x": (200, True, 2),
+            "/once/x": (200, False, 1),
+            "/order/x": (502, True, 1),
+        }[path]
+        crashes = [lines.fields_of("crash.observed") for lines in relayed.lines]
+        assert not any(crashes)
+
+    def test_answer_without_a_length_that_ends_with_the_relay_is_not_whole(
+        self, relayed
+    ):
+        for endpoint in relayed.endpoints_by_id.values():
+            endpoint.faults.append("unframed")
+        delay_all(relayed, 0.1)
+        connection = relayed.open("/once/x", node=1)
+        index = relay_of(relayed)
+        gevent.sleep(0.25)
+        relayed.nodes[index].stop()
+        assert relayed.finish(connection)[3] is False
+
+    def test_endpoint_is_told_when_the_client_leaves(self, relayed):
+        delay_all(relayed, 0.1)
+        connection = relayed.open("/chat/x", node=1)
+        relay_of(relayed)
+        gevent.sleep(0.2)
+        connection.close()
+        engines = relayed.endpoints_by_id.values()
+        relayed.wait_until(lambda: sum(e.n_cancelled for e in engines), limit_s=0.5)
+        relayed.wait_until(lambda: not any(n.context.n_relayed for n in relayed.nodes))
+
+    def test_nothing_is_left_at_the_leader(self, relayed):
+        for path in PATHS * 2:
+            relayed.ask(path, node=1)
+        schedulers = [
+            scheduler
+            for node in relayed.nodes
+            for scheduler in node._dispatcher._scheduling.schedulers_by_service.values()
+        ]
+        relayed.wait_until(lambda: not any(s.placed_by_id for s in schedulers))
+        assert not any(s.waiting_by_id for s in schedulers)
+
+    def test_pause_that_an_endpoint_wants_binds_the_relay_too(self, relayed):
+        # Guards against a relay that goes on sending to an endpoint which has told it
+        # that it wants nothing, because the refusal was meant for another node.
+        for endpoint in relayed.endpoints_by_id.values():
+            endpoint.wanted_pause = "30"
+        relayed.ask("/stock/x", node=1)
+        arrivals = {e.id for e in relayed.endpoints_by_id.values() if e.arrivals}
+        relays = [n for n in relayed.nodes if len(n.context.endpoint_statements.pauses)]
+        assert len(relays) >= 2, arrivals
+
+
+class TestUseOfTheRelay:
+    def open_relay_port(self, deployment, index, source):
+        address = deployment.nodes[index].context.settings.relay_address
+        return connection_module.open_connection(
+            address, timeout_s=1.0, source_host=source
+        )
+
+    def request_frame(self, deployment, incarnation="a0@1"):
+        request = RelayRequest(
+            node="x", request="r", endpoint=incarnation, remaining_s=1.0, is_order=False
+        )
+        return encode_frame(request, node="x")
+
+    def test_only_nodes_may_use_it(self, fleet):
+        # Guards against a stranger who reaches endpoints through the port of a node.
+        connection = self.open_relay_port(fleet, 0, "127.0.0.1")
+        connection.send(self.request_frame(fleet), timeout_s=1.0)
+        assert is_ended(connection)
+
+    def test_bytes_of_a_client_are_no_request(self, fleet):
+        connection = self.open_relay_port(fleet, 0, host_of(fleet.nodes[1]))
+        connection.send(b"GET /stock/x HTTP/1.1\r\nhost: x\r\n\r\n", timeout_s=1.0)
+        assert is_ended(connection)
+
+    @pytest.mark.parametrize("incarnation", ["a0@2", "gone@1", "", "a0"])
+    def test_endpoint_that_the_relay_does_not_know_is_not_used(
+        self, fleet, incarnation
+    ):
+        connection = self.open_relay_port(fleet, 0, host_of(fleet.nodes[1]))
+        connection.send(self.request_frame(fleet, incarnation), timeout_s=1.0)
+        assert read_message(connection.sock).outcome == NOT_USABLE
+
+    def test_node_that_stops_is_no_relay(self, fleet, network):
+        stopping = gevent.spawn(fleet.nodes[2].drain)
+        gevent.sleep(0.05)
+        connection = self.open_relay_port(fleet, 2, host_of(fleet.nodes[1]))
+        connection.send(self.request_frame(fleet), timeout_s=1.0)
+        assert read_message(connection.sock).outcome == STOPPING
+        cut_node(fleet, network, 1, REFUSE)
+        assert [fleet.ask(path, node=1)[0] for path in PATHS] == [200] * 4
+        stopping.kill()
+
+    def test_node_waits_for_what_it_relays_before_it_ends(self, relayed):
+        delay_all(relayed, 0.1)
+        connection = relayed.open("/once/x", node=1)
+        index = relay_of(relayed)
+        relayed.nodes[index].drain()
+        relayed.nodes[index].stop()
+        assert relayed.finish(connection)[3] is True
+
+
+def is_ended(connection):
+    try:
+        return connection.sock.recv(100) == b""
+    except ConnectionError:
+        return True
