serving: a run survives that its endpoint is silent for a second or so

A sound engine may be silent for a second and go on; a run was given up after 1.0 s, a lookup after twice its latency objective: a repeat was spent and the engine ejected. Change: 1.4 s for the first event and for gaps, and for calls that may be repeated if their repeat still has twice the objective left. Clients of streams leave after 2 s at the earliest, so a run that is given up can still be resumed. The other limits: a connect takes 0.2 s at the most and spends no repeat; a silent endpoint accepts connections or is reached by no node, so no path is lost for it; reservations are awaited for 0.5 s, and renewals repeated until they expire.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -15,8 +15,10 @@
 )
 
 # A request that may be repeated is sent to another endpoint if its response takes
-# longer than this multiple of the route's target latency.
+# longer than this multiple of the route's target latency, and longer than a sound
+# endpoint may be silent, if that much time is left for the repeat.
 RESPONSE_TIMEOUT_FACTOR = 2.0
+MIN_RESPONSE_TIMEOUT_S = 1.4
 
 
 class Call:
@@ -138,8 +140,10 @@
         history, request = self._history, self._request
         if not history.may_repeat or history.n_runs + 1 >= history.max_attempts:
             return request.deadline_at
-        timeout_s = RESPONSE_TIMEOUT_FACTOR * request.route.target_latency_s
-        return min(request.deadline_at, started_at + timeout_s)
+        usual_s = RESPONSE_TIMEOUT_FACTOR * request.route.target_latency_s
+        time_left_s = request.deadline_at - started_at
+        patient_s = min(MIN_RESPONSE_TIMEOUT_S, time_left_s - usual_s)
+        return min(request.deadline_at, started_at + max(usual_s, patient_s))
 
     def _run_on(self, endpoint):
         """Run on an endpoint; return None on success, else the failure."""
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -30,11 +30,12 @@
 )
 
 # The first event times out after this constant plus a multiple of the predicted time.
+# A sound engine may be silent for a second or a little more.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
-FIRST_EVENT_TIMEOUT_S = 1.0
+FIRST_EVENT_TIMEOUT_S = 1.4
 # Later events time out after this multiple of the gap that the route allows.
 GAP_TIMEOUT_FACTOR = 4.0
-MIN_GAP_TIMEOUT_S = 1.0
+MIN_GAP_TIMEOUT_S = 1.4
 # How long clients wait for the next event: the longest of a constant, a multiple of the
 # latency objective and a multiple of the gap that the route allows.
 MIN_PATIENCE_S = 2.0
