--- a/src/savoryhill/cli/metrics_status.py
+++ b/src/savoryhill/cli/metrics_status.py
@@ -17,6 +17,8 @@
     "nodes_known",
     "log_lines_dropped",
 )
+# Gauges that nodes of an older build lack; they count as 0 there.
+LATER_GAUGES = ("has_lost_way", "endpoints_out_of_reach")
 # While the store is reachable, a node's view is confirmed at least twice a second.
 MAX_CONTACT_AGE_S = 2.0
 
@@ -46,8 +48,9 @@
     for line in text.splitlines():
         name, _, value = line.partition(" ")
         values[name.removeprefix(METRIC_PREFIX).removesuffix(EMPTY_LABELS)] = value
+    values = dict.fromkeys(LATER_GAUGES, "0") | values
     gauges = {}
-    for name in GAUGES:
+    for name in GAUGES + LATER_GAUGES:
         try:
             gauges[name] = float(values[name])
         except KeyError:
@@ -85,6 +88,11 @@
             findings.append(f"configuration {version:.0f}, others have {newest:.0f}")
         if age_s > MAX_CONTACT_AGE_S:
             findings.append(f"store not heard of for {age_s:.1f} s")
+        if gauges["has_lost_way"]:
+            findings.append("no way to endpoints but through other nodes")
+        elif gauges["endpoints_out_of_reach"]:
+            n_endpoints = gauges["endpoints_out_of_reach"]
+            findings.append(f"no path of its own to {n_endpoints:.0f} endpoints")
         if gauges["log_lines_dropped"]:
             findings.append(f"{gauges['log_lines_dropped']:.0f} log lines dropped")
         statuses.append(
--- a/src/savoryhill/observability/explain.py
+++ b/src/savoryhill/observability/explain.py
@@ -15,7 +15,10 @@
     "request.refused_for_crashes",
     "request.served_again",
 )
+# Lines about a node that has lost its way to endpoints, or some of its paths.
+PATH_EVENTS = ("path.lost", "path.regained", "node.way_lost", "node.way_regained")
 MAX_PART_LINES = 12
+MAX_PATH_LINES = 4
 _REFUSED_PARTS = re.compile(r"prompt with part ([0-9a-f,]+)")
 _REFUSED_REQUESTS = re.compile(r"request-[0-9a-f]+")
 
@@ -67,13 +70,13 @@
     Returns
     -------
     tuple of (list of LogLine, list of LogLine, int)
-        The lines about the request, those about parts that end engines, and the number
-        of lines that contain the id but can't be parsed.
+        The lines about the request, those about parts that end engines or about paths
+        to endpoints, and the number of lines that contain the id but can't be parsed.
     """
-    lines, part_lines, n_unreadable = [], [], 0
+    lines, other_lines, n_unreadable = [], [], 0
     for text in texts:
-        is_about_part = any(event in text for event in PART_EVENTS)
-        if request_id not in text and not is_about_part:
+        is_other = any(event in text for event in (*PART_EVENTS, *PATH_EVENTS))
+        if request_id not in text and not is_other:
             continue
         # A log collector may prepend columns of its own.
         start = text.find("time=")
@@ -82,11 +85,11 @@
             n_unreadable += request_id in text
         elif _names_request(line, request_id):
             lines.append(line)
-        elif line.event in PART_EVENTS:
-            part_lines.append(line)
+        elif line.event in (*PART_EVENTS, *PATH_EVENTS):
+            other_lines.append(line)
     lines.sort(key=lambda line: line.at)
-    part_lines.sort(key=lambda line: line.at)
-    return lines, part_lines, n_unreadable
+    other_lines.sort(key=lambda line: line.at)
+    return lines, other_lines, n_unreadable
 
 
 def _lines_about_refused_parts(lines, part_lines):
@@ -102,12 +105,32 @@
     return [
         line
         for line in part_lines
-        if refused_parts & set(_parts_of(line))
+        if line.event in PART_EVENTS
+        and refused_parts & set(_parts_of(line))
         and line.at <= lines[-1].at
         and (line.event == "crash.observed" or line.node == lines[-1].node)
     ][:MAX_PART_LINES]
 
 
+def _lines_about_paths(lines, other_lines):
+    """Return what a request's node had found out of its paths, if it took another way.
+
+    The latest lines before the end of the request tell why.
+    """
+    was_relayed = any(
+        line.fields.get("relay") or line.fields.get("lost_way") == "true"
+        for line in lines
+    )
+    if not was_relayed:
+        return []
+    end = lines[-1]
+    return [
+        line
+        for line in other_lines
+        if line.event in PATH_EVENTS and line.node == end.node and line.at <= end.at
+    ][-MAX_PATH_LINES:]
+
+
 def _parts_of(line):
     fields = line.fields
     digests = fields.get("parts") or fields.get("part") or fields.get("digest", "")
@@ -129,14 +152,19 @@
     UnknownRequestError
         If no line names the request.
     """
-    lines, part_lines, n_unreadable = select_lines(request_id, texts)
+    lines, other_lines, n_unreadable = select_lines(request_id, texts)
     if not lines:
         raise UnknownRequestError(
             f"no log line names request {request_id!r}"
             + (f"; {n_unreadable} lines can't be read" if n_unreadable else "")
         )
     report_lines = [_format_line(line, lines[0].at) for line in lines]
-    about_parts = _lines_about_refused_parts(lines, part_lines)
+    about_paths = _lines_about_paths(lines, other_lines)
+    if about_paths:
+        report_lines.append("what the node had found out of its paths to endpoints:")
+    for line in about_paths:
+        report_lines.append(_format_line(line, lines[0].at))
+    about_parts = _lines_about_refused_parts(lines, other_lines)
     if about_parts:
         report_lines.append("what is known of the part:")
     for line in about_parts:
--- a/tests/cli/test_metrics_status.py
+++ b/tests/cli/test_metrics_status.py
@@ -62,8 +62,10 @@
             ({"configuration_version": 0}, "no configuration"),
             ({"store_contact_age_s": 9.5}, "store not heard of for 9.5 s"),
             ({"log_lines_dropped": 3}, "3 log lines dropped"),
+            ({"has_lost_way": 1}, "no way to endpoints but through other nodes"),
+            ({"endpoints_out_of_reach": 2}, "no path of its own to 2 endpoints"),
         ],
-        ids=["older", "none", "cut off", "dropped"],
+        ids=["older", "none", "cut off", "dropped", "no way", "paths lost"],
     )
     def test_finding_is_reported(self, start_node, capsys, values, finding):
         faulty = start_node(metrics_text(**values))
--- a/tests/serving/test_log_lines.py
+++ b/tests/serving/test_log_lines.py
@@ -135,3 +135,25 @@
             "request.refused_for_crashes",
         ]
         assert "request=c1" in report[2]
+
+    def test_request_over_a_relay_names_the_lost_paths_and_the_relay(self):
+        # Guards against a complaint of which nobody can tell why another node sent the
+        # request, or that it was sent by one.
+        lines = (
+            "time=9.1 node=n1 event=path.lost endpoint=e1 reached_by=n2",
+            "time=9.2 node=n1 event=node.way_lost paths_lost=2",
+            "time=9.3 node=n3 event=path.lost endpoint=e1 reached_by=n2",
+            "time=10.0 node=n2 event=relay.decided request=r1 for_node=n1 "
+            "endpoint=e1@1 outcome=connected",
+            "time=10.1 node=n1 event=request.sent request=r1 endpoint=e1 relay=n2",
+            "time=10.2 node=n1 event=request.finished request=r1 outcome=answered",
+        )
+        report = explain("r1", lines)
+        assert [line.split()[2:4] for line in report[:-1] if " s  " in line] == [
+            ["n2", "relay.decided"],
+            ["n1", "request.sent"],
+            ["n1", "request.finished"],
+            ["n1", "path.lost"],
+            ["n1", "node.way_lost"],
+        ]
+        assert "relay=n2" in report[1], report
