soak: nodes cut off from endpoints, and endpoints silent for a moment

Spans in which a node reaches no endpoint, or only some, which hang, reset or refuse; one lasts through the whole undisturbed phase. Clients of the cut node must be served two thirds as often as the others, by kind of request.

--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -12,11 +12,12 @@
 
 from savoryhill.clock import system_clock
 from savoryhill.platform import names
+from savoryhill.soak import cut_node
+from savoryhill.soak.cut_node import CUTS_VARIABLE
 from savoryhill.soak.proxy import FaultProxy
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
 from savoryhill.standins.serving.store import MetadataStore, start_store
 
-ROOT = Path(__file__).resolve().parents[3]
 EVENTS_PER_STREAM = 8
 EVENT_INTERVAL_S = 0.05
 # Streams with helpers outlast the first expiry of their reservations.
@@ -96,6 +97,7 @@
     settings_path: Path
     store_proxy: FaultProxy
     log_path: Path
+    cuts_path: Path
     process: subprocess.Popen | None = None
     incarnation: int = 0
 
@@ -110,15 +112,23 @@
         environment = {
             **os.environ,
             names.SETTINGS_VARIABLE: str(self.settings_path),
+            CUTS_VARIABLE: f"{self.cuts_path}@{self.host}",
         }
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy" / "serve.py")],
+                [sys.executable, cut_node.__file__],
                 stdout=log,
                 stderr=log,
                 env=environment,
             )
 
+    def cut(self, how, addresses):
+        """Cut the node off from the endpoints at some addresses; none heals all."""
+        text = "".join(f"{how} {address}\n" for address in addresses)
+        new_path = self.cuts_path.with_suffix(".new")
+        new_path.write_text(text)
+        new_path.replace(self.cuts_path)
+
     def send_signal(self, signal_number):
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.poll() is None:
@@ -266,6 +276,7 @@
             settings_path=path,
             store_proxy=proxy,
             log_path=self.folder / f"node-{number}.log",
+            cuts_path=self.folder / f"node-{number}.cuts",
         )
         node.start()
         self.nodes.append(node)
--- a/src/savoryhill/soak/plan.py
+++ b/src/savoryhill/soak/plan.py
@@ -58,6 +58,12 @@
     SpanKind(kind="spoken_leave", stream="leaves", mean_interval_s=4.0, span_s=6.0),
     SpanKind(kind="wanted_pause", stream="pauses", mean_interval_s=4.0, span_s=5.0),
 )
+# Spans while something is disturbed: a node reaches no endpoint, or not all, and an
+# endpoint is silent for a moment.
+CUT_SPAN_KINDS = (
+    SpanKind(kind="node_cut", stream="cuts", mean_interval_s=2.0, span_s=4.0),
+    SpanKind(kind="silent_spell", stream="spells", mean_interval_s=2.0, span_s=1.0),
+)
 # Spans at any time: engines end under a part of prompts, or an endpoint names a limit
 # of requests a second.
 SPAN_KINDS = (
@@ -114,7 +120,15 @@
             Random(f"long/{seed}"), start=undisturbed_from, until=ends_at
         ),
     ]
-    for span_kind in DISTURBED_SPAN_KINDS:
+    faults.append(
+        Fault(
+            at_s=undisturbed_from,
+            kind="node_cut",
+            target=4 * Random(f"long-cut/{seed}").randrange(250),
+            length_s=ends_at - undisturbed_from,
+        )
+    )
+    for span_kind in DISTURBED_SPAN_KINDS + CUT_SPAN_KINDS:
         faults += _plan_spans(span_kind, seed, until=disturbed_until)
     for span_kind in SPAN_KINDS:
         faults += _plan_spans(span_kind, seed, until=ends_at)
--- a/src/savoryhill/soak/result.py
+++ b/src/savoryhill/soak/result.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from savoryhill.soak import crash_checks, statement_checks
+from savoryhill.soak import crash_checks, cut_checks, statement_checks
 from savoryhill.soak import observations as checks
 from savoryhill.soak.deployment import EVENTS_PER_STREAM, PATIENCE_S_BY_KIND
 
@@ -118,6 +118,7 @@
             {r.id: (r.node, r.incarnation) for r in soak.requests},
             is_disturbed=is_disturbed,
         ),
+        *cut_checks.check_cut_nodes(soak.requests, soak.cut_spans),
         *_check_released_reservations(soak),
         *_check_recovery_after_faults(soak, ends_at),
     ]
--- a/src/savoryhill/soak/run.py
+++ b/src/savoryhill/soak/run.py
@@ -18,6 +18,7 @@
 from savoryhill.soak.plan import make_plan
 from savoryhill.soak.proxy import PASS
 from savoryhill.soak.result import EVACUATION_BOUND_S, SETTLE_S, build_result
+from savoryhill.standins.serving.network import HANG, REFUSE, RESET
 
 RESTART_INTERVAL_S = 0.4
 START_TIMEOUT_S = 20.0
@@ -31,6 +32,7 @@
 CRASHING_KINDS = ("chat", "order", "once", "stock")
 NAMED_LIMITS_PER_S = (0.5, 1.0, 3.0)
 WANTED_PAUSE_S = 2.0
+CUTS = (HANG, RESET, REFUSE)
 STORE_FAULT_MODES = {
     "store_silent": "silent",
     "store_busy": "busy",
@@ -62,6 +64,7 @@
     limit_spans: list = field(default_factory=list)
     leaving_spans: list = field(default_factory=list)
     pause_spans: list = field(default_factory=list)
+    cut_spans: list = field(default_factory=list)
     evacuation_keys: set = field(default_factory=set)
     store_copies: deque = field(default_factory=lambda: deque(maxlen=MAX_COPIES))
     fault_greenlets: list = field(default_factory=list)
@@ -322,6 +325,26 @@
         )
         endpoint.wanted_pause = None
 
+    def _node_cut(self, fault):
+        """Cut a node off from all endpoints or, each fourth time, from some."""
+        nodes, proxies = self.deployment.nodes, self.deployment.endpoint_proxies
+        node = nodes[fault.target // 4 % len(nodes)]
+        is_partial = fault.target % 4 == 3
+        addresses = [proxy.address for proxy in proxies[:: 2 if is_partial else 1]]
+        start = self.clock.monotonic()
+        # What runs on the node breaks off.
+        self._record_disturbance(0.0)
+        node.cut(CUTS[fault.target % len(CUTS)], addresses)
+        gevent.sleep(fault.length_s)
+        node.cut("", ())
+        if not is_partial:
+            self.cut_spans.append((node.name, start, self.clock.monotonic()))
+
+    def _silent_spell(self, fault):
+        endpoints = self.deployment.endpoints
+        endpoint = endpoints[fault.target % len(endpoints)]
+        endpoint.silent_until = self.clock.monotonic() + fault.length_s
+
 
 def run_soak(seed, *, length_s, n_nodes, n_engines, first_host=20):
     """Start a deployment and run one seed against it.
