--- a/src/savoryhill/core/reachability/paths.py
+++ b/src/savoryhill/core/reachability/paths.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, field
 
 # So many endpoints must be out of reach, with no connection to others since, before the
-# paths to those that were not tried count as lost as well.
+# paths to those that were not tried count as lost as well; for all endpoints, in so
+# many zones.
 MIN_ENDPOINTS = 2
+MIN_ZONES = 2
 # A node that has connected to any endpoint so recently knows that it has a way.
 RECENT_S = 2.0
 # A path that is back takes one request in each such time. Each connection that is made
@@ -42,9 +44,11 @@
     that is lost; the others take another way at once. An endpoint that is dead, or
     silent for a moment, loses no path: no other node reaches it either.
 
-    Times are those of the node's clock, in seconds.
+    Times are those of the node's clock, in seconds. ``n_zones`` is the number of zones
+    that have endpoints.
     """
 
+    n_zones: int = 1
     lost_by_id: dict[str, _FailedConnect] = field(default_factory=dict)
     _unreached_by_id: dict[str, _FailedConnect] = field(default_factory=dict)
     _connected_at_by_zone: dict[str, float] = field(default_factory=dict)
@@ -94,8 +98,10 @@
 
     def is_cut(self):
         """Return whether this node has lost its way to all endpoints."""
-        lost = self.lost_by_id.values()
-        return _n_since(lost, self._last_connected_at()) >= MIN_ENDPOINTS
+        since = self._last_connected_at()
+        lost = [f for f in self.lost_by_id.values() if f.began_at > since]
+        n_zones = len({failed.zone for failed in lost})
+        return len(lost) >= MIN_ENDPOINTS and n_zones >= min(MIN_ZONES, self.n_zones)
 
     def may_be_cut(self):
         """Return whether this node has reached no endpoint since several failed."""
@@ -121,8 +127,10 @@
         returning.next_at = now + returning.interval_s
         return True
 
-    def forget_others(self, present_ids):
-        """Drop what is known of endpoints that are gone."""
+    def set_endpoints(self, endpoints):
+        """Take in which endpoints there are, and forget those that are gone."""
+        present_ids = {endpoint.id for endpoint in endpoints}
+        self.n_zones = len({endpoint.zone for endpoint in endpoints})
         for known in (self.lost_by_id, self._unreached_by_id):
             for endpoint_id in known.keys() - present_ids:
                 del known[endpoint_id]
--- a/src/savoryhill/serving/ways/endpoint_ways.py
+++ b/src/savoryhill/serving/ways/endpoint_ways.py
@@ -242,5 +242,5 @@
             self._record(event, {"paths_lost": len(self.paths.lost_by_id)})
 
     def _forget_others(self):
-        self.paths.forget_others(self._cluster_view.endpoints_by_id.keys())
+        self.paths.set_endpoints(self._cluster_view.endpoints_by_id.values())
         self._relays.forget_others(self._cluster_view.nodes_by_name.keys())
