serving: nothing is sent to an endpoint that has spoken while it was connected to

An endpoint that names a pause, or says that it leaves, still got what had begun to connect to it: the choice was not looked at again between the connect (up to 0.2 s, longer over a relay) and the send. Change: it is looked at again before the first byte; what was kept back is no failure of the endpoint, spends no repeat and goes elsewhere.

--- a/src/savoryhill/core/observations/pauses.py
+++ b/src/savoryhill/core/observations/pauses.py
@@ -60,6 +60,11 @@
         pause = self._by_incarnation.get(incarnation)
         return float("-inf") if pause is None else pause.next_at
 
+    def left_s(self, incarnation, now):
+        """Return the seconds until an endpoint's pause ends; 0 if it has none."""
+        pause = self._by_incarnation.get(incarnation)
+        return 0.0 if pause is None else max(0.0, pause.ends_at - now)
+
     def forget(self, present_incarnations):
         """Drop the pauses of endpoints that are gone."""
         gone = self._by_incarnation.keys() - present_incarnations
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -55,7 +55,7 @@
                     failure = self._run_on(endpoint)
             if failure is None:
                 return
-            if not failure.lost_way:
+            if failure.blames_endpoint:
                 balancer.note_failure(endpoint, is_full=failure.is_full)
             request.avoided_endpoint_ids.add(endpoint.id)
             if not request.allow_repeat(self._history, failure):
@@ -161,6 +161,10 @@
                 )
             except NotConnectedError as error:
                 return describe_unreached(error, endpoint)
+            failure = self._request.find_withheld(endpoint)
+            if failure is not None:
+                connection.close()
+                return failure
             history.n_runs += 1
             self._check.note_sent(endpoint, connection)
             try:
--- a/src/savoryhill/serving/endpoint_statements.py
+++ b/src/savoryhill/serving/endpoint_statements.py
@@ -90,6 +90,10 @@
         """Tell whether an endpoint wants no request from this node now."""
         return self.pauses.next_at(endpoint.incarnation) > self._clock.monotonic()
 
+    def pause_left_s(self, endpoint):
+        """Return the seconds for which an endpoint wants nothing from this node."""
+        return self.pauses.left_s(endpoint.incarnation, self._clock.monotonic())
+
     def paused_ids(self, service):
         """Return the ids of the endpoints of a service that want no request now."""
         if not len(self.pauses):
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -118,7 +118,7 @@
         """
         jobs = self._context.dispatcher.jobs
         endpoint = self._context.cluster_view.endpoints_by_id.get(endpoint_id)
-        if failure.lost_way:
+        if not failure.blames_endpoint:
             jobs.cancel(job)
         elif failure.is_silent and endpoint is not None:
             gevent.spawn(self._report_silence, job, endpoint, self._relay_name)
@@ -284,6 +284,10 @@
             )
         except NotConnectedError as error:
             return describe_unreached(error, first)
+        failure = self._request.find_withheld(first)
+        if failure is not None:
+            connection.close()
+            return failure
         reservations.abort_when_lost(connection)
         self._relay_name = connection.relay
         self._check.note_sent(first, connection)
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -31,7 +31,8 @@
     that it was given up because nothing came any more. ``head`` and
     ``body`` are set if the endpoint responded with an error of its own that may be
     forwarded to the client. ``lost_way`` tells that this node has no way to the
-    endpoint, which may be sound.
+    endpoint, which may be sound, ``was_withheld`` that the endpoint has said meanwhile
+    that it wants nothing.
     """
 
     cause: str
@@ -39,12 +40,18 @@
     reached_endpoint: bool = True
     is_full: bool = False
     lost_way: bool = False
+    was_withheld: bool = False
     is_silent: bool = False
     connection_ended: bool = False
     endpoint: str | None = None
     head: object = None
     body: bytes = b""
 
+    @property
+    def blames_endpoint(self):
+        """Whether the endpoint should get fewer requests for this."""
+        return not (self.lost_way or self.was_withheld)
+
 
 class ServedRequest:
     """A client's request with its route, deadlines and sends.
@@ -147,6 +154,28 @@
             return False
         return platform_headers.is_signed(head) or head.status >= 300
 
+    def find_withheld(self, endpoint):
+        """Return the failure of a send to an endpoint that has said it wants none.
+
+        Load pattern: many requests are on their way to an endpoint when it begins to
+        leave, or names a pause. Whatever has not been sent by then is kept back.
+
+        Returns
+        -------
+        SendFailure or None
+            None if the request may be sent.
+        """
+        statements, view = self.context.endpoint_statements, self.context.cluster_view
+        if view.is_usable(endpoint) and not statements.pause_left_s(endpoint):
+            return None
+        return SendFailure(
+            cause="the endpoint leaves or wants a pause since it was chosen",
+            may_have_run=False,
+            reached_endpoint=False,
+            was_withheld=True,
+            endpoint=endpoint.id,
+        )
+
     def judge_end(self, failure, endpoint, connection):
         """Return the failure of a send, without blame if only its path was lost."""
         if not failure.connection_ended:
