scheduling: a waiting job gets an engine again once its pause has ended

Change: a submission says for how long each engine is left out. Nodes of an older build neither send nor read it; without it, engines are left out as before. Measured: TestJobThatWaits, failed before (1.5 s), passes now.

--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -36,14 +36,18 @@
     max_gap_s: float
     priority: int
     avoided_engine_ids: frozenset[str] = frozenset()
-    excluded_engine_ids: frozenset[str] = frozenset()
+    excluded_until_by_id: dict[str, float] = field(default_factory=dict)
     zone: str = ""
     queued_at: float = 0.0
 
     @property
     def has_own_engines(self):
         """Whether the job chooses among other engines than most jobs."""
-        return bool(self.avoided_engine_ids or self.excluded_engine_ids)
+        return bool(self.avoided_engine_ids or self.excluded_until_by_id)
+
+    def excludes(self, engine_id, now):
+        """Return whether an engine must not be used for the job at a time."""
+        return self.excluded_until_by_id.get(engine_id, 0.0) > now
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -42,7 +42,8 @@
     digests of parts of the prompt that no other job may try at the same time.
     ``avoid`` names engines on which the job failed before; they are better than none.
     ``excluded`` names those that want nothing from the sender now, or that the request
-    might end; they are not used.
+    might end; they are not used for the seconds in ``excluded_for_s``, or at all if it
+    is empty.
     """
 
     job_id: str
@@ -63,6 +64,7 @@
     reserved_tokens: tuple[int, ...] = ()
     probed_parts: tuple[str, ...] = ()
     excluded: tuple[str, ...] = ()
+    excluded_for_s: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -266,7 +266,7 @@
             engine
             for engine in self.engines_by_id.values()
             if engine.is_usable
-            and engine.id not in job.excluded_engine_ids
+            and not job.excludes(engine.id, now)
             and engine.ejected_until <= now
             # A failed engine gets a single job until a first event shows that it works.
             and not (engine.n_failures and engine.jobs_by_id)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -196,6 +196,7 @@
   reservedTokens @15 :List(Int64);
   probedParts @16 :List(Text);
   excluded @17 :List(Text);
+  excludedForS @18 :List(Float64);
 }
 
 struct JobPlaced {
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -111,7 +111,7 @@
         limiter = statements.limiter
         avoided_ids = (
             request.avoided_endpoint_ids
-            | statements.paused_ids(request.service.name)
+            | statements.waits_s_by_id(request.service.name).keys()
             | self._check.excluded_ids()
         )
         limited = []
--- a/src/savoryhill/serving/endpoint_statements.py
+++ b/src/savoryhill/serving/endpoint_statements.py
@@ -94,15 +94,19 @@
         """Return the seconds for which an endpoint wants nothing from this node."""
         return self.pauses.left_s(endpoint.incarnation, self._clock.monotonic())
 
-    def paused_ids(self, service):
-        """Return the ids of the endpoints of a service that want no request now."""
+    def waits_s_by_id(self, service):
+        """Return how long endpoints of a service want no request, by their ids.
+
+        Those that take one now are left out.
+        """
         if not len(self.pauses):
-            return frozenset()
-        return frozenset(
-            endpoint.id
+            return {}
+        now = self._clock.monotonic()
+        waits_s = {
+            endpoint.id: self.pauses.next_at(endpoint.incarnation) - now
             for endpoint in self._cluster_view.usable_endpoints(service)
-            if self.wants_pause(endpoint)
-        )
+        }
+        return {name: wait_s for name, wait_s in waits_s.items() if wait_s > 0.0}
 
     def wait_s(self, service):
         """Return the seconds until some endpoint of a service takes a request.
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -1,5 +1,6 @@
 """Streaming requests: one job per send, and events forwarded as they arrive."""
 
+import math
 from dataclasses import replace
 
 import gevent
@@ -148,16 +149,16 @@
 
     def _is_excluded(self, decision):
         """Tell whether an engine was placed that has been excluded meanwhile."""
-        return isinstance(decision, JobPlaced) and not self._excluded_ids().isdisjoint(
-            decision.endpoints
-        )
+        if not isinstance(decision, JobPlaced):
+            return False
+        return not self._find_exclusions().keys().isdisjoint(decision.endpoints)
 
-    def _excluded_ids(self):
-        """Return the ids of the engines to which the request must not be sent now."""
-        paused_ids = self._context.endpoint_statements.paused_ids(
+    def _find_exclusions(self):
+        """Return for how long engines must not be used, in seconds, by their ids."""
+        waits_s = self._context.endpoint_statements.waits_s_by_id(
             self._request.service.name
         )
-        return paused_ids | self._check.excluded_ids()
+        return waits_s | dict.fromkeys(self._check.excluded_ids(), math.inf)
 
     def _awaits_probe(self, decision):
         """Tell whether another request is about to show that this one can be served."""
@@ -178,6 +179,7 @@
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         now = self._context.clock.monotonic()
+        excluded_for_s = self._find_exclusions()
         return self._context.dispatcher.jobs.submit(
             JobSubmit(
                 job_id=f"{request.id}.{request.n_sends}",
@@ -196,7 +198,8 @@
                 is_repeat=request.n_sends > 1,
                 needs_budget=needs_budget,
                 probed_parts=self._check.probed_parts,
-                excluded=tuple(self._excluded_ids()),
+                excluded=tuple(excluded_for_s),
+                excluded_for_s=tuple(excluded_for_s.values()),
             )
         )
 
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -1,5 +1,6 @@
 """The schedulers that run on a node, for its own jobs and those of its followers."""
 
+import math
 from dataclasses import dataclass
 
 from savoryhill.core.scheduling.decisions import Grant
@@ -118,7 +119,7 @@
             max_gap_s=message.pause_s,
             priority=message.priority,
             avoided_engine_ids=frozenset(message.avoid),
-            excluded_engine_ids=frozenset(message.excluded),
+            excluded_until_by_id=_exclusions(message, now),
             zone=message.zone,
             queued_at=now,
         )
@@ -256,3 +257,12 @@
             )
             if submission is not None:
                 submission.deliver(reply)
+
+
+def _exclusions(message, now):
+    """Return until when each engine that a submission excludes must not be used."""
+    durations_s = message.excluded_for_s or [math.inf] * len(message.excluded)
+    return {
+        engine_id: now + duration_s
+        for engine_id, duration_s in zip(message.excluded, durations_s, strict=False)
+    }
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -25,6 +25,7 @@
     float: st.floats(width=32, allow_nan=False),
     tuple[str, ...]: st.lists(st.text(max_size=10), max_size=4).map(tuple),
     tuple[int, ...]: st.lists(COUNTS, max_size=8).map(tuple),
+    tuple[float, ...]: st.lists(st.floats(allow_nan=False), max_size=4).map(tuple),
 }
 
 
--- a/tests/serving/test_ends_of_pauses.py
+++ b/tests/serving/test_ends_of_pauses.py
@@ -1,5 +1,6 @@
 """What is under way when an endpoint's pause begins, and what waits for its end."""
 
+import gevent
 import pytest
 
 PATHS_BY_SERVICE = [
@@ -47,3 +48,22 @@
         told, other = sorted(endpoints, key=lambda each: each.id != spoken[0])
         assert (len(told.arrivals), len(other.arrivals)) == (0, 1)
         assert not deployment.lines[0].fields_of("engine.ejected")
+
+
+class TestJobThatWaits:
+    def test_engine_is_used_once_its_pause_has_ended(self, deployment):
+        # Guards against a request that waits until its client leaves, because it leaves
+        # out an engine for a pause that is long over.
+        pausing = deployment.add_endpoint("e0", service="pool")
+        busy = deployment.add_endpoint("e1", service="pool", event_interval_s=0.6)
+        node = deployment.add_node()
+        begin_pause(node, pausing)
+        running = [gevent.spawn(deployment.ask, "/chat/x") for _ in range(4)]
+        deployment.wait_until(lambda: len(busy.arrivals) == 4)
+        pauses = node.context.endpoint_statements.pauses
+        pauses.forget(set())
+        pauses.note_refusal("e0@1", 0.5, node.context.clock.monotonic())
+        with gevent.Timeout(1.5):
+            assert deployment.ask("/chat/x")[0] == 200
+        assert len(pausing.arrivals) == 1
+        gevent.killall(running)
