--- a/src/savoryhill/platform/statements.py
+++ b/src/savoryhill/platform/statements.py
@@ -24,11 +24,12 @@
     ``pause_s`` is for how long it wants nothing from this node, in seconds; 0 if it
     does not say. ``limit_per_s`` is the requests a second that it takes from all nodes,
     infinite if it names none, and None if it names no number. ``is_refusal`` tells that
-    it turned the request away.
+    it turned the request away, ``is_accepted`` that it took it.
     """
 
     is_leaving: bool = False
     is_refusal: bool = False
+    is_accepted: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
 
@@ -63,6 +64,7 @@
     return EndpointStatement(
         is_leaving=is_leaving,
         is_refusal=is_refusal,
+        is_accepted=not is_refusal,
         pause_s=_decode_pause_s(head, wall_now) if is_refusal else 0.0,
         limit_per_s=named_limit(head),
     )
--- a/src/savoryhill/serving/endpoint_statements.py
+++ b/src/savoryhill/serving/endpoint_statements.py
@@ -77,7 +77,7 @@
                 "endpoint.pause_wanted",
                 {"endpoint": incarnation, "pause_s": round(statement.pause_s, 3)},
             )
-        elif not statement.is_refusal:
+        elif statement.is_accepted:
             self.pauses.note_accepted(incarnation, now)
 
     # What this node may send.
--- a/tests/serving/test_ends_of_pauses.py
+++ b/tests/serving/test_ends_of_pauses.py
@@ -3,6 +3,9 @@
 import gevent
 import pytest
 
+from savoryhill.platform.statements import decode_statement
+from savoryhill.serving.http import ResponseHead
+
 PATHS_BY_SERVICE = [
     ("pool", "/chat/x"),
     ("pool", "/once/x"),
@@ -67,3 +70,14 @@
             assert deployment.ask("/chat/x")[0] == 200
         assert len(pausing.arrivals) == 1
         gevent.killall(running)
+
+
+class TestReturn:
+    @pytest.mark.parametrize("attempt_id", [b"another", None])
+    def test_only_an_answer_to_the_request_counts_as_accepted(self, attempt_id):
+        # Guards against a return that goes faster because of an answer that a faulty
+        # endpoint has written again.
+        headers = [] if attempt_id is None else [(b"x-attempt-id", attempt_id)]
+        head = ResponseHead(status=200, headers=headers)
+        statement = decode_statement(head, attempt_id=b"own", wall_now=0.0)
+        assert statement.is_accepted is (attempt_id is None)
