--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -232,8 +232,9 @@
         if not _was_sound(table, part, release, now)
         for crash in some
     ]
-    if count_successive(unsound) >= MIN_CRASHES:
-        return count_successive(unsound)
+    n_unsound = count_successive(unsound)
+    if n_unsound >= MIN_CRASHES:
+        return n_unsound
     n_most = max(map(count_successive, by_release.values()), default=0)
     return n_most if n_most >= MIN_CRASHES_OF_SOUND else 0
 
