platform: odd rows, items and settings are left out, not followed by an error

One row of another writer ended the task that reads the store, again and again at all nodes: RecursionError for a deeply nested value, OverflowError for a number too large, UnicodeEncodeError at the leader's links for half a surrogate pair, TypeError for a revision that is text. A port out of range and names in place of addresses were taken. Change: JSON values are checked in one place (platform/json_values.py) before use: numbers up to 2**53, texts that can be encoded, ip:port with a port that exists. One odd route, service or workspace is left out and counted, and the rest of a configuration holds. The same for refusals, nodes, settings (nan, negative, ports) and ids of events with too many digits.

--- a/src/savoryhill/platform/boot_settings.py
+++ b/src/savoryhill/platform/boot_settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from savoryhill.errors import SettingsError
+from savoryhill.platform.json_values import is_address, is_number
 from savoryhill.platform.names import SETTINGS_VARIABLE
 
 
@@ -96,8 +97,7 @@
 
     def required_address(name):
         value = required_text(name)
-        host, _, port = value.rpartition(":")
-        if value and not (host and port.isdigit()):
+        if value and not is_address(value):
             findings.append(f"{name}: expected ip:port, got {value!r}")
         return value
 
@@ -106,13 +106,16 @@
         if not value:
             return default
         try:
-            return float(value)
+            number = float(value)
         except ValueError:
-            findings.append(f"{name}: expected a number, got {value!r}")
+            number = None
+        if number is None or not is_number(number) or number < 0.0:
+            findings.append(f"{name}: expected a number from 0 on, got {value!r}")
             return default
+        return number
 
     ports = required_text("internalPorts").split(",")
-    if not ports[0].isdigit():
+    if not all(is_address(f"127.0.0.1:{port}") for port in ports):
         findings.append(f"internalPorts: expected first,last, got {ports!r}")
     host = required_text("ipAddress")
     settings = ServingSettings(
--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -5,11 +5,19 @@
 """
 
 import json
-import math
 
 from savoryhill.core.observations.crashes import CRASH
 from savoryhill.core.observations.table import Observation
 from savoryhill.core.scheduling.engine_profile import EngineProfile
+from savoryhill.platform.json_values import (
+    decode_each,
+    decode_object,
+    is_address,
+    is_number,
+    is_text,
+    read_number,
+    read_text,
+)
 from savoryhill.platform.names import (
     CONFIGURATION_KEY,
     ENDPOINT_PREFIX,
@@ -42,116 +50,137 @@
 MAX_OBSERVATION_VERSION = 2**31
 # Bounds what other writers of rows can make nodes keep and send.
 MAX_RELEASE_LENGTH = 64
-
-
-def _decode_object(value):
-    try:
-        content = json.loads(value)
-    except (ValueError, UnicodeDecodeError):
-        return None
-    return content if isinstance(content, dict) else None
-
-
-def _is_number(value):
-    if isinstance(value, float):
-        return math.isfinite(value)
-    return isinstance(value, int) and not isinstance(value, bool)
+MAX_SLOTS = 100_000
 
 
 def decode_route(item):
-    """Decode a route, or return None if a required field is invalid."""
-    kind = _ROUTE_KINDS.get(item.get("kind"))
-    host, prefix = item.get("host"), item.get("pathPrefix")
-    if kind is None or not isinstance(host, str) or not isinstance(prefix, str):
-        return None
+    """Decode a route.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError, AttributeError
+        If a field is missing or invalid.
+    """
     split = item.get("trafficSplit")
     if split:
-        targets = tuple((part["service"], float(part["weight"])) for part in split)
+        targets = tuple(
+            (read_text(part, "service"), float(read_number(part, "weight")))
+            for part in split
+        )
     else:
-        targets = ((item.get("service"), 1.0),)
+        targets = ((read_text(item, "service"), 1.0),)
     return Route(
-        name=str(item.get("name", "")),
-        host=host.lower(),
-        path_prefix=prefix,
-        kind=kind,
-        timeout_s=item.get("timeoutMs", 10_000) * SECONDS_PER_MS,
-        target_latency_s=item.get("targetLatencyMs", 1000) * SECONDS_PER_MS,
-        max_gap_s=item.get("targetGapMs", 1000) * SECONDS_PER_MS,
-        priority=item.get("priority", 1),
+        name=read_text(item, "name", ""),
+        host=read_text(item, "host").lower(),
+        path_prefix=read_text(item, "pathPrefix"),
+        kind=_ROUTE_KINDS[read_text(item, "kind")],
+        timeout_s=read_number(item, "timeoutMs", 10_000) * SECONDS_PER_MS,
+        target_latency_s=read_number(item, "targetLatencyMs", 1000) * SECONDS_PER_MS,
+        max_gap_s=read_number(item, "targetGapMs", 1000) * SECONDS_PER_MS,
+        priority=int(read_number(item, "priority", 1)),
         targets=targets,
-        max_attempts=item.get("attempts", 1),
+        max_attempts=int(read_number(item, "attempts", 1)),
         is_public=item.get("publicAccess") is True,
         is_resumable=item.get("resumable") is True,
     )
 
 
 def decode_engine(item):
-    """Decode the performance profile of a service's engines, None if it has none."""
+    """Decode the performance profile of a service's engines, None if it has none.
+
+    Raises
+    ------
+    ValueError
+        If a figure is missing or invalid.
+    """
     if not isinstance(item, dict):
         return None
-    return EngineProfile(
-        slots=item["slots"],
-        memory_tokens=item["kvTokens"],
-        stride=item["stride"],
-        step_s=item["step_ms"] * SECONDS_PER_MS,
-        step_s_per_sequence=item["per_seq_ms"] * SECONDS_PER_MS,
-        step_s_per_context_token=item["context_per_k"] * SECONDS_PER_MS / 1000,
-        prefill_tokens_per_s=item["read_per_s"],
-        prefill_s_per_token_pair=item["pairs_per_m"] * _SECONDS_PER_PAIR_UNIT,
-        chunk_tokens=item["chunk"],
+    profile = EngineProfile(
+        slots=int(read_number(item, "slots")),
+        memory_tokens=int(read_number(item, "kvTokens")),
+        stride=read_number(item, "stride"),
+        step_s=read_number(item, "step_ms") * SECONDS_PER_MS,
+        step_s_per_sequence=read_number(item, "per_seq_ms") * SECONDS_PER_MS,
+        step_s_per_context_token=read_number(item, "context_per_k")
+        * SECONDS_PER_MS
+        / 1000,
+        prefill_tokens_per_s=read_number(item, "read_per_s"),
+        prefill_s_per_token_pair=read_number(item, "pairs_per_m")
+        * _SECONDS_PER_PAIR_UNIT,
+        chunk_tokens=read_number(item, "chunk"),
     )
+    if not (profile.slots and profile.prefill_tokens_per_s and profile.chunk_tokens):
+        raise ValueError("slots, read_per_s and chunk must be positive")
+    return profile
 
 
 def decode_configuration(value):
     """Decode the value of the configuration row.
 
+    Routes, services and workspaces that cannot be read are left out and counted.
+
     Returns
     -------
     ServingConfiguration or None
-        None if the value is not a valid configuration.
+        None if the value is not a configuration with a version.
     """
-    content = _decode_object(value)
-    if content is None:
-        return None
-    try:
-        return _decode_content(content)
-    except (KeyError, TypeError, ValueError, AttributeError):
+    content = decode_object(value)
+    if content is None or not is_number(content.get("version")):
         return None
-
-
-def _decode_content(content):
+    routes, n_odd_routes = decode_each(content.get("routes"), decode_route)
+    services, n_odd_services = decode_each(content.get("services"), _decode_service)
+    keys, n_odd_workspaces = decode_each(content.get("tenants") or [], _decode_keys)
     routes_by_host = {}
-    for item in content["routes"]:
-        route = decode_route(item)
-        if route is not None:
-            routes_by_host.setdefault(route.host, []).append(route)
-    services = (
-        Service(
-            name=item["name"],
-            cold_per_s=item.get("coldPerS") or 0.0,
-            engine=decode_engine(item.get("engine")),
-        )
-        for item in content["services"]
-    )
-    workspaces_by_key = {}
-    for item in content.get("tenants") or ():
-        workspace = Workspace(name=item["name"], priority=item.get("priority"))
-        workspaces_by_key.update(dict.fromkeys(item.get("keys", ()), workspace))
-    limits = content.get("limits") or {}
+    for route in routes:
+        routes_by_host.setdefault(route.host, []).append(route)
     return ServingConfiguration(
-        version=content["version"],
+        version=int(content["version"]),
         routes_by_host={
             host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
             for host, routes in routes_by_host.items()
         },
         services_by_name={service.name: service for service in services},
-        workspaces_by_key=workspaces_by_key,
-        limits=ClientLimits(
-            max_header_bytes=limits.get("maxHeaderBytes", 16_384),
-            max_body_bytes=limits.get("maxBodyBytes", 4_194_304),
-            header_timeout_s=limits.get("headerTimeoutMs", 3000) * SECONDS_PER_MS,
-            idle_timeout_s=limits.get("idleTimeoutMs", 15_000) * SECONDS_PER_MS,
-        ),
+        workspaces_by_key={
+            key: workspace for pairs in keys for key, workspace in pairs
+        },
+        limits=_decode_limits(content.get("limits")),
+        n_unreadable=n_odd_routes + n_odd_services + n_odd_workspaces,
+    )
+
+
+def _decode_service(item):
+    return Service(
+        name=read_text(item, "name"),
+        cold_per_s=0.0
+        if item.get("coldPerS") is None
+        else read_number(item, "coldPerS"),
+        engine=decode_engine(item.get("engine")),
+    )
+
+
+def _decode_keys(item):
+    """Return the keys of a workspace, each with the workspace."""
+    priority = item.get("priority")
+    if priority is not None:
+        priority = int(read_number(item, "priority"))
+    workspace = Workspace(name=read_text(item, "name"), priority=priority)
+    return [(key, workspace) for key in item.get("keys", ()) if is_text(key)]
+
+
+def _decode_limits(item):
+    """Return the limits on clients, by default for those that cannot be read."""
+    if not isinstance(item, dict):
+        return ClientLimits()
+
+    def number(name, default):
+        value = item.get(name)
+        return value if is_number(value) and value > 0 else default
+
+    return ClientLimits(
+        max_header_bytes=number("maxHeaderBytes", 16_384),
+        max_body_bytes=number("maxBodyBytes", 4_194_304),
+        header_timeout_s=number("headerTimeoutMs", 3000) * SECONDS_PER_MS,
+        idle_timeout_s=number("idleTimeoutMs", 15_000) * SECONDS_PER_MS,
     )
 
 
@@ -161,56 +190,59 @@
     A ``sequence`` that is no number counts as 0, and a ``version`` that is no text as
     none, as they don't tell where and what the endpoint is.
     """
-    content = _decode_object(row.value)
-    if content is None:
+    content = decode_object(row.value)
+    endpoint_id = row.key[len(ENDPOINT_PREFIX) :]
+    if content is None or not endpoint_id:
         return None
-    service, address = content.get("service"), content.get("address")
-    state, slots = content.get("state"), content.get("slots")
-    if not isinstance(service, str) or not isinstance(address, str):
+    texts = [content.get(name) for name in ("service", "zone")]
+    if not all(is_text(text) for text in texts):
         return None
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or state not in ("ready", "draining"):
+    address, state = content.get("address"), content.get("state")
+    if not is_address(address) or state not in ("ready", "draining"):
         return None
-    if not _is_number(slots) or not isinstance(content.get("zone"), str):
+    slots = content.get("slots")
+    if not is_number(slots) or not 1 <= slots <= MAX_SLOTS:
         return None
     cold_ms, born_ms = content.get("coldRemainingMs", 0), content.get("born", 0)
-    if not _is_number(cold_ms) or not _is_number(born_ms):
+    if not is_number(cold_ms) or not is_number(born_ms):
         return None
+    service, zone = texts
     sequence = content.get("sequence", 0)
     return Endpoint(
-        id=row.key[len(ENDPOINT_PREFIX) :],
+        id=endpoint_id,
         service=service,
         address=address,
-        zone=content["zone"],
+        zone=zone,
         slots=int(slots),
         is_draining=state == "draining",
         cold_remaining_s=cold_ms * SECONDS_PER_MS,
         born_ms=int(born_ms),
         revision=row.revision,
-        sequence=int(sequence) if _is_number(sequence) else 0,
+        sequence=int(sequence) if is_number(sequence) else 0,
         release=_text_or_empty(content.get("version")),
     )
 
 
 def _text_or_empty(value):
-    return value[:MAX_RELEASE_LENGTH] if isinstance(value, str) else ""
+    return value[:MAX_RELEASE_LENGTH] if is_text(value) else ""
 
 
 def decode_node(row):
     """Decode the row of a node, or return None if a field is invalid."""
-    content = _decode_object(row.value)
-    if content is None or not isinstance(content.get("address"), str):
+    content = decode_object(row.value)
+    if content is None or not is_address(content.get("address")):
         return None
+    zone, relay_address = content.get("zone", ""), content.get("relay")
     capacity = content.get("capacity", 0.0)
-    if not _is_number(capacity):
+    if not is_number(capacity) or not is_text(zone):
         return None
     return NodeRecord(
         name=row.key[len(NODE_PREFIX) :],
         address=content["address"],
-        zone=str(content.get("zone", "")),
+        zone=zone,
         capacity=float(capacity),
         revision=row.revision,
-        relay_address=_text_or_empty(content.get("relay")),
+        relay_address=relay_address if is_address(relay_address) else "",
     )
 
 
@@ -263,7 +295,7 @@
     -------
     list of Observation
     """
-    items = (_decode_object(value) or {}).get("crashes")
+    items = (decode_object(value) or {}).get("crashes")
     if not isinstance(items, list):
         return []
     crashes = (_decode_crash(item, now, wall_now) for item in items)
@@ -275,9 +307,9 @@
         return None
     texts = [item.get(name) for name in ("subject", "source", "workspace")]
     numbers = [item.get(name) for name in ("version", "observedAt", "value")]
-    if not all(isinstance(text, str) for text in texts):
+    if not all(is_text(text) for text in texts):
         return None
-    if not all(_is_number(number) for number in numbers):
+    if not all(is_number(number) for number in numbers):
         return None
     subject, source, workspace = texts
     version, observed_at, crash_value = numbers
--- a/src/savoryhill/platform/store.py
+++ b/src/savoryhill/platform/store.py
@@ -14,14 +14,16 @@
     StoreRefusedError,
 )
 from savoryhill.platform import names
+from savoryhill.platform.json_values import is_text
 from savoryhill.serving.http import encode_request
 from savoryhill.serving.store_position import StorePosition
 from savoryhill.serving.ways.connection import open_connection
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
-# Fits the integers of messages between nodes.
+# Fit the integers of messages between nodes.
 MAX_ERA_DIGITS = 18
+MAX_REVISION = 2**63 - 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -90,7 +92,15 @@
     return int(value)
 
 
+def _is_position(value):
+    """Tell whether a value can be a revision."""
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return is_integer and 0 <= value <= MAX_REVISION
+
+
 def _decode_row(item, era):
+    if not is_text(item["key"]) or not _is_position(item["revision"]):
+        raise ValueError(f"key or revision of {item!r:.80}")
     if item.get("deleted"):
         return StoreRow(
             key=item["key"],
@@ -99,12 +109,13 @@
             is_deleted=True,
             era=era,
         )
+    lease = item.get("lease", 0)
     return StoreRow(
         key=item["key"],
         value=b64decode(item["value"]),
         revision=item["revision"],
         era=era,
-        lease=item.get("lease", 0),
+        lease=lease if _is_position(lease) else 0,
     )
 
 
@@ -128,7 +139,10 @@
         If it is missing or of another type. The call may have taken effect.
     """
     value = content.get(name)
-    if not isinstance(value, field_type) or isinstance(value, bool):
+    is_valid = (
+        _is_position(value) if field_type is int else isinstance(value, field_type)
+    )
+    if not is_valid:
         raise OutcomeUnknownError(
             f"store: field {name!r} of the answer should be "
             f"{field_type.__name__}, got {value!r:.40}"
@@ -172,7 +186,12 @@
         except NotConnectedError as error:
             outcome = "unreachable"
             raise PlatformUnreachableError(f"store: {error}") from error
-        except (OSError, MalformedMessageError, ValueError) as error:
+        except (
+            OSError,
+            MalformedMessageError,
+            ValueError,
+            RecursionError,
+        ) as error:
             raise OutcomeUnknownError(f"store: {target}: {error!r}") from error
         finally:
             self._observe(operation, self._clock.monotonic() - started, outcome)
--- a/src/savoryhill/serving/cluster_state.py
+++ b/src/savoryhill/serving/cluster_state.py
@@ -113,7 +113,13 @@
             )
             return
         self.configuration = configuration
-        self.record("configuration.in_force", {"version": configuration.version})
+        self.record(
+            "configuration.in_force",
+            {
+                "version": configuration.version,
+                "unreadable": configuration.n_unreadable,
+            },
+        )
 
     def _apply_endpoint(self, name, row):
         endpoint = decode_endpoint(row)
--- a/src/savoryhill/serving/event_splitter.py
+++ b/src/savoryhill/serving/event_splitter.py
@@ -8,6 +8,7 @@
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data", re.MULTILINE)
 # Engines send no events larger than this.
+MAX_ID_DIGITS = 18
 MAX_EVENT_BYTES = 1_048_576
 # Length of a separator less one: a separator may begin so much before new bytes.
 _SEPARATOR_OVERLAP_BYTES = 3
@@ -65,6 +66,10 @@
         match = _ID_LINE.search(event)
         if match is None:
             return True
+        if len(match.group(1)) > MAX_ID_DIGITS:
+            raise MalformedMessageError(
+                f"the id of an event has {len(match.group(1))} digits"
+            )
         event_id = int(match.group(1))
         if self.last_id is not None and event_id <= self.last_id:
             return False
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -74,13 +74,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ServingConfiguration:
-    """One version of the configuration in force."""
+    """One version of the configuration in force.
+
+    ``n_unreadable`` counts the parts that could not be read and were left out.
+    """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     services_by_name: dict[str, Service]
     workspaces_by_key: dict[str, Workspace]
     limits: ClientLimits = field(default_factory=ClientLimits)
+    n_unreadable: int = 0
 
     def route_for(self, host, path):
         """Return the route with the longest matching path prefix, or None."""
--- a/tests/platform/test_untrusted_content.py
+++ b/tests/platform/test_untrusted_content.py
@@ -6,9 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from savoryhill.core.observations.messages import encode_observations
 from savoryhill.errors import PlatformError
+from savoryhill.peers.codec import Envelope, encode
+from savoryhill.peers.codec import decode as decode_envelope
 from savoryhill.platform import decode
 from savoryhill.platform.store import Lease, Store, StoreResponse, StoreRow, decode_era
+from savoryhill.serving.store_position import StorePosition
+from savoryhill.serving.store_updates import build_store_update
 
 SCALARS = (
     st.none()
@@ -17,6 +22,7 @@
     | st.floats()
     | st.text(max_size=8)
     | st.sampled_from(["ready", "draining", "streaming", "AAAA", "1.2.3.4:80", ":", ""])
+    | st.sampled_from([10**400, -(10**400), 2**63, 1e308, "1.2.3.4:99999", "\ud800"])
 )
 FIELDS = st.sampled_from(
     [
@@ -108,7 +114,56 @@
             assert str(error)
 
 
+class TestItems:
+    @settings(max_examples=500, deadline=None)
+    @given(items=st.lists(JSON | OBJECTS, max_size=4))
+    def test_what_is_read_can_be_sent_to_other_nodes(self, items):
+        # Guards against a leader whose links break because of one row.
+        store = make_store(200, {"items": items, "asOf": 3})
+        read = store.read_prefix("op/")
+        position = StorePosition(era=1, revision=read.revision)
+        update = build_store_update(
+            read.rows, position, base=StorePosition(), is_complete=True
+        )
+        envelope = Envelope(sender="n", incarnation=0, sequence=0, message=update)
+        assert decode_envelope(encode(envelope)) == envelope
+
+    @pytest.mark.parametrize(
+        "fields",
+        [{"revision": "12"}, {"revision": True}, {"key": 7}, {"key": "servers/\ud800"}],
+        ids=["text", "truth value", "key of a number", "half a character"],
+    )
+    def test_item_that_no_link_can_carry_is_left_out(self, fields):
+        item = {"key": "servers/a", "value": "AAAA", "revision": 3}
+        store = make_store(200, {"items": [item | fields, item], "asOf": 3})
+        assert [row.key for row in store.read_prefix("op/").rows] == ["servers/a"]
+
+
 class TestRows:
+    def test_deeply_nested_value_is_decoded_or_none(self):
+        # Guards against a recursion error that ends the task which reads the store.
+        for value in (b"[" * 100_000, b'{"a":' * 100_000):
+            row = StoreRow(key="servers/x", value=value, revision=3)
+            assert decode.decode_endpoint(row) is None
+            assert decode.decode_node(row) is None
+            assert decode.decode_configuration(value) is None
+            assert decode.decode_refusals(value, now=0.0, wall_now=0.0) == []
+
+    @settings(max_examples=500, deadline=None)
+    @given(
+        crash=st.dictionaries(
+            st.sampled_from(
+                ["subject", "source", "workspace", "version", "observedAt", "value"]
+            ),
+            SCALARS,
+        )
+    )
+    def test_refusals_that_are_read_can_be_shared(self, crash):
+        value = json.dumps({"crashes": [crash]}).encode()
+        crashes = decode.decode_refusals(value, now=5.0, wall_now=5.0)
+        message = encode_observations(crashes, 5.0)
+        encode(Envelope(sender="n", incarnation=0, sequence=0, message=message))
+
     @settings(max_examples=1_000, deadline=None)
     @given(content=JSON | OBJECTS)
     def test_row_of_any_json_is_decoded_or_none(self, content):
--- a/tests/serving/test_event_splitter.py
+++ b/tests/serving/test_event_splitter.py
@@ -32,6 +32,12 @@
             for _ in range(64):
                 splitter.feed(part)
 
+    def test_id_of_many_digits_is_malformed(self):
+        # Guards against a request that ends without an answer, because no integer is
+        # made of so many digits.
+        with pytest.raises(MalformedMessageError, match="5000 digits"):
+            EventSplitter().feed(b"id: " + b"9" * 5000 + b"\ndata: x\n\n")
+
     def test_incomplete_event_is_reported_as_partial(self):
         splitter = EventSplitter()
         assert splitter.feed(FIRST + b"id: 2\nda") == [FIRST]
--- a/tests/serving/test_settings.py
+++ b/tests/serving/test_settings.py
@@ -45,6 +45,28 @@
         for part in ("zone:", "listen.frontend:", "bounds.graceS:", "line 9:"):
             assert part in message, message
 
+    @pytest.mark.parametrize(
+        ("valid", "odd"),
+        [
+            ("graceS=8", "graceS=nan"),
+            ("graceS=8", "graceS=-1"),
+            ("graceS=8", "graceS=1e400"),
+            ("frontend=127.0.0.1:8080", "frontend=127.0.0.1:99999"),
+            ("nalPorts=7340,7355", "nalPorts=7340,99999"),
+        ],
+    )
+    def test_number_out_of_range_is_reported(self, path, valid, odd):
+        path.write_text(TEXT.replace(valid, odd))
+        with pytest.raises(SettingsError, match=odd.partition("=")[0][-8:]):
+            load_settings(path)
+
+    @pytest.mark.parametrize(
+        ("ports", "address"), [("7340,7355", "127.0.0.1:7341"), ("7340,7340", "")]
+    )
+    def test_second_internal_port_is_that_of_the_relay(self, path, ports, address):
+        path.write_text(TEXT.replace("7340,7355", ports))
+        assert load_settings(path).relay_address == address
+
     def test_missing_file(self, tmp_path):
         with pytest.raises(SettingsError, match="cannot be read"):
             load_settings(tmp_path / "none.conf")
