serving: what is taken late in a stop is answered before its end, or refused as not run

Requests that came late in the grace were passed on and cut at its end without an answer: streams until 3 s whatever the grace was, orders if twice their latency objective was left. Change: what may run only once begins late only if all the time that its client gives it is left; what may not end in time begins in the first half of the grace at the most; and what still runs 0.1 s before the end gets its answer then (504). Waits look again at the time that is left every 0.25 s.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -9,6 +9,7 @@
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
     CONNECT_TIMEOUT_S,
+    RECHECK_S,
     SendFailure,
     describe_break,
     describe_unreached,
@@ -208,7 +209,8 @@
         """Receive a response; return None on success, else the failure."""
         reader = connection.reader
         while not reader.complete:
-            wait_s = times_out_at - self._context.clock.monotonic()
+            now = self._context.clock.monotonic()
+            wait_s = min(times_out_at - now, self._request.time_left_s())
             if wait_s <= 0:
                 return SendFailure(
                     cause="endpoint is silent",
@@ -217,7 +219,7 @@
                     endpoint=endpoint.id,
                 )
             try:
-                is_open = connection.receive(timeout_s=wait_s)
+                is_open = connection.receive(timeout_s=min(wait_s, RECHECK_S))
             except TimeoutError:
                 continue
             if not is_open and not reader.complete:
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -1,5 +1,6 @@
 """State and services shared by the requests of a node."""
 
+import math
 from dataclasses import dataclass, field
 from random import Random
 
@@ -16,8 +17,11 @@
 from savoryhill.serving.turns import Turns
 from savoryhill.serving.ways.endpoint_ways import EndpointWays
 
-# A call begins only if this multiple of its target latency is left.
+# A call that may be repeated begins if this multiple of its target latency is left.
 LATE_CALL_FACTOR = 2.0
+# What still runs is answered this long before the node ends, so that the answer
+# reaches the client.
+ANSWER_MARGIN_S = 0.1
 # If the store is available, a starting node reads it in a fraction of this time.
 CONFIGURATION_WAIT_S = 0.5
 # A starting node that knows of others serves after this time without their word.
@@ -90,19 +94,29 @@
         """Tell whether the node is shutting down."""
         return self.draining_since is not None
 
-    def may_begin(self, route):
+    def answers_until(self):
+        """Return until when this node gives answers, in seconds of its clock."""
+        if not self.is_draining():
+            return math.inf
+        return self.stops_at - ANSWER_MARGIN_S
+
+    def may_begin(self, request):
         """Tell whether a request that has just arrived can be served before the end.
 
         Load pattern: several nodes of an availability zone are stopped at once, and the
-        platform goes on sending requests to all of them. A stream that begins shortly
-        before the end would be cut within its answer.
+        platform goes on sending requests to all of them. A stream that begins late
+        would be cut within its answer. A call may take all the time that its client
+        gives it; one that may run only once begins only if that much is left.
         """
-        now = self.clock.monotonic()
+        now, route = self.clock.monotonic(), request.route
         if not self.is_draining() or now <= self.accepts_all_until:
             return True
         if route.kind == STREAM:
             return False
-        return now + LATE_CALL_FACTOR * route.target_latency_s <= self.stops_at
+        if route.may_repeat:
+            needed_s = LATE_CALL_FACTOR * route.target_latency_s
+            return now + needed_s <= self.answers_until()
+        return request.due_at <= self.answers_until()
 
     def is_idle(self):
         """Tell whether no request is being read, served or relayed."""
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -58,7 +58,7 @@
             self._response.refuse(status, cause)
             return
         request = self._request
-        if not self._context.may_begin(request.route):
+        if not self._context.may_begin(request):
             self._response.refuse(
                 503, "the node is stopping", retry_after_s=STOPPING_RETRY_AFTER_S
             )
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -25,6 +25,7 @@
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
     CONNECT_TIMEOUT_S,
+    RECHECK_S,
     SendFailure,
     describe_break,
     describe_unreached,
@@ -204,10 +205,13 @@
         )
 
     def _await_decision(self, job):
-        try:
-            return job.decision.get(timeout=max(0.0, self._request.time_left_s()))
-        except gevent.Timeout:
-            return None
+        while True:
+            wait_s = max(0.0, self._request.time_left_s())
+            try:
+                return job.decision.get(timeout=min(wait_s, RECHECK_S))
+            except gevent.Timeout:
+                if wait_s <= 0.0:
+                    return None
 
     def _fail_unplaced(self, rejection):
         if rejection is None:
@@ -370,7 +374,7 @@
                     endpoint=endpoint.id,
                 )
             try:
-                is_open = connection.receive(timeout_s=wait_s)
+                is_open = connection.receive(timeout_s=min(wait_s, RECHECK_S))
             except TimeoutError:
                 continue
             if reader.head is None:
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -62,6 +62,8 @@
 # A draining node accepts connections at least for this long, because clients are sent
 # to it until the platform's readiness check has taken it out.
 DRAIN_ACCEPT_S = 3.0
+# Part of the grace period in which requests begin that may not end within the rest.
+ACCEPT_SHARE = 0.5
 
 
 class ServingNode:
@@ -373,7 +375,9 @@
         ends_at = started_at + self._settings.grace_s - GRACE_MARGIN_S
         min_accept_until = min(ends_at, started_at + DRAIN_ACCEPT_S)
         context.draining_since = started_at
-        context.accepts_all_until = min_accept_until
+        context.accepts_all_until = min(
+            min_accept_until, started_at + ACCEPT_SHARE * (ends_at - started_at)
+        )
         context.stops_at = ends_at
         self._record("node.draining", {"running": context.n_running})
         while context.clock.monotonic() < ends_at:
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -13,6 +13,9 @@
 # after one second, which is too late for most latency objectives.
 CONNECT_TIMEOUT_S = 0.2
 UNROUTED_TIMEOUT_S = 0.5
+# How long a request waits before it looks again at when its response is due: the node
+# may have begun to stop.
+RECHECK_S = 0.25
 # A request for which this node has found no way to so many endpoints is refused.
 MAX_LOST_WAYS = 2
 # Requests up to this size fit into the connection's send buffer.
@@ -56,9 +59,11 @@
 class ServedRequest:
     """A client's request with its route, deadlines and sends.
 
-    ``deadline_at`` is when the final response is due, ``client_deadline_at`` when the
-    client stops waiting. ``avoided_endpoint_ids`` holds the endpoints that failed this
-    request. ``needs_budget`` tells whether the next send draws on the leader's repeat
+    ``due_at`` is when the final response is due for the client and the route,
+    ``deadline_at`` when it is due at the latest, also because the node stops, and
+    ``client_deadline_at`` when the client stops waiting. ``avoided_endpoint_ids`` holds
+    the endpoints that failed this request. ``needs_budget`` tells whether the next send
+    draws on the leader's repeat
     budget. ``part_digests`` identifies the parts that the prompt may share with others,
     ``digest`` the request and all its repetitions.
     """
@@ -68,9 +73,7 @@
         self.message = message
         self.metadata = platform_headers.decode_request_metadata(message)
         self.arrived_at = context.clock.monotonic()
-        self.deadline_at = self.client_deadline_at = (
-            self.arrived_at + UNROUTED_TIMEOUT_S
-        )
+        self.due_at = self.client_deadline_at = self.arrived_at + UNROUTED_TIMEOUT_S
         self.route = None
         self.service = None
         self.workspace = None
@@ -86,6 +89,11 @@
         """Return the request's id as text."""
         return (self.metadata.attempt_id or b"none").decode("latin-1")
 
+    @property
+    def deadline_at(self):
+        """Return when the final response is due at the latest."""
+        return min(self.due_at, self.context.answers_until())
+
     def set_route(self, route, service, workspace):
         """Set the route of the request and the deadlines that follow from it."""
         self.route = route
@@ -95,7 +103,7 @@
         if remaining_s is None:
             remaining_s = route.timeout_s
         self.client_deadline_at = self.arrived_at + remaining_s
-        self.deadline_at = self.arrived_at + min(remaining_s, route.timeout_s)
+        self.due_at = self.arrived_at + min(remaining_s, route.timeout_s)
         self.part_digests = digest_parts(service.name, self.metadata.shared_parts)
         self.digest = digest_request(
             host=self.message.header(b"host") or b"",
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -160,9 +160,9 @@
         wait_until(node.context.is_ready)
         return node
 
-    def ask(self, path, *, node=0, method=b"POST", body=b"", **headers):
+    def ask(self, path, **options):
         """Send a request and return ``(status, headers, body, is_complete)``."""
-        connection = self.open(path, node=node, method=method, body=body, **headers)
+        connection = self.open(path, **options)
         return self.finish(connection)
 
     def connect(self, *, node=0):
@@ -170,8 +170,13 @@
         address = self.nodes[node].context.settings.client_address
         return open_connection(address, timeout_s=1.0)
 
-    def open(self, path, *, node=0, method=b"POST", body=b"", **headers):
-        """Send a request and return the connection on which its response arrives."""
+    def open(
+        self, path, *, node=0, method=b"POST", body=b"", connection=None, **headers
+    ):
+        """Send a request and return the connection on which its response arrives.
+
+        ``connection`` is one to the node that is open already.
+        """
         self.n_requests += 1
         values = {
             "host": "site.example",
@@ -183,7 +188,7 @@
             values["x-token-counts"] = "1000,100"
         values.update({k.replace("_", "-"): v for k, v in headers.items()})
         pairs = [(k.encode(), v.encode()) for k, v in values.items() if v is not None]
-        connection = self.connect(node=node)
+        connection = connection or self.connect(node=node)
         message = encode_request(method, path.encode(), pairs, body)
         connection.send(message, timeout_s=1.0)
         return connection
--- /dev/null
+++ b/tests/serving/test_stop.py
@@ -0,0 +1,99 @@
+"""Planned stops: what comes while a node stops is answered, or refused as not run."""
+
+import gevent
+import pytest
+
+from savoryhill.errors import NotConnectedError
+from savoryhill.soak.deployment import route
+
+KINDS = ["chat", "once", "order", "stock"]
+GRACE_S = 3.0
+# Slower than usual, and within the time that clients give.
+RESPONSE_S = 0.9
+EVENT_INTERVAL_S = 0.15
+REMAINING_MS = "1500"
+
+
+@pytest.fixture
+def stopping(deployment):
+    """A node that has begun to stop, in front of slow endpoints; ends by itself."""
+    routes = [
+        route(name, kind, service, attempts=1, targetLatencyMs=200, **fields)
+        for name, kind, service, fields in (
+            ("chat", "streaming", "pool", {"resumable": True}),
+            ("once", "streaming", "pool", {"resumable": False}),
+            ("order", "non_idempotent", "app", {}),
+            ("stock", "idempotent", "app", {}),
+        )
+    ]
+    deployment.configure(version=2, routes=routes)
+    for service in ("pool", "app"):
+        deployment.add_endpoint(
+            service,
+            service=service,
+            response_delay_s=RESPONSE_S,
+            event_interval_s=EVENT_INTERVAL_S,
+        )
+    deployment.add_node()
+    return deployment
+
+
+def stop(deployment):
+    deployment.nodes[0].drain()
+    deployment.nodes[0].stop()
+
+
+def send(deployment, kind, connection=None):
+    """Send a request; return its answer and how often it ran."""
+    attempt_id = f"{kind}-{deployment.n_requests}"
+    headers = {"x_attempt_id": attempt_id, "x_time_remaining": REMAINING_MS}
+    try:
+        answer = deployment.ask(f"/{kind}/x", connection=connection, **headers)
+    except (OSError, NotConnectedError):
+        # The node does not listen any more.
+        return None, 0
+    n_runs = sum(
+        arrival.attempt_id == attempt_id
+        for endpoint in deployment.endpoints_by_id.values()
+        for arrival in endpoint.arrivals
+    )
+    return answer, n_runs
+
+
+class TestRequestWhileTheNodeStops:
+    @pytest.mark.parametrize("tenth", range(10))
+    @pytest.mark.parametrize("is_kept", [False, True], ids=["new", "kept"])
+    def test_is_answered_or_has_not_run(self, stopping, tenth, is_kept):
+        # Guards against requests that are passed on late in the grace and cut off at
+        # its end without an answer, also those that may not be repeated.
+        connections = {k: stopping.connect() if is_kept else None for k in KINDS}
+        stopper = gevent.spawn(stop, stopping)
+        gevent.sleep(tenth * GRACE_S / 10)
+        sent = {
+            kind: gevent.spawn(send, stopping, kind, connections[kind])
+            for kind in KINDS
+        }
+        gevent.joinall([stopper, *sent.values()])
+        for kind, greenlet in sent.items():
+            answer, n_runs = greenlet.get()
+            if answer is None:
+                continue
+            status, _, _, complete = answer
+            if status is None:
+                # Closed before the request was read.
+                assert n_runs == 0, kind
+                continue
+            assert complete, (kind, answer)
+            if status == 503:
+                assert n_runs == 0, kind
+
+    def test_call_that_runs_at_the_end_gets_an_answer(self, stopping):
+        # Guards against an order of unknown outcome whose client is told nothing.
+        stopping.endpoints_by_id["app"].response_delay_s = 5.0
+        running = gevent.spawn(
+            stopping.ask, "/order/x", x_time_remaining="5000", x_attempt_id="long"
+        )
+        stopping.wait_until(lambda: stopping.endpoints_by_id["app"].arrivals)
+        stop(stopping)
+        status, _, _, complete = running.get()
+        assert (status, complete) == (504, True)
