--- /dev/null
+++ b/src/savoryhill/serving/gauges.py
@@ -0,0 +1,52 @@
+"""Gauges of a node, which its metrics show."""
+
+
+def set_gauges(metrics, context, *, scheduling, store, lines):
+    """Set what the metrics of a node show of its present state.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        The metrics to which the gauges are added.
+    context : NodeContext
+        State shared by the requests of the node.
+    scheduling : Scheduling
+        The schedulers of the node.
+    store : Store
+        Client of the store.
+    lines : LogWriter
+        Writer of the log lines.
+    """
+    cluster_view = context.cluster_view
+    metrics.gauges.update(
+        requests_running=lambda: context.n_running,
+        configuration_version=lambda: (
+            cluster_view.configuration.version if cluster_view.configuration else 0
+        ),
+        store_era=lambda: store.era,
+        store_contact_age_s=lambda: min(1e9, cluster_view.contact_age_s()),
+        nodes_known=lambda: len(cluster_view.nodes_by_name),
+        endpoints_known=lambda: len(cluster_view.endpoints_by_id),
+        jobs_waiting=lambda: sum(
+            len(s.waiting_by_id) for s in scheduling.schedulers_by_service.values()
+        ),
+        log_lines_dropped=lambda: lines.n_dropped,
+        requests_started=lambda: context.n_started,
+        endpoints_limited=lambda: len(
+            context.endpoint_statements.limiter.limits_by_incarnation
+        ),
+        endpoints_leaving=lambda: sum(
+            endpoint.incarnation in cluster_view.leaving_incarnations
+            for endpoint in cluster_view.endpoints_by_id.values()
+        ),
+        endpoints_out_of_reach=lambda: len(context.ways.paths.lost_by_id),
+        has_lost_way=lambda: int(context.ways.paths.is_cut()),
+        connections_own=lambda: context.ways.n_own,
+        connections_relayed=lambda: context.ways.n_relayed,
+        relayed_for_others=lambda: context.n_relayed,
+        endpoints_pausing=lambda: len(context.endpoint_statements.pauses),
+        parts_refused=lambda: context.crash_guard.n_refused(is_request=False),
+        requests_refused_for_crashes=lambda: context.crash_guard.n_refused(
+            is_request=True
+        ),
+    )
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -1,4 +1,4 @@
-"""Streaming requests: one job per send, and events forwarded as they arrive."""
+"""Streaming requests: one job per send, on the engines that the scheduler chooses."""
 
 import math
 from dataclasses import replace
@@ -20,7 +20,6 @@
     WayLostError,
 )
 from savoryhill.serving.crash_check import CrashCheck
-from savoryhill.serving.event_splitter import EventSplitter
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
@@ -30,19 +29,8 @@
     describe_break,
     describe_unreached,
 )
+from savoryhill.serving.stream_forwarder import StreamForwarder
 
-# The first event times out after this constant plus a multiple of the predicted time.
-# A sound engine may be silent for a second or a little more.
-FIRST_EVENT_TIMEOUT_FACTOR = 2.0
-FIRST_EVENT_TIMEOUT_S = 1.4
-# Later events time out after this multiple of the gap that the route allows.
-GAP_TIMEOUT_FACTOR = 4.0
-MIN_GAP_TIMEOUT_S = 1.4
-# How long clients wait for the next event: the longest of a constant, a multiple of the
-# latency objective and a multiple of the gap that the route allows.
-MIN_PATIENCE_S = 2.0
-LATENCY_PATIENCE_FACTOR = 4.0
-GAP_PATIENCE_FACTOR = 8.0
 # How often and how long a request waits for another one to start that tries a part
 # of its prompt.
 PROBE_CHECK_S = 0.03
@@ -59,8 +47,10 @@
         self._response = response
         self._history = history
         self._context = request.context
-        self._splitter = EventSplitter(last_id=request.metadata.last_event_id)
         self._check = CrashCheck(request=request)
+        self._forwarder = StreamForwarder(
+            request=request, response=response, history=history, check=self._check
+        )
         self._relay_name = ""
 
     def run(self):
@@ -300,22 +290,15 @@
         self._relay_name = connection.relay
         self._check.note_sent(first, connection)
         self._history.n_runs += 1
-        # Discards the partial event of an earlier run, which must not be joined with
-        # the first event of this one.
-        self._splitter = EventSplitter(last_id=self._splitter.last_id)
-        first_event_timeout_s = self._silence_limit_s(
-            FIRST_EVENT_TIMEOUT_S
-            + FIRST_EVENT_TIMEOUT_FACTOR * decision.predicted_first_s
-        )
-        times_out_at = self._context.clock.monotonic() + first_event_timeout_s
+        times_out_at = self._forwarder.begin_run(decision.predicted_first_s)
         try:
             self._request.send(
                 connection,
                 first,
                 helpers=helpers,
-                last_event_id=self._splitter.last_id,
+                last_event_id=self._forwarder.last_id,
             )
-            failure = self._relay(connection, job, first, times_out_at)
+            failure = self._forwarder.forward(connection, job, first, times_out_at)
         except (OSError, MalformedMessageError) as error:
             failure = describe_break(error, first)
         finally:
@@ -337,124 +320,6 @@
             return replace(failure, cause=self._check.stop_cause)
         return failure
 
-    def _silence_limit_s(self, suspicious_s):
-        """Return the seconds of silence after which a run is given up.
-
-        A run that can be repeated elsewhere is given up once its silence is suspicious.
-        Otherwise a slow engine is the only one that can serve the client, so the run
-        lasts for as long as clients wait.
-        """
-        if self._history.may_send():
-            return suspicious_s
-        route = self._request.route
-        patience_s = max(
-            MIN_PATIENCE_S,
-            LATENCY_PATIENCE_FACTOR * route.target_latency_s,
-            GAP_PATIENCE_FACTOR * route.max_gap_s,
-        )
-        return max(suspicious_s, patience_s)
-
-    def _relay(self, connection, job, endpoint, times_out_at):
-        """Forward a stream; return None if it was complete, else the failure."""
-        request, reader = self._request, connection.reader
-        is_head_noted = False
-        gap_timeout_s = self._silence_limit_s(
-            max(MIN_GAP_TIMEOUT_S, request.route.max_gap_s * GAP_TIMEOUT_FACTOR)
-        )
-        while True:
-            wait_s = min(
-                times_out_at - self._context.clock.monotonic(), request.time_left_s()
-            )
-            if wait_s <= 0:
-                is_late = request.time_left_s() <= 0
-                return SendFailure(
-                    cause="deadline passed" if is_late else "endpoint is silent",
-                    may_have_run=True,
-                    is_silent=True,
-                    endpoint=endpoint.id,
-                )
-            try:
-                is_open = connection.receive(timeout_s=min(wait_s, RECHECK_S))
-            except TimeoutError:
-                continue
-            if reader.head is None:
-                if not is_open:
-                    return SendFailure(
-                        cause="closed without an answer",
-                        may_have_run=True,
-                        connection_ended=True,
-                        endpoint=endpoint.id,
-                    )
-                continue
-            if not is_head_noted:
-                is_head_noted = True
-                self._context.endpoint_statements.note_head(
-                    reader.head,
-                    endpoint,
-                    attempt_id=request.metadata.attempt_id,
-                    sent_at=self._check.sent_at,
-                )
-            if reader.head.status != 200 or not request.is_valid(reader.head):
-                if reader.complete or not is_open:
-                    return request.classify_failure(reader, endpoint)
-                continue
-            if self._forward_events(reader, job, endpoint):
-                times_out_at = self._context.clock.monotonic() + gap_timeout_s
-            if reader.complete:
-                return self._finish_stream(reader, job, endpoint)
-            if not is_open:
-                return SendFailure(
-                    cause="stream broke",
-                    may_have_run=True,
-                    connection_ended=True,
-                    endpoint=endpoint.id,
-                )
-
-    def _forward_events(self, reader, job, endpoint):
-        """Forward the complete events received; return whether any carried data."""
-        n_with_data = self._splitter.n_with_data
-        events = self._splitter.feed(reader.take_body())
-        if not events:
-            return False
-        has_data = self._splitter.n_with_data > n_with_data
-        if has_data and not job.has_started:
-            self._check.note_start()
-            self._context.dispatcher.jobs.report_first_event(job)
-            self._record_first_event(endpoint)
-        self._response.write_events(reader.head, events)
-        return has_data
-
-    def _finish_stream(self, reader, job, endpoint):
-        if reader.is_close_delimited and not job.has_started:
-            # An engine that ends as it begins to answer looks the same.
-            return SendFailure(
-                cause="stream without a length ends before its first event",
-                may_have_run=True,
-                connection_ended=True,
-                endpoint=endpoint.id,
-            )
-        if self._splitter.has_partial_event:
-            return SendFailure(
-                cause="stream ends within an event",
-                may_have_run=True,
-                connection_ended=reader.is_close_delimited,
-                endpoint=endpoint.id,
-            )
-        self._check.note_answer()
-        self._response.finish_stream(reader.head, endpoint)
-        return None
-
-    def _record_first_event(self, endpoint):
-        request = self._request
-        after_s = self._context.clock.monotonic() - request.arrived_at
-        self._context.observe("first_token_s", after_s, request.route)
-        self._context.log(
-            "stream.started",
-            request=request.id,
-            endpoint=endpoint.id,
-            after_s=round(after_s, 4),
-        )
-
 
 def _with_endpoint_id(failure, endpoints):
     """Return a refusal with the faulty endpoint's address replaced by its id."""
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -25,6 +25,7 @@
 from savoryhill.serving.crash_guard import CrashGuard
 from savoryhill.serving.dispatch import Dispatcher
 from savoryhill.serving.endpoint_statements import EndpointStatements
+from savoryhill.serving.gauges import set_gauges
 from savoryhill.serving.http import RequestReader, encode_head
 from savoryhill.serving.log_lines import LogWriter
 from savoryhill.serving.refusal_record import RefusalRecord
@@ -191,41 +192,8 @@
         )
         cluster_view.on_change.append(self.context.on_cluster_view_change)
         dispatcher.on_greeting.append(self.context.on_greeting)
-        self._set_gauges(metrics, scheduling)
-
-    def _set_gauges(self, metrics, scheduling):
-        cluster_view, context = self.context.cluster_view, self.context
-        metrics.gauges.update(
-            requests_running=lambda: context.n_running,
-            configuration_version=lambda: (
-                cluster_view.configuration.version if cluster_view.configuration else 0
-            ),
-            store_era=lambda: self._store.era,
-            store_contact_age_s=lambda: min(1e9, cluster_view.contact_age_s()),
-            nodes_known=lambda: len(cluster_view.nodes_by_name),
-            endpoints_known=lambda: len(cluster_view.endpoints_by_id),
-            jobs_waiting=lambda: sum(
-                len(s.waiting_by_id) for s in scheduling.schedulers_by_service.values()
-            ),
-            log_lines_dropped=lambda: self._lines.n_dropped,
-            requests_started=lambda: context.n_started,
-            endpoints_limited=lambda: len(
-                context.endpoint_statements.limiter.limits_by_incarnation
-            ),
-            endpoints_leaving=lambda: sum(
-                endpoint.incarnation in cluster_view.leaving_incarnations
-                for endpoint in cluster_view.endpoints_by_id.values()
-            ),
-            endpoints_out_of_reach=lambda: len(context.ways.paths.lost_by_id),
-            has_lost_way=lambda: int(context.ways.paths.is_cut()),
-            connections_own=lambda: context.ways.n_own,
-            connections_relayed=lambda: context.ways.n_relayed,
-            relayed_for_others=lambda: context.n_relayed,
-            endpoints_pausing=lambda: len(context.endpoint_statements.pauses),
-            parts_refused=lambda: context.crash_guard.n_refused(is_request=False),
-            requests_refused_for_crashes=lambda: context.crash_guard.n_refused(
-                is_request=True
-            ),
+        set_gauges(
+            metrics, self.context, scheduling=scheduling, store=store, lines=lines
         )
 
     def start(self, *, client_listener=None):
