--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -62,10 +62,10 @@
     ``due_at`` is when the final response is due for the client and the route,
     ``deadline_at`` when it is due at the latest, also because the node stops, and
     ``client_deadline_at`` when the client stops waiting. ``avoided_endpoint_ids`` holds
-    the endpoints that failed this request. ``needs_budget`` tells whether the next send
-    draws on the leader's repeat
-    budget. ``part_digests`` identifies the parts that the prompt may share with others,
-    ``digest`` the request and all its repetitions.
+    the endpoints that failed this request, ``n_lost_ways`` counts those to which this
+    node found no way. ``needs_budget`` tells whether the next send draws on the
+    leader's repeat budget. ``part_digests`` identifies the parts that the prompt may
+    share with others, ``digest`` the request and all its repetitions.
     """
 
     def __init__(self, *, context, message):
