tests: the request must be known to end the old release before it is checked

Traced with the log lines of both nodes: the engine of the new release has the lowest load and takes nearly all requests, so that in 30 rounds the engines of the old one ended 3 times (no pause between rounds) or not at all (pauses of 0.05 to 0.3 s between rounds, as on a busy machine). Requests are refused after three crashes; a first one among the last six answers is allowed and gives the 502. With no crash at all the test passed without testing anything.

Change: the new engine refuses some requests, not run, until both nodes know the request. Then the same rounds and the same asserts as before.

No change of the code.

--- a/tests/serving/test_crashing_requests.py
+++ b/tests/serving/test_crashing_requests.py
@@ -191,6 +191,22 @@
 
         return start
 
+    @staticmethod
+    def ask_until_known(deployment, path, new, old):
+        """Ask in turn until both nodes know that the request ends old endpoints.
+
+        The new one refuses some requests, so that it does not take them all.
+        """
+        guards = [node.context.crash_guard for node in deployment.nodes]
+        for number in range(30):
+            new.faults.clear()
+            new.faults.extend(["full"] * (number % 2))
+            ask_in_turn(deployment, path, old, n_rounds=2)
+            if all(guard.crashing_by_part for guard in guards):
+                break
+        new.faults.clear()
+        deployment.wait_until(lambda: all(g.crashing_by_part for g in guards))
+
     @pytest.mark.parametrize(("service", "path"), PATHS_BY_SERVICE)
     def test_request_that_one_release_bears_is_served_there(
         self, deployment, start, service, path
@@ -198,6 +214,7 @@
         # Guards against a request that ends engine after engine of the old release,
         # because answers of the new one clear it in between.
         new, old = start(service, path)
+        self.ask_until_known(deployment, path, new, old)
         ask_in_turn(deployment, path, old, n_rounds=30)
         assert n_later_arrivals(old) <= MAX_LATER_ARRIVALS
         n_before = len(new.arrivals)
