scheduling: a new part of a prompt comes before what an engine has still to read

Cause: engines read the part that arrived last first, and whole prompts after all parts; the scheduler took them to read in the order of arrival.

Change: core.scheduling.read_queue; a part goes only where nothing pending becomes late by it, and to the engines with the least to read. Its prediction has no wait.

--- /dev/null
+++ b/src/savoryhill/bench/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Replays of load patterns on the scheduler, with engines that read in their order."""
--- a/src/savoryhill/cli/bench.py
+++ b/src/savoryhill/cli/bench.py
@@ -2,6 +2,7 @@
 
 from savoryhill.cli.bench_config import config
 from savoryhill.cli.bench_orders import orders
+from savoryhill.cli.bench_placement import placement
 from savoryhill.cli.commands import EXIT_OK, UsageError, check_output, deferred
 
 SCENARIOS = (
@@ -71,5 +72,6 @@
 COMMANDS = {name: _make_scenario_command(name) for name in SCENARIOS} | {
     "config": config,
     "orders": orders,
+    "placement": placement,
     "plot": plot,
 }
--- a/src/savoryhill/core/scheduling/engine_choice.py
+++ b/src/savoryhill/core/scheduling/engine_choice.py
@@ -39,16 +39,16 @@
         The first engine generates the output.
     """
     for share in PREFILL_TIME_SHARES:
-        candidates = []
+        for_whole, for_part = [], []
         for engine in engines:
-            available_prefill_s = engine.available_prefill_s(now, job, share=share)
-            if available_prefill_s > 0.0:
-                candidates.append((available_prefill_s, engine))
-        if not any(has_free_slot(engine) for _, engine in candidates):
-            continue
+            whole_s, part_s = engine.available_prefill_s(now, job, share=share)
+            if whole_s > 0.0:
+                for_whole.append((whole_s, engine))
+            if part_s > 0.0:
+                for_part.append((part_s, engine))
         chosen = _choose_one(
-            job, candidates, prefill_s, now, max_long_engines
-        ) or _choose_several(job, candidates, prefill_s, max_long_engines)
+            job, for_whole, prefill_s, now, max_long_engines
+        ) or _choose_several(job, for_part, prefill_s, now, max_long_engines)
         if chosen is not None:
             return chosen
     return None
@@ -90,21 +90,26 @@
     return (min(suitable, key=sort_key),) if suitable else None
 
 
-def _choose_several(job, candidates, prefill_s, max_long_engines):
-    """Return the fewest engines that each prefill an equal part in time, or None."""
-    most_available_first = sorted(candidates, key=lambda item: (-item[0], item[1].rank))
+def _choose_several(job, candidates, prefill_s, now, max_long_engines):
+    """Return the fewest engines that each prefill an equal part in time, or None.
+
+    Engines with the least prefill come first: a part delays what is pending there.
+    """
+    least_pending_first = sorted(
+        candidates,
+        key=lambda item: (item[1].pending_prefill_s(now), -item[0], item[1].rank),
+    )
     max_parts = min(
-        len(most_available_first), MAX_PARTS, int(prefill_s / MIN_PREFILL_PART_S)
+        len(least_pending_first), MAX_PARTS, int(prefill_s / MIN_PREFILL_PART_S)
     )
     for n_parts in range(2, max_parts + 1):
         prefill_part_s = prefill_s / n_parts
-        if prefill_part_s > most_available_first[n_parts - 1][0]:
-            continue
         if prefill_part_s > LONG_PREFILL_S and n_parts > max_long_engines:
             continue
-        chosen = _with_free_slot_first(
-            job, [engine for _, engine in most_available_first[:n_parts]]
-        )
+        suitable = [e for s, e in least_pending_first if s >= prefill_part_s]
+        if len(suitable) < n_parts:
+            continue
+        chosen = _with_free_slot_first(job, suitable[:n_parts])
         if chosen is not None:
             return chosen
     return None
--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -10,10 +10,11 @@
     decode_pass_s,
     prefill_s,
 )
+from savoryhill.core.scheduling.read_queue import ReadQueue
 
-# Share of the unfinished prefill that counts as pending once its predicted end has
-# passed without a first event, because the engine is then slower than predicted.
-OVERDUE_SHARE = 0.25
+# Part of a job's time that its reading must not use up: the first decode pass and the
+# way to the client follow it.
+AFTER_READING_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,14 +56,15 @@
     """A job and the engines it runs on.
 
     The first of ``engine_ids`` generates the output; all of them prefill a part of
-    the prompt, which takes ``prefill_part_s`` each.
+    the prompt, which takes ``prefill_part_s`` each and may be delayed until
+    ``due_at``.
     """
 
     job: Job
     engine_ids: tuple[str, ...]
     prefill_part_s: float
     granted_at: float
-    predicted_first_event_at: float
+    due_at: float
     first_event_at: float | None = None
     reserved_tokens: tuple[int, ...] = ()
 
@@ -77,14 +79,12 @@
 class EngineState:
     """State of one engine.
 
-    ``jobs_by_id`` holds the jobs whose output the engine generates,
-    ``prefill_s_by_job_id`` the duration of each unfinished prefill, and
-    ``reserved_tokens_by_job_id`` the memory reserved for jobs that other engines
-    generate. ``has_turn`` is False while a limit that the engine has named leaves no
-    turn; it may still prefill a part of another engine's prompt. ``prefill_ends_at`` is
-    the predicted end of all prefill. ``n_failures`` and ``n_refusals`` count since the
-    last first event of a job. ``rank`` orders engines that are equally good, in another
-    order on each node.
+    ``jobs_by_id`` holds the jobs whose output the engine generates, ``reads`` the
+    unfinished prefill, and ``reserved_tokens_by_job_id`` the memory reserved for jobs
+    that other engines generate. ``has_turn`` is False while a limit that the engine has
+    named leaves no turn; it may still prefill a part of another engine's prompt.
+    ``n_failures`` and ``n_refusals`` count since the last first event of a job.
+    ``rank`` orders engines that are equally good, in another order on each node.
     """
 
     id: str
@@ -95,9 +95,8 @@
     incarnation: str = ""
     rank: int = 0
     jobs_by_id: dict[str, PlacedJob] = field(default_factory=dict)
-    prefill_s_by_job_id: dict[str, float] = field(default_factory=dict)
+    reads: ReadQueue = field(default_factory=ReadQueue)
     reserved_tokens_by_job_id: dict[str, int] = field(default_factory=dict)
-    prefill_ends_at: float = 0.0
     is_usable: bool = True
     has_turn: bool = True
     ejected_until: float = 0.0
@@ -125,10 +124,7 @@
 
     def pending_prefill_s(self, now):
         """Predict the seconds of prefill that are left."""
-        pending_s = max(0.0, self.prefill_ends_at - now)
-        if pending_s == 0.0 and self.prefill_s_by_job_id:
-            return OVERDUE_SHARE * sum(self.prefill_s_by_job_id.values())
-        return pending_s
+        return self.reads.pending_s(now)
 
     def decode_pass_s(self):
         """Predict the seconds of a pass without prefill."""
@@ -168,16 +164,17 @@
 
         Returns
         -------
-        float
-            Seconds; zero or negative if nothing fits.
+        tuple of (float, float)
+            Seconds if the engine prefills the whole prompt, which comes after all that
+            is pending, and if it prefills a part, which comes before it and must not
+            make it late. Zero or negative if nothing fits.
         """
         pending_s = self.pending_prefill_s(now)
         base_s = self.decode_pass_s()
-        allowed_s = min(
-            (job.first_event_due_at - now) * share,
-            self.min_gap_s() * GAP_SHARE,
-        )
-        return allowed_s - base_s - pending_s
+        due_s = (job.first_event_due_at - now) * share - base_s
+        pass_s = self.min_gap_s() * GAP_SHARE - base_s - pending_s
+        whole_s = min(due_s - pending_s, pass_s)
+        return whole_s, min(due_s, pass_s, self.reads.slack_s(now))
 
     def add(self, placed, *, now, is_first):
         """Add a granted job, or the part of its prompt that this engine prefills.
@@ -187,19 +184,19 @@
         if is_first:
             self.jobs_by_id[placed.job.id] = placed
             self._clear_cache()
-        self.prefill_s_by_job_id[placed.job.id] = placed.prefill_part_s
-        wait_s = self.decode_pass_s() / 2 if len(self.jobs_by_id) > 1 else 0.0
-        self.prefill_ends_at = (
-            max(now + wait_s, self.prefill_ends_at) + placed.prefill_part_s
+        self.reads.add(
+            placed.job.id,
+            placed.prefill_part_s,
+            now,
+            is_part=len(placed.engine_ids) > 1,
+            ends_by=placed.due_at - AFTER_READING_S,
+            wait_s=self.decode_pass_s() / 2 if len(self.jobs_by_id) > 1 else 0.0,
         )
         self.grant_times.append(now)
 
     def finish_prefill(self, job_id, now):
         """Remove the prefill of a job, finished or not."""
-        if self.prefill_s_by_job_id.pop(job_id, None) is None:
-            return
-        remaining_s = sum(self.prefill_s_by_job_id.values())
-        self.prefill_ends_at = min(self.prefill_ends_at, now + remaining_s)
+        self.reads.finish(job_id, now)
 
     def finish(self, job_id, now):
         """Remove a job, with its prefill and its reserved memory."""
--- /dev/null
+++ b/src/savoryhill/core/scheduling/read_queue.py
@@ -0,0 +1,105 @@
+"""What one engine has still to read, in the order in which it reads.
+
+Load pattern: prompts arrive that several engines read together, while engines still
+read parts of earlier ones. An engine reads the part that arrived last first, and what
+it reads alone after all parts, so that each new part delays whatever was there.
+"""
+
+from dataclasses import dataclass, field
+
+# Share of the unfinished reading that counts as pending once its predicted end has
+# passed without a first event, because the engine is then slower than predicted.
+OVERDUE_SHARE = 0.25
+
+
+@dataclass(kw_only=True, slots=True)
+class _Read:
+    """What is read of one prompt; other reading may delay it until ``ends_by``."""
+
+    total_s: float
+    left_s: float
+    is_part: bool
+    ends_by: float
+
+
+@dataclass(kw_only=True)
+class ReadQueue:
+    """Predicted reading of one engine, by job, in the order of arrival.
+
+    A read that has been finished here stays until `finish`, as the job may still wait
+    for other engines. Times are in seconds of the scheduler's clock.
+    """
+
+    reads_by_job_id: dict[str, _Read] = field(default_factory=dict)
+    _advanced_at: float = 0.0
+
+    def add(self, job_id, seconds, now, *, is_part, ends_by, wait_s=0.0):
+        """Add the reading of a job.
+
+        Parameters
+        ----------
+        job_id : str
+            The job.
+        seconds, wait_s : float
+            Predicted time to read, and to wait for the running pass if nothing else is
+            read.
+        now : float
+            Current time.
+        is_part : bool
+            Whether other engines read parts of the same prompt.
+        ends_by : float
+            When it must have been read, if other reading delays it.
+        """
+        self._advance(now)
+        is_idle = all(read.left_s <= 0.0 for read in self.reads_by_job_id.values())
+        self.reads_by_job_id[job_id] = _Read(
+            total_s=seconds,
+            left_s=seconds + (wait_s if is_idle else 0.0),
+            is_part=is_part,
+            ends_by=ends_by,
+        )
+
+    def finish(self, job_id, now):
+        """Remove the reading of a job, finished or not."""
+        self._advance(now)
+        self.reads_by_job_id.pop(job_id, None)
+
+    def pending_s(self, now):
+        """Predict the seconds of reading that are left."""
+        self._advance(now)
+        left_s = sum(read.left_s for read in self.reads_by_job_id.values())
+        if left_s > 0.0:
+            return left_s
+        overdue = (r for r in self.reads_by_job_id.values() if r.ends_by < now)
+        return OVERDUE_SHARE * sum(read.total_s for read in overdue)
+
+    def slack_s(self, now):
+        """Return the seconds by which all that is left may be delayed.
+
+        Returns
+        -------
+        float
+            Infinite if nothing is left; negative if something is late already.
+        """
+        self._advance(now)
+        slack_s, end_at = float("inf"), now
+        for read in self._in_order():
+            end_at += read.left_s
+            slack_s = min(slack_s, read.ends_by - end_at)
+        return slack_s
+
+    def _in_order(self):
+        """Return the unfinished reads in the order in which the engine reads them."""
+        unfinished = [r for r in self.reads_by_job_id.values() if r.left_s > 0.0]
+        parts = [read for read in unfinished if read.is_part]
+        return [*reversed(parts), *(r for r in unfinished if not r.is_part)]
+
+    def _advance(self, now):
+        elapsed_s = now - self._advanced_at
+        self._advanced_at = now
+        for read in self._in_order() if elapsed_s > 0.0 else ():
+            spent_s = min(elapsed_s, read.left_s)
+            read.left_s -= spent_s
+            elapsed_s -= spent_s
+            if elapsed_s <= 0.0:
+                break
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -184,7 +184,7 @@
             engine_ids=engine_ids,
             prefill_part_s=0.0,
             granted_at=now,
-            predicted_first_event_at=now,
+            due_at=job.first_event_due_at,
             first_event_at=now if has_started else None,
             reserved_tokens=reserved_tokens,
         )
@@ -328,7 +328,13 @@
         chosen = self._choose(late_job, engines, prefill_s, now, max_long_engines)
         if chosen is None:
             return None
-        return self._grant(job, chosen, prefill_s / len(chosen), now)
+        return self._grant(
+            job,
+            chosen,
+            prefill_s / len(chosen),
+            now,
+            due_at=late_job.first_event_due_at,
+        )
 
     def _choose(self, job, engines, prefill_s, now, max_long_engines):
         """Return the engines for a job among those that no other job claims, or None.
@@ -375,17 +381,20 @@
             engine.id for engine in least_busy_first[:n_parts]
         )
 
-    def _grant(self, job, chosen, prefill_part_s, now):
+    def _grant(self, job, chosen, prefill_part_s, now, *, due_at=None):
+        """Place a job; ``due_at`` is when its first event must come if it is late."""
         self.rate_limiter.take(chosen[0].incarnation, now)
         reserved_tokens = reservations(job, chosen)
-        wait_s = max(engine.pending_prefill_s(now) for engine in chosen)
+        # A part of a prompt is read before all that is pending.
+        is_whole = len(chosen) == 1
+        wait_s = chosen[0].pending_prefill_s(now) if is_whole else 0.0
         predicted_s = wait_s + prefill_part_s + chosen[0].decode_pass_s()
         placed = PlacedJob(
             job=job,
             engine_ids=tuple(engine.id for engine in chosen),
             prefill_part_s=prefill_part_s,
             granted_at=now,
-            predicted_first_event_at=now + predicted_s,
+            due_at=job.first_event_due_at if due_at is None else due_at,
             reserved_tokens=reserved_tokens,
         )
         self._add_placed(placed, now)
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -17,6 +17,11 @@
 GAP_PATIENCE_FACTOR = 8.0
 
 
+def first_event_timeout_s(predicted_first_s):
+    """Return the seconds after which a run without a first event is suspicious."""
+    return FIRST_EVENT_TIMEOUT_S + FIRST_EVENT_TIMEOUT_FACTOR * predicted_first_s
+
+
 class StreamForwarder:
     """Forwards the events of one request, run after run.
 
@@ -48,9 +53,7 @@
         # Discards the partial event of an earlier run, which must not be joined with
         # the first event of this one.
         self._splitter = EventSplitter(last_id=self._splitter.last_id)
-        timeout_s = self._silence_limit_s(
-            FIRST_EVENT_TIMEOUT_S + FIRST_EVENT_TIMEOUT_FACTOR * predicted_first_s
-        )
+        timeout_s = self._silence_limit_s(first_event_timeout_s(predicted_first_s))
         return self._context.clock.monotonic() + timeout_s
 
     def _silence_limit_s(self, suspicious_s):
