reachability: a way that is regained by another endpoint, or by none, is logged

Cause (from reading, shown by two tests that failed): the log line was written only when an endpoint was connected whose path was lost. A node whose lost endpoints left, or that connected to another one first, kept node.way_lost as its last word while its gauge has_lost_way was 0 already.

Change: the state is compared after each connection and after each change of the endpoints. The gradual return after a pause and after a lost path was written twice (same times, same halving); both use core.observations.gradual_return now.

--- a/src/savoryhill/core/observations/pauses.py
+++ b/src/savoryhill/core/observations/pauses.py
@@ -7,17 +7,13 @@
 
 from dataclasses import dataclass
 
-# After its pause, an endpoint is sent one request in each such time. Each one that it
-# accepts halves the time, down to a time below which all are sent.
-FIRST_RETURN_INTERVAL_S = 0.2
-MIN_RETURN_INTERVAL_S = 0.02
+from savoryhill.core.observations.gradual_return import GradualReturn
 
 
-@dataclass(kw_only=True, slots=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class _Pause:
     ends_at: float
-    next_at: float
-    interval_s: float = FIRST_RETURN_INTERVAL_S
+    returning: GradualReturn
 
 
 class WantedPauses:
@@ -38,27 +34,28 @@
         ends_at = now + pause_s
         if known is not None:
             ends_at = max(ends_at, known.ends_at)
-        self._by_incarnation[incarnation] = _Pause(ends_at=ends_at, next_at=ends_at)
+        self._by_incarnation[incarnation] = _Pause(
+            ends_at=ends_at, returning=GradualReturn(next_at=ends_at)
+        )
 
     def note_accepted(self, incarnation, now):
         """Record an answer without a pause; one that is not over goes on."""
         pause = self._by_incarnation.get(incarnation)
         if pause is None or now < pause.ends_at:
             return
-        pause.interval_s /= 2
-        if pause.interval_s < MIN_RETURN_INTERVAL_S:
+        if pause.returning.note_success():
             del self._by_incarnation[incarnation]
 
     def note_sent(self, incarnation, now):
         """Record a request to an endpoint, the next one of which has to wait."""
         pause = self._by_incarnation.get(incarnation)
         if pause is not None:
-            pause.next_at = max(pause.next_at, now + pause.interval_s)
+            pause.returning.note_sent(now)
 
     def next_at(self, incarnation):
         """Return when an endpoint may be sent a request, in seconds."""
         pause = self._by_incarnation.get(incarnation)
-        return float("-inf") if pause is None else pause.next_at
+        return float("-inf") if pause is None else pause.returning.next_at
 
     def left_s(self, incarnation, now):
         """Return the seconds until an endpoint's pause ends; 0 if it has none."""
--- a/src/savoryhill/core/reachability/paths.py
+++ b/src/savoryhill/core/reachability/paths.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass, field
 
+from savoryhill.core.observations.gradual_return import GradualReturn
+
 # So many endpoints must be out of reach, with no connection to others since, before the
 # paths to those that were not tried count as lost as well; for all endpoints, in so
 # many zones.
@@ -13,10 +15,6 @@
 MIN_ZONES = 2
 # A node that has connected to any endpoint so recently knows that it has a way.
 RECENT_S = 2.0
-# A path that is back takes one request in each such time. Each connection that is made
-# halves the time, down to a time below which it takes all.
-FIRST_RETURN_INTERVAL_S = 0.2
-MIN_RETURN_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -27,14 +25,6 @@
     began_at: float
 
 
-@dataclass(kw_only=True, slots=True)
-class _Return:
-    """The return of a zone whose paths were lost, by a few requests first."""
-
-    next_at: float
-    interval_s: float = FIRST_RETURN_INTERVAL_S
-
-
 @dataclass(kw_only=True)
 class PathTable:
     """What a node knows of its own paths to endpoints.
@@ -52,7 +42,7 @@
     lost_by_id: dict[str, _FailedConnect] = field(default_factory=dict)
     _unreached_by_id: dict[str, _FailedConnect] = field(default_factory=dict)
     _connected_at_by_zone: dict[str, float] = field(default_factory=dict)
-    _returns_by_zone: dict[str, _Return] = field(default_factory=dict)
+    _returns_by_zone: dict[str, GradualReturn] = field(default_factory=dict)
 
     def note_connected(self, endpoint, *, began_at, now):
         """Record a connection of this node to an endpoint."""
@@ -65,14 +55,10 @@
             if failed.began_at > began_at
         }
         if self.lost_by_id.pop(endpoint.id, None) is not None:
-            self._returns_by_zone[zone] = _Return(next_at=now)
-        elif zone in self._returns_by_zone:
-            self._advance_return(zone)
-
-    def _advance_return(self, zone):
-        returning = self._returns_by_zone[zone]
-        returning.interval_s /= 2
-        if returning.interval_s < MIN_RETURN_INTERVAL_S:
+            self._returns_by_zone[zone] = GradualReturn(next_at=now)
+        elif zone in self._returns_by_zone and (
+            self._returns_by_zone[zone].note_success()
+        ):
             del self._returns_by_zone[zone]
 
     def note_unreached(self, endpoint, *, began_at):
@@ -124,7 +110,7 @@
             return True
         if now < returning.next_at:
             return False
-        returning.next_at = now + returning.interval_s
+        returning.note_sent(now)
         return True
 
     def set_endpoints(self, endpoints):
--- a/src/savoryhill/serving/ways/endpoint_ways.py
+++ b/src/savoryhill/serving/ways/endpoint_ways.py
@@ -214,7 +214,7 @@
         self.paths.note_connected(endpoint, began_at=began_at, now=self.now())
         if was_lost:
             self._record("path.regained", {"endpoint": endpoint.id})
-            self._record_cut()
+        self._record_cut()
 
     def note_unreached(self, endpoint, began_at):
         """Record a connect of this node's own that failed."""
@@ -244,3 +244,4 @@
     def _forget_others(self):
         self.paths.set_endpoints(self._cluster_view.endpoints_by_id.values())
         self._relays.forget_others(self._cluster_view.nodes_by_name.keys())
+        self._record_cut()
--- a/tests/core/observations/test_pauses.py
+++ b/tests/core/observations/test_pauses.py
@@ -6,10 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from savoryhill.core.observations.pauses import (
-    FIRST_RETURN_INTERVAL_S,
-    WantedPauses,
-)
+from savoryhill.core.observations.gradual_return import FIRST_INTERVAL_S
+from savoryhill.core.observations.pauses import WantedPauses
 from savoryhill.platform.statements import MAX_PAUSE_S, decode_statement
 from savoryhill.serving.http import ResponseHead
 
@@ -49,7 +47,7 @@
             if may_send(pauses, now):
                 pauses.note_sent("e1@1", now)
                 n_sent += 1
-        assert n_sent == math.ceil(1.0 / FIRST_RETURN_INTERVAL_S)
+        assert n_sent == math.ceil(1.0 / FIRST_INTERVAL_S)
 
     def test_more_and_more_return_while_they_are_accepted(self, pauses):
         pauses.note_refusal("e1@1", 2.0, 100.0)
@@ -68,7 +66,7 @@
         pauses.note_refusal("e1@1", 2.0, 103.0)
         assert not may_send(pauses, 104.9)
         pauses.note_sent("e1@1", 105.0)
-        assert not may_send(pauses, 105.0 + FIRST_RETURN_INTERVAL_S - 0.01)
+        assert not may_send(pauses, 105.0 + FIRST_INTERVAL_S - 0.01)
 
     def test_endpoints_that_are_gone_are_forgotten(self, pauses):
         # Guards against memory that grows with each endpoint that was in need once.
@@ -108,7 +106,7 @@
                 pauses.note_sent(incarnation, now)
             for known, end in ends_at.items():
                 assert not (may_send(pauses, now, known) and now < end)
-                assert pauses.next_at(known) <= max(now, end) + FIRST_RETURN_INTERVAL_S
+                assert pauses.next_at(known) <= max(now, end) + FIRST_INTERVAL_S
 
 
 class TestRetryAfter:
--- a/tests/core/reachability/test_paths.py
+++ b/tests/core/reachability/test_paths.py
@@ -4,11 +4,8 @@
 
 import pytest
 
-from savoryhill.core.reachability.paths import (
-    FIRST_RETURN_INTERVAL_S,
-    RECENT_S,
-    PathTable,
-)
+from savoryhill.core.observations.gradual_return import FIRST_INTERVAL_S
+from savoryhill.core.reachability.paths import RECENT_S, PathTable
 
 
 def endpoint(name, zone="zone-a"):
@@ -87,7 +84,7 @@
     def test_few_requests_go_first(self, returned):
         assert returned.may_take(endpoint("a1"), 10.0)
         assert not returned.may_take(endpoint("a2"), 10.0)
-        assert returned.may_take(endpoint("a2"), 10.0 + FIRST_RETURN_INTERVAL_S)
+        assert returned.may_take(endpoint("a2"), 10.0 + FIRST_INTERVAL_S)
 
     def test_other_zones_do_not_wait(self, returned):
         assert all(returned.may_take(endpoint("b1", "zone-b"), 10.0) for _ in range(9))
--- a/tests/serving/test_nodes_without_a_way.py
+++ b/tests/serving/test_nodes_without_a_way.py
@@ -119,6 +119,28 @@
         fleet.wait_until(lambda: lines.fields_of("node.way_regained"))
         assert "has_lost_way{} 0" in prometheus_text(node.context.metrics)
 
+    def test_way_is_logged_as_regained_when_the_lost_endpoints_leave(
+        self, fleet, network
+    ):
+        # Guards against a log that tells of a lost way which the gauge does not show.
+        cut_node(fleet, network, 1, REFUSE)
+        ask_until_cut(fleet)
+        for endpoint_id in list(fleet.endpoints_by_id):
+            fleet.store.remove(f"servers/{endpoint_id}")
+        lines = fleet.lines[1]
+        fleet.wait_until(lambda: lines.fields_of("node.way_regained"))
+
+    def test_way_is_logged_as_regained_with_a_new_endpoint(self, fleet, network):
+        cut_node(fleet, network, 1, REFUSE)
+        ask_until_cut(fleet)
+        fleet.add_endpoint("new", service="other", zone="zone-0")
+        ways = fleet.nodes[1].context.ways
+        view = fleet.nodes[1].context.cluster_view
+        fleet.wait_until(lambda: "new" in view.endpoints_by_id)
+        ways.note_connected(view.endpoints_by_id["new"], ways.now())
+        assert not ways.paths.is_cut()
+        assert fleet.lines[1].fields_of("node.way_regained")
+
     def test_own_path_is_used_again_once_it_is_back(self, fleet, network):
         cut_node(fleet, network, 1, REFUSE)
         ask_until_cut(fleet)
