serving: a working leader is kept until the next one is reached; a lost zone is tried last

Change: the link to the next leader is opened beside the session with the present one, and the node switches once it is open (serving.next_leader). Two nodes of a zone that were not reached put the others of the zone last.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -32,6 +32,7 @@
 from savoryhill.serving.leadership import LeaderChoice
 from savoryhill.serving.links import Link, encode_frame, open_link
 from savoryhill.serving.local_jobs import LocalJobs
+from savoryhill.serving.next_leader import NextLeader
 from savoryhill.serving.retention_sharing import RetentionSharing
 from savoryhill.serving.store_updates import (
     build_store_update,
@@ -99,6 +100,9 @@
         self.leader_choice = LeaderChoice(
             clock=clock, cluster_view=cluster_view, record=record
         )
+        self._next_leader = NextLeader(
+            open_link=self._open_leader_link, choice=self.leader_choice
+        )
         self._link = None
         self._leader_address = None
         self._leader_contact_age_s = 0.0
@@ -178,13 +182,30 @@
                 self._leader_address = address
                 self._record("leader.chosen", {"address": address or "none"})
             if address is None or address == self._address:
+                self._next_leader.discard()
                 gevent.sleep(LEADER_CHECK_INTERVAL_S)
                 continue
             self._run_leader_session(address)
 
+    def _open_leader_link(self, address):
+        return open_link(address, node=self._node, silence_s=LEADER_TIMEOUT_S)
+
+    def _may_switch(self, address):
+        """Tell whether the leader at an address is to be left, for one that is reached.
+
+        A node without a leader schedules by itself, without knowing what the engines
+        do for others.
+        """
+        leader = self.leader_choice.choose()
+        if leader is None or leader.address == address:
+            return False
+        return leader.address == self._address or self._next_leader.is_ready(
+            leader.address
+        )
+
     def _run_leader_session(self, address):
         try:
-            link = open_link(address, node=self._node, silence_s=LEADER_TIMEOUT_S)
+            link = self._next_leader.take(address) or self._open_leader_link(address)
         except NotConnectedError as error:
             self.leader_choice.suspect(address, str(error))
             return
@@ -197,7 +218,7 @@
         try:
             while self._leader_address == address:
                 self._handle_leader_message(link.receive())
-                if not self.leader_choice.is_preferred(address):
+                if self._may_switch(address):
                     break
         except PeerError as error:
             self.leader_choice.suspect(address, str(error))
--- a/src/savoryhill/serving/leadership.py
+++ b/src/savoryhill/serving/leadership.py
@@ -9,11 +9,15 @@
 checks every rule itself.
 """
 
+from collections import Counter
+
 # A node that could not be reached is not chosen as leader for this long, and for twice
 # as long after each further failure under the same registration: the registration of a
 # node that lost power remains until its lease expires.
 SUSPICION_S = 3.0
 MAX_SUSPICION_S = 24.0
+# So many nodes that could not be reached make their zone a lost one.
+MIN_SUSPECTED_IN_ZONE = 2
 
 
 def suspicion_s(n_failures):
@@ -42,14 +46,21 @@
     Returns
     -------
     NodeRecord or None
-        The first node in order whose address is not suspected.
+        The first node in order whose address is not suspected. Nodes of a zone that
+        seems lost come last: a zone may have dozens, each of which takes a moment to
+        try.
     """
-    candidates = [
-        node for node in nodes if suspected_until.get(node.address, 0.0) <= now
-    ]
+    nodes = list(nodes)
+    suspected = {n.address for n in nodes if suspected_until.get(n.address, 0.0) > now}
+    n_suspected_by_zone = Counter(n.zone for n in nodes if n.address in suspected)
     return min(
-        candidates,
-        key=lambda node: (-node.capacity, node.revision, node.name),
+        (node for node in nodes if node.address not in suspected),
+        key=lambda node: (
+            n_suspected_by_zone[node.zone] >= MIN_SUSPECTED_IN_ZONE,
+            -node.capacity,
+            node.revision,
+            node.name,
+        ),
         default=None,
     )
 
@@ -75,11 +86,6 @@
             now=self._clock.monotonic(),
         )
 
-    def is_preferred(self, address):
-        """Tell whether no node is to be chosen instead of the one at an address."""
-        leader = self.choose()
-        return leader is None or leader.address == address
-
     def suspect(self, address, cause, *, duration_s=None):
         """Do not choose the node at an address for a time.
 
--- a/tests/serving/test_nodes.py
+++ b/tests/serving/test_nodes.py
@@ -44,6 +44,55 @@
         assert choose(suspected_until={"early": 11.0}).name == "late"
         assert choose(suspected_until={"early": 9.0}).name == "early"
 
+    def test_nodes_of_a_lost_zone_are_tried_last(self):
+        # Guards against seconds without a leader, in which the nodes of a lost zone are
+        # tried one after the other.
+        nodes = [
+            NodeRecord(
+                name=f"{zone}{number}",
+                address=f"{zone}{number}",
+                zone=zone,
+                capacity=1.0,
+                revision=number,
+            )
+            for zone, numbers in (("a", range(30)), ("b", range(30, 60)))
+            for number in numbers
+        ]
+        choose = partial(choose_leader, nodes, now=10.0)
+        assert choose(suspected_until={"a0": 11.0}).name == "a1"
+        assert choose(suspected_until={"a0": 11.0, "a1": 11.0}).name == "b30"
+        of_both = dict.fromkeys(("a0", "a1", "b30", "b31"), 11.0)
+        assert choose(suspected_until=of_both).name == "a2"
+
+    def test_working_leader_is_kept_until_the_next_one_is_reached(self, deployment):
+        # Guards against nodes that schedule by themselves, unaware of what the engines
+        # do for others, while they try a node that lost power.
+        first = deployment.add_node()
+        deployment.wait_until(first._dispatcher.is_leader)
+        second = deployment.add_node()
+        deployment.wait_until(lambda: second._dispatcher._link is not None)
+        link, choice = second._dispatcher._link, second._dispatcher.leader_choice
+        row = {"address": "127.0.0.9:9", "zone": "zone-a", "capacity": 900.0}
+        deployment.store.put("nodes/gone", json.dumps(row).encode())
+        deployment.wait_until(lambda: "127.0.0.9:9" in choice.suspected_until)
+        gevent.sleep(0.3)
+        assert second._dispatcher._link is link
+        assert link.is_open
+
+    def test_next_leader_is_followed_once_it_is_reached(self, deployment):
+        first, second = deployment.add_node(), deployment.add_node()
+        deployment.wait_until(lambda: second._dispatcher._link is not None)
+        row = {
+            "address": second.context.settings.peer_address,
+            "zone": "zone-a",
+            "capacity": 900.0,
+        }
+        deployment.store.put(
+            f"nodes/{second.context.settings.node}x", json.dumps(row).encode()
+        )
+        deployment.wait_until(lambda: first._dispatcher._link is not None)
+        deployment.wait_until(second._dispatcher.is_leader)
+
     def test_unreachable_node_is_tried_less_often_until_it_registers_again(
         self, deployment
     ):
