--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -4,10 +4,10 @@
 jobs take the current time and return decisions for the caller to deliver.
 """
 
-import math
 from dataclasses import dataclass, field, replace
 
 from savoryhill.core.observations.rate_limits import RateLimiter, unlimited
+from savoryhill.core.scheduling.claims import EngineClaims
 from savoryhill.core.scheduling.decisions import Grant, Rejection
 from savoryhill.core.scheduling.engine_choice import (
     PREFILL_TIME_SHARES,
@@ -36,6 +36,8 @@
     reservations,
 )
 
+# A job that is due sooner claims as many engines as one that is due then.
+MIN_CLAIM_TIME_S = 0.5
 INITIAL_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
 INITIAL_FULL_EJECTION_S = 0.2
@@ -47,8 +49,8 @@
 
     ``rate_limiter`` counts the requests to engines that have named a limit.
     ``max_grants_per_s`` limits the grants to each engine in a second, so that a cold
-    engine is not overloaded; 0 means no limit. ``claimed_engine_ids_by_job_id`` holds
-    the engines that are kept free for a waiting job.
+    engine is not overloaded; 0 means no limit. ``claims`` are the engines
+    that are kept free for waiting jobs.
     """
 
     service: str
@@ -58,8 +60,11 @@
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     placed_by_id: dict[str, PlacedJob] = field(default_factory=dict)
     waiting_by_id: dict[str, Job] = field(default_factory=dict)
-    claimed_engine_ids_by_job_id: dict[str, frozenset] = field(default_factory=dict)
     limited_turns: LimitedTurns = field(default_factory=LimitedTurns)
+    claims: EngineClaims = field(init=False)
+
+    def __post_init__(self):
+        self.claims = EngineClaims(waiting_by_id=self.waiting_by_id)
 
     def set_engines(self, endpoints, profile):
         """Set the endpoints that may be used.
@@ -102,7 +107,7 @@
     def cancel(self, job_id, now):
         """Remove a job that is no longer wanted and return the resulting decisions."""
         self.waiting_by_id.pop(job_id, None)
-        self.claimed_engine_ids_by_job_id.pop(job_id, None)
+        self.claims.drop(job_id)
         return self.finish(job_id, now)
 
     def note_first_event(self, job_id, now):
@@ -235,7 +240,7 @@
                     unplaced_tokens_by_gap[job.max_gap_s] = job.prompt_tokens
                 continue
             del self.waiting_by_id[job.id]
-            self.claimed_engine_ids_by_job_id.pop(job.id, None)
+            self.claims.drop(job.id)
             decisions.append(decision)
         return decisions
 
@@ -304,7 +309,16 @@
             job, engines, prefill_s, now, long_prefill_limit.available
         )
         if chosen is None:
-            self._claim(job, engines, prefill_s, now, long_prefill_limit.available)
+            if prefill_s >= job.max_gap_s:
+                time_left_s = max(job.first_event_due_at - now, MIN_CLAIM_TIME_S)
+                self.claims.claim(
+                    job,
+                    engines,
+                    prefill_s=prefill_s,
+                    prefill_budget_s=time_left_s * PREFILL_TIME_SHARES[0],
+                    max_engines=long_prefill_limit.available,
+                    now=now,
+                )
             return None
         return self._grant(job, chosen, prefill_s / len(chosen), now)
 
@@ -313,7 +327,7 @@
 
         It is rejected if it cannot meet its deadline.
         """
-        self.claimed_engine_ids_by_job_id.pop(job.id, None)
+        self.claims.drop(job.id)
         rejection = self._reject_if_unservable(job, now)
         if rejection is not None:
             return rejection
@@ -342,7 +356,7 @@
         ``prefill_s`` is the time in which a single engine prefills the prompt.
         ``max_long_engines`` limits the engines if their parts take long to prefill.
         """
-        claimed = self._claimed_by_others(job)
+        claimed = self.claims.claimed_by_others(job)
         unclaimed = [engine for engine in engines if engine.id not in claimed]
         return choose_engines(
             job,
@@ -352,35 +366,6 @@
             max_long_engines=max_long_engines,
         )
 
-    def _claimed_by_others(self, job):
-        claimed = set()
-        for job_id, engine_ids in self.claimed_engine_ids_by_job_id.items():
-            if job_id != job.id and job_id in self.waiting_by_id:
-                claimed |= engine_ids
-        return claimed
-
-    def _claim(self, job, engines, prefill_s, now, max_long_engines):
-        """Claim engines for a waiting long prompt, so that they get no new streams."""
-        if prefill_s < job.max_gap_s or job.id in self.claimed_engine_ids_by_job_id:
-            return
-        claimed = self._claimed_by_others(job)
-        prefill_budget_s = (
-            max(job.first_event_due_at - now, 0.5) * PREFILL_TIME_SHARES[0]
-        )
-        n_parts = min(
-            max_long_engines - len(claimed),
-            max(1, math.ceil(prefill_s / prefill_budget_s)),
-        )
-        if n_parts < 1:
-            return
-        least_busy_first = sorted(
-            (engine for engine in engines if engine.id not in claimed),
-            key=lambda e: (len(e.jobs_by_id), e.pending_prefill_s(now)),
-        )
-        self.claimed_engine_ids_by_job_id[job.id] = frozenset(
-            engine.id for engine in least_busy_first[:n_parts]
-        )
-
     def _grant(self, job, chosen, prefill_part_s, now, *, due_at=None):
         """Place a job; ``due_at`` is when its first event must come if it is late."""
         self.rate_limiter.take(chosen[0].incarnation, now)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -130,7 +130,7 @@
         for n in range(4 * 7):
             scheduler.submit(make_job(f"s{n}", 100), 0.0)
         assert scheduler.submit(make_long_job("l"), 0.1) == []
-        claimed = scheduler.claimed_engine_ids_by_job_id["l"]
+        claimed = scheduler.claims.of("l")
         assert claimed
         for n in range(4 * 7):
             scheduler.finish(f"s{n}", 0.2)
