serving: single calls of plain services stay in the availability zone

The balancer did not know its zone.

Change: an endpoint in another zone is chosen if it runs at least two fewer requests of this node.

--- a/src/savoryhill/serving/balancing.py
+++ b/src/savoryhill/serving/balancing.py
@@ -6,6 +6,8 @@
 FIRST_EJECTION_S = 0.5
 MAX_EJECTION_S = 5.0
 FULL_EJECTION_S = 0.1
+# An endpoint in another availability zone is chosen if it runs so many fewer requests.
+LEAVE_ZONE_REQUESTS = 2
 
 
 @dataclass(kw_only=True, slots=True)
@@ -17,8 +19,9 @@
 
 @dataclass(kw_only=True)
 class Balancer:
-    """Loads of the endpoints of plain services, as seen by this node."""
+    """Loads of the endpoints of plain services, as seen by this node in ``zone``."""
 
+    zone: str
     clock: object
     random: object
     cluster_view: object
@@ -32,7 +35,8 @@
 
         Load pattern: few requests on few endpoints, some of which fail or are slow.
         Chooses the endpoint with the fewest running requests of this node, at random
-        among equals. Ejected endpoints are chosen only if no other one is left.
+        among equals, and one in another zone only if the difference is more than one.
+        Ejected endpoints are chosen only if no other one is left.
         """
         endpoints = self.cluster_view.usable_endpoints(service.name)
         if not endpoints:
@@ -44,7 +48,7 @@
             return (
                 endpoint.id in avoided_endpoint_ids,
                 load.ejected_until > now,
-                load.n_running,
+                load.n_running + LEAVE_ZONE_REQUESTS * (endpoint.zone != self.zone),
                 self.random.random(),
             )
 
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -178,7 +178,12 @@
             random=random,
             cluster_view=cluster_view,
             dispatcher=dispatcher,
-            balancer=Balancer(clock=clock, random=random, cluster_view=cluster_view),
+            balancer=Balancer(
+                zone=settings.zone,
+                clock=clock,
+                random=random,
+                cluster_view=cluster_view,
+            ),
             repeat_budgets=repeat_budgets,
             crash_guard=crash_guard,
             endpoint_statements=endpoint_statements,
