--- a/src/savoryhill/core/scheduling/engine_choice.py
+++ b/src/savoryhill/core/scheduling/engine_choice.py
@@ -39,16 +39,17 @@
         The first engine generates the output.
     """
     for share in PREFILL_TIME_SHARES:
-        for_whole, for_part = [], []
-        for engine in engines:
-            whole_s, part_s = engine.available_prefill_s(now, job, share=share)
-            if whole_s > 0.0:
-                for_whole.append((whole_s, engine))
-            if part_s > 0.0:
-                for_part.append((part_s, engine))
-        chosen = _choose_one(
-            job, for_whole, prefill_s, now, max_long_engines
-        ) or _choose_several(job, for_part, prefill_s, now, max_long_engines)
+        for_whole = (
+            (engine.available_whole_s(now, job, share=share), engine)
+            for engine in engines
+        )
+        chosen = _choose_one(job, for_whole, prefill_s, now, max_long_engines)
+        if chosen is None:
+            for_part = [
+                (engine.available_part_s(now, job, share=share), engine)
+                for engine in engines
+            ]
+            chosen = _choose_several(job, for_part, prefill_s, now, max_long_engines)
         if chosen is not None:
             return chosen
     return None
@@ -96,7 +97,7 @@
     Engines with the least prefill come first: a part delays what is pending there.
     """
     least_pending_first = sorted(
-        candidates,
+        (item for item in candidates if item[0] > 0.0),
         key=lambda item: (item[1].pending_prefill_s(now), -item[0], item[1].rank),
     )
     max_parts = min(
--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -145,13 +145,14 @@
     def _clear_cache(self):
         self._decode_pass_s = self._min_gap_s = None
 
-    def available_prefill_s(self, now, job, *, share):
-        """Return the seconds of prefill that a job may add to this engine.
+    def available_whole_s(self, now, job, *, share):
+        """Return the seconds of a whole prompt that a job may add to this engine.
 
-        Protects short streams on an engine that also prefills long prompts. Prefill in
-        a pass delays the next event of every sequence that is being decoded, so the
-        pass must stay within the shortest gap that the engine's streams allow. An
-        engine without streams may prefill until the first event is due.
+        The prompt is read after all that is pending. Protects short streams on an
+        engine that also prefills long prompts. Prefill in a pass delays the next event
+        of every sequence that is being decoded, so the pass must stay within the
+        shortest gap that the engine's streams allow. An engine without streams may
+        prefill until the first event is due.
 
         Parameters
         ----------
@@ -164,17 +165,25 @@
 
         Returns
         -------
-        tuple of (float, float)
-            Seconds if the engine prefills the whole prompt, which comes after all that
-            is pending, and if it prefills a part, which comes before it and must not
-            make it late. Zero or negative if nothing fits.
+        float
+            Seconds; zero or negative if nothing fits.
         """
-        pending_s = self.pending_prefill_s(now)
-        base_s = self.decode_pass_s()
-        due_s = (job.first_event_due_at - now) * share - base_s
-        pass_s = self.min_gap_s() * GAP_SHARE - base_s - pending_s
-        whole_s = min(due_s - pending_s, pass_s)
-        return whole_s, min(due_s, pass_s, self.reads.slack_s(now))
+        allowed_s = min(
+            (job.first_event_due_at - now) * share, self.min_gap_s() * GAP_SHARE
+        )
+        return allowed_s - self.decode_pass_s() - self.pending_prefill_s(now)
+
+    def available_part_s(self, now, job, *, share):
+        """Return the seconds of a part of a prompt that a job may add to this engine.
+
+        The part is read before all that is pending, which must not become late. The
+        parameters and the result are those of `available_whole_s`.
+        """
+        allowed_s = min(
+            (job.first_event_due_at - now) * share,
+            self.min_gap_s() * GAP_SHARE - self.pending_prefill_s(now),
+        )
+        return min(allowed_s - self.decode_pass_s(), self.reads.slack_s(now))
 
     def add(self, placed, *, now, is_first):
         """Add a granted job, or the part of its prompt that this engine prefills.
--- a/src/savoryhill/core/scheduling/read_queue.py
+++ b/src/savoryhill/core/scheduling/read_queue.py
@@ -5,11 +5,14 @@
 it reads alone after all parts, so that each new part delays whatever was there.
 """
 
+import math
 from dataclasses import dataclass, field
 
 # Share of the unfinished reading that counts as pending once its predicted end has
 # passed without a first event, because the engine is then slower than predicted.
 OVERDUE_SHARE = 0.25
+# Pending seconds and slack of an engine that has nothing to read.
+IDLE = (0.0, math.inf)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -32,6 +35,8 @@
 
     reads_by_job_id: dict[str, _Read] = field(default_factory=dict)
     _advanced_at: float = 0.0
+    _outlook_at: float | None = None
+    _known_outlook: tuple[float, float] = IDLE
 
     def add(self, job_id, seconds, now, *, is_part, ends_by, wait_s=0.0):
         """Add the reading of a job.
@@ -51,6 +56,7 @@
             When it must have been read, if other reading delays it.
         """
         self._advance(now)
+        self._outlook_at = None
         is_idle = all(read.left_s <= 0.0 for read in self.reads_by_job_id.values())
         self.reads_by_job_id[job_id] = _Read(
             total_s=seconds,
@@ -62,16 +68,12 @@
     def finish(self, job_id, now):
         """Remove the reading of a job, finished or not."""
         self._advance(now)
+        self._outlook_at = None
         self.reads_by_job_id.pop(job_id, None)
 
     def pending_s(self, now):
         """Predict the seconds of reading that are left."""
-        self._advance(now)
-        left_s = sum(read.left_s for read in self.reads_by_job_id.values())
-        if left_s > 0.0:
-            return left_s
-        overdue = (r for r in self.reads_by_job_id.values() if r.ends_by < now)
-        return OVERDUE_SHARE * sum(read.total_s for read in overdue)
+        return self._outlook(now)[0]
 
     def slack_s(self, now):
         """Return the seconds by which all that is left may be delayed.
@@ -81,23 +83,41 @@
         float
             Infinite if nothing is left; negative if something is late already.
         """
+        return self._outlook(now)[1]
+
+    def _outlook(self, now):
+        """Return the pending seconds and the slack, computed once for a time."""
+        if not self.reads_by_job_id:
+            return IDLE
+        if now != self._outlook_at:
+            self._outlook_at, self._known_outlook = now, self._predict(now)
+        return self._known_outlook
+
+    def _predict(self, now):
         self._advance(now)
-        slack_s, end_at = float("inf"), now
+        pending_s, slack_s = 0.0, math.inf
         for read in self._in_order():
-            end_at += read.left_s
-            slack_s = min(slack_s, read.ends_by - end_at)
-        return slack_s
+            pending_s += read.left_s
+            slack_s = min(slack_s, read.ends_by - now - pending_s)
+        if pending_s == 0.0:
+            overdue = (r for r in self.reads_by_job_id.values() if r.ends_by < now)
+            pending_s = OVERDUE_SHARE * sum(read.total_s for read in overdue)
+        return pending_s, slack_s
 
     def _in_order(self):
         """Return the unfinished reads in the order in which the engine reads them."""
         unfinished = [r for r in self.reads_by_job_id.values() if r.left_s > 0.0]
+        if len(unfinished) < 2:
+            return unfinished
         parts = [read for read in unfinished if read.is_part]
         return [*reversed(parts), *(r for r in unfinished if not r.is_part)]
 
     def _advance(self, now):
         elapsed_s = now - self._advanced_at
         self._advanced_at = now
-        for read in self._in_order() if elapsed_s > 0.0 else ():
+        if elapsed_s <= 0.0 or not self.reads_by_job_id:
+            return
+        for read in self._in_order():
             spent_s = min(elapsed_s, read.left_s)
             read.left_s -= spent_s
             elapsed_s -= spent_s
