--- a/src/savoryhill/standins/serving/endpoint.py
+++ b/src/savoryhill/standins/serving/endpoint.py
@@ -387,7 +387,7 @@
 def _helpers_of(request):
     """Return the addresses of the helpers of a request."""
     helpers = (request.header(names.HELPERS) or b"").decode().split(",")
-    return {entry.partition("/")[0] for entry in helpers}
+    return {entry.partition("/")[0] for entry in helpers if entry}
 
 
 def _reset_at_close(sock):
--- a/tests/serving/test_crashing_requests.py
+++ b/tests/serving/test_crashing_requests.py
@@ -1,5 +1,8 @@
 """Requests that end the endpoints that run them."""
 
+from functools import partial
+from itertools import count
+
 import gevent
 import pytest
 
@@ -14,16 +17,26 @@
 
 
 def add_endpoints(deployment, service, **fields):
-    return [
-        deployment.add_endpoint(
-            f"{service}-{n}",
-            service=service,
-            zone=f"zone-{n % 3}",
-            crashing_bodies={DEADLY},
-            **fields,
+    """Add endpoints that end under the request; each return is a new start of one."""
+    starts = count(2)
+
+    def restart(endpoint_id, zone):
+        deployment.register(endpoint_id, service=service, zone=zone, born=next(starts))
+
+    endpoints = []
+    for n in range(N_ENDPOINTS):
+        endpoint_id, zone = f"{service}-{n}", f"zone-{n % 3}"
+        endpoints.append(
+            deployment.add_endpoint(
+                endpoint_id,
+                service=service,
+                zone=zone,
+                crashing_bodies={DEADLY},
+                on_return=partial(restart, endpoint_id, zone),
+                **fields,
+            )
         )
-        for n in range(N_ENDPOINTS)
-    ]
+    return endpoints
 
 
 def add_linked_nodes(deployment):
@@ -179,7 +192,9 @@
         """Starts endpoints of both releases, of which the new ones come first."""
 
         def start(service, path):
-            new = deployment.add_endpoint("new", service=service, release="v2")
+            new = deployment.add_endpoint(
+                "new", service=service, zone="zone-0", release="v2"
+            )
             add_linked_nodes(deployment)
             assert deployment.ask(path, body=DEADLY)[0] == 200
             old = add_endpoints(deployment, service)
