--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -27,7 +27,9 @@
     ``gap_s`` apart, the first one after ``first_s``; another one is answered after
     ``work_s``. ``framing`` is ``chunked``, or ``none`` for streams without length that
     end with their connection. ``order_s`` is how long an order takes, ``stall_s`` how
-    long work stalls that depends on an engine which is dead.
+    long work stalls that depends on an engine which is dead. A stream that is not a
+    resumed one is preempted after event ``preempted_after``, if that is not 0, and goes
+    on once it has been read again, ``preempted_s`` later.
     """
 
     id: str
@@ -44,6 +46,8 @@
     work_s: float = 0.05
     framing: str = "chunked"
     order_s: float = 0.0
+    preempted_after: int = 0
+    preempted_s: float = 0.0
     stall_s: float = 1.5
 
 
@@ -229,6 +233,9 @@
                 self.note("caller gone", request=attempt, after=number - 1)
                 return None
             self.note("event", request=attempt, number=number)
+            if not last_id and number == settings.preempted_after:
+                self.note("preempted", request=attempt, after=number)
+                await asyncio.sleep(settings.preempted_s)
         self.note("stream whole", request=attempt)
         if is_framed:
             writer.write(b"0\r\n\r\n")
