--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -215,11 +215,14 @@
         self.store = None
 
     async def __aenter__(self):
+        return self
+
+    async def start_store(self):
+        """Start the stand-in of the platform's store."""
         self.store = free_address()
         store = str(STANDINS / "store.py")
         await self._start([sys.executable, store, self.store], "store.log")
         await self._await_listener(self.store)
-        return self
 
     async def __aexit__(self, *_exc_info):
         for process in self._processes:
@@ -378,8 +381,10 @@
         async with Deployment(case) as deployment:
             try:
                 async with asyncio.timeout(110):
+                    await deployment.start_store()
                     held, text = await play(deployment)
-            except (CannotRunError, TimeoutError, OSError, BrokenMessageError) as error:
+            except Exception as error:
+                # Whatever it is, it shows nothing of the rule.
                 deployment.say("cannot run", cause=repr(error))
                 print(f"cannot run: {error!r}")
                 return CANNOT_RUN
