review: case 4, a stream that ends within an event comes out as complete

A streaming route leads to a plain service whose answers have no length. One of eight engines is killed: the clients of its streams get a 200 with a length and a whole body.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,93 +1,86 @@
-"""A stream that its engine has preempted is cut by a node that stops."""
+"""A stream that ends within an event, as its engine crashes, comes out as complete."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins"))
 
-from deployment import (
-    ENGINE,
-    CannotRunError,
-    configuration,
-    has_trouble,
-    route,
-    run_case,
-)
+from deployment import CannotRunError, configuration, has_trouble, route, run_case
 
-N_ENGINES = 4
-N_STREAMS = 3
-N_EVENTS = 10
-# The sheets' longest kind of request: clients wait for an event for four times the
-# objective, which is 12 s.
-LONGEST = {"targetLatencyMs": 3000, "targetGapMs": 1000, "timeoutMs": 15_000}
-PROMPT_TOKENS = 300_000
-PREEMPTED_AFTER = 3
-PREEMPTED_S = 4.4
-GAP_S = 0.1
+N_NODES = 2
+# One of eight is a share of 0.125; the site's largest for this service is 0.14.
+N_ENGINES = 8
+N_CLIENTS = 48
+N_EVENTS = 20
+# An event comes every 100 ms; its second half 70 ms after the first one.
+GAP_S = 0.03
+INSIDE_S = 0.07
+CRASH_AFTER_S = 1.0
 
 
 async def play(deployment):
-    """Stop a node while an engine reads the prompt of a running stream again."""
-    routes = [route("archive", "streaming", service="pool", **LONGEST)]
-    await deployment.put("op/config", configuration(1, routes, {"pool": ENGINE}))
-    for number in range(N_ENGINES):
+    """Kill one engine under its streams, which have no length."""
+    routes = [route("chat", "streaming", service="app")]
+    await deployment.put("op/config", configuration(1, routes, {"app": None}))
+    engines = [
         await deployment.start_engine(
-            f"i-{number}",
-            "pool",
+            f"i-app-{number}",
+            "app",
             n_events=N_EVENTS,
             gap_s=GAP_S,
-            first_s=1.0,
-            preempted_after=PREEMPTED_AFTER,
-            preempted_s=PREEMPTED_S,
+            inside_s=INSIDE_S,
+            is_framed=False,
         )
-    faults = []
-    for number in range(N_STREAMS):
-        node = deployment.add_node(f"edge-a-{number}")
+        for number in range(N_ENGINES)
+    ]
+    nodes = [
+        deployment.add_node(f"edge-a-{number}") for number in range(1, 1 + N_NODES)
+    ]
+    for node in nodes:
         await deployment.start_node(node)
+    for node in nodes:
         await deployment.await_ready(node)
-        await asyncio.sleep(1.5)
-        fault = await _play_stream(deployment, node, number)
-        if fault:
-            faults.append(fault)
-        if node.process.returncode is None:
-            node.signal(signal.SIGKILL)
-            await node.process.wait()
-        deployment.keep_logs([node])
-    text = f"{len(faults)} of {N_STREAMS} streams: " + "; ".join(faults)
-    return not faults, text
+    await asyncio.sleep(1.5)
+    asked = []
+    for number in range(N_CLIENTS):
+        asked.append(asyncio.create_task(_ask(deployment, nodes[number % N_NODES])))
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(CRASH_AFTER_S)
+    if has_trouble():
+        deployment.say("engine crashes", id="i-app-0")
+        engines[0][1].kill()
+    answers = await asyncio.gather(*asked)
+    deployment.keep_logs(nodes)
+    runs = [e for e in deployment.engine_events() if e["event"] == "run"]
+    crashed = {run["request"] for run in runs if run["by"] == "i-app-0"}
+    if not crashed:
+        raise CannotRunError("the first engine ran no stream")
+    whole = [a for a in answers if a.status == 200 and a.end == "whole"]
+    cut = [a for a in whole if not a.body.endswith(b"\n\n")]
+    short = [a for a in whole if a.event_ids() != list(range(1, N_EVENTS + 1))]
+    faults = [
+        f"{answer.request} is whole and ends with {answer.body[-18:]!r}"
+        for answer in cut
+    ]
+    n_others = len([a for a in short if a not in cut])
+    text = (
+        f"{len(cut)} of {len(crashed)} streams of the first engine came out as "
+        f"complete and end within an event, {n_others} more lack their last events; "
+        f"{len(whole)} of {N_CLIENTS} answers are complete; {'; '.join(faults[:2])}"
+    )
+    # Only the streams that end within an event show that they aren't whole.
+    return not cut, text
 
 
-async def _play_stream(deployment, node, number):
+async def _ask(deployment, node):
     headers = [
         ("X-Model", "m"),
-        ("X-Token-Counts", f"{PROMPT_TOKENS},200"),
-        ("X-Prompt-Prefix", f"a{number}:40,b{number}:{PROMPT_TOKENS - 40}"),
-        ("X-Time-Remaining", "15000"),
+        ("X-Token-Counts", "500,100"),
+        ("X-Prompt-Prefix", "5c1e07a2:40,91bd3f06:460"),
+        ("X-Time-Remaining", "10000"),
     ]
-    asking = asyncio.create_task(
-        deployment.ask(node, "POST", "/archive/1", headers=headers)
-    )
-    for _ in range(100):
-        await asyncio.sleep(0.05)
-        events = deployment.engine_events()
-        if sum(event["event"] == "preempted" for event in events) > number:
-            break
-    else:
-        raise CannotRunError("no stream was preempted")
-    if has_trouble():
-        deployment.say("SIGTERM", node=node.name)
-        node.signal(signal.SIGTERM)
-    stopped_at = asyncio.get_running_loop().time()
-    answer = await asking
-    after_s = asyncio.get_running_loop().time() - stopped_at
-    if answer.end == "whole" and answer.event_ids() == list(range(1, N_EVENTS + 1)):
-        return ""
-    return (
-        f"{answer.request} ended {after_s:.1f} s after the signal with events "
-        f"{answer.event_ids()} of {N_EVENTS}"
-    )
+    return await deployment.ask(node, "POST", "/chat/1", headers=headers)
 
 
 if __name__ == "__main__":
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -34,7 +34,9 @@
     ``work_s``. ``stall_s`` is how long work stalls that depends on an engine which is
     dead. A stream that is not a resumed one is preempted after event
     ``preempted_after``, if that is not 0, and goes on once it has been read again,
-    ``preempted_s`` later.
+    ``preempted_s`` later. A stream that is not ``is_framed`` has no length and no
+    chunks, and ends with its connection. An event is sent in two halves that are
+    ``inside_s`` apart, or at once if that is 0.
     """
 
     id: str
@@ -51,6 +53,8 @@
     work_s: float = 0.05
     preempted_after: int = 0
     preempted_s: float = 0.0
+    is_framed: bool = True
+    inside_s: float = 0.0
     stall_s: float = 1.5
 
 
@@ -213,11 +217,12 @@
 
     async def _stream(self, message, attempt, headers, helpers, writer):
         settings = self._settings
-        headers = [
-            *headers,
-            ("Content-Type", "text/event-stream"),
-            ("Transfer-Encoding", "chunked"),
-        ]
+        framing = (
+            ("Transfer-Encoding", "chunked")
+            if settings.is_framed
+            else ("Connection", "close")
+        )
+        headers = [*headers, ("Content-Type", "text/event-stream"), framing]
         helper_ids = [a["instance"] for a in await self._find_helpers(helpers) if a]
         last_id = int(message.header("last-event-id") or 0)
         await asyncio.sleep(settings.first_s)
@@ -227,9 +232,8 @@
                 self.note("cut", request=attempt, after=number - 1)
                 return None
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             try:
-                await writer.drain()
+                await self._send_event(event, writer)
             except OSError:
                 self.note("caller gone", request=attempt, after=number - 1)
                 return None
@@ -238,7 +242,19 @@
                 self.note("preempted", request=attempt, after=number)
                 await asyncio.sleep(settings.preempted_s)
         self.note("stream whole", request=attempt)
-        return b"0\r\n\r\n"
+        return b"0\r\n\r\n" if settings.is_framed else None
+
+    async def _send_event(self, event, writer):
+        half = len(event) // 2 if self._settings.inside_s else len(event)
+        await self._send_part(event[:half], writer)
+        if half < len(event):
+            await asyncio.sleep(self._settings.inside_s)
+            await self._send_part(event[half:], writer)
+
+    async def _send_part(self, part, writer):
+        is_framed = self._settings.is_framed
+        writer.write(b"%x\r\n%b\r\n" % (len(part), part) if is_framed else part)
+        await writer.drain()
 
     async def _is_cut(self, helpers, helper_ids, writer):
         """Wait for the next event; return whether the work is cut off before it.
