--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 
 # One of seven is a share of 0.14; the site kills 0.16 at the most.
 N_NODES = 7
-N_CLIENTS = 16
+N_CLIENTS = 24
 N_EVENTS = 20
 # A stream of the model engines lasts long enough for a node to be killed within it.
 POOL_GAP_S = 0.15
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,9 +13,9 @@
 N_ENGINES = 8
 N_CLIENTS = 48
 N_EVENTS = 20
-# An event comes every 100 ms; its second half 70 ms after the first one.
-GAP_S = 0.03
-INSIDE_S = 0.07
+# An event comes every 100 ms; its second half 90 ms after the first one.
+GAP_S = 0.01
+INSIDE_S = 0.09
 CRASH_AFTER_S = 1.0
 
 
