serving: one run of a request on an endpoint has a class of its own

Cause: Call and Generation each count, receive and judge a run, in the same lines. What they do with an answer differs, and is tied to the kind of service. Change: EndpointRun holds what both do. StreamForwarder no longer knows jobs, and WholeAnswer has the same methods: begin_run, forward, finish. What an endpoint says of itself in a head is taken in as soon as the head is there, also for whole answers and if the bytes after it are malformed.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -1,25 +1,18 @@
 """Requests to plain services, whose responses are forwarded only when complete."""
 
-from dataclasses import replace
-
 import gevent
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
+from savoryhill.serving.endpoint_run import EndpointRun
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
     CONNECT_TIMEOUT_S,
-    RECHECK_S,
     SendFailure,
     describe_break,
     describe_unreached,
 )
-
-# A request that may be repeated is sent to another endpoint if its response takes
-# longer than this multiple of the route's target latency, and longer than a sound
-# endpoint may be silent, if that much time is left for the repeat.
-RESPONSE_TIMEOUT_FACTOR = 2.0
-MIN_RESPONSE_TIMEOUT_S = 1.4
+from savoryhill.serving.whole_answer import WholeAnswer
 
 
 class Call:
@@ -31,6 +24,7 @@
         self._history = history
         self._context = request.context
         self._check = CrashCheck(request=request)
+        self._answer = WholeAnswer(request=request, response=response, history=history)
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
@@ -136,99 +130,57 @@
                 return limited_endpoint, turn.wait_s
         return endpoint, 0.0 if endpoint is not None else turn.wait_s
 
-    def _response_times_out_at(self, started_at):
-        """Return when to stop waiting for an endpoint's response."""
-        history, request = self._history, self._request
-        if not history.may_repeat or history.n_runs + 1 >= history.max_attempts:
-            return request.deadline_at
-        usual_s = RESPONSE_TIMEOUT_FACTOR * request.route.target_latency_s
-        time_left_s = request.deadline_at - started_at
-        patient_s = min(MIN_RESPONSE_TIMEOUT_S, time_left_s - usual_s)
-        return min(request.deadline_at, started_at + max(usual_s, patient_s))
-
     def _run_on(self, endpoint):
         """Run on an endpoint; return None on success, else the failure."""
-        balancer, history = self._context.balancer, self._history
-        started_at = self._context.clock.monotonic()
-        times_out_at = self._response_times_out_at(started_at)
-        self._context.endpoint_statements.note_sent(endpoint)
-        with balancer.track_request(endpoint):
+        context, request, answer = self._context, self._request, self._answer
+        started_at = context.clock.monotonic()
+        context.endpoint_statements.note_sent(endpoint)
+        with context.balancer.track_request(endpoint):
             try:
-                connection = self._context.ways.open(
+                connection = context.ways.open(
                     endpoint,
                     timeout_s=CONNECT_TIMEOUT_S,
-                    request_id=self._request.id,
-                    remaining_s=self._request.time_left_s(),
+                    request_id=request.id,
+                    remaining_s=request.time_left_s(),
+                    max_buffered_bytes=answer.max_buffered_bytes,
                 )
             except NotConnectedError as error:
                 return describe_unreached(error, endpoint)
-            failure = self._request.find_withheld(endpoint)
+            failure = request.find_withheld(endpoint)
             if failure is not None:
                 connection.close()
                 return failure
-            history.n_runs += 1
-            self._check.note_sent(endpoint, connection)
+            run = EndpointRun(
+                request=request,
+                endpoint=endpoint,
+                connection=connection,
+                history=self._history,
+                check=self._check,
+            )
+            times_out_at = answer.begin_run(
+                started_at=started_at, usual_s=request.route.target_latency_s
+            )
             try:
-                self._request.send(connection, endpoint)
-                failure = self._receive(connection, endpoint, times_out_at)
+                request.send(connection, endpoint, last_event_id=answer.last_id)
+                failure = answer.forward(run, times_out_at)
             except (OSError, MalformedMessageError) as error:
                 failure = describe_break(error, endpoint)
             finally:
                 connection.close()
-        reader = connection.reader
-        if reader.head is not None:
-            self._context.endpoint_statements.note_head(
-                reader.head,
-                endpoint,
-                attempt_id=self._request.metadata.attempt_id,
-                sent_at=started_at,
-            )
         if failure is None:
             self._check.note_answer()
-            balancer.note_success(endpoint)
-            self._response.write_response(reader.head, reader.take_body(), endpoint.id)
+            context.balancer.note_success(endpoint)
+            answer.finish(run)
             return None
-        failure = self._request.judge_end(failure, endpoint, connection)
         if failure.is_silent:
-            # Learns whether the path was lost; the request goes on meanwhile.
-            gevent.spawn(
-                self._context.ways.is_path_at_fault,
-                endpoint,
-                relay=connection.relay,
-                was_silent=True,
-            )
-        self._check.note_failure(failure, endpoint)
-        if not failure.may_have_run:
-            history.n_runs -= 1
-            history.n_refused += 1
-        elif self._check.stop_cause is not None:
-            return replace(failure, cause=self._check.stop_cause)
-        return failure
-
-    def _receive(self, connection, endpoint, times_out_at):
-        """Receive a response; return None on success, else the failure."""
-        reader = connection.reader
-        while not reader.complete:
-            now = self._context.clock.monotonic()
-            wait_s = min(times_out_at - now, self._request.time_left_s())
-            if wait_s <= 0:
-                return SendFailure(
-                    cause="endpoint is silent",
-                    may_have_run=True,
-                    is_silent=True,
-                    endpoint=endpoint.id,
-                )
-            try:
-                is_open = connection.receive(timeout_s=min(wait_s, RECHECK_S))
-            except TimeoutError:
-                continue
-            if not is_open and not reader.complete:
-                return SendFailure(
-                    cause="closed within the answer",
-                    may_have_run=True,
-                    connection_ended=True,
-                    endpoint=endpoint.id,
-                )
-        if reader.head.status >= 300 or not self._request.is_valid(reader.head):
-            return self._request.classify_failure(reader, endpoint)
-        return None
+            self._check_path(run)
+        return run.settle(failure)
+
+    def _check_path(self, run):
+        """Find out whether the path was lost, while the request goes on."""
+        gevent.spawn(
+            self._context.ways.is_path_at_fault,
+            run.endpoint,
+            relay=run.connection.relay,
+            was_silent=True,
+        )
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -1,7 +1,6 @@
 """Streaming requests: one job per send, on the engines that the scheduler chooses."""
 
 import math
-from dataclasses import replace
 
 import gevent
 
@@ -20,6 +19,7 @@
     WayLostError,
 )
 from savoryhill.serving.crash_check import CrashCheck
+from savoryhill.serving.endpoint_run import EndpointRun
 from savoryhill.serving.helper_check import find_unreached
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
@@ -36,8 +36,6 @@
 # of its prompt.
 PROBE_CHECK_S = 0.03
 MAX_PROBE_WAIT_S = 1.0
-# Limit of the body of a failure; the body of a stream is forwarded as it arrives.
-MAX_BUFFERED_STREAM_BYTES = 262_144
 
 
 class Generation:
@@ -309,7 +307,7 @@
                 timeout_s=CONNECT_TIMEOUT_S,
                 request_id=self._request.id,
                 remaining_s=self._request.time_left_s(),
-                max_buffered_bytes=MAX_BUFFERED_STREAM_BYTES,
+                max_buffered_bytes=self._forwarder.max_buffered_bytes,
             )
         except NotConnectedError as error:
             return describe_unreached(error, first)
@@ -319,9 +317,18 @@
             return failure
         reservations.abort_when_lost(connection)
         self._relay_name = connection.relay
-        self._check.note_sent(first, connection)
-        self._history.n_runs += 1
-        times_out_at = self._forwarder.begin_run(decision.predicted_first_s)
+        run = EndpointRun(
+            request=self._request,
+            endpoint=first,
+            connection=connection,
+            history=self._history,
+            check=self._check,
+        )
+        times_out_at = self._forwarder.begin_run(
+            started_at=self._context.clock.monotonic(),
+            usual_s=decision.predicted_first_s,
+            on_start=lambda: self._context.dispatcher.jobs.report_first_event(job),
+        )
         try:
             self._request.send(
                 connection,
@@ -329,27 +336,25 @@
                 helpers=helpers,
                 last_event_id=self._forwarder.last_id,
             )
-            failure = self._forwarder.forward(connection, job, first, times_out_at)
+            failure = self._forwarder.forward(run, times_out_at)
         except (OSError, MalformedMessageError) as error:
             failure = describe_break(error, first)
         finally:
             connection.close()
-        if failure is not None and reservations.lost is not None:
+        if failure is None:
+            self._check.note_answer()
+            self._forwarder.finish(run)
+            return None
+        if reservations.lost is not None:
             return SendFailure(
                 cause=f"memory was lost: {reservations.lost.cause}",
                 may_have_run=True,
                 endpoint=reservations.lost.endpoint_id,
             )
-        if failure is not None:
-            failure = self._request.judge_end(failure, first, connection)
-            self._check.note_failure(failure, first)
-        if failure is not None and not failure.may_have_run:
-            self._history.n_runs -= 1
-            self._history.n_refused += 1
-            return _with_endpoint_id(failure, endpoints)
-        if failure is not None and self._check.stop_cause is not None:
-            return replace(failure, cause=self._check.stop_cause)
-        return failure
+        failure = run.settle(failure)
+        return (
+            failure if failure.may_have_run else _with_endpoint_id(failure, endpoints)
+        )
 
 
 def _with_endpoint_id(failure, endpoints):
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -1,8 +1,9 @@
 """Forwarding of one stream to its client, over all runs that it takes."""
 
 from savoryhill.serving.event_splitter import EventSplitter
-from savoryhill.serving.served_request import RECHECK_S, SendFailure
 
+# Limit of the body of a failure; the body of a stream is forwarded as it arrives.
+MAX_BUFFERED_STREAM_BYTES = 262_144
 # The first event times out after this constant plus a multiple of the predicted time.
 # A sound engine may be silent for a second or a little more.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
@@ -26,9 +27,12 @@
     """Forwards the events of one request, run after run.
 
     A run that follows another one goes on after the last event that was forwarded,
-    whose id is ``last_id``.
+    whose id is ``last_id``. ``has_started`` tells whether the present run has had an
+    event with data.
     """
 
+    max_buffered_bytes = MAX_BUFFERED_STREAM_BYTES
+
     def __init__(self, *, request, response, history, check):
         self._request = request
         self._response = response
@@ -36,25 +40,32 @@
         self._check = check
         self._context = request.context
         self._splitter = EventSplitter(last_id=request.metadata.last_event_id)
+        self._on_start = None
+        self.has_started = False
 
     @property
     def last_id(self):
         """Return the id of the last event that was forwarded, or None."""
         return self._splitter.last_id
 
-    def begin_run(self, predicted_first_s):
+    def begin_run(self, *, started_at, usual_s, on_start=None):
         """Prepare for the events of another run; return when it times out.
 
         Parameters
         ----------
-        predicted_first_s : float
+        started_at : float
+            When the run began.
+        usual_s : float
             Predicted seconds until its first event.
+        on_start : callable or None
+            Called without arguments at its first event.
         """
         # Discards the partial event of an earlier run, which must not be joined with
         # the first event of this one.
         self._splitter = EventSplitter(last_id=self._splitter.last_id)
-        timeout_s = self._silence_limit_s(first_event_timeout_s(predicted_first_s))
-        return self._context.clock.monotonic() + timeout_s
+        self._on_start = on_start
+        self.has_started = False
+        return started_at + self._silence_limit_s(first_event_timeout_s(usual_s))
 
     def _silence_limit_s(self, suspicious_s):
         """Return the seconds of silence after which a run is given up.
@@ -73,17 +84,13 @@
         )
         return max(suspicious_s, patience_s)
 
-    def forward(self, connection, job, endpoint, times_out_at):
+    def forward(self, run, times_out_at):
         """Forward a run's events; return None if it was complete, else the failure.
 
         Parameters
         ----------
-        connection : Connection
-            The connection on which the request was sent.
-        job : SubmittedJob
-            The job of the run.
-        endpoint : Endpoint
-            The engine that runs it.
+        run : EndpointRun
+            The run, whose request has been sent.
         times_out_at : float
             When the run is given up if it has no event, from `begin_run`.
 
@@ -92,94 +99,64 @@
         OSError, MalformedMessageError
             If the connection broke, or carries no valid response.
         """
-        request, reader = self._request, connection.reader
-        is_head_noted = False
+        request, reader = self._request, run.reader
         gap_timeout_s = self._silence_limit_s(
             max(MIN_GAP_TIMEOUT_S, request.route.max_gap_s * GAP_TIMEOUT_FACTOR)
         )
         while True:
-            wait_s = min(
-                times_out_at - self._context.clock.monotonic(), request.time_left_s()
-            )
-            if wait_s <= 0:
-                is_late = request.time_left_s() <= 0
-                return SendFailure(
-                    cause="deadline passed" if is_late else "endpoint is silent",
-                    may_have_run=True,
-                    is_silent=True,
-                    endpoint=endpoint.id,
-                )
-            try:
-                is_open = connection.receive(timeout_s=min(wait_s, RECHECK_S))
-            except TimeoutError:
-                continue
+            failure = run.receive(times_out_at)
+            if failure is not None:
+                return failure
             if reader.head is None:
-                if not is_open:
-                    return SendFailure(
-                        cause="closed without an answer",
-                        may_have_run=True,
-                        connection_ended=True,
-                        endpoint=endpoint.id,
-                    )
+                if not run.is_open:
+                    return run.end_within_answer("closed without an answer")
                 continue
-            if not is_head_noted:
-                is_head_noted = True
-                self._context.endpoint_statements.note_head(
-                    reader.head,
-                    endpoint,
-                    attempt_id=request.metadata.attempt_id,
-                    sent_at=self._check.sent_at,
-                )
             if reader.head.status != 200 or not request.is_valid(reader.head):
-                if reader.complete or not is_open:
-                    return request.classify_failure(reader, endpoint)
+                if reader.complete or not run.is_open:
+                    return request.classify_failure(reader, run.endpoint)
                 continue
-            if self._forward_events(reader, job, endpoint):
+            if self._forward_events(reader, run.endpoint):
                 times_out_at = self._context.clock.monotonic() + gap_timeout_s
             if reader.complete:
-                return self._finish_stream(reader, job, endpoint)
-            if not is_open:
-                return SendFailure(
-                    cause="stream broke",
-                    may_have_run=True,
-                    connection_ended=True,
-                    endpoint=endpoint.id,
-                )
-
-    def _forward_events(self, reader, job, endpoint):
+                return self._find_missing_end(run)
+            if not run.is_open:
+                return run.end_within_answer("stream broke")
+
+    def _forward_events(self, reader, endpoint):
         """Forward the complete events received; return whether any carried data."""
         n_with_data = self._splitter.n_with_data
         events = self._splitter.feed(reader.take_body())
         if not events:
             return False
         has_data = self._splitter.n_with_data > n_with_data
-        if has_data and not job.has_started:
+        if has_data and not self.has_started:
+            self.has_started = True
             self._check.note_start()
-            self._context.dispatcher.jobs.report_first_event(job)
+            if self._on_start is not None:
+                self._on_start()
             self._record_first_event(endpoint)
         self._response.write_events(reader.head, events)
         return has_data
 
-    def _finish_stream(self, reader, job, endpoint):
-        if reader.is_close_delimited and not job.has_started:
+    def _find_missing_end(self, run):
+        """Return the failure of a stream that only looks complete, or None."""
+        reader = run.reader
+        if reader.is_close_delimited and not self.has_started:
             # An engine that ends as it begins to answer looks the same.
-            return SendFailure(
-                cause="stream without a length ends before its first event",
-                may_have_run=True,
-                connection_ended=True,
-                endpoint=endpoint.id,
+            return run.end_within_answer(
+                "stream without a length ends before its first event"
             )
         if self._splitter.has_partial_event:
-            return SendFailure(
-                cause="stream ends within an event",
-                may_have_run=True,
+            return run.end_within_answer(
+                "stream ends within an event",
                 connection_ended=reader.is_close_delimited,
-                endpoint=endpoint.id,
             )
-        self._check.note_answer()
-        self._response.finish_stream(reader.head, endpoint)
         return None
 
+    def finish(self, run):
+        """End the stream to the client after a complete run."""
+        self._response.finish_stream(run.reader.head, run.endpoint)
+
     def _record_first_event(self, endpoint):
         request = self._request
         after_s = self._context.clock.monotonic() - request.arrived_at
