serving: the kind of the route, not of the service, decides how a stream is served

Cause: Call serves the streams of services without an engine profile like calls. It keeps the whole answer and sends no Last-Event-Id, which the adapter takes out of the client's headers. Generation serves the same routes event by event. Evidence: request.sent has no last_event_id, the endpoints' headers lack it; the same route over engines alone holds. Change: Call forwards streams with StreamForwarder.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -1,10 +1,11 @@
-"""Requests to plain services, whose responses are forwarded only when complete."""
+"""Requests for which this node chooses the endpoints itself."""
 
 import gevent
 
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.endpoint_run import EndpointRun
+from savoryhill.serving.model import STREAM
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
     CONNECT_TIMEOUT_S,
@@ -12,11 +13,16 @@
     describe_break,
     describe_unreached,
 )
+from savoryhill.serving.stream_forwarder import StreamForwarder
 from savoryhill.serving.whole_answer import WholeAnswer
 
 
 class Call:
-    """Serves one request to a plain service."""
+    """Serves one request, with as many runs on endpoints as it needs.
+
+    The kind of its route decides what becomes of the endpoints' answers: streams are
+    forwarded as they arrive, all others once they are complete.
+    """
 
     def __init__(self, *, request, response, history):
         self._request = request
@@ -24,7 +30,14 @@
         self._history = history
         self._context = request.context
         self._check = CrashCheck(request=request)
-        self._answer = WholeAnswer(request=request, response=response, history=history)
+        if request.route.kind == STREAM:
+            self._answer = StreamForwarder(
+                request=request, response=response, history=history, check=self._check
+            )
+        else:
+            self._answer = WholeAnswer(
+                request=request, response=response, history=history
+            )
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
@@ -53,7 +66,9 @@
             if failure.blames_endpoint:
                 balancer.note_failure(endpoint, is_full=failure.is_full)
             request.avoided_endpoint_ids.add(endpoint.id)
-            if not request.allow_repeat(self._history, failure):
+            if not request.allow_repeat(
+                self._history, failure, has_started=self._answer.has_started
+            ):
                 self._response.fail(failure, self._history)
                 return
 
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -27,6 +27,8 @@
 ENGINE_FIGURES = {**ENGINE, "slots": 4, "pairs_per_m": 0.162}
 
 
+SPLIT = [{"service": "pool", "weight": 50}, {"service": "app", "weight": 50}]
+STREAM_PATHS = ("/chat/", "/once/", "/plain-chat/", "/plain-once/", "/split/")
 LIMITS = {"idleTimeoutMs": 15_000, "headerTimeoutMs": 3000}
 
 
@@ -43,6 +45,9 @@
         routes = [
             route("chat", "streaming", "pool", resumable=True),
             route("once", "streaming", "pool", resumable=False),
+            route("plain-chat", "streaming", "app", resumable=True),
+            route("plain-once", "streaming", "app", resumable=False),
+            route("split", "streaming", "pool", resumable=True, trafficSplit=SPLIT),
             route("order", "non_idempotent", "app", attempts=1),
             route("stock", "idempotent", "app"),
         ]
@@ -184,7 +189,7 @@
             "x-time-remaining": "4000",
             "authorization": "Bearer key-a",
         }
-        if path.startswith(("/chat/", "/once/")):
+        if path.startswith(STREAM_PATHS):
             values["x-token-counts"] = "1000,100"
         values.update({k.replace("_", "-"): v for k, v in headers.items()})
         pairs = [(k.encode(), v.encode()) for k, v in values.items() if v is not None]
--- /dev/null
+++ b/tests/serving/test_plain_streams.py
@@ -0,0 +1,146 @@
+"""Streams of services without engines, which the kind of the route decides."""
+
+import gevent
+import pytest
+
+from savoryhill.platform import names
+
+EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)]
+RESUMABLE_PATHS = ["/chat/x", "/plain-chat/x", "/split/x"]
+
+
+@pytest.fixture
+def endpoints(deployment):
+    """Two engines and two plain endpoints, by their ids."""
+    for number in range(2):
+        deployment.add_endpoint(f"e{number}", service="pool")
+        deployment.add_endpoint(f"app-{number}", service="app")
+    return deployment.endpoints_by_id
+
+
+def n_arrivals(endpoints):
+    return sum(len(endpoint.arrivals) for endpoint in endpoints.values())
+
+
+def fail_all(endpoints, fault):
+    for endpoint in endpoints.values():
+        endpoint.faults.append(fault)
+
+
+class TestResumedByTheClient:
+    @pytest.mark.parametrize("path", RESUMABLE_PATHS)
+    @pytest.mark.parametrize("last_id", [0, 4, 6, 9])
+    def test_only_later_events_are_sent(self, deployment, endpoints, path, last_id):
+        # Guards against a client that gets the events again which it had before its
+        # stream broke.
+        deployment.add_node()
+        for _ in range(4):
+            status, _, body, complete = deployment.ask(path, last_event_id=str(last_id))
+            assert (status, complete) == (200, True)
+            assert body == b"".join(EVENTS[last_id:])
+        sent = [a for each in endpoints.values() for a in each.arrivals]
+        ids = {dict(a.headers)[names.LAST_EVENT_ID] for a in sent}
+        assert ids == {str(last_id).encode()}
+
+
+class TestResumedByTheNode:
+    @pytest.mark.parametrize("fault", ["cut", "truncated", "unframed_reset"])
+    def test_stream_goes_on_at_another_endpoint(self, deployment, endpoints, fault):
+        first, second = endpoints["app-0"], endpoints["app-1"]
+        deployment.add_node()
+        first.faults.append(fault)
+        # Of two idle endpoints, either may be chosen.
+        for _ in range(20):
+            status, headers, body, complete = deployment.ask("/plain-chat/x")
+            assert (status, complete, body) == (200, True, b"".join(EVENTS))
+            if not first.faults:
+                break
+        resumed = second.arrivals[-1]
+        assert dict(resumed.headers)[names.LAST_EVENT_ID] == b"2"
+        # The response keeps the head of its first run.
+        assert headers[names.SIGNATURE] == b"app-0"
+
+    def test_stream_that_may_run_once_is_broken_off(self, deployment, endpoints):
+        fail_all(endpoints, "cut")
+        deployment.add_node()
+        status, _, body, complete = deployment.ask("/plain-once/x")
+        assert (status, complete, body) == (200, False, b"".join(EVENTS[:2]))
+        assert n_arrivals(endpoints) == 1
+
+    def test_stream_is_sent_to_no_more_endpoints_than_the_route_allows(
+        self, deployment, endpoints
+    ):
+        deployment.add_endpoint("app-2", service="app")
+        for endpoint in endpoints.values():
+            endpoint.faults.extend(["cut"] * 3)
+        deployment.add_node()
+        status, _, body, complete = deployment.ask("/plain-chat/x")
+        assert (status, complete, body) == (200, False, b"".join(EVENTS[:4]))
+        assert n_arrivals(endpoints) == 2
+
+
+class TestEvents:
+    def test_events_are_forwarded_without_delay(self, deployment, endpoints):
+        # Guards against a stream that is kept back until it is complete.
+        for endpoint in endpoints.values():
+            endpoint.event_interval_s = 0.3
+        node = deployment.add_node()
+        connection = deployment.open("/plain-chat/x")
+        with gevent.Timeout(0.6, AssertionError("no event was forwarded")):
+            while not connection.reader.body:
+                connection.receive(timeout_s=2.0)
+        assert node.context.n_running == 1
+        assert deployment.finish(connection)[2:] == (b"".join(EVENTS), True)
+
+    @pytest.mark.parametrize("path", ["/plain-chat/x", "/plain-once/x"])
+    def test_sound_endpoint_may_be_silent_for_a_second(
+        self, deployment, endpoints, path
+    ):
+        deployment.add_node()
+        for endpoint in endpoints.values():
+            endpoint.event_interval_s = 0.05
+        connection = deployment.open(path)
+        gevent.sleep(0.15)
+        now = deployment.nodes[0].context.clock.monotonic()
+        for endpoint in endpoints.values():
+            endpoint.silent_until = now + 1.25
+        assert deployment.finish(connection)[3]
+        assert n_arrivals(endpoints) == 1
+
+    def test_slow_stream_that_can_be_repeated_goes_on_elsewhere(
+        self, deployment, endpoints
+    ):
+        endpoints["app-0"].event_interval_s = 1.9
+        deployment.add_node()
+        with gevent.Timeout(4.0, AssertionError("the stream was not moved")):
+            while not endpoints["app-0"].arrivals:
+                status, _, body, complete = deployment.ask("/plain-chat/x")
+                assert (status, complete, body) == (200, True, b"".join(EVENTS))
+
+    def test_endpoint_stops_when_the_client_disconnects(self, deployment, endpoints):
+        # Guards against endpoints that keep working for a client that disconnected.
+        for endpoint in endpoints.values():
+            endpoint.n_events = 10_000
+        deployment.add_node()
+        connection = deployment.open("/plain-chat/x")
+        while b"piece 2" not in b"".join(connection.reader.body):
+            connection.receive(timeout_s=2.0)
+        connection.close()
+        deployment.wait_until(
+            lambda: sum(e.n_cancelled for e in endpoints.values()) == 1, limit_s=0.5
+        )
+
+    def test_failure_before_the_first_event_keeps_its_status(
+        self, deployment, endpoints
+    ):
+        fail_all(endpoints, "failing")
+        deployment.add_node()
+        status, headers, body, _ = deployment.ask("/plain-once/x")
+        assert (status, body) == (500, b"failed")
+        assert headers[names.SIGNATURE] in (b"app-0", b"app-1")
+
+    def test_start_of_a_stream_is_logged(self, deployment, endpoints):
+        deployment.add_node()
+        deployment.ask("/plain-chat/x")
+        (fields,) = deployment.lines[0].fields_of("stream.started")
+        assert fields["endpoint"] in ("app-0", "app-1")
