serving: a plain service's stream that ends within an event is broken off, tests

Cause: Call took the end of a connection for the end of a stream and never looked for a partial event. A crash between two events of a stream without framing remains indistinguishable from its end.

--- a/tests/serving/test_plain_streams.py
+++ b/tests/serving/test_plain_streams.py
@@ -144,3 +144,30 @@
         deployment.ask("/plain-chat/x")
         (fields,) = deployment.lines[0].fields_of("stream.started")
         assert fields["endpoint"] in ("app-0", "app-1")
+
+
+class TestBrokenOff:
+    @pytest.mark.parametrize("fault", ["unframed_cut", "unframed_reset", "truncated"])
+    def test_stream_that_ends_within_an_event_is_not_complete(
+        self, deployment, endpoints, fault
+    ):
+        # Guards against a stream whose endpoint ended reaching its client as a
+        # complete one.
+        fail_all(endpoints, fault)
+        deployment.add_node()
+        status, _, body, complete = deployment.ask("/plain-once/x")
+        assert (status, complete, body) == (200, False, b"".join(EVENTS[:2]))
+
+    def test_stream_without_a_length_and_without_an_event_is_not_complete(
+        self, deployment, endpoints
+    ):
+        fail_all(endpoints, "unframed_empty")
+        deployment.add_node()
+        assert deployment.ask("/plain-once/x")[0] == 502
+
+    def test_stream_without_a_length_that_ends_after_an_event_is_complete(
+        self, deployment, endpoints
+    ):
+        fail_all(endpoints, "unframed")
+        deployment.add_node()
+        assert deployment.ask("/plain-once/x")[2:] == (b"".join(EVENTS), True)
