serving: a configuration whose workspaces have no key lets nobody in

Cause: a key was asked for only if the table of keys had an entry. An empty table stands for 'nobody needs a key' and for 'nobody has one'. Change: the adapter decodes whether the configuration has the part at all.

--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -129,7 +129,10 @@
         return None
     routes, n_odd_routes = decode_each(content.get("routes"), decode_route)
     services, n_odd_services = decode_each(content.get("services"), _decode_service)
-    keys, n_odd_workspaces = decode_each(content.get("tenants") or [], _decode_keys)
+    # Without this part nobody needs a key; with it, also if it is empty or cannot be
+    # read, those without a key of a readable workspace are refused.
+    requires_key = "tenants" in content
+    keys, n_odd_workspaces = decode_each(content.get("tenants", []), _decode_keys)
     routes_by_host = {}
     for route in routes:
         routes_by_host.setdefault(route.host, []).append(route)
@@ -143,6 +146,7 @@
         workspaces_by_key={
             key: workspace for pairs in keys for key, workspace in pairs
         },
+        requires_key=requires_key,
         limits=_decode_limits(content.get("limits")),
         n_unreadable=n_odd_routes + n_odd_services + n_odd_workspaces,
     )
@@ -159,12 +163,21 @@
 
 
 def _decode_keys(item):
-    """Return the keys of a workspace, each with the workspace."""
+    """Return the keys of a workspace, each with the workspace.
+
+    Raises
+    ------
+    ValueError
+        If a field is invalid. A workspace without the list of keys has none.
+    """
     priority = item.get("priority")
     if priority is not None:
         priority = int(read_number(item, "priority"))
     workspace = Workspace(name=read_text(item, "name"), priority=priority)
-    return [(key, workspace) for key in item.get("keys", ()) if is_text(key)]
+    keys = item.get("keys") or []
+    if not isinstance(keys, list):
+        raise ValueError(f"keys: expected a list, got {type(keys).__name__}")
+    return [(key, workspace) for key in keys if is_text(key)]
 
 
 def _decode_limits(item):
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -87,7 +87,7 @@
         if route is None:
             return 404, "no route matches"
         workspace = None
-        if configuration.workspaces_by_key and not route.is_public:
+        if configuration.requires_key and not route.is_public:
             workspace = configuration.workspaces_by_key.get(request.metadata.key)
             if workspace is None:
                 return 401, "the key is unknown"
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -76,13 +76,16 @@
 class ServingConfiguration:
     """One version of the configuration in force.
 
-    ``n_unreadable`` counts the parts that could not be read and were left out.
+    ``requires_key`` tells whether routes that are not public need the key of a
+    workspace, also if no workspace has a key any more. ``n_unreadable`` counts the
+    parts that could not be read and were left out.
     """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     services_by_name: dict[str, Service]
     workspaces_by_key: dict[str, Workspace]
+    requires_key: bool
     limits: ClientLimits = field(default_factory=ClientLimits)
     n_unreadable: int = 0
 
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -39,8 +39,13 @@
     other_keys=(),
     limits=LIMITS,
     engine=ENGINE_FIGURES,
+    left_out=(),
+    **parts,
 ):
-    """Return a configuration in the format that the operator writes."""
+    """Return a configuration in the format that the operator writes.
+
+    ``parts`` replace those of the same name; those in ``left_out`` are missing.
+    """
     if routes is None:
         routes = [
             route("chat", "streaming", "pool", resumable=True),
@@ -51,7 +56,7 @@
             route("order", "non_idempotent", "app", attempts=1),
             route("stock", "idempotent", "app"),
         ]
-    return {
+    content = {
         "version": version,
         "routes": routes,
         "services": [
@@ -64,6 +69,8 @@
             {"name": "ws-b", "keys": list(other_keys), "priority": 1},
         ],
     }
+    content.update(parts)
+    return {name: part for name, part in content.items() if name not in left_out}
 
 
 class RecordedLogLines:
@@ -95,9 +102,16 @@
     n_requests: int = 0
 
     def configure(self, **fields):
-        """Write a configuration to the store."""
+        """Write a configuration to the store; return its value."""
         value = json.dumps(configuration(**fields)).encode()
         self.store.put("op/config", value)
+        return value
+
+    def configure_nodes(self, *, version, **fields):
+        """Write a configuration and wait until all nodes have it in force."""
+        self.configure(version=version, **fields)
+        views = [node.context.cluster_view for node in self.nodes]
+        wait_until(lambda: all(v.configuration.version == version for v in views))
 
     def add_endpoint(
         self, endpoint_id, *, service, zone="zone-a", release="v1", **fields
