serving: bound what a node keeps of all answers together

Cause: each answer is bounded (16 MiB), the sum is not. Change: a budget of a sixth of the memory that the settings name. A body is not copied any more to be written.

--- a/src/savoryhill/platform/boot_settings.py
+++ b/src/savoryhill/platform/boot_settings.py
@@ -7,6 +7,10 @@
 from savoryhill.platform.json_values import is_address, is_number
 from savoryhill.platform.names import SETTINGS_VARIABLE
 
+BYTES_PER_MB = 1_000_000
+# Assumed if the platform names no limit.
+DEFAULT_MEMORY_MB = 300.0
+
 
 @dataclass(frozen=True, kw_only=True)
 class ServingSettings:
@@ -18,7 +22,8 @@
     fields are bounds set by the platform. ``repeat_slack`` is the number of repeated
     sends that all nodes together may make beyond ``repeat_ratio`` of the requests in
     ``repeat_window_s``. ``capacity`` is the relative capacity of the node: usable
-    processor cores times network bandwidth in Mbit/s.
+    processor cores times network bandwidth in Mbit/s. ``memory_bytes`` is what the
+    process may use before the platform ends it.
     """
 
     node: str
@@ -33,6 +38,7 @@
     repeat_window_s: float
     capacity: float = 1.0
     relay_address: str = ""
+    memory_bytes: float = DEFAULT_MEMORY_MB * BYTES_PER_MB
 
 
 def parse_assignments(text):
@@ -133,6 +139,8 @@
         capacity=number_or_default("limits.cpuShare", 1.0)
         * number_or_default("limits.cores", 1.0)
         * number_or_default("limits.bandwidthMbps", 1.0),
+        memory_bytes=number_or_default("limits.memoryMb", DEFAULT_MEMORY_MB)
+        * BYTES_PER_MB,
     )
     if findings:
         raise SettingsError(f"settings file {path}:\n" + "\n".join(findings))
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from savoryhill.core.buffers import BufferBudget
 from savoryhill.observability.metrics import observe
 from savoryhill.serving.balancing import Balancer
 from savoryhill.serving.cluster_view import ClusterView
@@ -32,6 +33,7 @@
 class NodeContext:
     """State and services of one node.
 
+    ``answer_budget`` bounds what is kept of the responses of endpoints.
     ``log(event, **fields)`` writes a log line. ``draining_since`` is None until the
     node shuts down; from then on, requests are served as before until
     ``accepts_all_until``, and the node stops at ``stops_at``. ``n_reading`` counts the
@@ -50,6 +52,7 @@
     endpoint_statements: EndpointStatements
     turns: Turns
     ways: EndpointWays
+    answer_budget: BufferBudget
     metrics: object
     log: object
     draining_since: float | None = None
--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -2,13 +2,15 @@
 
 from dataclasses import replace
 
+from savoryhill.errors import MalformedMessageError
 from savoryhill.serving.served_request import RECHECK_S, SendFailure
 
 
 class EndpointRun:
     """A request that is about to be sent to an endpoint on a connection of its own.
 
-    ``is_open`` tells whether the endpoint may still send something.
+    ``is_open`` tells whether the endpoint may still send something, and
+    ``n_partial_bytes`` how much is kept of its response besides what the reader holds.
 
     Parameters
     ----------
@@ -30,9 +32,11 @@
         self._history = history
         self._check = check
         self._is_head_noted = False
+        self._buffer = request.open_answer_buffer(endpoint, on_evict=self._drop)
         self.endpoint = endpoint
         self.connection = connection
         self.is_open = True
+        self.n_partial_bytes = 0
         history.n_runs += 1
         check.note_sent(endpoint, connection)
 
@@ -66,10 +70,37 @@
         try:
             self.is_open = self.connection.receive(timeout_s=min(wait_s, RECHECK_S))
         except TimeoutError:
-            return None
+            pass
+        except (OSError, MalformedMessageError):
+            if not self._buffer.is_evicted:
+                raise
         finally:
             self._note_head()
-        return None
+        return self._count_kept_bytes()
+
+    def _count_kept_bytes(self):
+        """Return the failure of a response that is too large beside all others."""
+        n_bytes = self.reader.n_buffered_bytes + self.n_partial_bytes
+        self._context.answer_budget.resize(self._buffer, n_bytes)
+        if not self._buffer.is_evicted:
+            return None
+        self.reader.take_body()
+        limit_bytes = self._context.answer_budget.limit_bytes()
+        return SendFailure(
+            cause=f"all answers together exceed {limit_bytes} bytes, "
+            "and this one is the largest of its endpoint",
+            may_have_run=True,
+            endpoint=self.endpoint.id,
+        )
+
+    def _drop(self):
+        """Free the memory of the response at once, and end its connection."""
+        self.reader.take_body()
+        self.connection.abort()
+
+    def end_reception(self):
+        """Keep what has been received until the request ends, whatever else comes."""
+        self._buffer.is_evictable = False
 
     def _note_head(self):
         """Take in what the endpoint says of itself, as soon as it has said it."""
@@ -96,6 +127,10 @@
         """Count a failed run; return its failure with what it turned out to be."""
         failure = self._request.judge_end(failure, self.endpoint, self.connection)
         self._check.note_failure(failure, self.endpoint)
+        if failure.body:
+            self.end_reception()
+        else:
+            self._context.answer_budget.close(self._buffer)
         if not failure.may_have_run:
             self._history.n_runs -= 1
             self._history.n_refused += 1
--- a/src/savoryhill/serving/event_splitter.py
+++ b/src/savoryhill/serving/event_splitter.py
@@ -76,6 +76,11 @@
         self.last_id = event_id
         return True
 
+    @property
+    def n_partial_bytes(self):
+        """Return how many bytes of an incomplete event the buffer holds."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self):
         """Tell whether the buffer holds a part of an event."""
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -71,7 +71,13 @@
             request.service.engine is not None and request.route.kind == STREAM
         )
         handler_type = Generation if is_generation else Call
-        handler_type(request=request, response=self._response, history=history).run()
+        handler = handler_type(
+            request=request, response=self._response, history=history
+        )
+        try:
+            handler.run()
+        finally:
+            request.close_answer_buffers()
 
     def _admit(self):
         """Validate the request; return a status and a cause if it is refused."""
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -174,15 +174,16 @@
 class ResponseReader:
     """Parses one response; ``body`` holds the parts not yet consumed.
 
-    At most ``max_buffered_bytes`` of the body are kept until they are consumed.
+    At most ``max_buffered_bytes`` of the body are kept until they are consumed;
+    ``n_buffered_bytes`` are at present.
     """
 
     def __init__(self, *, max_buffered_bytes=MAX_BUFFERED_BYTES):
         self._parser = httptools.HttpResponseParser(self)
         self._max_buffered_bytes = max_buffered_bytes
-        self._n_buffered_bytes = 0
         self._n_unused_bytes = 0
         self._headers = []
+        self.n_buffered_bytes = 0
         self.head = None
         self.body = []
         self.complete = False
@@ -216,7 +217,7 @@
             raise MalformedMessageError(
                 f"over {MAX_UNUSED_BYTES} bytes carry neither a head nor a body"
             )
-        if self._n_buffered_bytes > self._max_buffered_bytes:
+        if self.n_buffered_bytes > self._max_buffered_bytes:
             raise MalformedMessageError(
                 f"the body exceeds {self._max_buffered_bytes} bytes"
             )
@@ -255,7 +256,7 @@
         """Collect a part of the body."""
         if not self.complete:
             self.body.append(data)
-            self._n_buffered_bytes += len(data)
+            self.n_buffered_bytes += len(data)
             self._n_unused_bytes = 0
 
     def on_message_complete(self):
@@ -267,7 +268,7 @@
         """Return the body received so far and clear the buffer."""
         data = b"".join(self.body)
         self.body.clear()
-        self._n_buffered_bytes = 0
+        self.n_buffered_bytes = 0
         return data
 
 
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 from savoryhill.clock import system_clock
+from savoryhill.core.buffers import BufferBudget
 from savoryhill.core.observations.rate_limits import RateLimiter
 from savoryhill.errors import MalformedMessageError, SettingsError
 from savoryhill.observability.metrics import Metrics, observe, prometheus_text
@@ -65,6 +66,9 @@
 DRAIN_ACCEPT_S = 3.0
 # Part of the grace period in which requests begin that may not end within the rest.
 ACCEPT_SHARE = 0.5
+# Part of the process's memory for what is kept of endpoints' responses. A response is
+# copied once while it is written to its client.
+ANSWER_SHARE = 1.0 / 6.0
 
 
 class ServingNode:
@@ -189,6 +193,9 @@
             endpoint_statements=endpoint_statements,
             turns=turns,
             ways=ways,
+            answer_budget=BufferBudget(
+                limit_bytes=lambda: int(ANSWER_SHARE * self._settings.memory_bytes)
+            ),
             metrics=metrics,
             log=log,
         )
--- a/src/savoryhill/serving/response_writer.py
+++ b/src/savoryhill/serving/response_writer.py
@@ -7,6 +7,8 @@
 RETRY_AFTER_S = 0.5
 # Writes may take this long even after the client's deadline, for slow readers.
 MIN_WRITE_TIMEOUT_S = 0.05
+# Smaller bodies are written together with their head, without a packet of their own.
+MAX_JOINED_BYTES = 65_536
 
 
 class ResponseWriter:
@@ -54,7 +56,12 @@
         headers = platform_headers.returned_headers(head)
         headers.append((b"content-length", str(len(body)).encode()))
         self._add_connection_header(headers)
-        self._write(encode_head(head.status, headers) + body)
+        data = encode_head(head.status, headers)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._write(data + body)
+        else:
+            self._write(data)
+            self._write(body)
         self._record_outcome(outcome, head.status, endpoint_id, cause)
 
     def fail(self, failure, history, *, retry_after_s=RETRY_AFTER_S):
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -83,6 +83,7 @@
         self.needs_budget = False
         self.part_digests = ()
         self.digest = ""
+        self._answer_buffers = []
 
     @property
     def id(self):
@@ -112,6 +113,17 @@
             body_digest=self.message.body_digest,
         )
 
+    def open_answer_buffer(self, endpoint, *, on_evict):
+        """Return the buffer for what is kept of an endpoint's response."""
+        buffer = self.context.answer_budget.open(endpoint.id, on_evict=on_evict)
+        self._answer_buffers.append(buffer)
+        return buffer
+
+    def close_answer_buffers(self):
+        """Give back what was kept of the responses, once the request has ended."""
+        for buffer in self._answer_buffers:
+            self.context.answer_budget.close(buffer)
+
     def time_left_s(self):
         """Return the seconds until the final response is due."""
         return self.deadline_at - self.context.clock.monotonic()
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -115,17 +115,19 @@
                 if reader.complete or not run.is_open:
                     return request.classify_failure(reader, run.endpoint)
                 continue
-            if self._forward_events(reader, run.endpoint):
+            if self._forward_events(run):
                 times_out_at = self._context.clock.monotonic() + gap_timeout_s
             if reader.complete:
                 return self._find_missing_end(run)
             if not run.is_open:
                 return run.end_within_answer("stream broke")
 
-    def _forward_events(self, reader, endpoint):
+    def _forward_events(self, run):
         """Forward the complete events received; return whether any carried data."""
+        reader = run.reader
         n_with_data = self._splitter.n_with_data
         events = self._splitter.feed(reader.take_body())
+        run.n_partial_bytes = self._splitter.n_partial_bytes
         if not events:
             return False
         has_data = self._splitter.n_with_data > n_with_data
@@ -134,7 +136,7 @@
             self._check.note_start()
             if self._on_start is not None:
                 self._on_start()
-            self._record_first_event(endpoint)
+            self._record_first_event(run.endpoint)
         self._response.write_events(reader.head, events)
         return has_data
 
--- a/src/savoryhill/serving/whole_answer.py
+++ b/src/savoryhill/serving/whole_answer.py
@@ -58,6 +58,7 @@
                 return failure
             if not run.is_open and not reader.complete:
                 return run.end_within_answer("closed within the answer")
+        run.end_reception()
         if reader.head.status >= 300 or not self._request.is_valid(reader.head):
             return self._request.classify_failure(reader, run.endpoint)
         return None
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 from gevent.event import Event
+from gevent.server import StreamServer
 
 from savoryhill.clock import system_clock
 from savoryhill.platform.boot_settings import ServingSettings
@@ -239,6 +240,40 @@
             server.stop(timeout=0)
 
 
+class ScriptedEndpoint:
+    """Sends the same bytes in answer to every request, until the caller closes."""
+
+    def __init__(self, *, first, repeated, interval_s=0.0):
+        self.first = first
+        self.repeated = repeated
+        self.interval_s = interval_s
+        self.n_requests = 0
+        self.n_sent_bytes = 0
+        self.n_closed = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def _serve(self, sock, _address):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            data = sock.recv(65_536)
+            if not data:
+                # A node may connect only to see whether the endpoint is there.
+                return
+            received += data
+        self.n_requests += 1
+        _, _, rest = received.partition(b"x-attempt-id: ")
+        try:
+            sock.sendall(self.first.replace(b"%b", rest.split(b"\r\n")[0]))
+            while True:
+                sock.sendall(self.repeated)
+                self.n_sent_bytes += len(self.repeated)
+                gevent.sleep(self.interval_s)
+        except OSError:
+            self.n_closed += 1
+
+
 def wait_until(condition, *, limit_s=5.0):
     """Wait until a condition holds."""
     with gevent.Timeout(limit_s, AssertionError(f"{condition} did not hold in time")):
@@ -301,3 +336,22 @@
     running.configure()
     yield running
     running.stop()
+
+
+@pytest.fixture(name="scripted_endpoint")
+def fixture_scripted_endpoint():
+    """The class of endpoints that send the same bytes in answer to every request."""
+    return ScriptedEndpoint
+
+
+@pytest.fixture
+def start_scripted(deployment):
+    """Start a scripted endpoint and register it."""
+
+    def start(endpoint_id, *, service, **script):
+        endpoint = ScriptedEndpoint(**script)
+        deployment.servers.append(endpoint.server)
+        deployment.register(endpoint_id, service=service, address=endpoint.address)
+        return endpoint
+
+    return start
--- a/tests/serving/test_endless_endpoints.py
+++ b/tests/serving/test_endless_endpoints.py
@@ -2,7 +2,6 @@
 
 import gevent
 import pytest
-from gevent.server import StreamServer
 
 from savoryhill.errors import MalformedMessageError, OutcomeUnknownError
 from savoryhill.platform import names
@@ -35,53 +34,6 @@
 }
 
 
-class ScriptedEndpoint:
-    """Sends the same bytes in answer to every request, until the caller closes."""
-
-    def __init__(self, *, first, repeated, interval_s=0.0):
-        self.first = first
-        self.repeated = repeated
-        self.interval_s = interval_s
-        self.n_requests = 0
-        self.n_sent_bytes = 0
-        self.n_closed = 0
-        self.server = StreamServer(("127.0.0.1", 0), self._serve)
-        self.server.start()
-        self.address = f"127.0.0.1:{self.server.server_port}"
-
-    def _serve(self, sock, _address):
-        received = b""
-        while b"\r\n\r\n" not in received:
-            data = sock.recv(65_536)
-            if not data:
-                # A node may connect only to see whether the endpoint is there.
-                return
-            received += data
-        self.n_requests += 1
-        _, _, rest = received.partition(b"x-attempt-id: ")
-        try:
-            sock.sendall(self.first.replace(b"%b", rest.split(b"\r\n")[0]))
-            while True:
-                sock.sendall(self.repeated)
-                self.n_sent_bytes += len(self.repeated)
-                gevent.sleep(self.interval_s)
-        except OSError:
-            self.n_closed += 1
-
-
-@pytest.fixture
-def start_scripted(deployment):
-    """Start a scripted endpoint and register it."""
-
-    def start(endpoint_id, *, service, **script):
-        endpoint = ScriptedEndpoint(**script)
-        deployment.servers.append(endpoint.server)
-        deployment.register(endpoint_id, service=service, address=endpoint.address)
-        return endpoint
-
-    return start
-
-
 class TestEndlessBytes:
     @pytest.mark.parametrize("kind", ENDLESS)
     def test_stream_goes_on_at_another_endpoint(self, deployment, start_scripted, kind):
@@ -137,10 +89,12 @@
         _, _, _, complete = deployment.finish(connection)
         assert not complete
 
-    def test_trickled_answer_of_the_store_ends_at_the_timeout(self, clock):
+    def test_trickled_answer_of_the_store_ends_at_the_timeout(
+        self, clock, scripted_endpoint
+    ):
         # Guards against a store call that lasts as long as a byte arrives now and
         # then, which hides from the node that it is cut off.
-        endpoint = ScriptedEndpoint(
+        endpoint = scripted_endpoint(
             first=b"HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n",
             repeated=b" ",
             interval_s=0.05,
