serving: bound what a node keeps of all request bodies together

Callers saw: nothing yet; found beside the report on endless answers. 60 clients that send 4 MB each at once are all read, and kept in three copies: 720 MB where the platform ends a process at 300. Change: a budget of a sixth of the memory. Parts of a body are freed once they are joined.

--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -7,6 +7,7 @@
 from savoryhill.serving.exchange import Exchange
 from savoryhill.serving.http import RequestReader, encode_head
 from savoryhill.serving.model import ClientLimits
+from savoryhill.serving.response_writer import RETRY_AFTER_S
 
 RECV_BYTES = 65_536
 # Reading stops once a client has sent more than this while its request is running.
@@ -65,13 +66,24 @@
         self._has_served = False
         self._is_reading = False
         self._limits = configuration.limits if configuration else ClientLimits()
+        self._body_buffer = context.body_budget.open("clients")
         self._reader = RequestReader(
             max_header_bytes=self._limits.max_header_bytes,
             max_body_bytes=self._limits.max_body_bytes,
+            may_keep_body=self._resize_body_buffer,
         )
 
+    def _resize_body_buffer(self, n_bytes):
+        return self._context.body_budget.try_resize(self._body_buffer, n_bytes)
+
     def serve(self):
         """Serve requests until either side closes the connection."""
+        try:
+            self._serve_requests()
+        finally:
+            self._context.body_budget.close(self._body_buffer)
+
+    def _serve_requests(self):
         keep_alive = True
         while keep_alive:
             try:
@@ -107,6 +119,7 @@
                 return False
             finally:
                 self._context.n_running -= 1
+                self._resize_body_buffer(0)
         self._has_served = True
         if watcher.pipelined:
             self._feed(bytes(watcher.pipelined))
@@ -172,10 +185,18 @@
 
     def _refuse(self, status):
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        if status == 503:
+            headers.append((b"retry-after", b"%.2f" % RETRY_AFTER_S))
         self._context.log("client.refused", status=status)
         self._sock.settimeout(REFUSAL_TIMEOUT_S)
         try:
-            self._sock.sendall(encode_head(status, headers))
+            with gevent.Timeout(REFUSAL_TIMEOUT_S, TimeoutError):
+                self._sock.sendall(encode_head(status, headers))
+                self._sock.shutdown(gsocket.SHUT_WR)
+                # Closing with unread bytes resets the connection, and the client may
+                # lose the refusal.
+                while self._sock.recv(RECV_BYTES):
+                    pass
         except OSError:
             # The client has disconnected; the caller closes the connection.
             return
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -33,7 +33,8 @@
 class NodeContext:
     """State and services of one node.
 
-    ``answer_budget`` bounds what is kept of the responses of endpoints.
+    ``answer_budget`` bounds what is kept of the responses of endpoints, and
+    ``body_budget`` what is kept of the bodies of requests.
     ``log(event, **fields)`` writes a log line. ``draining_since`` is None until the
     node shuts down; from then on, requests are served as before until
     ``accepts_all_until``, and the node stops at ``stops_at``. ``n_reading`` counts the
@@ -53,6 +54,7 @@
     turns: Turns
     ways: EndpointWays
     answer_budget: BufferBudget
+    body_budget: BufferBudget
     metrics: object
     log: object
     draining_since: float | None = None
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -57,12 +57,21 @@
 
     ``started`` tells whether part of a request has been received. ``error_status`` is
     the status with which a malformed or too large request is refused.
+
+    Parameters
+    ----------
+    max_header_bytes, max_body_bytes : int
+        Limits of one request.
+    may_keep_body : callable or None
+        Takes the bytes of a body that have arrived so far, and returns whether there is
+        memory for them. The request is refused with 503 if not.
     """
 
-    def __init__(self, *, max_header_bytes, max_body_bytes):
+    def __init__(self, *, max_header_bytes, max_body_bytes, may_keep_body=None):
         self._parser = httptools.HttpRequestParser(self)
         self._max_header_bytes = max_header_bytes
         self._max_body_bytes = max_body_bytes
+        self._may_keep_body = may_keep_body
         self.requests = deque()
         self.started = False
         self.in_body = False
@@ -140,6 +149,11 @@
             raise MalformedMessageError(
                 f"request body exceeds {self._max_body_bytes} bytes"
             )
+        if self._may_keep_body and not self._may_keep_body(self._n_body_bytes):
+            self.error_status = 503
+            raise MalformedMessageError(
+                f"no memory for a request body of {self._n_body_bytes} bytes or more"
+            )
         self._body.append(data)
         self._body_digest.update(data)
 
@@ -155,6 +169,7 @@
                 keep_alive=self._parser.should_keep_alive(),
             )
         )
+        self._body = []
         self.started = False
         self.in_body = False
 
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -69,6 +69,8 @@
 # Part of the process's memory for what is kept of endpoints' responses. A response is
 # copied once while it is written to its client.
 ANSWER_SHARE = 1.0 / 6.0
+# The same for the bodies of requests, which are copied while they are sent.
+BODY_SHARE = 1.0 / 6.0
 
 
 class ServingNode:
@@ -196,6 +198,9 @@
             answer_budget=BufferBudget(
                 limit_bytes=lambda: int(ANSWER_SHARE * self._settings.memory_bytes)
             ),
+            body_budget=BufferBudget(
+                limit_bytes=lambda: int(BODY_SHARE * self._settings.memory_bytes)
+            ),
             metrics=metrics,
             log=log,
         )
--- a/tests/serving/test_kept_bytes.py
+++ b/tests/serving/test_kept_bytes.py
@@ -75,3 +75,60 @@
         assert {status for status, *_ in answers} <= {502, 504}
         assert peak.growth_bytes < MAX_GROWTH_BYTES
         assert endless.n_closed == endless.n_requests
+
+
+N_LARGE = 60
+LARGE_BODY = b"x" * 4_000_000
+
+
+class LargeRequest:
+    """A client that sends a large body, and reads the answer meanwhile."""
+
+    def __init__(self, *, deployment, number):
+        self.attempt_id = f"large-{number}"
+        self._connection = deployment.connect()
+        self._reading = gevent.spawn(deployment.finish, self._connection)
+        self._writing = gevent.spawn(self._write)
+
+    def _write(self):
+        head = (
+            f"POST /order/x HTTP/1.1\r\nhost: site.example\r\n"
+            f"x-attempt-id: {self.attempt_id}\r\nx-time-remaining: 4000\r\n"
+            f"authorization: Bearer key-a\r\ncontent-length: {len(LARGE_BODY)}\r\n\r\n"
+        )
+        try:
+            self._connection.sock.sendall(head.encode())
+            self._connection.sock.sendall(LARGE_BODY)
+        except OSError:
+            # The node has refused the request before it was sent.
+            return
+
+    def result(self):
+        """Return the status and the headers of the answer."""
+        return self._reading.get()[:2]
+
+
+class TestLargeBodies:
+    def test_node_keeps_a_part_of_its_memory_at_most(self, deployment, peak):
+        # Guards against clients that end the node, and with it the requests of
+        # others, by large bodies sent at once.
+        endpoint = deployment.add_endpoint("a1", service="app", response_delay_s=0.5)
+        deployment.add_endpoint("e1", service="pool")
+        deployment.add_node()
+        large = [LargeRequest(deployment=deployment, number=n) for n in range(N_LARGE)]
+        gevent.sleep(0.2)
+        small = ask_many(deployment, "/chat/y", 20)
+        assert [each.get()[::3] for each in small] == [(200, True)] * 20
+        results = {each.attempt_id: each.result() for each in large}
+        run_ids = {arrival.attempt_id for arrival in endpoint.arrivals}
+        served = {name for name, (status, _) in results.items() if status == 200}
+        refused = {name for name, (status, _) in results.items() if status == 503}
+        assert served | refused == results.keys()
+        # The others are told that they have not run, and when to come back.
+        assert served <= run_ids and not refused & run_ids
+        assert all(b"retry-after" in results[name][1] for name in refused)
+        assert len(served) >= 5 and len(refused) >= 5
+        assert peak.growth_bytes < 250_000_000
+        deployment.wait_until(
+            lambda: not deployment.nodes[0].context.body_budget.n_bytes
+        )
