serving: a stream with events without ids is not begun anew

Callers saw: if a stream broke after an event without an id, another run sent the same events again, in one response. Cause: a later run goes on after the last id; without one it begins at the first event. Evidence: the test failed before for engines and for plain services. Change: such an event ends the request's right to be repeated.

--- a/src/savoryhill/serving/event_splitter.py
+++ b/src/savoryhill/serving/event_splitter.py
@@ -19,7 +19,8 @@
 
     ``last_id`` is the highest event id so far, or None. ``n_with_data`` counts the
     events that carried data; comments, which an engine may send while it is stalled,
-    do not.
+    do not. ``has_unnumbered`` tells whether one of them had no id, so that no other run
+    can go on after it.
 
     Parameters
     ----------
@@ -31,6 +32,14 @@
         self._buffer = b""
         self.last_id = last_id
         self.n_with_data = 0
+        self.has_unnumbered = False
+
+    def begin_run(self):
+        """Discard the partial event of an earlier run.
+
+        It must not be joined with the first event of the next one.
+        """
+        self._buffer = b""
 
     def feed(self, data):
         """Return the events that these bytes complete.
@@ -53,9 +62,15 @@
             search_from = 0
             if self._is_new(event):
                 events.append(event)
-                self.n_with_data += _DATA_LINE.search(event) is not None
+                self._note_data(event)
         return events
 
+    def _note_data(self, event):
+        if _DATA_LINE.search(event) is None:
+            return
+        self.n_with_data += 1
+        self.has_unnumbered |= _ID_LINE.search(event) is None
+
     def _check_partial_event(self):
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise MalformedMessageError(
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -60,9 +60,7 @@
         on_start : callable or None
             Called without arguments at its first event.
         """
-        # Discards the partial event of an earlier run, which must not be joined with
-        # the first event of this one.
-        self._splitter = EventSplitter(last_id=self._splitter.last_id)
+        self._splitter.begin_run()
         self._on_start = on_start
         self.has_started = False
         return started_at + self._silence_limit_s(first_event_timeout_s(usual_s))
@@ -130,6 +128,9 @@
         run.n_partial_bytes = self._splitter.n_partial_bytes
         if not events:
             return False
+        if self._splitter.has_unnumbered:
+            # Another run would send its events again.
+            self._history.may_repeat = False
         has_data = self._splitter.n_with_data > n_with_data
         if has_data and not self.has_started:
             self.has_started = True
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -241,7 +241,10 @@
 
 
 class ScriptedEndpoint:
-    """Sends the same bytes in answer to every request, until the caller closes."""
+    """Sends the same bytes in answer to every request, until the caller closes.
+
+    It closes the connection after ``first`` if ``repeated`` is None.
+    """
 
     def __init__(self, *, first, repeated, interval_s=0.0):
         self.first = first
@@ -266,7 +269,7 @@
         _, _, rest = received.partition(b"x-attempt-id: ")
         try:
             sock.sendall(self.first.replace(b"%b", rest.split(b"\r\n")[0]))
-            while True:
+            while self.repeated is not None:
                 sock.sendall(self.repeated)
                 self.n_sent_bytes += len(self.repeated)
                 gevent.sleep(self.interval_s)
--- a/tests/serving/test_plain_streams.py
+++ b/tests/serving/test_plain_streams.py
@@ -171,3 +171,24 @@
         fail_all(endpoints, "unframed")
         deployment.add_node()
         assert deployment.ask("/plain-once/x")[2:] == (b"".join(EVENTS), True)
+
+
+class TestEventsWithoutIds:
+    @pytest.mark.parametrize("path", ["/chat/x", "/plain-chat/x"])
+    def test_stream_that_breaks_after_one_does_not_begin_anew(
+        self, deployment, start_scripted, path
+    ):
+        # Guards against events that a client gets twice, as no run can go on after an
+        # event without an id.
+        service = "pool" if path == "/chat/x" else "app"
+        event = b"data: piece\n\n"
+        head = b"HTTP/1.1 200 OK\r\nx-attempt-id: %b\r\nx-response-signature: s\r\n"
+        broken = head + b"content-length: 99\r\n\r\n" + event
+        endpoints = [
+            start_scripted(f"x{n}", service=service, first=broken, repeated=None)
+            for n in range(2)
+        ]
+        deployment.add_node()
+        status, _, body, complete = deployment.ask(path)
+        assert (status, complete, body) == (200, False, event)
+        assert sum(each.n_requests for each in endpoints) == 1
