serving: Last-Event-Id means something only on resumable streams

Callers saw: on other routes 400 for a value that is no number, an event id that did not reach the endpoint, and on streams that can't be resumed the first events left out of an answer whose endpoint had begun anew. Cause: the adapter takes the header out and reads it for all routes alike. Change: elsewhere it is forwarded as it came; on resumable streams only whole numbers of up to 18 digits are ids.

--- a/src/savoryhill/platform/headers.py
+++ b/src/savoryhill/platform/headers.py
@@ -15,12 +15,12 @@
         names.URGENCY,
         names.HELPERS,
         names.AUTHORIZATION,
-        names.LAST_EVENT_ID,
     )
 )
 _BEARER = b"bearer "
 # Larger numbers don't fit into the fields of the messages between nodes.
 MAX_NUMBER = 2.0**53
+MAX_EVENT_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,10 +28,12 @@
     """Metadata that a client sends in the headers of a request.
 
     ``remaining_s`` is the time for which the client still waits. ``key`` is its API
-    key. ``last_event_id`` is the event after which a stream resumes. ``shared_parts``
+    key. ``last_event_id`` is the event after which a stream resumes, and
+    ``has_invalid_event_id`` tells that it is not the id of an event. ``shared_parts``
     holds the ids of the parts that the prompt may share with others: all but the last.
     Fields are None, and token counts 0, if the header is missing or invalid.
-    ``invalid_header`` names a header whose number is malformed, negative or too large.
+    ``invalid_header`` names another header whose number is malformed, negative or too
+    large.
     """
 
     attempt_id: bytes | None
@@ -40,6 +42,7 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: int | None
+    has_invalid_event_id: bool = False
     invalid_header: str | None = None
     shared_parts: tuple[str, ...] = ()
 
@@ -51,7 +54,6 @@
     numbers_by_header = {
         names.TOKEN_COUNTS: (_parse_number(prompt), _parse_number(answer or b"0")),
         names.TIME_REMAINING: (_parse_header(request, names.TIME_REMAINING),),
-        names.LAST_EVENT_ID: (_parse_header(request, names.LAST_EVENT_ID),),
     }
     invalid_headers = [
         name.decode()
@@ -60,14 +62,16 @@
     ]
     prompt_tokens, answer_tokens = numbers_by_header[names.TOKEN_COUNTS]
     (remaining_ms,) = numbers_by_header[names.TIME_REMAINING]
-    (last_event,) = numbers_by_header[names.LAST_EVENT_ID]
+    last_event_id = request.header(names.LAST_EVENT_ID)
+    has_event_id = last_event_id is not None and _is_event_id(last_event_id)
     return RequestMetadata(
         attempt_id=request.header(names.ATTEMPT_ID),
         remaining_s=None if remaining_ms is None else remaining_ms / 1000,
         key=_parse_bearer_token(request.header(names.AUTHORIZATION)),
         prompt_tokens=int(prompt_tokens or 0),
         answer_tokens=int(answer_tokens or 0),
-        last_event_id=None if last_event is None else int(last_event),
+        last_event_id=int(last_event_id) if has_event_id else None,
+        has_invalid_event_id=last_event_id is not None and not has_event_id,
         invalid_header=invalid_headers[0] if invalid_headers else None,
         shared_parts=_parse_shared_parts(request.header(names.PROMPT_PARTS)),
     )
@@ -78,6 +82,10 @@
     return None if value is None else _parse_number(value)
 
 
+def _is_event_id(value):
+    return value.isdigit() and len(value) <= MAX_EVENT_ID_DIGITS
+
+
 def _parse_number(value):
     """Return a number from 0 to ``MAX_NUMBER``, or None."""
     try:
@@ -117,7 +125,8 @@
     """Return the headers of a client's request as forwarded to an endpoint.
 
     ``helpers`` are addresses of engines, each followed by a slash and the id of its
-    memory reservation if it has one.
+    memory reservation if it has one. ``last_event_id`` replaces the client's; if it is
+    None, what the client sent is forwarded.
     """
     dropped = _connection_headers(request.headers)
     headers = [
@@ -126,6 +135,7 @@
         if name not in HOP_BY_HOP_HEADERS
         and name not in _STRIPPED_HEADERS
         and name not in dropped
+        and not (name == names.LAST_EVENT_ID and last_event_id is not None)
     ]
     headers.append(
         (names.TIME_REMAINING, str(max(1, int(remaining_s * 1000))).encode())
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -92,6 +92,8 @@
         route = self._find_route(configuration)
         if route is None:
             return 404, "no route matches"
+        if route.is_resumable_stream and request.metadata.has_invalid_event_id:
+            return 400, "last-event-id is not the id of an event"
         workspace = None
         if configuration.requires_key and not route.is_public:
             workspace = configuration.workspaces_by_key.get(request.metadata.key)
--- a/src/savoryhill/serving/model.py
+++ b/src/savoryhill/serving/model.py
@@ -39,7 +39,12 @@
     @property
     def may_repeat(self):
         """Whether a request may run more than once."""
-        return self.kind == IDEMPOTENT or (self.kind == STREAM and self.is_resumable)
+        return self.kind == IDEMPOTENT or self.is_resumable_stream
+
+    @property
+    def is_resumable_stream(self):
+        """Whether a run may go on after the last event of another one."""
+        return self.kind == STREAM and self.is_resumable
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -39,7 +39,11 @@
         self._history = history
         self._check = check
         self._context = request.context
-        self._splitter = EventSplitter(last_id=request.metadata.last_event_id)
+        self._splitter = EventSplitter(
+            last_id=request.metadata.last_event_id
+            if request.route.is_resumable_stream
+            else None
+        )
         self._on_start = None
         self.has_started = False
 
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -251,6 +251,7 @@
         self.repeated = repeated
         self.interval_s = interval_s
         self.n_requests = 0
+        self.requests = []
         self.n_sent_bytes = 0
         self.n_closed = 0
         self.server = StreamServer(("127.0.0.1", 0), self._serve)
@@ -266,6 +267,7 @@
                 return
             received += data
         self.n_requests += 1
+        self.requests.append(received)
         _, _, rest = received.partition(b"x-attempt-id: ")
         try:
             sock.sendall(self.first.replace(b"%b", rest.split(b"\r\n")[0]))
--- a/tests/serving/test_plain_streams.py
+++ b/tests/serving/test_plain_streams.py
@@ -192,3 +192,31 @@
         status, _, body, complete = deployment.ask(path)
         assert (status, complete, body) == (200, False, event)
         assert sum(each.n_requests for each in endpoints) == 1
+
+
+class TestLastEventIdOfOtherRoutes:
+    """Only on a resumable stream does the header mean something to the node."""
+
+    @pytest.mark.parametrize("value", ["3", "abc", "-1", "inf"])
+    @pytest.mark.parametrize("path", ["/once/x", "/plain-once/x", "/stock/x"])
+    def test_is_forwarded_as_it_is(self, deployment, start_scripted, path, value):
+        # Guards against a header that is dropped or refused where it has no meaning,
+        # and against events that are left out of a stream that cannot be resumed.
+        body = b"".join(EVENTS)
+        head = b"HTTP/1.1 200 OK\r\nx-attempt-id: %b\r\nx-response-signature: s\r\n"
+        whole = head + b"content-length: %d\r\n\r\n" % len(body) + body
+        service = "pool" if path == "/once/x" else "app"
+        endpoint = start_scripted("x1", service=service, first=whole, repeated=None)
+        deployment.add_node()
+        status, _, received, complete = deployment.ask(path, last_event_id=value)
+        assert (status, received, complete) == (200, body, True)
+        assert f"last-event-id: {value}\r\n".encode() in endpoint.requests[0]
+
+    @pytest.mark.parametrize("value", ["abc", "-1", "1.5", "9" * 19])
+    def test_is_refused_on_a_resumable_stream_if_it_is_no_id(
+        self, deployment, endpoints, value
+    ):
+        deployment.add_node()
+        status, _, body, _ = deployment.ask("/split/x", last_event_id=value)
+        assert (status, body[:13]) == (400, b"last-event-id")
+        assert n_arrivals(endpoints) == 0
