serving: a weight of 0 and an unreadable engine profile are not 'no restriction'

Callers saw: a route whose services all have the weight 0 led to the first of them; a service whose engine profile is a list, a text or 0 counted as one without engines, so that prompts went to its engines without a scheduler.

--- a/src/savoryhill/platform/decode.py
+++ b/src/savoryhill/platform/decode.py
@@ -91,10 +91,12 @@
     Raises
     ------
     ValueError
-        If a figure is missing or invalid.
+        If it is no object, or a figure is missing or invalid.
     """
-    if not isinstance(item, dict):
+    if item is None:
         return None
+    if not isinstance(item, dict):
+        raise ValueError(f"engine: expected an object, got {item!r:.40}")
     profile = EngineProfile(
         slots=int(read_number(item, "slots")),
         memory_tokens=int(read_number(item, "kvTokens")),
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -136,13 +136,17 @@
         )
 
     def choose_target(self, targets):
-        """Choose the name of a service at random by weight."""
-        if len(targets) == 1:
-            return targets[0][0]
-        names = [name for name, _ in targets]
-        weights = [max(weight, 0.0) for _, weight in targets]
-        if not any(weights):
-            return names[0]
+        """Choose the name of a service at random by weight.
+
+        Returns
+        -------
+        str or None
+            None if no service has a weight above 0: none of them gets requests.
+        """
+        names = [name for name, weight in targets if weight > 0.0]
+        weights = [weight for _, weight in targets if weight > 0.0]
+        if len(names) < 2:
+            return names[0] if names else None
         return self.random.choices(names, weights)[0]
 
     def observe(self, name, value, route, **labels):
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -100,6 +100,8 @@
             if workspace is None:
                 return 401, "the key is unknown"
         service_name = self._context.choose_target(route.targets)
+        if service_name is None:
+            return 503, "no service takes requests of this route"
         service = configuration.services_by_name.get(service_name)
         if service is None:
             return 503, f"service {service_name} is not configured"
