serving: the end that a node gives a connection does not complete an answer

A node that ends a connection to an engine, as memory was lost, while it waits for a slow client, then takes an answer without framing for complete. Cause: the next receive sees the end of its own shutdown and takes it for the server's. Change: a connection that was aborted here raises an error.

--- a/src/savoryhill/serving/ways/connection.py
+++ b/src/savoryhill/serving/ways/connection.py
@@ -26,11 +26,13 @@
     """An outgoing connection to an HTTP server, for one exchange at a time.
 
     ``relay`` names the node through which it goes, empty if there is none.
+    ``is_aborted`` tells that this node has ended it.
     """
 
     sock: object
     reader: ResponseReader
     relay: str = ""
+    is_aborted: bool = False
 
     def send(self, data, *, timeout_s):
         """Send all bytes, or raise an error."""
@@ -51,6 +53,9 @@
         """
         self.sock.settimeout(timeout_s)
         data = self.sock.recv(RECV_BYTES)
+        if not data and self.is_aborted:
+            # Not the server's end, which completes a response without a length.
+            raise ConnectionAbortedError("this node has ended the connection")
         if not data:
             self.reader.feed_end()
             return False
@@ -80,6 +85,7 @@
 
     def abort(self):
         """End the connection; a receive that waits sees its end at once."""
+        self.is_aborted = True
         with suppress(OSError):
             self.sock.shutdown(gsocket.SHUT_RDWR)
 
