serving: a second signal to stop waits for the first one's drain

Cause: drain returned at once if the node was draining, and its caller ended the process. Change: it waits for the end of the first call.

--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -81,6 +81,7 @@
         self._lines = lines
         self._greenlets = []
         self._servers = []
+        self._drained = gevent.event.Event()
         metrics = Metrics()
 
         def record(event, fields):
@@ -350,11 +351,15 @@
     def drain(self):
         """Wait until requests are read and finished, at most for the grace period.
 
+        A further call waits for the end of the first one.
+
         New connections are served meanwhile, at least for ``DRAIN_ACCEPT_S`` if the
         grace period allows.
         """
         context = self.context
         if context.is_draining():
+            # The platform may send a signal again, or another one that ends the node.
+            self._drained.wait()
             return
         started_at = context.clock.monotonic()
         ends_at = started_at + self._settings.grace_s - GRACE_MARGIN_S
@@ -370,6 +375,7 @@
             if context.is_idle() and context.clock.monotonic() >= min_accept_until:
                 break
         self._record("node.stopped", {"unfinished": context.n_running})
+        self._drained.set()
 
 
 def _file_version(path):
--- a/tests/serving/test_stop.py
+++ b/tests/serving/test_stop.py
@@ -97,3 +97,20 @@
         stop(stopping)
         status, _, _, complete = running.get()
         assert (status, complete) == (504, True)
+
+
+class TestSecondSignal:
+    @pytest.mark.parametrize("kind", ["once", "order"])
+    def test_running_request_is_answered(self, stopping, kind):
+        # Guards against a second signal to stop that ends the process at once, with
+        # all requests that are running.
+        connection = stopping.open(f"/{kind}/x", x_time_remaining=REMAINING_MS)
+        gevent.sleep(0.1)
+        first = gevent.spawn(stopping.nodes[0].drain)
+        gevent.sleep(0.1)
+        second = gevent.spawn(stopping.nodes[0].drain)
+        status, _, _, complete = stopping.finish(connection)
+        assert (status, complete) == (200, True)
+        assert not first.ready() and not second.ready()
+        gevent.joinall([first, second], timeout=GRACE_S, raise_error=True)
+        assert first.ready() and second.ready()
