serving: SIGHUP does not end a process that starts

Cause: the default of SIGHUP ends a process. What changed in the settings file between its reading and the first check was missed until the next change. Change: the signal is ignored from the first line on; once the node runs, it compares the file with the version that it has read. The interpreter's own start, before the first line, is not covered.

--- a/src/savoryhill/platform/boot_settings.py
+++ b/src/savoryhill/platform/boot_settings.py
@@ -78,6 +78,16 @@
     return path
 
 
+def settings_version(path):
+    """Return what changes with the settings file, or None if it cannot be read."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        # The file is being replaced; the next check finds the new one.
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 def load_settings(path):
     """Read and validate the settings file.
 
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -16,7 +16,11 @@
 from savoryhill.core.observations.rate_limits import RateLimiter
 from savoryhill.errors import MalformedMessageError, SettingsError
 from savoryhill.observability.metrics import Metrics, observe, prometheus_text
-from savoryhill.platform.boot_settings import load_settings, settings_path
+from savoryhill.platform.boot_settings import (
+    load_settings,
+    settings_path,
+    settings_version,
+)
 from savoryhill.platform.names import READINESS_PATH
 from savoryhill.platform.store import Store
 from savoryhill.serving.balancing import Balancer
@@ -337,16 +341,21 @@
             {"changed": ",".join(changed), "at_restart": ",".join(at_restart)},
         )
 
-    def watch_settings(self):
-        """Reload the settings when the file changes, even without a SIGHUP."""
+    def watch_settings(self, known):
+        """Reload the settings when the file changes, even without a SIGHUP.
+
+        Parameters
+        ----------
+        known : tuple or None
+            The version of the file whose settings are in force.
+        """
         path = settings_path()
-        known = _file_version(path)
         while True:
-            gevent.sleep(SETTINGS_CHECK_S)
-            version = _file_version(path)
+            version = settings_version(path)
             if version != known:
                 known = version
                 self.reload()
+            gevent.sleep(SETTINGS_CHECK_S)
 
     def drain(self):
         """Wait until requests are read and finished, at most for the grace period.
@@ -378,15 +387,6 @@
         self._drained.set()
 
 
-def _file_version(path):
-    try:
-        status = os.stat(path)
-    except OSError:
-        # The file is being replaced; the next check finds the new one.
-        return None
-    return status.st_mtime_ns, status.st_size, status.st_ino
-
-
 def report_invalid_settings(error):
     """Log all errors found in the settings and return the exit code."""
     lines = LogWriter(fd=sys.stdout.fileno(), node="unknown")
@@ -395,7 +395,7 @@
     return EXIT_INVALID_SETTINGS
 
 
-def run(settings, client_listener):
+def run(settings, client_listener, *, known_version):
     """Run the process until it has shut down on SIGTERM or SIGINT.
 
     Parameters
@@ -404,6 +404,8 @@
         Settings of the process.
     client_listener : socket
         Socket that already listens for clients.
+    known_version : tuple or None
+        The version of the file from which the settings were read.
 
     Returns
     -------
@@ -423,7 +425,7 @@
     gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(node.reload))
     flusher = gevent.spawn(lines.run)
     node.start(client_listener=client_listener)
-    gevent.spawn(node.watch_settings)
+    gevent.spawn(node.watch_settings, known_version)
     stopped.wait()
     flusher.kill()
     lines.flush()
--- a/src/savoryhill/serving/start.py
+++ b/src/savoryhill/serving/start.py
@@ -5,10 +5,15 @@
 nodes of a deployment restart at once.
 """
 
+import signal
 import socket
 
 from savoryhill.errors import SettingsError
-from savoryhill.platform.boot_settings import load_settings, settings_path
+from savoryhill.platform.boot_settings import (
+    load_settings,
+    settings_path,
+    settings_version,
+)
 
 BACKLOG = 1024
 
@@ -31,8 +36,14 @@
 
 
 def main():
-    """Run the process until it has shut down on a signal; return its exit code."""
+    """Run the process until it has shut down on a signal; return its exit code.
+
+    SIGHUP is ignored until the server can handle it, which compares the settings file
+    with the version that was read here.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
+        version = settings_version(settings_path())
         settings = load_settings(settings_path())
     except SettingsError as error:
         from savoryhill.serving.process import report_invalid_settings
@@ -41,4 +52,4 @@
     listener = open_listener(settings.client_address)
     from savoryhill.serving.process import run
 
-    return run(settings, listener)
+    return run(settings, listener, known_version=version)
