serving: kept connections follow the limits in force

Callers saw: after maxBodyBytes was raised, 413 on ten of ten kept connections for what a new connection is allowed. Cause: a connection read the limits once, when it was opened. Evidence: test_new_limit_holds_on_kept_connections failed before, both ways. Change: it takes them over before the first byte of each request.

--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -62,16 +62,27 @@
     def __init__(self, *, context, sock):
         self._context = context
         self._sock = sock
-        configuration = context.cluster_view.configuration
         self._has_served = False
         self._is_reading = False
-        self._limits = configuration.limits if configuration else ClientLimits()
+        self._limits = ClientLimits()
         self._body_buffer = context.body_budget.open("clients")
         self._reader = RequestReader(
             max_header_bytes=self._limits.max_header_bytes,
             max_body_bytes=self._limits.max_body_bytes,
             may_keep_body=self._resize_body_buffer,
         )
+        self._update_limits()
+
+    def _update_limits(self):
+        """Take over the limits in force, which hold for the next request."""
+        configuration = self._context.cluster_view.configuration
+        if configuration is None or self._reader.started:
+            return
+        self._limits = configuration.limits
+        self._reader.set_limits(
+            max_header_bytes=self._limits.max_header_bytes,
+            max_body_bytes=self._limits.max_body_bytes,
+        )
 
     def _resize_body_buffer(self, n_bytes):
         return self._context.body_budget.try_resize(self._body_buffer, n_bytes)
@@ -126,6 +137,7 @@
         return exchange.keep_alive
 
     def _feed(self, data):
+        self._update_limits()
         try:
             self._reader.feed(data)
         except MalformedMessageError as error:
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -79,6 +79,11 @@
         self.expects_continue = False
         self._reset()
 
+    def set_limits(self, *, max_header_bytes, max_body_bytes):
+        """Set the limits of the requests that begin from now on."""
+        self._max_header_bytes = max_header_bytes
+        self._max_body_bytes = max_body_bytes
+
     def _reset(self):
         self._target = []
         self._headers = []
--- a/tests/serving/test_exchange.py
+++ b/tests/serving/test_exchange.py
@@ -343,6 +343,27 @@
         assert deployment.ask("/order/x", body=body, **headers)[0] == status
         assert endpoint.arrivals == []
 
+    @pytest.mark.parametrize(
+        ("before", "after", "statuses"),
+        [(500, 5000, (413, 200)), (5000, 500, (200, 413))],
+        ids=["raised", "lowered"],
+    )
+    def test_new_limit_holds_on_kept_connections(
+        self, deployment, before, after, statuses
+    ):
+        # Guards against a connection that keeps the limits of its start.
+        deployment.add_endpoint("app-1", service="app")
+        deployment.configure(version=2, limits={"maxBodyBytes": before})
+        deployment.add_node()
+        kept = deployment.open("/order/x", body=b"b")
+        while not kept.reader.complete:
+            kept.receive(timeout_s=2.0)
+        status_before = deployment.ask("/order/x", body=b"b" * 1000)[0]
+        deployment.configure_nodes(version=3, limits={"maxBodyBytes": after})
+        kept.reader.__init__()
+        deployment.open("/order/x", body=b"b" * 1000, connection=kept)
+        assert (status_before, deployment.finish(kept)[0]) == statuses
+
     @pytest.mark.parametrize(
         ("sent", "answer"),
         [(b"", b""), (b"GET /stock/x HTTP/1.1\r\nhost: s", b"HTTP/1.1 408 ")],
