serving: a silent run is not given up if no other one could be in time

Cause: a run is given up after four gaps without an event although the scheduler will reject the repeat, which cannot be read before the node ends. Evidence: job rejected with 'cannot be read before the deadline' after the cut. Change: the time left must be as long as the silence that is suspicious for the repeat. TestSilenceDuringAStop failed before.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -172,12 +172,12 @@
                 history=self._history,
                 check=self._check,
             )
-            times_out_at = answer.begin_run(
+            answer.begin_run(
                 started_at=started_at, usual_s=request.route.target_latency_s
             )
             try:
                 request.send(connection, endpoint, last_event_id=answer.last_id)
-                failure = answer.forward(run, times_out_at)
+                failure = answer.forward(run)
             except (OSError, MalformedMessageError) as error:
                 failure = describe_break(error, endpoint)
             finally:
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -324,7 +324,7 @@
             history=self._history,
             check=self._check,
         )
-        times_out_at = self._forwarder.begin_run(
+        self._forwarder.begin_run(
             started_at=self._context.clock.monotonic(),
             usual_s=decision.predicted_first_s,
             on_start=lambda: self._context.dispatcher.jobs.report_first_event(job),
@@ -336,7 +336,7 @@
                 helpers=helpers,
                 last_event_id=self._forwarder.last_id,
             )
-            failure = self._forwarder.forward(run, times_out_at)
+            failure = self._forwarder.forward(run)
         except (OSError, MalformedMessageError) as error:
             failure = describe_break(error, first)
         finally:
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -45,6 +45,9 @@
             else None
         )
         self._on_start = None
+        self._usual_s = 0.0
+        self._suspicious_s = 0.0
+        self._silent_since = 0.0
         self.has_started = False
 
     @property
@@ -53,7 +56,7 @@
         return self._splitter.last_id
 
     def begin_run(self, *, started_at, usual_s, on_start=None):
-        """Prepare for the events of another run; return when it times out.
+        """Prepare for the events of another run.
 
         Parameters
         ----------
@@ -66,17 +69,24 @@
         """
         self._splitter.begin_run()
         self._on_start = on_start
+        self._usual_s = usual_s
+        self._suspicious_s = first_event_timeout_s(usual_s)
+        self._silent_since = started_at
         self.has_started = False
-        return started_at + self._silence_limit_s(first_event_timeout_s(usual_s))
 
-    def _silence_limit_s(self, suspicious_s):
-        """Return the seconds of silence after which a run is given up.
+    def _silence_limit_s(self):
+        """Return the seconds of silence after which the run is given up.
 
         A run that can be repeated elsewhere is given up once its silence is suspicious.
         Otherwise a slow engine is the only one that can serve the client, so the run
         lasts for as long as clients wait.
+
+        Load pattern: an engine reads a long prompt again, while the node that forwards
+        its stream is about to stop. No other engine could read it before the end.
         """
-        if self._history.may_send():
+        suspicious_s = self._suspicious_s
+        repeat_s = first_event_timeout_s(self._usual_s)
+        if self._history.may_send() and self._request.time_left_s() >= repeat_s:
             return suspicious_s
         route = self._request.route
         patience_s = max(
@@ -86,15 +96,13 @@
         )
         return max(suspicious_s, patience_s)
 
-    def forward(self, run, times_out_at):
+    def forward(self, run):
         """Forward a run's events; return None if it was complete, else the failure.
 
         Parameters
         ----------
         run : EndpointRun
             The run, whose request has been sent.
-        times_out_at : float
-            When the run is given up if it has no event, from `begin_run`.
 
         Raises
         ------
@@ -102,11 +110,8 @@
             If the connection broke, or carries no valid response.
         """
         request, reader = self._request, run.reader
-        gap_timeout_s = self._silence_limit_s(
-            max(MIN_GAP_TIMEOUT_S, request.route.max_gap_s * GAP_TIMEOUT_FACTOR)
-        )
         while True:
-            failure = run.receive(times_out_at)
+            failure = run.receive(self._silent_since + self._silence_limit_s())
             if failure is not None:
                 return failure
             if reader.head is None:
@@ -118,12 +123,19 @@
                     return request.classify_failure(reader, run.endpoint)
                 continue
             if self._forward_events(run):
-                times_out_at = self._context.clock.monotonic() + gap_timeout_s
+                self._note_event()
             if reader.complete:
                 return self._find_missing_end(run)
             if not run.is_open:
                 return run.end_within_answer("stream broke")
 
+    def _note_event(self):
+        """Measure the silence from now on, against the gap that the route allows."""
+        self._silent_since = self._context.clock.monotonic()
+        self._suspicious_s = max(
+            MIN_GAP_TIMEOUT_S, self._request.route.max_gap_s * GAP_TIMEOUT_FACTOR
+        )
+
     def _forward_events(self, run):
         """Forward the complete events received; return whether any carried data."""
         reader = run.reader
--- a/src/savoryhill/serving/whole_answer.py
+++ b/src/savoryhill/serving/whole_answer.py
@@ -24,9 +24,10 @@
         self._request = request
         self._response = response
         self._history = history
+        self._times_out_at = 0.0
 
     def begin_run(self, *, started_at, usual_s):
-        """Prepare for the response of another run; return when it times out.
+        """Prepare for the response of another run.
 
         Parameters
         ----------
@@ -36,14 +37,16 @@
             Seconds that the response usually takes.
         """
         request = self._request
+        self._times_out_at = request.deadline_at
         if not self._history.may_send():
-            return request.deadline_at
+            return
         patient_s = RESPONSE_TIMEOUT_FACTOR * usual_s
         time_left_s = request.deadline_at - started_at
         silence_s = min(MIN_RESPONSE_TIMEOUT_S, time_left_s - patient_s)
-        return min(request.deadline_at, started_at + max(patient_s, silence_s))
+        times_out_at = started_at + max(patient_s, silence_s)
+        self._times_out_at = min(request.deadline_at, times_out_at)
 
-    def forward(self, run, times_out_at):
+    def forward(self, run):
         """Receive the response; return None if it is a success, else the failure.
 
         Raises
@@ -53,7 +56,7 @@
         """
         reader = run.reader
         while not reader.complete:
-            failure = run.receive(times_out_at)
+            failure = run.receive(self._times_out_at)
             if failure is not None:
                 return failure
             if not run.is_open and not reader.complete:
--- a/tests/serving/test_stop.py
+++ b/tests/serving/test_stop.py
@@ -12,6 +12,8 @@
 RESPONSE_S = 0.9
 EVENT_INTERVAL_S = 0.15
 REMAINING_MS = "1500"
+# Longer than the silence that is suspicious, within the grace period.
+SILENCE_S = 1.5
 
 
 @pytest.fixture
@@ -114,3 +116,23 @@
         assert not first.ready() and not second.ready()
         gevent.joinall([first, second], timeout=GRACE_S, raise_error=True)
         assert first.ready() and second.ready()
+
+
+class TestSilenceDuringAStop:
+    def test_stream_that_no_other_engine_can_read_in_time_goes_on(self, stopping):
+        # Guards against a stream that is cut because its engine reads the prompt
+        # again, although nothing else could serve it before the node ends.
+        engines = [stopping.endpoints_by_id["pool"]]
+        engines.append(stopping.add_endpoint("pool-2", service="pool"))
+        chat = route("chat", "streaming", "pool", resumable=True)
+        stopping.configure_nodes(version=3, routes=[chat])
+        connection = stopping.open("/chat/x", x_token_counts="100000,100")
+        while not connection.reader.body:
+            connection.receive(timeout_s=2.0)
+        gevent.spawn(stopping.nodes[0].drain)
+        now = stopping.nodes[0].context.clock.monotonic()
+        for engine in engines:
+            engine.silent_until = now + SILENCE_S
+        status, _, _, complete = stopping.finish(connection)
+        assert (status, complete) == (200, True)
+        assert sum(len(engine.arrivals) for engine in engines) == 1
