standins: a cut network keeps what arrives as a cut begins

Evidence: TestHangingCut failed before, for bytes. Change: the bytes, or the end, arrive after the cut, as on a real network.

--- a/src/savoryhill/standins/serving/network.py
+++ b/src/savoryhill/standins/serving/network.py
@@ -43,6 +43,8 @@
 
     class CutSocket(gsocket.socket):
         path = None
+        # What was received after a cut had begun; it arrives once the cut is healed.
+        held = None
 
         def connect(self, address):
             self.path = (self.getsockname()[0], f"{address[0]}:{address[1]}")
@@ -56,17 +58,21 @@
 
         def recv(self, *args):
             while True:
-                data = self._recv_until_cut(*args)
+                data, self.held = self.held, None
+                if data is None:
+                    data = self._recv_until_cut(*args)
                 mode = network.mode(self.path)
                 if mode == RESET:
                     raise ConnectionResetError(errno.ECONNRESET, "reset by the cut")
-                if mode != HANG:
+                if mode == HANG:
+                    # What the target sends or does is not noticed any more.
+                    self.held = data
+                    self._hang(self.gettimeout())
+                elif data is not None:
                     return data
-                # What the target sends or does is not noticed any more.
-                self._hang(self.gettimeout())
 
         def _recv_until_cut(self, *args):
-            """Receive; a reset by the cut ends the wait."""
+            """Receive; return None if a cut ends the wait."""
             timeout = self.gettimeout()
             ends_at = None if timeout is None else _now() + timeout
             while network.mode(self.path) is None or network.mode(self.path) == REFUSE:
@@ -80,7 +86,7 @@
                     continue
                 finally:
                     self.settimeout(timeout)
-            return b""
+            return None
 
         def sendall(self, data, *args):
             if network.mode(self.path) == RESET:
