--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -15,9 +15,11 @@
 from savoryhill.platform.boot_settings import ServingSettings
 from savoryhill.serving.http import encode_request
 from savoryhill.serving.process import ServingNode
+from savoryhill.serving.ways import connection as connection_module
 from savoryhill.serving.ways.connection import open_connection
 from savoryhill.soak.deployment import ENGINE, route
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
+from savoryhill.standins.serving.network import Network, make_socket_type
 from savoryhill.standins.serving.store import MetadataStore, start_store
 
 # Each test process uses its own loopback network, so that parallel test runs on one
@@ -322,6 +324,14 @@
     return wait_until
 
 
+@pytest.fixture
+def network(monkeypatch):
+    """A network that the test cuts."""
+    network = Network()
+    monkeypatch.setattr(connection_module.gsocket, "socket", make_socket_type(network))
+    return network
+
+
 @pytest.fixture
 def clock():
     """A paused clock."""
--- a/tests/serving/test_nodes_without_a_way.py
+++ b/tests/serving/test_nodes_without_a_way.py
@@ -6,28 +6,14 @@
 from savoryhill.core.reachability.messages import NOT_USABLE, STOPPING, RelayRequest
 from savoryhill.observability.metrics import prometheus_text
 from savoryhill.serving.links import encode_frame
-from savoryhill.serving.ways import connection as connection_module
+from savoryhill.serving.ways.connection import open_connection
 from savoryhill.serving.ways.relay_stream import read_message
-from savoryhill.standins.serving.network import (
-    HANG,
-    REFUSE,
-    RESET,
-    Network,
-    make_socket_type,
-)
+from savoryhill.standins.serving.network import HANG, REFUSE, RESET
 
 CUTS = [HANG, RESET, REFUSE]
 PATHS = ["/chat/x", "/once/x", "/order/x", "/stock/x"]
 
 
-@pytest.fixture
-def network(monkeypatch):
-    """A network that the test cuts."""
-    network = Network()
-    monkeypatch.setattr(connection_module.gsocket, "socket", make_socket_type(network))
-    return network
-
-
 @pytest.fixture
 def fleet(deployment):
     """Four engines and two plain endpoints in two zones, and three nodes."""
@@ -296,7 +282,7 @@
 class TestUseOfTheRelay:
     def open_relay_port(self, deployment, index, source):
         address = deployment.nodes[index].context.settings.relay_address
-        return connection_module.open_connection(
+        return open_connection(
             address, timeout_s=1.0, source_host=source
         )
 
--- a/tests/serving/test_plain_streams.py
+++ b/tests/serving/test_plain_streams.py
@@ -4,6 +4,7 @@
 import pytest
 
 from savoryhill.platform import names
+from savoryhill.standins.serving.network import REFUSE
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)]
 RESUMABLE_PATHS = ["/chat/x", "/plain-chat/x", "/split/x"]
@@ -220,3 +221,23 @@
         status, _, body, _ = deployment.ask("/split/x", last_event_id=value)
         assert (status, body[:13]) == (400, b"last-event-id")
         assert n_arrivals(endpoints) == 0
+
+
+class TestThroughAnotherNode:
+    @pytest.mark.parametrize("fault", [None, "cut", "unframed_cut"])
+    def test_stream_is_served_as_without_a_relay(
+        self, deployment, endpoints, network, fault
+    ):
+        for _ in range(2):
+            deployment.add_node()
+        views = [node.context.cluster_view for node in deployment.nodes]
+        deployment.wait_until(lambda: all(len(v.nodes_by_name) == 2 for v in views))
+        host = deployment.nodes[1].context.settings.peer_address.rsplit(":", 1)[0]
+        network.cut(host, [each.address for each in endpoints.values()], REFUSE)
+        if fault:
+            endpoints["app-0"].faults.append(fault)
+        for _ in range(6):
+            status, _, body, complete = deployment.ask("/plain-chat/x", node=1)
+            assert (status, complete, body) == (200, True, b"".join(EVENTS))
+        assert deployment.nodes[1].context.ways.n_relayed >= 6
+        assert not endpoints["app-0"].faults
