--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -352,9 +352,9 @@
                 endpoint=reservations.lost.endpoint_id,
             )
         failure = run.settle(failure)
-        return (
-            failure if failure.may_have_run else _with_endpoint_id(failure, endpoints)
-        )
+        if failure.may_have_run:
+            return failure
+        return _with_endpoint_id(failure, endpoints)
 
 
 def _with_endpoint_id(failure, endpoints):
