--- a/tests/serving/test_start.py
+++ b/tests/serving/test_start.py
@@ -5,7 +5,6 @@
 import socket
 import subprocess
 import sys
-import time
 from pathlib import Path
 
 import pytest
@@ -57,23 +56,17 @@
     def signal(self, number):
         self._process.send_signal(number)
 
-    def await_listener(self):
-        """Wait until clients can connect, which is before the server is imported."""
-        ends_at = time.monotonic() + LIMIT_S
-        while time.monotonic() < ends_at:
-            try:
-                socket.create_connection(("127.0.0.1", self._ports[0])).close()
-                return
-            except ConnectionRefusedError:
-                time.sleep(0.002)
-        raise AssertionError(f"no listener: {self.log_path.read_text()}")
-
-    def await_log(self, text):
-        ends_at = time.monotonic() + LIMIT_S
-        while text not in self.log_path.read_text():
-            assert self._process.poll() is None, self.log_path.read_text()
-            assert time.monotonic() < ends_at, self.log_path.read_text()
-            time.sleep(0.02)
+    def is_listening(self):
+        """Tell whether clients can connect, which is before the server is imported."""
+        try:
+            socket.create_connection(("127.0.0.1", self._ports[0])).close()
+        except ConnectionRefusedError:
+            return False
+        return True
+
+    def has_logged(self, text):
+        assert self._process.poll() is None, self.log_path.read_text()
+        return text in self.log_path.read_text()
 
     def end(self):
         """End the process; return its exit code."""
@@ -90,13 +83,12 @@
 
 
 class TestReloadWhileStarting:
-    def test_process_goes_on_with_the_new_settings(self, node):
+    def test_process_goes_on_with_the_new_settings(self, node, wait_until):
         # Guards against a change of the settings that ends a starting process, or that
         # it misses.
-        node.await_listener()
+        wait_until(node.is_listening, limit_s=LIMIT_S)
         node.write_settings(grace_s=2)
         node.signal(signal.SIGHUP)
-        node.await_log("node.started")
-        node.await_log("settings.reloaded")
-        assert "changed=grace_s" in node.log_path.read_text()
+        wait_until(lambda: node.has_logged("node.started"), limit_s=LIMIT_S)
+        wait_until(lambda: node.has_logged("changed=grace_s"), limit_s=LIMIT_S)
         assert node.end() == 0
