--- a/src/savoryhill/soak/clients.py
+++ b/src/savoryhill/soak/clients.py
@@ -15,6 +15,8 @@
 DISCONNECT_PROBABILITY = 0.1
 # Probability of one of the initial keys, which may have been revoked since.
 INITIAL_KEY_PROBABILITY = 0.2
+# Probability of a stream of the plain service in place of one of the engines.
+PLAIN_STREAM_PROBABILITY = 0.2
 CRASHING_PART_PROBABILITY = 0.15
 CRASHING_BODY_PROBABILITY = 0.4
 MEAN_THINK_TIME_S = 0.15
@@ -31,6 +33,7 @@
         self._random = random
         self._part_random = Random(f"parts/{number}")
         self._body_random = Random(f"bodies/{number}")
+        self._plain_random = Random(f"plain/{number}")
         self._clock = clock
         self._requests = requests
         self._is_undisturbed = is_undisturbed
@@ -118,19 +121,24 @@
             (b"x-time-remaining", b"%d" % (remaining_s * 1000)),
             (b"authorization", b"Bearer " + key.encode()),
         ]
+        path, request_body = f"/{kind}/x", self._choose_body(request_id, kind)
         if kind in ("chat", "once"):
+            parts = self._choose_parts(request_id)
+            if self._plain_random.random() < PLAIN_STREAM_PROBABILITY:
+                # What ends endpoints is known by service and path, so it isn't sent.
+                path, request_body = f"/plain-{kind}/x", request_id.encode()
+                parts = f"{request_id}:100".encode()
             headers.append((b"x-token-counts", b"1000,300"))
-            headers.append((b"x-prompt-prefix", self._choose_parts(request_id)))
+            headers.append((b"x-prompt-prefix", parts))
         elif kind == "huge":
             headers.append((b"x-token-counts", b"450000,300"))
         method = b"GET" if kind == "stock" else b"POST"
-        path = f"/{kind}/x".encode()
         give_up_at = self._clock.monotonic() + remaining_s + RESPONSE_GRACE_S
         body, disconnected_at = b"", None
         try:
-            request_body = self._choose_body(request_id, kind)
             connection.send(
-                encode_request(method, path, headers, request_body), timeout_s=1.0
+                encode_request(method, path.encode(), headers, request_body),
+                timeout_s=1.0,
             )
             if disconnects:
                 gevent.sleep(self._random.uniform(0.0, 0.4))
--- a/src/savoryhill/soak/deployment.py
+++ b/src/savoryhill/soak/deployment.py
@@ -75,6 +75,8 @@
         targetGapMs=800,
     ),
     route("once", "streaming", "pool", resumable=False),
+    route("plain-chat", "streaming", "app", resumable=True),
+    route("plain-once", "streaming", "app", resumable=False),
     route("order", "non_idempotent", "app", attempts=1),
     route("stock", "idempotent", "app"),
 ]
