--- a/src/savoryhill/bench/placement/replay.py
+++ b/src/savoryhill/bench/placement/replay.py
@@ -9,7 +9,7 @@
 from savoryhill.core.scheduling.decisions import Grant
 from savoryhill.core.scheduling.engine_state import Job
 from savoryhill.core.scheduling.scheduler import ServiceScheduler
-from savoryhill.serving.stream_forwarder import first_event_timeout_s
+from savoryhill.core.silence import first_event_timeout_s
 
 # How often the leader looks at the jobs that wait, in seconds.
 REVIEW_INTERVAL_S = 0.1
--- a/src/savoryhill/core/repeats.py
+++ b/src/savoryhill/core/repeats.py
@@ -35,6 +35,11 @@
         self.repeat_times.append(now)
         return True
 
+    def give_back(self):
+        """Forget the latest repeated send, which was counted and not sent."""
+        if self.repeat_times:
+            self.repeat_times.pop()
+
     def _drop_expired(self, now):
         for times in (self.request_times, self.repeat_times):
             while times and times[0] < now - self.window_s:
--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -83,7 +83,9 @@
     unfinished prefill, and ``reserved_tokens_by_job_id`` the memory reserved for jobs
     that other engines generate. ``has_turn`` is False while a limit that the engine has
     named leaves no turn; it may still prefill a part of another engine's prompt.
-    ``n_failures`` and ``n_refusals`` count since the last first event of a job.
+    ``n_failures`` and ``n_refusals`` count since the last first event of a job, which
+    was at ``heard_at``. ``silent_job_ids`` holds the running jobs that were silent for
+    so long that the engine was suspected.
     ``rank`` orders engines that are equally good, in another order on each node.
     """
 
@@ -102,6 +104,8 @@
     ejected_until: float = 0.0
     n_failures: int = 0
     n_refusals: int = 0
+    heard_at: float = -math.inf
+    silent_job_ids: set[str] = field(default_factory=set)
     grant_times: deque = field(default_factory=deque)
     # Cached values computed from the jobs, cleared whenever the jobs change.
     _decode_pass_s: float | None = None
@@ -212,6 +216,7 @@
         if self.jobs_by_id.pop(job_id, None) is not None:
             self._clear_cache()
         self.reserved_tokens_by_job_id.pop(job_id, None)
+        self.silent_job_ids.discard(job_id)
         self.finish_prefill(job_id, now)
 
     def grants_in_last_second(self, now):
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -113,8 +113,15 @@
 CANCELLED = "cancelled"
 ENDPOINT_FAILED = "endpoint_failed"
 ENDPOINT_FULL = "endpoint_full"
-# Not the end of the job.
-HELPER_UNREACHED = "helper_unreached"
+# Neither is the end of the job: a helper accepts no connections, or its own engine, if
+# that is the one named, is silent. A first event that is reported once more tells that
+# it was heard again.
+ENDPOINT_SUSPECTED = "helper_unreached"
+# The job was placed or waits, and nothing was sent for it. Older nodes do not know it,
+# so that CANCELLED follows.
+WITHDRAWN = "withdrawn"
+# Reports that end a job.
+ENDS = frozenset((FINISHED, CANCELLED, WITHDRAWN, ENDPOINT_FAILED, ENDPOINT_FULL))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -35,6 +35,7 @@
     needed_tokens,
     reservations,
 )
+from savoryhill.core.silence import MIN_SILENCE_S
 
 # A job that is due sooner claims as many engines as one that is due then.
 MIN_CLAIM_TIME_S = 0.5
@@ -121,6 +122,12 @@
             if engine is not None:
                 engine.finish_prefill(job_id, now)
                 engine.n_failures = engine.n_refusals = 0
+        first = self.engines_by_id.get(placed.engine_ids[0])
+        if first is not None:
+            first.heard_at = now
+            if job_id in first.silent_job_ids:
+                first.silent_job_ids.discard(job_id)
+                first.ejected_until = now
         return self.place_waiting(now)
 
     def finish(self, job_id, now):
@@ -163,6 +170,30 @@
         engine.ejected_until = max(engine.ejected_until, now + ejection_s)
         return engine.ejected_until - now
 
+    def note_suspicion(self, job_id, engine_id, now):
+        """Eject an engine that is silent or not reached, while the job goes on there.
+
+        Load pattern: one stream of several is silent, as its prompt is read again, and
+        the engine goes on with the others. It is not ejected if a job of any node has
+        begun there within the silence, and used again once the silent one goes on.
+
+        Returns
+        -------
+        float
+            Seconds from now for which the engine gets no jobs; 0 if it is sound or not
+            known.
+        """
+        placed, engine = (
+            self.placed_by_id.get(job_id),
+            self.engines_by_id.get(engine_id),
+        )
+        if placed is None or engine is None or placed.engine_ids[0] != engine_id:
+            return self.note_failure(engine_id, now)
+        if engine.heard_at > max(placed.granted_at, now - MIN_SILENCE_S):
+            return 0.0
+        engine.silent_job_ids.add(job_id)
+        return self.note_failure(engine_id, now)
+
     def n_ejected(self, now):
         """Return how many engines get no jobs because they failed or refused some."""
         return sum(engine.ejected_until > now for engine in self.engines_by_id.values())
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -1,11 +1,22 @@
 """Requests for which this node chooses the endpoints itself."""
 
+from contextlib import ExitStack, closing
+from dataclasses import dataclass
+from functools import partial
+
 import gevent
 
+from savoryhill.core.silence import (
+    FIRST_EVENT_FACTOR,
+    Denial,
+    find_denial,
+    remaining_answer_s,
+)
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.endpoint_run import EndpointRun
 from savoryhill.serving.model import STREAM
+from savoryhill.serving.repeat_question import RepeatQuestion
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
     CONNECT_TIMEOUT_S,
@@ -17,6 +28,26 @@
 from savoryhill.serving.whole_answer import WholeAnswer
 
 
+@dataclass(kw_only=True)
+class PreparedCall:
+    """A run on a chosen endpoint whose connection is open.
+
+    ``closing`` closes the connection; ``on_withdrawal`` is called without arguments if
+    nothing is sent.
+    """
+
+    endpoint: object
+    started_at: float
+    connection: object
+    closing: ExitStack
+    on_withdrawal: object = None
+
+    def withdraw(self):
+        """Give up the run, for which nothing was sent."""
+        self.closing.close()
+        self.on_withdrawal()
+
+
 class Call:
     """Serves one request, with as many runs on endpoints as it needs.
 
@@ -35,46 +66,144 @@
                 request=request, response=response, history=history, check=self._check
             )
         else:
-            self._answer = WholeAnswer(
-                request=request, response=response, history=history
-            )
+            self._answer = WholeAnswer(request=request, response=response)
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
         request, balancer = self._request, self._context.balancer
+        repeat = None
         while True:
-            cause = self._check.refusal_cause()
-            if cause is not None:
-                self._check.refuse(cause, self._response, self._history)
-                return
-            endpoint, retry_after_s = self._choose_endpoint()
+            endpoint = self._begin() if repeat is None else repeat.endpoint
             if endpoint is None:
-                failure = SendFailure(
-                    cause="no endpoint was free in time", may_have_run=False
-                )
-                self._response.fail(failure, self._history, retry_after_s=retry_after_s)
                 return
-            request.n_sends += 1
+            if repeat is None:
+                request.n_sends += 1
             with self._check.probe(f"{request.id}.{request.n_sends}") as rejection:
                 if rejection is not None:
                     self._check.refuse(rejection.reason, self._response, self._history)
                     return
                 with self._check.watch():
-                    failure = self._run_on(endpoint)
+                    run = self._prepare(endpoint) if repeat is None else repeat
+                    failure, repeat = (
+                        (run, None)
+                        if isinstance(run, SendFailure)
+                        else self._serve(run)
+                    )
             if failure is None:
                 return
-            if failure.blames_endpoint:
-                balancer.note_failure(endpoint, is_full=failure.is_full)
             request.avoided_endpoint_ids.add(endpoint.id)
+            if repeat is not None:
+                request.note_failed_send(failure, has_started=self._answer.has_started)
+                continue
+            # A run that this node has ended was blamed when it fell silent.
+            if failure.blames_endpoint and not failure.is_silent:
+                balancer.note_failure(endpoint, is_full=failure.is_full)
             if not request.allow_repeat(
                 self._history, failure, has_started=self._answer.has_started
             ):
                 self._response.fail(failure, self._history)
                 return
 
-    def _choose_endpoint(self):
+    def _begin(self):
+        """Choose an endpoint; return None if the request is refused."""
+        cause = self._check.refusal_cause()
+        if cause is not None:
+            self._check.refuse(cause, self._response, self._history)
+            return None
+        endpoint, retry_after_s = self._choose_endpoint()
+        if endpoint is None:
+            failure = SendFailure(
+                cause="no endpoint was free in time", may_have_run=False
+            )
+            self._response.fail(failure, self._history, retry_after_s=retry_after_s)
+        return endpoint
+
+    # The repeat of a run that is silent.
+
+    def _find_repeat(self, silent):
+        """Return the run that takes over from a silent one, or why there is none."""
+        request, context = self._request, self._context
+        while True:
+            cause = find_denial(self._situation(silent))
+            if cause is not None:
+                return cause.value
+            endpoint, _ = self._choose_endpoint(besides=silent.endpoint.id)
+            if endpoint is None:
+                return Denial.LIMITED.value
+            if not request.take_budget():
+                return Denial.BUDGET.value
+            request.n_sends += 1
+            try:
+                run = self._prepare(endpoint)
+            except BaseException:
+                self._return_repeat()
+                raise
+            if isinstance(run, PreparedCall):
+                run.on_withdrawal = self._return_repeat
+                return run
+            request.note_failed_send(run)
+            self._return_repeat()
+            if run.blames_endpoint:
+                context.balancer.note_failure(endpoint, is_full=run.is_full)
+            request.avoided_endpoint_ids.add(endpoint.id)
+
+    def _situation(self, silent):
+        """Return what decides whether a repeat is asked for beside a silent run."""
+        request, context = self._request, self._context
+        cause = self._check.refusal_cause()
+        others = [
+            endpoint
+            for endpoint in context.cluster_view.usable_endpoints(request.service.name)
+            if endpoint.id != silent.endpoint.id
+            and endpoint.id not in request.avoided_endpoint_ids
+        ]
+        excluded_ids = self._check.excluded_ids()
+        usual_s = FIRST_EVENT_FACTOR * request.route.target_latency_s
+        return request.situation(
+            self._history,
+            needed_s=usual_s
+            + remaining_answer_s(answer_s=None, written_s=self._answer.written_s),
+            is_suspect=cause is not None or bool(self._check.probed_parts),
+            other_ids={endpoint.id for endpoint in others} - excluded_ids,
+            paused_ids=frozenset(
+                context.endpoint_statements.waits_s_by_id(request.service.name)
+            ),
+            failed_ids=frozenset(
+                endpoint.id
+                for endpoint in others
+                if context.balancer.is_ejected(endpoint)
+            ),
+        )
+
+    def _return_repeat(self):
+        """Take back a repeat that was not sent; it has spent nothing."""
+        self._request.n_sends -= 1
+        self._context.repeat_budgets.give_back_local(self._request.service)
+
+    def _suspect(self, run, silent_since):
+        """Keep requests from a silent endpoint, unless it is heard elsewhere."""
+        if self._has_been_heard(run, silent_since):
+            return
+        self._context.balancer.note_failure(run.endpoint, is_full=False)
+        gevent.spawn(
+            self._context.ways.is_path_at_fault,
+            run.endpoint,
+            relay=run.connection.relay,
+            was_silent=True,
+        )
+
+    def _has_been_heard(self, run, silent_since):
+        signs = self._context.signs_of_life
+        return signs.was_heard_after(run.endpoint.incarnation, silent_since)
+
+    def _note_heard(self, run):
+        self._context.balancer.note_heard(run.endpoint)
+
+    def _choose_endpoint(self, *, besides=None):
         """Choose an endpoint, and wait for its turn if it has named a limit.
 
+        A repeat of a silent run uses another one than ``besides``.
+
         An endpoint that has begun to leave, or has left, by the end of the wait is not
         sent the request; another one is chosen.
 
@@ -87,7 +216,7 @@
             pause_s = self._request.await_pauses()
             if pause_s > 0.0:
                 return None, pause_s
-            endpoint, turn_wait_s = self._choose_turn()
+            endpoint, turn_wait_s = self._choose_turn(besides)
             if endpoint is None or turn_wait_s <= 0.0:
                 return endpoint, turn_wait_s
             self._context.clock.sleep(turn_wait_s)
@@ -103,7 +232,7 @@
             and view.is_usable(present)
         )
 
-    def _choose_turn(self):
+    def _choose_turn(self, besides):
         """Choose an endpoint and, if it has named a limit, a turn at it.
 
         Load pattern: some of a few endpoints ask for less than they get. Those without
@@ -123,6 +252,7 @@
             request.avoided_endpoint_ids
             | statements.waits_s_by_id(request.service.name).keys()
             | self._check.excluded_ids()
+            | {besides}
         )
         limited = []
         while True:
@@ -145,57 +275,78 @@
                 return limited_endpoint, turn.wait_s
         return endpoint, 0.0 if endpoint is not None else turn.wait_s
 
-    def _run_on(self, endpoint):
-        """Run on an endpoint; return None on success, else the failure."""
-        context, request, answer = self._context, self._request, self._answer
+    def _prepare(self, endpoint):
+        """Return a run on an endpoint, ready to be sent, or the failure."""
+        context, request = self._context, self._request
         started_at = context.clock.monotonic()
         context.endpoint_statements.note_sent(endpoint)
-        with context.balancer.track_request(endpoint):
+        with ExitStack() as stack:
+            stack.enter_context(context.balancer.track_request(endpoint))
             try:
                 connection = context.ways.open(
                     endpoint,
                     timeout_s=CONNECT_TIMEOUT_S,
                     request_id=request.id,
                     remaining_s=request.time_left_s(),
-                    max_buffered_bytes=answer.max_buffered_bytes,
+                    max_buffered_bytes=self._answer.max_buffered_bytes,
                 )
             except NotConnectedError as error:
                 return describe_unreached(error, endpoint)
+            stack.callback(connection.close)
             failure = request.find_withheld(endpoint)
             if failure is not None:
-                connection.close()
                 return failure
+            return PreparedCall(
+                endpoint=endpoint,
+                started_at=started_at,
+                connection=connection,
+                closing=stack.pop_all(),
+            )
+
+    def _serve(self, prepared):
+        """Send the request and forward the answer.
+
+        Returns
+        -------
+        tuple of (SendFailure or None, PreparedCall or None)
+            The failure, and the repeat that takes over if the run was ended for one.
+        """
+        question = RepeatQuestion(
+            request=self._request,
+            endpoint=prepared.endpoint,
+            ask=partial(self._find_repeat, prepared),
+            on_silence=partial(self._suspect, prepared),
+            on_heard=partial(self._note_heard, prepared),
+        )
+        with closing(question):
+            failure = self._forward(prepared, question)
+            return failure, question.take_after(failure)
+
+    def _forward(self, prepared, question):
+        """Forward the answer of a run; return None on success, else the failure."""
+        context, request, answer = self._context, self._request, self._answer
+        endpoint = prepared.endpoint
+        with prepared.closing:
             run = EndpointRun(
                 request=request,
                 endpoint=endpoint,
-                connection=connection,
+                connection=prepared.connection,
                 history=self._history,
                 check=self._check,
             )
             answer.begin_run(
-                started_at=started_at, usual_s=request.route.target_latency_s
+                started_at=prepared.started_at, usual_s=request.route.target_latency_s
             )
             try:
-                request.send(connection, endpoint, last_event_id=answer.last_id)
-                failure = answer.forward(run)
+                request.send(
+                    prepared.connection, endpoint, last_event_id=answer.last_id
+                )
+                failure = answer.forward(run, question)
             except (OSError, MalformedMessageError) as error:
                 failure = describe_break(error, endpoint)
-            finally:
-                connection.close()
         if failure is None:
             self._check.note_answer()
             context.balancer.note_success(endpoint)
             answer.finish(run)
             return None
-        if failure.is_silent:
-            self._check_path(run)
         return run.settle(failure)
-
-    def _check_path(self, run):
-        """Find out whether the path was lost, while the request goes on."""
-        gevent.spawn(
-            self._context.ways.is_path_at_fault,
-            run.endpoint,
-            relay=run.connection.relay,
-            was_silent=True,
-        )
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from savoryhill.core.buffers import BufferBudget
+from savoryhill.core.observations.signs_of_life import SignsOfLife
 from savoryhill.observability.metrics import observe
 from savoryhill.serving.balancing import Balancer
 from savoryhill.serving.cluster_view import ClusterView
@@ -65,6 +66,7 @@
     n_running: int = 0
     n_started: int = 0
     n_relayed: int = 0
+    signs_of_life: SignsOfLife = field(default_factory=SignsOfLife)
     _awaits_greeting: bool = field(default=False, init=False)
     _was_greeted: bool = field(default=False, init=False)
 
--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from savoryhill.errors import MalformedMessageError
-from savoryhill.serving.served_request import RECHECK_S, SendFailure
+from savoryhill.serving.served_request import SendFailure
 
 
 class EndpointRun:
@@ -32,6 +32,7 @@
         self._history = history
         self._check = check
         self._is_head_noted = False
+        self._send = request.n_sends
         self._buffer = request.open_answer_buffer(endpoint, on_evict=self._drop)
         self.endpoint = endpoint
         self.connection = connection
@@ -45,13 +46,13 @@
         """Return the reader of the response."""
         return self.connection.reader
 
-    def receive(self, times_out_at):
-        """Receive once; return the failure if the run is to be given up, else None.
+    def receive(self, max_wait_s):
+        """Receive once; return the failure if the request's time is up, else None.
 
         Parameters
         ----------
-        times_out_at : float
-            When the run is given up if nothing arrives.
+        max_wait_s : float
+            Seconds to wait if nothing arrives, above 0.
 
         Raises
         ------
@@ -59,16 +60,12 @@
             If the connection broke, or carries no valid response.
         """
         time_left_s = self._request.time_left_s()
-        wait_s = min(times_out_at - self._context.clock.monotonic(), time_left_s)
-        if wait_s <= 0:
-            return SendFailure(
-                cause="deadline passed" if time_left_s <= 0 else "endpoint is silent",
-                may_have_run=True,
-                is_silent=True,
-                endpoint=self.endpoint.id,
-            )
+        if time_left_s <= 0:
+            return self.end_silent("deadline passed")
         try:
-            self.is_open = self.connection.receive(timeout_s=min(wait_s, RECHECK_S))
+            self.is_open = self.connection.receive(
+                timeout_s=min(max_wait_s, time_left_s)
+            )
         except TimeoutError:
             pass
         except (OSError, MalformedMessageError):
@@ -114,6 +111,20 @@
             sent_at=self._check.sent_at,
         )
 
+    def note_sign_of_life(self, now):
+        """Record that the endpoint has sent an event or a complete answer."""
+        self._context.signs_of_life.note(self.endpoint.incarnation, now)
+
+    def end_silent(self, cause):
+        """Return the failure of a run that is ended although it may go on."""
+        return SendFailure(
+            cause=cause,
+            may_have_run=True,
+            is_silent=True,
+            send=self._send,
+            endpoint=self.endpoint.id,
+        )
+
     def end_within_answer(self, cause, *, connection_ended=True):
         """Return the failure of a run whose response ended before it was complete."""
         return SendFailure(
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -1,6 +1,9 @@
 """Streaming requests: one job per send, on the engines that the scheduler chooses."""
 
 import math
+from contextlib import ExitStack, closing
+from dataclasses import dataclass
+from functools import partial
 
 import gevent
 
@@ -12,6 +15,12 @@
     JobRejected,
     JobSubmit,
 )
+from savoryhill.core.silence import (
+    FIRST_EVENT_FACTOR,
+    Denial,
+    find_denial,
+    remaining_answer_s,
+)
 from savoryhill.errors import (
     EndpointError,
     MalformedMessageError,
@@ -21,6 +30,7 @@
 from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.endpoint_run import EndpointRun
 from savoryhill.serving.helper_check import find_unreached
+from savoryhill.serving.repeat_question import RepeatQuestion
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
@@ -38,6 +48,40 @@
 MAX_PROBE_WAIT_S = 1.0
 
 
+# Tells that a request is to be submitted again.
+AGAIN = object()
+
+
+@dataclass(kw_only=True)
+class PreparedRun:
+    """A placed job whose memory is reserved and whose connection is open.
+
+    ``closing`` closes the connection and releases the memory; ``on_withdrawal`` is
+    called without arguments if nothing is sent. ``checking`` finds out whether the
+    engine of a silent run is at fault.
+    """
+
+    job: object
+    endpoints: list
+    predicted_first_s: float
+    helpers: list
+    reservations: Reservations
+    connection: object
+    closing: ExitStack
+    on_withdrawal: object = None
+    checking: object = None
+
+    @property
+    def endpoint(self):
+        """Return the engine that generates the output."""
+        return self.endpoints[0]
+
+    def withdraw(self):
+        """Give up the run, for which nothing was sent."""
+        self.closing.close()
+        self.on_withdrawal()
+
+
 class Generation:
     """Serves one streaming request, with as many runs on engines as it needs."""
 
@@ -50,80 +94,208 @@
         self._forwarder = StreamForwarder(
             request=request, response=response, history=history, check=self._check
         )
-        self._relay_name = ""
 
     def run(self):
         """Serve the request; the response is complete when this returns."""
         request, jobs = self._request, self._context.dispatcher.jobs
+        repeat = None
         while True:
-            cause = self._check.refusal_cause()
-            if cause is not None:
-                self._check.refuse(cause, self._response, self._history)
-                return
-            wait_s = request.await_pauses()
-            if wait_s > 0.0:
-                self._refuse_until(wait_s)
+            job = self._begin() if repeat is None else repeat.job
+            if job is None:
                 return
-            job = self._submit()
             try:
                 with self._check.watch(job):
-                    decision = self._await_decision(job)
-                    if self._awaits_probe(decision):
-                        self._withdraw(job)
-                        gevent.sleep(PROBE_CHECK_S)
+                    run = self._await_run(job) if repeat is None else repeat
+                    if run is AGAIN:
                         continue
-                    if self._is_excluded(decision):
-                        self._withdraw(job)
-                        self._context.log(
-                            "request.placement_withdrawn",
-                            request=request.id,
-                            endpoints=",".join(decision.endpoints),
-                            cause="an engine wants a pause or ends under the request",
-                        )
-                        continue
-                    if decision is None or isinstance(decision, JobRejected):
-                        jobs.cancel(job)
-                        self._fail_unplaced(decision)
+                    if run is None:
                         return
-                    failure = self._run_placed(job, decision)
+                    failure, repeat = (
+                        (run, None)
+                        if isinstance(run, SendFailure)
+                        else self._serve(run)
+                    )
             except BaseException:
                 jobs.cancel(job)
                 raise
             if failure is None:
                 jobs.finish(job, FINISHED)
                 return
-            failed_endpoint = failure.endpoint or decision.endpoints[0]
-            self._report_failure(job, failure, failed_endpoint)
+            failed_endpoint = failure.endpoint or job.placement.endpoints[0]
             request.avoided_endpoint_ids.add(failed_endpoint)
+            if repeat is not None:
+                request.note_failed_send(failure, has_started=job.has_started)
+                gevent.spawn(self._end_silent_job, run)
+                continue
+            self._report_failure(job, failure, failed_endpoint)
             if not request.allow_repeat(
                 self._history, failure, has_started=job.has_started
             ):
                 self._response.fail(failure, self._history)
                 return
 
+    def _begin(self):
+        """Submit the next send; return its job, or None if the request is refused."""
+        cause = self._check.refusal_cause()
+        if cause is not None:
+            self._check.refuse(cause, self._response, self._history)
+            return None
+        wait_s = self._request.await_pauses()
+        if wait_s > 0.0:
+            self._refuse_until(wait_s)
+            return None
+        return self._submit()
+
+    def _await_run(self, job):
+        """Await the decision on a job.
+
+        Returns
+        -------
+        PreparedRun, SendFailure, AGAIN or None
+            None if the request has been refused.
+        """
+        decision = self._await_decision(job)
+        if self._awaits_probe(decision):
+            self._withdraw(job)
+            gevent.sleep(PROBE_CHECK_S)
+            return AGAIN
+        if self._is_excluded(decision):
+            self._withdraw(job)
+            self._note_exclusion(decision)
+            return AGAIN
+        if decision is None or isinstance(decision, JobRejected):
+            self._context.dispatcher.jobs.cancel(job)
+            self._fail_unplaced(decision)
+            return None
+        return self._prepare(job, decision)
+
+    def _note_exclusion(self, decision):
+        self._context.log(
+            "request.placement_withdrawn",
+            request=self._request.id,
+            endpoints=",".join(decision.endpoints),
+            cause="an engine wants a pause or ends under the request",
+        )
+
+    # The repeat of a run that is silent.
+
+    def _find_repeat(self, silent):
+        """Return the run that takes over from a silent one, or why there is none."""
+        request = self._request
+        while True:
+            needed_s = self._remaining_answer_s()
+            cause = find_denial(self._situation(silent, needed_s))
+            if cause is not None:
+                return cause.value
+            if not request.take_budget():
+                return Denial.BUDGET.value
+            budget_is_local = not request.needs_budget
+            job = self._submit(besides=silent.endpoint.id, rest_s=needed_s)
+            try:
+                run = self._await_repeat(job, needed_s)
+            except BaseException:
+                self._return_repeat(job, budget_is_local=budget_is_local)
+                raise
+            if isinstance(run, PreparedRun):
+                run.on_withdrawal = partial(
+                    self._return_repeat, job, budget_is_local=budget_is_local
+                )
+                return run
+            self._return_repeat(
+                job,
+                budget_is_local=budget_is_local,
+                failure=run if isinstance(run, SendFailure) else None,
+            )
+            if not isinstance(run, SendFailure):
+                return run
+            request.avoided_endpoint_ids.add(run.endpoint or job.placement.endpoints[0])
+            gevent.sleep(PROBE_CHECK_S)
+
+    def _situation(self, silent, needed_s):
+        """Return what decides whether a repeat is asked for beside a silent run."""
+        cause = self._check.refusal_cause()
+        view, name = self._context.cluster_view, self._request.service.name
+        others = {endpoint.id for endpoint in view.usable_endpoints(name)}
+        return self._request.situation(
+            self._history,
+            needed_s=needed_s,
+            is_suspect=cause is not None or bool(self._check.probed_parts),
+            other_ids=others - {silent.endpoint.id} - self._check.excluded_ids(),
+            paused_ids=frozenset(self._context.endpoint_statements.waits_s_by_id(name)),
+        )
+
+    def _await_repeat(self, job, rest_s):
+        """Return the run of a job that is placed in time, its failure, or a reason."""
+        decision = self._await_decision(job)
+        if decision is None:
+            return Denial.DEADLINE.value
+        if isinstance(decision, JobRejected):
+            return decision.reason
+        needed_s = FIRST_EVENT_FACTOR * decision.predicted_first_s + rest_s
+        if needed_s > self._request.time_left_s():
+            return Denial.DEADLINE.value
+        if self._is_excluded(decision):
+            self._note_exclusion(decision)
+            return Denial.PAUSED.value
+        return self._prepare(job, decision)
+
+    def _return_repeat(self, job, *, budget_is_local, failure=None):
+        """Take back a repeat that was not sent; it has spent nothing."""
+        request = self._request
+        if failure is not None:
+            request.note_failed_send(failure)
+            endpoint_id = failure.endpoint or job.placement.endpoints[0]
+            self._report_failure(job, failure, endpoint_id)
+        else:
+            self._context.dispatcher.jobs.withdraw(job)
+        request.n_sends -= 1
+        if budget_is_local:
+            self._context.repeat_budgets.give_back_local(request.service)
+
+    def _remaining_answer_s(self):
+        """Predict the seconds that the rest of the answer takes to be written."""
+        request = self._request
+        profile = request.service.engine
+        return remaining_answer_s(
+            answer_s=request.metadata.answer_tokens * profile.step_s,
+            written_s=self._forwarder.written_s,
+        )
+
+    def _suspect(self, run, silent_since):
+        """Report the engine of a silent run, unless it is sound or the path is lost.
+
+        Finding out takes a moment, in which a repeat is asked for already.
+        """
+        run.checking = gevent.spawn(self._report_silence, run, silent_since)
+
+    def _end_silent_job(self, run):
+        """End the job of a run that was left, once its engine has been reported."""
+        run.checking.join()
+        self._context.dispatcher.jobs.cancel(run.job)
+
+    def _report_silence(self, run, silent_since):
+        context, endpoint = self._context, run.endpoint
+        signs, incarnation = context.signs_of_life, endpoint.incarnation
+        if signs.was_heard_after(incarnation, silent_since):
+            return
+        relay = run.connection.relay
+        if context.ways.is_path_at_fault(endpoint, relay=relay, was_silent=True):
+            return
+        if not signs.was_heard_after(incarnation, silent_since):
+            context.dispatcher.jobs.report_suspected(run.job, endpoint.id)
+
     def _report_failure(self, job, failure, endpoint_id):
         """Report a failed job to the scheduler, and whether the engine is at fault.
 
-        A silence may be that of the path. Finding out takes a moment, in which the
-        request is sent elsewhere already.
+        A run that this node has ended was reported when it fell silent.
         """
         jobs = self._context.dispatcher.jobs
-        endpoint = self._context.cluster_view.endpoints_by_id.get(endpoint_id)
-        if not failure.blames_endpoint:
+        if failure.is_silent or not failure.blames_endpoint:
             jobs.cancel(job)
-        elif failure.is_silent and endpoint is not None:
-            gevent.spawn(self._report_silence, job, endpoint, self._relay_name)
         else:
             what = ENDPOINT_FULL if failure.is_full else ENDPOINT_FAILED
             jobs.finish(job, what, endpoint_id)
 
-    def _report_silence(self, job, endpoint, relay):
-        jobs = self._context.dispatcher.jobs
-        if self._context.ways.is_path_at_fault(endpoint, relay=relay, was_silent=True):
-            jobs.cancel(job)
-        else:
-            jobs.finish(job, ENDPOINT_FAILED, endpoint.id)
-
     def _refuse_until(self, wait_s):
         """Refuse the request, which cannot wait for the pauses of the engines."""
         failure = SendFailure(
@@ -133,7 +305,7 @@
 
     def _withdraw(self, job):
         """Take a job back that was not sent, to submit the request again."""
-        self._context.dispatcher.jobs.cancel(job)
+        self._context.dispatcher.jobs.withdraw(job)
         self._request.n_sends -= 1
         self._request.needs_budget = job.submission.needs_budget
 
@@ -160,26 +332,35 @@
             and waited_s < min(MAX_PROBE_WAIT_S, request.route.target_latency_s)
         )
 
-    def _submit(self):
+    def _submit(self, *, besides=None, rest_s=0.0):
+        """Submit a send and return its job.
+
+        A repeat of a silent run uses other engines than ``besides`` and must have begun
+        to answer ``rest_s`` seconds before the deadline.
+        """
         request = self._request
         request.n_sends += 1
+        request.n_submissions += 1
         needs_budget, request.needs_budget = request.needs_budget, False
         route, workspace = request.route, request.workspace
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         now = self._context.clock.monotonic()
+        ends_s = request.deadline_at - now - rest_s
         excluded_for_s = self._find_exclusions()
+        if besides is not None:
+            excluded_for_s[besides] = math.inf
         return self._context.dispatcher.jobs.submit(
             JobSubmit(
-                job_id=f"{request.id}.{request.n_sends}",
+                job_id=f"{request.id}.{request.n_submissions}",
                 service=request.service.name,
                 zone=self._context.settings.zone,
                 workspace=workspace.name if workspace else "",
                 prompt_tokens=request.metadata.prompt_tokens,
                 answer_tokens=request.metadata.answer_tokens,
-                due_s=request.arrived_at + route.target_latency_s - now,
-                ends_s=request.deadline_at - now,
+                due_s=min(request.arrived_at + route.target_latency_s - now, ends_s),
+                ends_s=ends_s,
                 pause_s=route.max_gap_s,
                 priority=priority,
                 avoid=tuple(request.avoided_endpoint_ids),
@@ -212,8 +393,8 @@
         failure = SendFailure(cause=cause, may_have_run=False)
         self._response.fail(failure, self._history, retry_after_s=retry_after_s)
 
-    def _run_placed(self, job, decision):
-        """Run on the engines of a decision; return None or the failure."""
+    def _prepare(self, job, decision):
+        """Return the run of a placed job, ready to be sent, or the failure."""
         endpoints_by_id = self._context.cluster_view.endpoints_by_id
         endpoints = [endpoints_by_id.get(name) for name in decision.endpoints]
         # The leader's view of the store may be older than this node's.
@@ -221,14 +402,17 @@
         if failure is not None:
             return failure
         self._context.endpoint_statements.note_sent(endpoints[0])
-        with Reservations(
-            request_id=job.submission.job_id,
-            clock=self._context.clock,
-            log=self._context.log,
-            on_head=self._context.endpoint_statements.note_order_head,
-            connect=self._context.ways.open_for_order,
-            pause_left_s=self._context.endpoint_statements.pause_left_s,
-        ) as reservations:
+        with ExitStack() as stack:
+            reservations = stack.enter_context(
+                Reservations(
+                    request_id=job.submission.job_id,
+                    clock=self._context.clock,
+                    log=self._context.log,
+                    on_head=self._context.endpoint_statements.note_order_head,
+                    connect=self._context.ways.open_for_order,
+                    pause_left_s=self._context.endpoint_statements.pause_left_s,
+                )
+            )
             try:
                 helpers = reservations.reserve(
                     endpoints[1:], decision.reserved_tokens[1:]
@@ -248,8 +432,19 @@
                 failure = self._find_unusable(decision.endpoints, endpoints)
             if failure is not None:
                 return failure
-            return self._run_with_helpers(
-                job, decision, endpoints, helpers, reservations
+            connection = self._connect(endpoints[0])
+            if isinstance(connection, SendFailure):
+                return connection
+            stack.callback(connection.close)
+            reservations.abort_when_lost(connection)
+            return PreparedRun(
+                job=job,
+                endpoints=endpoints,
+                predicted_first_s=decision.predicted_first_s,
+                helpers=helpers,
+                reservations=reservations,
+                connection=connection,
+                closing=stack.pop_all(),
             )
 
     def _find_unusable(self, names, endpoints):
@@ -289,12 +484,12 @@
             return None
         (first, error), *others = unreached
         for endpoint, _ in others:
-            self._context.dispatcher.jobs.report_unreached_helper(job, endpoint.id)
+            self._context.dispatcher.jobs.report_suspected(job, endpoint.id)
             self._request.avoided_endpoint_ids.add(endpoint.id)
         return describe_unreached(error, first)
 
-    def _run_with_helpers(self, job, decision, endpoints, helpers, reservations):
-        first = endpoints[0]
+    def _connect(self, endpoint):
+        """Return a connection on which a request may be sent, or the failure."""
         if self._check.stop_cause is not None:
             return SendFailure(
                 cause=self._check.stop_cause,
@@ -303,22 +498,46 @@
             )
         try:
             connection = self._context.ways.open(
-                first,
+                endpoint,
                 timeout_s=CONNECT_TIMEOUT_S,
                 request_id=self._request.id,
                 remaining_s=self._request.time_left_s(),
                 max_buffered_bytes=self._forwarder.max_buffered_bytes,
             )
         except NotConnectedError as error:
-            return describe_unreached(error, first)
-        failure = self._request.find_withheld(first)
+            return describe_unreached(error, endpoint)
+        failure = self._request.find_withheld(endpoint)
         if failure is not None:
             connection.close()
             return failure
-        reservations.abort_when_lost(connection)
-        self._relay_name = connection.relay
-        run = EndpointRun(
+        return connection
+
+    def _serve(self, prepared):
+        """Send the request and forward the answer.
+
+        Returns
+        -------
+        tuple of (SendFailure or None, PreparedRun or None)
+            The failure, and the repeat that takes over if the run was ended for one.
+        """
+        jobs = self._context.dispatcher.jobs
+        question = RepeatQuestion(
             request=self._request,
+            endpoint=prepared.endpoint,
+            ask=partial(self._find_repeat, prepared),
+            on_silence=partial(self._suspect, prepared),
+            on_heard=partial(jobs.report_heard_again, prepared.job),
+        )
+        with prepared.closing, closing(question):
+            failure = self._forward(prepared, question)
+            return failure, question.take_after(failure)
+
+    def _forward(self, prepared, question):
+        """Forward the answer of a run; return None if it was complete."""
+        request, first = self._request, prepared.endpoint
+        connection, reservations = prepared.connection, prepared.reservations
+        run = EndpointRun(
+            request=request,
             endpoint=first,
             connection=connection,
             history=self._history,
@@ -326,17 +545,19 @@
         )
         self._forwarder.begin_run(
             started_at=self._context.clock.monotonic(),
-            usual_s=decision.predicted_first_s,
-            on_start=lambda: self._context.dispatcher.jobs.report_first_event(job),
+            usual_s=prepared.predicted_first_s,
+            on_start=lambda: self._context.dispatcher.jobs.report_first_event(
+                prepared.job
+            ),
         )
         try:
-            self._request.send(
+            request.send(
                 connection,
                 first,
-                helpers=helpers,
+                helpers=prepared.helpers,
                 last_event_id=self._forwarder.last_id,
             )
-            failure = self._forwarder.forward(run)
+            failure = self._forwarder.forward(run, question)
         except (OSError, MalformedMessageError) as error:
             failure = describe_break(error, first)
         finally:
@@ -354,7 +575,7 @@
         failure = run.settle(failure)
         if failure.may_have_run:
             return failure
-        return _with_endpoint_id(failure, endpoints)
+        return _with_endpoint_id(failure, prepared.endpoints)
 
 
 def _with_endpoint_id(failure, endpoints):
--- a/src/savoryhill/serving/local_jobs.py
+++ b/src/savoryhill/serving/local_jobs.py
@@ -6,8 +6,9 @@
 
 from savoryhill.core.scheduling.messages import (
     CANCELLED,
+    ENDPOINT_SUSPECTED,
     FIRST_EVENT,
-    HELPER_UNREACHED,
+    WITHDRAWN,
     JobPlaced,
     JobReport,
 )
@@ -49,9 +50,13 @@
         job.has_started = True
         self._report(job, FIRST_EVENT, "")
 
-    def report_unreached_helper(self, job, endpoint_id):
-        """Report a helper that accepts no connections, before the job ends."""
-        self._report(job, HELPER_UNREACHED, endpoint_id)
+    def report_suspected(self, job, endpoint_id):
+        """Report an engine that is silent or not reached, while the job goes on."""
+        self._report(job, ENDPOINT_SUSPECTED, endpoint_id)
+
+    def report_heard_again(self, job):
+        """Report that a job whose engine was suspected goes on."""
+        self._report(job, FIRST_EVENT, "")
 
     def finish(self, job, what, endpoint=""):
         """Report the end of a job; ``what`` is a constant of the messages module."""
@@ -62,6 +67,12 @@
         """Report that a job is no longer needed."""
         self.finish(job, CANCELLED)
 
+    def withdraw(self, job):
+        """Take a job back for which nothing was sent, so that it has spent nothing."""
+        if job.submission.job_id in self._by_id:
+            self._report(job, WITHDRAWN, "")
+        self.cancel(job)
+
     def _report(self, job, what, endpoint):
         report = JobReport(job_id=job.submission.job_id, what=what, endpoint=endpoint)
         if self.link is not None:
--- /dev/null
+++ b/src/savoryhill/serving/repeat_question.py
@@ -0,0 +1,124 @@
+"""The question for a repeat, asked while a silent run goes on."""
+
+import gevent
+
+from savoryhill.core.silence import ASK_AGAIN_S
+from savoryhill.serving.served_request import RECHECK_S
+
+# How often a run looks for the answer to an open question.
+ANSWER_CHECK_S = 0.02
+# How long a run is waited for once its repeat has been granted.
+LAST_WAIT_S = 0.001
+
+
+class RepeatQuestion:
+    """Asks for a repeat of a request once its run is silent for too long.
+
+    Only a repeat that is granted ends the run. If the run goes on while the question is
+    open, the question is withdrawn and has spent nothing.
+
+    Parameters
+    ----------
+    request : ServedRequest
+        The request.
+    endpoint : Endpoint
+        The endpoint of the run.
+    ask : callable
+        Returns the repeat that is ready to be sent, or the reason as text why there is
+        none. It is called in a greenlet of its own, which may be killed. A repeat has a
+        method ``withdraw()``.
+    on_silence : callable
+        Called with the start of a silence once it is suspicious.
+    on_heard : callable
+        Called without arguments when the run goes on after that.
+    """
+
+    def __init__(self, *, request, endpoint, ask, on_silence, on_heard=None):
+        self._request = request
+        self._context = request.context
+        self._endpoint = endpoint
+        self._ask = ask
+        self._on_silence = on_silence
+        self._on_heard = on_heard
+        self._send = request.n_sends
+        self._silent_since = None
+        self._asking = None
+        self._asks_at = float("-inf")
+        self._repeat = None
+
+    def poll(self, silent_since, suspicious_s):
+        """Look after the question; return whether a repeat has been granted.
+
+        Parameters
+        ----------
+        silent_since : float
+            When the run was last heard.
+        suspicious_s : float
+            Seconds of silence after which a repeat is asked for.
+        """
+        now = self._context.clock.monotonic()
+        if now < silent_since + suspicious_s:
+            return False
+        if self._silent_since is None:
+            self._silent_since = silent_since
+            self._on_silence(silent_since)
+        if self._asking is None and now >= self._asks_at:
+            self._asking = gevent.spawn(self._ask_once)
+        return self._repeat is not None
+
+    def _ask_once(self):
+        answer = self._ask()
+        if not isinstance(answer, str):
+            self._repeat = answer
+            return
+        self._asking = None
+        self._asks_at = self._context.clock.monotonic() + ASK_AGAIN_S
+        self._log("request.run_kept", cause=answer)
+
+    def _log(self, event, **fields):
+        silent_s = self._context.clock.monotonic() - self._silent_since
+        self._context.log(
+            event,
+            request=self._request.id,
+            endpoint=self._endpoint.id,
+            send=self._send,
+            silent_s=round(silent_s, 3),
+            **fields,
+        )
+
+    def max_wait_s(self, silent_since, suspicious_s):
+        """Return for how many seconds the run may be waited for before `poll`."""
+        if self._repeat is not None:
+            return LAST_WAIT_S
+        if self._asking is not None:
+            return ANSWER_CHECK_S
+        now = self._context.clock.monotonic()
+        polls_at = max(silent_since + suspicious_s, self._asks_at)
+        return min(RECHECK_S, max(LAST_WAIT_S, polls_at - now))
+
+    def withdraw(self):
+        """Withdraw the question, if it is open, as the run goes on."""
+        if self._silent_since is None:
+            return
+        self._log("request.run_went_on")
+        self.close()
+        self._silent_since = None
+        if self._on_heard is not None:
+            self._on_heard()
+
+    def take_after(self, failure):
+        """Return the repeat for which a run was ended, or None; the caller owns it."""
+        was_ended = failure is not None and failure.is_silent
+        if not was_ended or self._request.time_left_s() <= 0:
+            return None
+        repeat, self._repeat = self._repeat, None
+        return repeat
+
+    def close(self):
+        """End the question; a repeat that nobody has taken is withdrawn."""
+        asking, self._asking = self._asking, None
+        if asking is not None:
+            asking.kill()
+        repeat, self._repeat = self._repeat, None
+        if repeat is not None:
+            repeat.withdraw()
--- a/src/savoryhill/serving/repeats.py
+++ b/src/savoryhill/serving/repeats.py
@@ -44,6 +44,10 @@
             budget, now, share=share, n_parts=max(1, self._n_nodes())
         )
 
+    def give_back_local(self, service):
+        """Give back a repeated send that was counted here and not sent."""
+        self._budget(self._local_by_service, service.name).give_back()
+
     def note_job(self, service_name, now):
         """Count the first job of a request, as the leader."""
         self._budget(self._scheduled_by_service, service_name).note_request(now)
@@ -53,6 +57,10 @@
         budget = self._budget(self._scheduled_by_service, service_name)
         return self._try_repeat(budget, now, share=LEADER_SHARE, n_parts=1)
 
+    def give_back_scheduled(self, service_name):
+        """Give back a repeated send that the leader counted and that was not sent."""
+        self._budget(self._scheduled_by_service, service_name).give_back()
+
     def _budget(self, budgets, service_name):
         if service_name not in budgets:
             window_s = self._settings().repeat_window_s
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -6,12 +6,12 @@
 from savoryhill.core.scheduling.decisions import Grant
 from savoryhill.core.scheduling.engine_state import Job
 from savoryhill.core.scheduling.messages import (
-    CANCELLED,
     ENDPOINT_FAILED,
     ENDPOINT_FULL,
-    FINISHED,
+    ENDPOINT_SUSPECTED,
+    ENDS,
     FIRST_EVENT,
-    HELPER_UNREACHED,
+    WITHDRAWN,
     JobPlaced,
     JobRejected,
 )
@@ -24,6 +24,7 @@
 class _Submission:
     service: str
     deliver: object
+    needs_budget: bool = False
 
 
 class Scheduling:
@@ -126,7 +127,9 @@
         )
         self._update_cold_limits()
         self._submissions_by_job[job.id] = _Submission(
-            service=message.service, deliver=deliver
+            service=message.service,
+            deliver=deliver,
+            needs_budget=message.needs_budget and not message.endpoints,
         )
         if message.endpoints:
             scheduler.adopt(
@@ -167,19 +170,24 @@
                 scheduler, scheduler.note_first_event(message.job_id, now)
             )
             return
-        if message.what in (ENDPOINT_FAILED, ENDPOINT_FULL, HELPER_UNREACHED):
+        if message.what in (ENDPOINT_FAILED, ENDPOINT_FULL, ENDPOINT_SUSPECTED):
             self._eject(scheduler, message, now)
-        if message.what in (FINISHED, CANCELLED, ENDPOINT_FAILED, ENDPOINT_FULL):
+        if message.what == WITHDRAWN and submission.needs_budget:
+            self._repeat_budgets.give_back_scheduled(submission.service)
+        if message.what in ENDS:
             del self._submissions_by_job[message.job_id]
             self._deliver_all(scheduler, scheduler.cancel(message.job_id, now))
 
     def _eject(self, scheduler, report, now):
         """Keep jobs from the engine that a report blames, and log who blames it."""
-        ejected_s = scheduler.note_failure(
-            report.endpoint, now, is_full=report.what == ENDPOINT_FULL
-        )
+        if report.what == ENDPOINT_SUSPECTED:
+            ejected_s = scheduler.note_suspicion(report.job_id, report.endpoint, now)
+        else:
+            ejected_s = scheduler.note_failure(
+                report.endpoint, now, is_full=report.what == ENDPOINT_FULL
+            )
         self._record(
-            "engine.ejected",
+            "engine.ejected" if ejected_s else "engine.not_ejected",
             {
                 "endpoint": report.endpoint,
                 "request": report.job_id,
@@ -240,6 +248,8 @@
             else:
                 self._crash_guard.end_probe(decision.job_id)
                 self._submissions_by_job.pop(decision.job_id, None)
+                if submission is not None and submission.needs_budget:
+                    self._repeat_budgets.give_back_scheduled(submission.service)
                 reply = JobRejected(
                     job_id=decision.job_id,
                     reason=decision.reason,
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -5,6 +5,7 @@
 import gevent
 
 from savoryhill.core.observations.parts import digest_parts, digest_request
+from savoryhill.core.silence import Denial, RepeatSituation
 from savoryhill.errors import RelayLostError, WayLostError
 from savoryhill.platform import headers as platform_headers
 from savoryhill.serving.http import encode_request
@@ -31,7 +32,8 @@
     draw on the repeat budget. ``connection_ended`` tells whether the endpoint ended the
     connection before its response was complete. ``endpoint`` is the id of the endpoint
     at fault, or the address under which another endpoint named it. ``is_silent`` tells
-    that it was given up because nothing came any more. ``head`` and
+    that the run was ended by this node, for a repeat or as its time was up, and
+    ``send`` which one it was, if that is not the last. ``head`` and
     ``body`` are set if the endpoint responded with an error of its own that may be
     forwarded to the client. ``lost_way`` tells that this node has no way to the
     endpoint, which may be sound, ``was_withheld`` that the endpoint has said meanwhile
@@ -45,6 +47,7 @@
     lost_way: bool = False
     was_withheld: bool = False
     is_silent: bool = False
+    send: int = 0
     connection_ended: bool = False
     endpoint: str | None = None
     head: object = None
@@ -61,7 +64,8 @@
 
     ``due_at`` is when the final response is due for the client and the route,
     ``deadline_at`` when it is due at the latest, also because the node stops, and
-    ``client_deadline_at`` when the client stops waiting. ``avoided_endpoint_ids`` holds
+    ``client_deadline_at`` when the client stops waiting. ``n_submissions`` counts the
+    jobs that were submitted for it, sent or not. ``avoided_endpoint_ids`` holds
     the endpoints that failed this request, ``n_lost_ways`` counts those to which this
     node found no way. ``needs_budget`` tells whether the next send draws on the
     leader's repeat budget. ``part_digests`` identifies the parts that the prompt may
@@ -78,6 +82,7 @@
         self.service = None
         self.workspace = None
         self.n_sends = 0
+        self.n_submissions = 0
         self.n_lost_ways = 0
         self.avoided_endpoint_ids = set()
         self.needs_budget = False
@@ -256,13 +261,21 @@
             body=reader.take_body(),
         )
 
-    def allow_repeat(self, history, failure, *, has_started=False):
-        """Record a failed send and tell whether the request may be sent again.
+    def situation(self, history, *, needed_s, is_suspect, other_ids, **ids):
+        """Return what decides whether this request is repeated, while a run goes on."""
+        now = self.context.clock.monotonic()
+        return RepeatSituation(
+            may_send=history.may_send(),
+            needed_s=needed_s,
+            due_in_s=self.due_at - now,
+            stops_in_s=self.context.answers_until() - now,
+            is_suspect=is_suspect,
+            other_ids=frozenset(other_ids),
+            **ids,
+        )
 
-        ``has_started`` tells whether the send had its first event.
-        Once this node's share of the repeat budget is used up, sets ``needs_budget``
-        for services with engines: the leader then decides on the next send.
-        """
+    def note_failed_send(self, failure, *, has_started=False):
+        """Record a failed send; ``has_started`` tells whether it had an event."""
         self.context.observe("sends_failed", 1.0, self.route)
         self.context.log(
             "request.send_failed",
@@ -270,20 +283,53 @@
             endpoint=failure.endpoint or "",
             cause=failure.cause,
             may_have_run=failure.may_have_run,
-            send=self.n_sends,
+            send=failure.send or self.n_sends,
             started=has_started,
             parts=",".join(self.part_digests),
             digest=self.digest,
             lost_way=failure.lost_way,
         )
         self.n_lost_ways += failure.lost_way and not failure.reached_endpoint
+
+    def allow_repeat(self, history, failure, *, has_started=False):
+        """Record a failed send and tell whether the request may be sent again.
+
+        ``has_started`` tells whether the send had its first event.
+        Once this node's share of the repeat budget is used up, sets ``needs_budget``
+        for services with engines: the leader then decides on the next send.
+        """
+        self.note_failed_send(failure, has_started=has_started)
+        cause = self._find_repeat_denial(history, failure)
+        if cause is not None:
+            self.context.log(
+                "request.no_repeat_granted",
+                request=self.id,
+                send=failure.send or self.n_sends,
+                cause=cause,
+            )
+        return cause is None
+
+    def _find_repeat_denial(self, history, failure):
+        """Return why the request is not sent again after a failed send, or None."""
         if self.n_lost_ways >= MAX_LOST_WAYS:
-            return False
-        if self.time_left_s() <= 0 or not history.may_send():
-            return False
-        if not failure.reached_endpoint:
-            return True
+            return "this node has found no way to several endpoints"
+        if self.time_left_s() <= 0:
+            is_stop = self.due_at > self.context.answers_until()
+            return (Denial.STOP if is_stop else Denial.DEADLINE).value
+        if not history.may_send():
+            return Denial.ATTEMPTS.value
+        if not failure.reached_endpoint or self.take_budget():
+            return None
+        return Denial.BUDGET.value
+
+    def take_budget(self):
+        """Count the next send as a repeat; return whether the budget may allow it.
+
+        Once this node's share is used up, sets ``needs_budget`` for services with
+        engines: the leader then decides on the next send.
+        """
         now = self.context.clock.monotonic()
+        self.needs_budget = False
         if self.context.repeat_budgets.try_local_repeat(self.service, now):
             return True
         self.needs_budget = self.service.engine is not None
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -1,26 +1,10 @@
 """Forwarding of one stream to its client, over all runs that it takes."""
 
+from savoryhill.core.silence import first_event_timeout_s, gap_timeout_s, patience_s
 from savoryhill.serving.event_splitter import EventSplitter
 
 # Limit of the body of a failure; the body of a stream is forwarded as it arrives.
 MAX_BUFFERED_STREAM_BYTES = 262_144
-# The first event times out after this constant plus a multiple of the predicted time.
-# A sound engine may be silent for a second or a little more.
-FIRST_EVENT_TIMEOUT_FACTOR = 2.0
-FIRST_EVENT_TIMEOUT_S = 1.4
-# Later events time out after this multiple of the gap that the route allows.
-GAP_TIMEOUT_FACTOR = 4.0
-MIN_GAP_TIMEOUT_S = 1.4
-# How long clients wait for the next event: the longest of a constant, a multiple of the
-# latency objective and a multiple of the gap that the route allows.
-MIN_PATIENCE_S = 2.0
-LATENCY_PATIENCE_FACTOR = 4.0
-GAP_PATIENCE_FACTOR = 8.0
-
-
-def first_event_timeout_s(predicted_first_s):
-    """Return the seconds after which a run without a first event is suspicious."""
-    return FIRST_EVENT_TIMEOUT_S + FIRST_EVENT_TIMEOUT_FACTOR * predicted_first_s
 
 
 class StreamForwarder:
@@ -28,7 +12,8 @@
 
     A run that follows another one goes on after the last event that was forwarded,
     whose id is ``last_id``. ``has_started`` tells whether the present run has had an
-    event with data.
+    event with data, and ``written_s`` for how many seconds events have been written, in
+    all runs.
     """
 
     max_buffered_bytes = MAX_BUFFERED_STREAM_BYTES
@@ -45,10 +30,11 @@
             else None
         )
         self._on_start = None
-        self._usual_s = 0.0
         self._suspicious_s = 0.0
         self._silent_since = 0.0
+        self._has_written = False
         self.has_started = False
+        self.written_s = 0.0
 
     @property
     def last_id(self):
@@ -69,40 +55,19 @@
         """
         self._splitter.begin_run()
         self._on_start = on_start
-        self._usual_s = usual_s
         self._suspicious_s = first_event_timeout_s(usual_s)
         self._silent_since = started_at
-        self.has_started = False
-
-    def _silence_limit_s(self):
-        """Return the seconds of silence after which the run is given up.
+        self._has_written = self.has_started = False
 
-        A run that can be repeated elsewhere is given up once its silence is suspicious.
-        Otherwise a slow engine is the only one that can serve the client, so the run
-        lasts for as long as clients wait.
-
-        Load pattern: an engine reads a long prompt again, while the node that forwards
-        its stream is about to stop. No other engine could read it before the end.
-        """
-        suspicious_s = self._suspicious_s
-        repeat_s = FIRST_EVENT_TIMEOUT_FACTOR * self._usual_s
-        if self._history.may_send() and self._request.time_left_s() >= repeat_s:
-            return suspicious_s
-        route = self._request.route
-        patience_s = max(
-            MIN_PATIENCE_S,
-            LATENCY_PATIENCE_FACTOR * route.target_latency_s,
-            GAP_PATIENCE_FACTOR * route.max_gap_s,
-        )
-        return max(suspicious_s, patience_s)
-
-    def forward(self, run):
+    def forward(self, run, question):
         """Forward a run's events; return None if it was complete, else the failure.
 
         Parameters
         ----------
         run : EndpointRun
             The run, whose request has been sent.
+        question : RepeatQuestion
+            Asks for a repeat while the run is silent, which then ends it.
 
         Raises
         ------
@@ -111,31 +76,53 @@
         """
         request, reader = self._request, run.reader
         while True:
-            failure = run.receive(self._silent_since + self._silence_limit_s())
+            silence = (self._silent_since, self._suspicious_s)
+            is_granted = question.poll(*silence)
+            failure = run.receive(question.max_wait_s(*silence))
             if failure is not None:
                 return failure
             if reader.head is None:
                 if not run.is_open:
                     return run.end_within_answer("closed without an answer")
-                continue
-            if reader.head.status != 200 or not request.is_valid(reader.head):
+            elif reader.head.status != 200 or not request.is_valid(reader.head):
                 if reader.complete or not run.is_open:
                     return request.classify_failure(reader, run.endpoint)
-                continue
-            if self._forward_events(run):
-                self._note_event()
-            if reader.complete:
-                return self._find_missing_end(run)
-            if not run.is_open:
-                return run.end_within_answer("stream broke")
-
-    def _note_event(self):
-        """Measure the silence from now on, against the gap that the route allows."""
-        self._silent_since = self._context.clock.monotonic()
-        self._suspicious_s = max(
-            MIN_GAP_TIMEOUT_S, self._request.route.max_gap_s * GAP_TIMEOUT_FACTOR
+            else:
+                if self._forward_events(run):
+                    self._note_event(run)
+                    question.withdraw()
+                    is_granted = False
+                if reader.complete:
+                    return self._find_missing_end(run)
+                if not run.is_open:
+                    return run.end_within_answer("stream broke")
+            if is_granted:
+                return run.end_silent("endpoint is silent")
+            if self._context.clock.monotonic() >= self._abandoned_at():
+                return run.end_silent("endpoint is silent for longer than clients wait")
+
+    def _abandoned_at(self):
+        """Return when clients, at the latest, wait for the next event no longer."""
+        route = self._request.route
+        return self._silent_since + max(
+            self._suspicious_s,
+            patience_s(
+                target_latency_s=route.target_latency_s, max_gap_s=route.max_gap_s
+            ),
         )
 
+    def _note_event(self, run):
+        """Measure the silence from now on, against the gap that the route allows."""
+        now = self._context.clock.monotonic()
+        if self._has_written:
+            self.written_s += min(
+                now - self._silent_since, self._request.route.max_gap_s
+            )
+        self._has_written = True
+        self._silent_since = now
+        self._suspicious_s = gap_timeout_s(self._request.route.max_gap_s)
+        run.note_sign_of_life(now)
+
     def _forward_events(self, run):
         """Forward the complete events received; return whether any carried data."""
         reader = run.reader
--- a/src/savoryhill/serving/whole_answer.py
+++ b/src/savoryhill/serving/whole_answer.py
@@ -1,13 +1,8 @@
 """Responses that are kept until they are complete, and forwarded then."""
 
+from savoryhill.core.silence import answer_timeout_s
 from savoryhill.serving.http import MAX_BUFFERED_BYTES
 
-# A request that may be repeated is sent to another endpoint if its response takes
-# longer than this multiple of the usual time, and longer than a sound endpoint may be
-# silent, if that much time is left for the repeat.
-RESPONSE_TIMEOUT_FACTOR = 2.0
-MIN_RESPONSE_TIMEOUT_S = 1.4
-
 
 class WholeAnswer:
     """Forwards the response of one request once it is complete.
@@ -19,12 +14,14 @@
     max_buffered_bytes = MAX_BUFFERED_BYTES
     last_id = None
     has_started = False
+    written_s = 0.0
 
-    def __init__(self, *, request, response, history):
+    def __init__(self, *, request, response):
         self._request = request
         self._response = response
-        self._history = history
-        self._times_out_at = 0.0
+        self._context = request.context
+        self._silent_since = 0.0
+        self._suspicious_s = 0.0
 
     def begin_run(self, *, started_at, usual_s):
         """Prepare for the response of another run.
@@ -36,34 +33,51 @@
         usual_s : float
             Seconds that the response usually takes.
         """
-        request = self._request
-        self._times_out_at = request.deadline_at
-        if not self._history.may_send():
-            return
-        patient_s = RESPONSE_TIMEOUT_FACTOR * usual_s
-        time_left_s = request.deadline_at - started_at
-        silence_s = min(MIN_RESPONSE_TIMEOUT_S, time_left_s - patient_s)
-        times_out_at = started_at + max(patient_s, silence_s)
-        self._times_out_at = min(request.deadline_at, times_out_at)
+        self._silent_since = started_at
+        self._suspicious_s = answer_timeout_s(
+            usual_s=usual_s, time_left_s=self._request.deadline_at - started_at
+        )
 
-    def forward(self, run):
+    def forward(self, run, question):
         """Receive the response; return None if it is a success, else the failure.
 
+        A response whose body arrives is not silent.
+
+        Parameters
+        ----------
+        run : EndpointRun
+            The run, whose request has been sent.
+        question : RepeatQuestion
+            Asks for a repeat while the run is silent, which then ends it.
+
         Raises
         ------
         OSError, MalformedMessageError
             If the connection broke, or carries no valid response.
         """
         reader = run.reader
-        while not reader.complete:
-            failure = run.receive(self._times_out_at)
+        n_bytes = 0
+        while True:
+            silence = (self._silent_since, self._suspicious_s)
+            is_granted = question.poll(*silence)
+            failure = run.receive(question.max_wait_s(*silence))
             if failure is not None:
                 return failure
-            if not run.is_open and not reader.complete:
+            if reader.complete:
+                break
+            if not run.is_open:
                 return run.end_within_answer("closed within the answer")
+            if reader.n_buffered_bytes > n_bytes:
+                n_bytes = reader.n_buffered_bytes
+                self._silent_since = self._context.clock.monotonic()
+                question.withdraw()
+            elif is_granted:
+                return run.end_silent("endpoint is silent")
         run.end_reception()
         if reader.head.status >= 300 or not self._request.is_valid(reader.head):
             return self._request.classify_failure(reader, run.endpoint)
+        run.note_sign_of_life(self._context.clock.monotonic())
+        question.withdraw()
         return None
 
     def finish(self, run):
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -512,3 +512,40 @@
         (grant,) = scheduler.submit(job, 100.0)
         assert grant.endpoint_ids[0] == "e03"
         assert len(grant.endpoint_ids) > 1
+
+
+class TestSuspectedEngine:
+    def test_silent_engine_is_ejected_while_its_job_goes_on(self):
+        scheduler = make_scheduler(1)
+        (grant,) = scheduler.submit(make_job("a", 1000), 0.0)
+        scheduler.note_first_event("a", 0.1)
+        assert scheduler.note_suspicion("a", grant.endpoint_ids[0], 2.0) > 0.0
+        assert "a" in scheduler.placed_by_id
+        assert not scheduler.submit(make_job("b", 1000, now=2.1), 2.1)
+
+    def test_engine_is_used_again_once_the_silent_job_goes_on(self):
+        # Guards against a sound engine without any jobs for as long as one runs there.
+        scheduler = make_scheduler(1)
+        scheduler.submit(make_job("a", 1000), 0.0)
+        scheduler.note_first_event("a", 0.1)
+        scheduler.note_suspicion("a", "e00", 2.0)
+        scheduler.submit(make_job("b", 1000, now=2.1, due_s=2.0), 2.1)
+        (decision,) = scheduler.note_first_event("a", 2.2)
+        assert decision.job_id == "b"
+
+    def test_engine_that_has_begun_another_job_since_is_not_ejected(self):
+        # Guards against an ejection because one of several streams is silent.
+        scheduler = make_scheduler(1)
+        for job_id in ("a", "b"):
+            scheduler.submit(make_job(job_id, 1000), 0.0)
+        scheduler.note_first_event("a", 0.1)
+        scheduler.note_first_event("b", 1.0)
+        assert scheduler.note_suspicion("a", "e00", 1.6) == 0.0
+        assert scheduler.note_suspicion("a", "e00", 2.5) > 0.0
+
+    def test_helper_that_is_not_reached_is_ejected_in_any_case(self):
+        scheduler = make_scheduler(4)
+        (grant,) = scheduler.submit(make_job("a", 200_000, due_s=0.6), 0.0)
+        helper = grant.endpoint_ids[1]
+        scheduler.engines_by_id[helper].heard_at = 0.05
+        assert scheduler.note_suspicion("a", helper, 0.1) > 0.0
--- a/tests/core/test_repeats.py
+++ b/tests/core/test_repeats.py
@@ -42,3 +42,14 @@
         for n in range(1_000):
             budget.note_request(float(n))
         assert len(budget.request_times) <= 11
+
+    def test_repeat_that_was_not_sent_is_given_back(self):
+        # Guards against a withdrawn repeat that keeps others from being made.
+        budget = RepeatBudget(window_s=10.0)
+        assert budget.try_repeat(0.0, ratio=0.2, slack=1.0)
+        assert not budget.try_repeat(0.1, ratio=0.2, slack=1.0)
+        budget.give_back()
+        assert budget.try_repeat(0.2, ratio=0.2, slack=1.0)
+        budget.give_back()
+        budget.give_back()
+        assert not budget.repeat_times
