serving: a job of a node that ends is ended after a suspicion was reported, too

Found by reading; callers would see prompts that wait for engines which are free. Cause: the leader forgot a follower's job at each report but the first event, and released the parts that a job tries, although a suspicion is not a job's end. Evidence: test_its_jobs_end_after_it_has_reported_a_suspicion failed before. Change: only reports that end a job do that.

--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -14,7 +14,7 @@
     TurnRequest,
 )
 from savoryhill.core.scheduling.messages import (
-    FIRST_EVENT,
+    ENDS,
     PROTOCOL,
     RETAINING_PROTOCOL,
     SHARING_PROTOCOL,
@@ -330,7 +330,7 @@
                 elif isinstance(message, TurnRequest):
                     link.send(self._turns.decide(message))
                 elif isinstance(message, JobReport):
-                    if message.what != FIRST_EVENT:
+                    if message.what in ENDS:
                         job_ids.discard(message.job_id)
                     self._scheduling.report(message)
         except PeerError as error:
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -164,7 +164,8 @@
             return
         scheduler = self.schedulers_by_service[submission.service]
         now = self._clock.monotonic()
-        self._crash_guard.end_probe(message.job_id)
+        if message.what != ENDPOINT_SUSPECTED:
+            self._crash_guard.end_probe(message.job_id)
         if message.what == FIRST_EVENT:
             self._deliver_all(
                 scheduler, scheduler.note_first_event(message.job_id, now)
--- a/tests/serving/test_lost_helpers.py
+++ b/tests/serving/test_lost_helpers.py
@@ -78,3 +78,23 @@
         ejections = [fields for event, fields in lines if event == "engine.ejected"]
         assert ejections
         assert all(fields["what"] == "endpoint_failed" for fields in ejections)
+
+
+class TestNodeThatEnds:
+    def test_its_jobs_end_after_it_has_reported_a_suspicion(self, fleet):
+        # Guards against a job that holds a slot and memory in the leader's account for
+        # good, as its node reported a helper or a silence before it ended.
+        leader = next(n for n in fleet.nodes if not n._dispatcher.has_leader())
+        follower = next(n for n in fleet.nodes if n is not leader)
+        fleet.endpoints_by_id["e0"].is_down = True
+        for endpoint in fleet.endpoints_by_id.values():
+            endpoint.event_interval_s = 0.4
+        fleet.open("/chat/x", node=fleet.nodes.index(follower))
+        scheduler = leader._dispatcher._scheduling.schedulers_by_service["pool"]
+        fleet.wait_until(lambda: scheduler.placed_by_id)
+        jobs = follower._dispatcher.jobs
+        (job,) = jobs._by_id.values()
+        jobs.report_suspected(job, "e0")
+        fleet.wait_until(lambda: scheduler.engines_by_id["e0"].n_failures)
+        follower.stop()
+        fleet.wait_until(lambda: not scheduler.placed_by_id)
