tests: a node that ends in the test of suspicions says nothing more

With the connection kept it passed without the fix, as the node that was stopped still cancelled its job.

--- a/tests/serving/test_lost_helpers.py
+++ b/tests/serving/test_lost_helpers.py
@@ -89,12 +89,15 @@
         fleet.endpoints_by_id["e0"].is_down = True
         for endpoint in fleet.endpoints_by_id.values():
             endpoint.event_interval_s = 0.4
-        fleet.open("/chat/x", node=fleet.nodes.index(follower))
+        connection = fleet.open("/chat/x", node=fleet.nodes.index(follower))
         scheduler = leader._dispatcher._scheduling.schedulers_by_service["pool"]
         fleet.wait_until(lambda: scheduler.placed_by_id)
         jobs = follower._dispatcher.jobs
         (job,) = jobs._by_id.values()
         jobs.report_suspected(job, "e0")
         fleet.wait_until(lambda: scheduler.engines_by_id["e0"].n_failures)
+        # It has no time to say so.
+        jobs.link.send = lambda _message: None
         follower.stop()
         fleet.wait_until(lambda: not scheduler.placed_by_id)
+        connection.close()
