--- a/src/savoryhill/core/silence.py
+++ b/src/savoryhill/core/silence.py
@@ -19,8 +19,6 @@
 MIN_PATIENCE_S = 2.0
 LATENCY_PATIENCE_FACTOR = 4.0
 GAP_PATIENCE_FACTOR = 8.0
-# What is on its way when a client's patience ends.
-PATIENCE_MARGIN_S = 0.1
 # How long a denied repeat is not asked for again.
 ASK_AGAIN_S = 1.0
 
@@ -100,7 +98,7 @@
 
 def patience_s(*, target_latency_s, max_gap_s):
     """Return the seconds of silence after which no client waits for a stream."""
-    return PATIENCE_MARGIN_S + max(
+    return max(
         MIN_PATIENCE_S,
         LATENCY_PATIENCE_FACTOR * target_latency_s,
         GAP_PATIENCE_FACTOR * max_gap_s,
