--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -1,8 +1,7 @@
 """Streaming requests: one job per send, on the engines that the scheduler chooses."""
 
 import math
-from contextlib import ExitStack, closing
-from dataclasses import dataclass
+from contextlib import closing
 from functools import partial
 
 import gevent
@@ -21,24 +20,16 @@
     find_denial,
     remaining_answer_s,
 )
-from savoryhill.errors import (
-    EndpointError,
-    MalformedMessageError,
-    NotConnectedError,
-    WayLostError,
-)
+from savoryhill.errors import MalformedMessageError
 from savoryhill.serving.crash_check import CrashCheck
 from savoryhill.serving.endpoint_run import EndpointRun
-from savoryhill.serving.helper_check import find_unreached
+from savoryhill.serving.prepared_run import PreparedRun, RunPreparation
 from savoryhill.serving.repeat_question import RepeatQuestion
-from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.response_writer import RETRY_AFTER_S
 from savoryhill.serving.served_request import (
-    CONNECT_TIMEOUT_S,
     RECHECK_S,
     SendFailure,
     describe_break,
-    describe_unreached,
 )
 from savoryhill.serving.stream_forwarder import StreamForwarder
 
@@ -52,36 +43,6 @@
 AGAIN = object()
 
 
-@dataclass(kw_only=True)
-class PreparedRun:
-    """A placed job whose memory is reserved and whose connection is open.
-
-    ``closing`` closes the connection and releases the memory; ``on_withdrawal`` is
-    called without arguments if nothing is sent. ``checking`` finds out whether the
-    engine of a silent run is at fault.
-    """
-
-    job: object
-    endpoints: list
-    predicted_first_s: float
-    helpers: list
-    reservations: Reservations
-    connection: object
-    closing: ExitStack
-    on_withdrawal: object = None
-    checking: object = None
-
-    @property
-    def endpoint(self):
-        """Return the engine that generates the output."""
-        return self.endpoints[0]
-
-    def withdraw(self):
-        """Give up the run, for which nothing was sent."""
-        self.closing.close()
-        self.on_withdrawal()
-
-
 class Generation:
     """Serves one streaming request, with as many runs on engines as it needs."""
 
@@ -91,6 +52,7 @@
         self._history = history
         self._context = request.context
         self._check = CrashCheck(request=request)
+        self._preparation = RunPreparation(request=request, check=self._check)
         self._forwarder = StreamForwarder(
             request=request, response=response, history=history, check=self._check
         )
@@ -167,7 +129,7 @@
             self._context.dispatcher.jobs.cancel(job)
             self._fail_unplaced(decision)
             return None
-        return self._prepare(job, decision)
+        return self._preparation.prepare(job, decision)
 
     def _note_exclusion(self, decision):
         self._context.log(
@@ -237,7 +199,7 @@
         if self._is_excluded(decision):
             self._note_exclusion(decision)
             return Denial.PAUSED.value
-        return self._prepare(job, decision)
+        return self._preparation.prepare(job, decision)
 
     def _return_repeat(self, job, *, budget_is_local, failure=None):
         """Take back a repeat that was not sent; it has spent nothing."""
@@ -393,125 +355,6 @@
         failure = SendFailure(cause=cause, may_have_run=False)
         self._response.fail(failure, self._history, retry_after_s=retry_after_s)
 
-    def _prepare(self, job, decision):
-        """Return the run of a placed job, ready to be sent, or the failure."""
-        endpoints_by_id = self._context.cluster_view.endpoints_by_id
-        endpoints = [endpoints_by_id.get(name) for name in decision.endpoints]
-        # The leader's view of the store may be older than this node's.
-        failure = self._find_unusable(decision.endpoints, endpoints)
-        if failure is not None:
-            return failure
-        self._context.endpoint_statements.note_sent(endpoints[0])
-        with ExitStack() as stack:
-            reservations = stack.enter_context(
-                Reservations(
-                    request_id=job.submission.job_id,
-                    clock=self._context.clock,
-                    log=self._context.log,
-                    on_head=self._context.endpoint_statements.note_order_head,
-                    connect=self._context.ways.open_for_order,
-                    pause_left_s=self._context.endpoint_statements.pause_left_s,
-                )
-            )
-            try:
-                helpers = reservations.reserve(
-                    endpoints[1:], decision.reserved_tokens[1:]
-                )
-            except (EndpointError, NotConnectedError) as error:
-                return SendFailure(
-                    cause=f"no memory was reserved: {error}",
-                    may_have_run=False,
-                    reached_endpoint=False,
-                    is_full=True,
-                    lost_way=isinstance(error, WayLostError),
-                    endpoint=reservations.last_endpoint_id,
-                )
-            failure = self._find_unreached_helper(job, decision, endpoints)
-            if failure is None:
-                # A helper may have said in its answer that it leaves.
-                failure = self._find_unusable(decision.endpoints, endpoints)
-            if failure is not None:
-                return failure
-            connection = self._connect(endpoints[0])
-            if isinstance(connection, SendFailure):
-                return connection
-            stack.callback(connection.close)
-            reservations.abort_when_lost(connection)
-            return PreparedRun(
-                job=job,
-                endpoints=endpoints,
-                predicted_first_s=decision.predicted_first_s,
-                helpers=helpers,
-                reservations=reservations,
-                connection=connection,
-                closing=stack.pop_all(),
-            )
-
-    def _find_unusable(self, names, endpoints):
-        """Return the failure of the first endpoint that is gone or leaves, or None."""
-        view = self._context.cluster_view
-        for name, endpoint in zip(names, endpoints, strict=True):
-            if endpoint is None or not view.is_usable(endpoint):
-                return SendFailure(
-                    cause="endpoint is unknown or leaving",
-                    may_have_run=False,
-                    reached_endpoint=False,
-                    endpoint=name,
-                )
-        return None
-
-    def _find_unreached_helper(self, job, decision, endpoints):
-        """Return the failure of a helper that accepts no connections, or None.
-
-        The others that accept none are reported as well. Helpers that have just set
-        memory aside need no check.
-        """
-        helpers = [
-            endpoint
-            for endpoint, n_tokens in zip(
-                endpoints[1:], decision.reserved_tokens[1:], strict=True
-            )
-            if not n_tokens
-        ]
-        ways = self._context.ways
-        unreached = find_unreached(
-            helpers,
-            connect=lambda helper: ways.open_for_order(
-                helper, timeout_s=CONNECT_TIMEOUT_S
-            ),
-        )
-        if not unreached:
-            return None
-        (first, error), *others = unreached
-        for endpoint, _ in others:
-            self._context.dispatcher.jobs.report_suspected(job, endpoint.id)
-            self._request.avoided_endpoint_ids.add(endpoint.id)
-        return describe_unreached(error, first)
-
-    def _connect(self, endpoint):
-        """Return a connection on which a request may be sent, or the failure."""
-        if self._check.stop_cause is not None:
-            return SendFailure(
-                cause=self._check.stop_cause,
-                may_have_run=False,
-                reached_endpoint=False,
-            )
-        try:
-            connection = self._context.ways.open(
-                endpoint,
-                timeout_s=CONNECT_TIMEOUT_S,
-                request_id=self._request.id,
-                remaining_s=self._request.time_left_s(),
-                max_buffered_bytes=self._forwarder.max_buffered_bytes,
-            )
-        except NotConnectedError as error:
-            return describe_unreached(error, endpoint)
-        failure = self._request.find_withheld(endpoint)
-        if failure is not None:
-            connection.close()
-            return failure
-        return connection
-
     def _serve(self, prepared):
         """Send the request and forward the answer.
 
