serving: a document on a streaming route is whole by its length

Callers saw: a service's whole answer with a length and another content type than that of streams, 200 on, became 502 'stream ends within an event'. Cause: since streams that end within an event count as broken off, everything on a streaming route was read as events. Without a length it is refused as before, as an end by a crash looks the same. Evidence: TestAnswerThatIsNoStream, eight cases; the four with application/json gave 502 before. A document is not begun anew once a part of it has been forwarded.

--- a/src/savoryhill/serving/event_splitter.py
+++ b/src/savoryhill/serving/event_splitter.py
@@ -91,6 +91,11 @@
         self.last_id = event_id
         return True
 
+    def take_rest(self):
+        """Return what is left after the last complete event, and forget it."""
+        rest, self._buffer = self._buffer, b""
+        return rest
+
     @property
     def n_partial_bytes(self):
         """Return how many bytes of an incomplete event the buffer holds."""
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -5,6 +5,7 @@
 
 # Limit of the body of a failure; the body of a stream is forwarded as it arrives.
 MAX_BUFFERED_STREAM_BYTES = 262_144
+EVENT_STREAM = b"text/event-stream"
 
 
 class StreamForwarder:
@@ -131,7 +132,7 @@
         run.n_partial_bytes = self._splitter.n_partial_bytes
         if not events:
             return False
-        if self._splitter.has_unnumbered:
+        if self._splitter.has_unnumbered or is_document(reader.head):
             # Another run would send its events again.
             self._history.may_repeat = False
         has_data = self._splitter.n_with_data > n_with_data
@@ -152,7 +153,10 @@
             return run.end_within_answer(
                 "stream without a length ends before its first event"
             )
-        if self._splitter.has_partial_event:
+        is_whole_document = is_document(reader.head) and not reader.is_close_delimited
+        if self._splitter.has_partial_event and is_whole_document:
+            self._response.write_events(reader.head, [self._splitter.take_rest()])
+        elif self._splitter.has_partial_event:
             return run.end_within_answer(
                 "stream ends within an event",
                 connection_ended=reader.is_close_delimited,
@@ -173,3 +177,16 @@
             endpoint=endpoint.id,
             after_s=round(after_s, 4),
         )
+
+
+def is_document(head):
+    """Tell whether a response says that it is no event stream.
+
+    A service may answer a request for a stream with a document. Its end is known from
+    its length or chunks only, not from the end of an event.
+    """
+    content_type = head.header(b"content-type")
+    if content_type is None:
+        return False
+    media_type = content_type.partition(b";")[0].strip().lower()
+    return media_type != EVENT_STREAM
--- a/tests/serving/test_plain_streams.py
+++ b/tests/serving/test_plain_streams.py
@@ -4,6 +4,7 @@
 import pytest
 
 from savoryhill.platform import names
+from savoryhill.serving.http import encode_chunk
 from savoryhill.standins.serving.network import REFUSE
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)]
@@ -248,3 +249,39 @@
             assert (status, complete, body) == (200, True, b"".join(EVENTS))
         assert deployment.nodes[1].context.ways.n_relayed >= 6
         assert not endpoints["app-0"].faults
+
+
+DOCUMENT = b'{"detail": "closed",\n\n "until": 9}'
+
+
+class TestAnswerThatIsNoStream:
+    @pytest.mark.parametrize("service", ["pool", "app"])
+    @pytest.mark.parametrize("is_chunked", [True, False])
+    @pytest.mark.parametrize(
+        "content_type", [b"application/json", b"text/event-stream; charset=utf-8"]
+    )
+    def test_is_whole_by_its_length_unless_it_is_said_to_be_one(
+        self, deployment, start_scripted, service, is_chunked, content_type
+    ):
+        # Guards against a document of a service, complete by its length, that is taken
+        # for a stream which ended within an event.
+        head = (
+            b"HTTP/1.1 200 OK\r\nx-attempt-id: %b\r\nx-response-signature: s\r\n"
+            b"content-type: " + content_type + b"\r\n"
+        )
+        framed = (
+            b"transfer-encoding: chunked\r\n\r\n"
+            + encode_chunk(DOCUMENT)
+            + b"0\r\n\r\n"
+            if is_chunked
+            else b"content-length: %d\r\n\r\n" % len(DOCUMENT) + DOCUMENT
+        )
+        start_scripted("x1", service=service, first=head + framed, repeated=None)
+        deployment.add_node()
+        path = "/once/x" if service == "pool" else "/plain-once/x"
+        answer = deployment.ask(path)
+        assert answer[0] == 200
+        is_whole = content_type == b"application/json"
+        assert answer[3] == is_whole
+        if is_whole:
+            assert answer[2] == DOCUMENT
