--- a/src/savoryhill/observability/explain.py
+++ b/src/savoryhill/observability/explain.py
@@ -204,4 +204,19 @@
         for line in failed_sends
     )
     text = f"cause: {outcome} with {status}: {final.fields.get('cause')}"
-    return f"{text} ({earlier})" if earlier else text
+    if earlier:
+        text += f" ({earlier})"
+    return text + _describe_denials(lines)
+
+
+def _describe_denials(lines):
+    """Return why no repeat was granted, beside a silent run or after a failed one."""
+    texts = []
+    for event, what in (
+        ("request.run_kept", "kept its silent run, as no repeat was granted"),
+        ("request.no_repeat_granted", "not repeated"),
+    ):
+        causes = [line.fields.get("cause", "") for line in lines if line.event == event]
+        if causes:
+            texts.append(f"; {what}: {', '.join(dict.fromkeys(causes))}")
+    return "".join(texts)
--- a/tests/serving/test_log_lines.py
+++ b/tests/serving/test_log_lines.py
@@ -80,6 +80,18 @@
             "cause: failed with 502: stream broke (send 1 to e1: stream broke)"
         )
 
+    def test_why_no_repeat_was_granted(self):
+        # Guards against a lost stream of which nobody can tell whether its run was kept
+        # for want of a repeat, or failed and was not repeated.
+        kept = "time=10.{} node=n1 event=request.run_kept request=r1 cause=full"
+        denied = (
+            "time=11.0 node=n1 event=request.no_repeat_granted request=r1 cause=late"
+        )
+        lines = (*self.LOG_LINES, kept.format(2), kept.format(4), denied)
+        assert explain("r1", lines)[-1].endswith(
+            "; kept its silent run, as no repeat was granted: full; not repeated: late"
+        )
+
     def test_request_without_a_final_event(self):
         assert "logged no end" in explain("r1", self.LOG_LINES[:2])[-1]
 
