serving: an engine that is silent for some of its streams is avoided, not taken out

Cause: as other streams of an engine went on, its silence had no consequence at all, so that new streams, and the repeats, were placed on engines that let them wait as well. Change: such an engine is used only if there is no other one, for as long as a failed one would be taken out; the same once a silent run goes on. A node tells the leader with a report of its own, which older leaders ignore. Evidence: test_engine_that_is_silent_for_some_is_used_if_there_is_no_other.

--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -84,8 +84,10 @@
     that other engines generate. ``has_turn`` is False while a limit that the engine has
     named leaves no turn; it may still prefill a part of another engine's prompt.
     ``n_failures`` and ``n_refusals`` count since the last first event of a job, which
-    was at ``heard_at``. ``silent_job_ids`` holds the running jobs that were silent for
-    so long that the engine was suspected.
+    was at ``heard_at``, and so does ``n_silences``, of jobs that were silent while the
+    engine went on with others. Until ``avoided_until`` it is used only if there is no
+    other. ``silent_job_ids`` holds the running jobs that were silent for so long that
+    the engine was suspected.
     ``rank`` orders engines that are equally good, in another order on each node.
     """
 
@@ -104,7 +106,9 @@
     ejected_until: float = 0.0
     n_failures: int = 0
     n_refusals: int = 0
+    n_silences: int = 0
     heard_at: float = -math.inf
+    avoided_until: float = 0.0
     silent_job_ids: set[str] = field(default_factory=set)
     grant_times: deque = field(default_factory=deque)
     # Cached values computed from the jobs, cleared whenever the jobs change.
--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -117,6 +117,8 @@
 # that is the one named, is silent. A first event that is reported once more tells that
 # it was heard again.
 ENDPOINT_SUSPECTED = "helper_unreached"
+# The engine is silent for the job, and goes on with others; older nodes ignore it.
+ENDPOINT_SLOW = "endpoint_slow"
 # The job was placed or waits, and nothing was sent for it. Older nodes do not know it,
 # so that CANCELLED follows.
 WITHDRAWN = "withdrawn"
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -121,12 +121,13 @@
             engine = self.engines_by_id.get(engine_id)
             if engine is not None:
                 engine.finish_prefill(job_id, now)
-                engine.n_failures = engine.n_refusals = 0
+                engine.n_failures = engine.n_refusals = engine.n_silences = 0
         first = self.engines_by_id.get(placed.engine_ids[0])
         if first is not None:
             first.heard_at = now
             if job_id in first.silent_job_ids:
                 first.silent_job_ids.discard(job_id)
+                first.avoided_until = max(first.avoided_until, first.ejected_until)
                 first.ejected_until = now
         return self.place_waiting(now)
 
@@ -170,18 +171,27 @@
         engine.ejected_until = max(engine.ejected_until, now + ejection_s)
         return engine.ejected_until - now
 
-    def note_suspicion(self, job_id, engine_id, now):
+    def note_suspicion(self, job_id, engine_id, now, *, was_heard=False):
         """Eject an engine that is silent or not reached, while the job goes on there.
 
         Load pattern: one stream of several is silent, as its prompt is read again, and
-        the engine goes on with the others. It is not ejected if a job of any node has
-        begun there within the silence, and used again once the silent one goes on.
+        the engine goes on with the others. It is only avoided if a job of any node has
+        begun there within the silence, or once the silent one goes on.
+
+        Parameters
+        ----------
+        job_id, engine_id : str
+            The job, and its own engine or a helper.
+        now : float
+            Current time of the scheduler's clock, in seconds.
+        was_heard : bool
+            Whether the engine has gone on with others within the silence.
 
         Returns
         -------
         float
-            Seconds from now for which the engine gets no jobs; 0 if it is sound or not
-            known.
+            Seconds from now for which the engine gets no jobs; 0 if it is only avoided
+            or not known.
         """
         placed, engine = (
             self.placed_by_id.get(job_id),
@@ -189,7 +199,10 @@
         )
         if placed is None or engine is None or placed.engine_ids[0] != engine_id:
             return self.note_failure(engine_id, now)
-        if engine.heard_at > max(placed.granted_at, now - MIN_SILENCE_S):
+        if was_heard or engine.heard_at > max(placed.granted_at, now - MIN_SILENCE_S):
+            avoided_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2**engine.n_silences)
+            engine.n_silences += 1
+            engine.avoided_until = max(engine.avoided_until, now + avoided_s)
             return 0.0
         engine.silent_job_ids.add(job_id)
         return self.note_failure(engine_id, now)
@@ -308,7 +321,9 @@
             and not (engine.n_failures and engine.jobs_by_id)
             and (not limit or engine.grants_in_last_second(now) < limit)
         ]
-        # An engine on which this job failed before is better than none.
+        # One that is silent for some is better than none, and so is one on which this
+        # job failed before.
+        usable = [engine for engine in usable if engine.avoided_until <= now] or usable
         return [
             engine for engine in usable if engine.id not in job.avoided_engine_ids
         ] or usable
--- a/src/savoryhill/serving/balancing.py
+++ b/src/savoryhill/serving/balancing.py
@@ -69,11 +69,6 @@
         """Reset the consecutive failures of an endpoint."""
         self._load(endpoint.id).n_failures = 0
 
-    def note_heard(self, endpoint):
-        """Use an endpoint again that was ejected for a silence which has ended."""
-        load = self._load(endpoint.id)
-        load.n_failures, load.ejected_until = 0, 0.0
-
     def is_ejected(self, endpoint):
         """Tell whether an endpoint failed lately."""
         return self._load(endpoint.id).ejected_until > self.clock.monotonic()
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -180,10 +180,8 @@
         self._request.n_sends -= 1
         self._context.repeat_budgets.give_back_local(self._request.service)
 
-    def _suspect(self, run, silent_since):
-        """Keep requests from a silent endpoint, unless it is heard elsewhere."""
-        if self._has_been_heard(run, silent_since):
-            return
+    def _suspect(self, run, _silent_since):
+        """Keep requests from a silent endpoint, as long as there is another one."""
         self._context.balancer.note_failure(run.endpoint, is_full=False)
         gevent.spawn(
             self._context.ways.is_path_at_fault,
@@ -192,13 +190,6 @@
             was_silent=True,
         )
 
-    def _has_been_heard(self, run, silent_since):
-        signs = self._context.signs_of_life
-        return signs.was_heard_after(run.endpoint.incarnation, silent_since)
-
-    def _note_heard(self, run):
-        self._context.balancer.note_heard(run.endpoint)
-
     def _choose_endpoint(self, *, besides=None):
         """Choose an endpoint, and wait for its turn if it has named a limit.
 
@@ -316,7 +307,6 @@
             endpoint=prepared.endpoint,
             ask=partial(self._find_repeat, prepared),
             on_silence=partial(self._suspect, prepared),
-            on_heard=partial(self._note_heard, prepared),
         )
         with closing(question):
             failure = self._forward(prepared, question)
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -238,12 +238,12 @@
     def _report_silence(self, run, silent_since):
         context, endpoint = self._context, run.endpoint
         signs, incarnation = context.signs_of_life, endpoint.incarnation
-        if signs.was_heard_after(incarnation, silent_since):
-            return
         relay = run.connection.relay
         if context.ways.is_path_at_fault(endpoint, relay=relay, was_silent=True):
             return
-        if not signs.was_heard_after(incarnation, silent_since):
+        if signs.was_heard_after(incarnation, silent_since):
+            context.dispatcher.jobs.report_slow(run.job, endpoint.id)
+        else:
             context.dispatcher.jobs.report_suspected(run.job, endpoint.id)
 
     def _report_failure(self, job, failure, endpoint_id):
--- a/src/savoryhill/serving/local_jobs.py
+++ b/src/savoryhill/serving/local_jobs.py
@@ -6,6 +6,7 @@
 
 from savoryhill.core.scheduling.messages import (
     CANCELLED,
+    ENDPOINT_SLOW,
     ENDPOINT_SUSPECTED,
     FIRST_EVENT,
     WITHDRAWN,
@@ -54,6 +55,10 @@
         """Report an engine that is silent or not reached, while the job goes on."""
         self._report(job, ENDPOINT_SUSPECTED, endpoint_id)
 
+    def report_slow(self, job, endpoint_id):
+        """Report an engine that is silent for a job, and goes on with others."""
+        self._report(job, ENDPOINT_SLOW, endpoint_id)
+
     def report_heard_again(self, job):
         """Report that a job whose engine was suspected goes on."""
         self._report(job, FIRST_EVENT, "")
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -8,6 +8,7 @@
 from savoryhill.core.scheduling.messages import (
     ENDPOINT_FAILED,
     ENDPOINT_FULL,
+    ENDPOINT_SLOW,
     ENDPOINT_SUSPECTED,
     ENDS,
     FIRST_EVENT,
@@ -18,6 +19,9 @@
 from savoryhill.core.scheduling.scheduler import ServiceScheduler
 
 REJECTED_RETRY_AFTER_S = 1.0
+REPORTS_ON_ENGINES = frozenset(
+    (ENDPOINT_FAILED, ENDPOINT_FULL, ENDPOINT_SUSPECTED, ENDPOINT_SLOW)
+)
 
 
 @dataclass(kw_only=True)
@@ -164,14 +168,14 @@
             return
         scheduler = self.schedulers_by_service[submission.service]
         now = self._clock.monotonic()
-        if message.what != ENDPOINT_SUSPECTED:
+        if message.what not in (ENDPOINT_SUSPECTED, ENDPOINT_SLOW):
             self._crash_guard.end_probe(message.job_id)
         if message.what == FIRST_EVENT:
             self._deliver_all(
                 scheduler, scheduler.note_first_event(message.job_id, now)
             )
             return
-        if message.what in (ENDPOINT_FAILED, ENDPOINT_FULL, ENDPOINT_SUSPECTED):
+        if message.what in REPORTS_ON_ENGINES:
             self._eject(scheduler, message, now)
         if message.what == WITHDRAWN and submission.needs_budget:
             self._repeat_budgets.give_back_scheduled(submission.service)
@@ -181,14 +185,19 @@
 
     def _eject(self, scheduler, report, now):
         """Keep jobs from the engine that a report blames, and log who blames it."""
-        if report.what == ENDPOINT_SUSPECTED:
-            ejected_s = scheduler.note_suspicion(report.job_id, report.endpoint, now)
+        if report.what in (ENDPOINT_SUSPECTED, ENDPOINT_SLOW):
+            ejected_s = scheduler.note_suspicion(
+                report.job_id,
+                report.endpoint,
+                now,
+                was_heard=report.what == ENDPOINT_SLOW,
+            )
         else:
             ejected_s = scheduler.note_failure(
                 report.endpoint, now, is_full=report.what == ENDPOINT_FULL
             )
         self._record(
-            "engine.ejected" if ejected_s else "engine.not_ejected",
+            "engine.ejected" if ejected_s else "engine.avoided",
             {
                 "endpoint": report.endpoint,
                 "request": report.job_id,
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -541,8 +541,24 @@
         scheduler.note_first_event("a", 0.1)
         scheduler.note_first_event("b", 1.0)
         assert scheduler.note_suspicion("a", "e00", 1.6) == 0.0
+        assert len(scheduler.submit(make_job("c", 1000, now=1.7), 1.7)) == 1
+        assert scheduler.note_suspicion("a", "e00", 2.5, was_heard=True) == 0.0
         assert scheduler.note_suspicion("a", "e00", 2.5) > 0.0
 
+    def test_engine_that_is_silent_for_some_is_used_if_there_is_no_other(self):
+        # Guards against new streams on an engine that lets each of them wait.
+        scheduler = make_scheduler(2)
+        (grant,) = scheduler.submit(make_job("a", 1000), 0.0)
+        (name,) = grant.endpoint_ids
+        scheduler.note_first_event("a", 0.1)
+        scheduler.note_suspicion("a", name, 2.0, was_heard=True)
+        (grant,) = scheduler.submit(make_job("b", 1000, now=2.1), 2.1)
+        assert grant.endpoint_ids != (name,)
+        other = scheduler.engines_by_id[grant.endpoint_ids[0]]
+        other.is_usable = False
+        (grant,) = scheduler.submit(make_job("c", 1000, now=2.2), 2.2)
+        assert grant.endpoint_ids == (name,)
+
     def test_helper_that_is_not_reached_is_ejected_in_any_case(self):
         scheduler = make_scheduler(4)
         (grant,) = scheduler.submit(make_job("a", 200_000, due_s=0.6), 0.0)
