serving: a request that follows on a connection is answered while the node stops

Callers saw: two requests at once on a kept connection, SIGTERM while the first one runs: the second one, which the node had read, got no answer; the connection ended (LOST around planned work, later than lossSlackMs after its last byte). Cause: while a node stops, each answer ends its connection, whatever else has arrived on it. Evidence: TestTwoRequestsAtOnce, two of four cases failed before: the second answer was missing, whether it had come in the same packet or while the first one ran. Change: a connection on which another request, or a part of it, has arrived is ended only after that one's answer. It may be a refusal as not run.

--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -112,7 +112,12 @@
             self._context.n_reading += 1 if is_reading else -1
 
     def _serve_request(self, request):
-        exchange = Exchange(context=self._context, sock=self._sock, request=request)
+        exchange = Exchange(
+            context=self._context,
+            sock=self._sock,
+            request=request,
+            is_followed=lambda: bool(watcher.pipelined) or self._has_next(),
+        )
         with DisconnectWatcher(
             sock=self._sock, greenlet=gevent.getcurrent()
         ) as watcher:
@@ -136,6 +141,10 @@
             self._feed(bytes(watcher.pipelined))
         return exchange.keep_alive
 
+    def _has_next(self):
+        """Tell whether another request, or a part of it, has been read."""
+        return bool(self._reader.requests) or self._reader.started
+
     def _feed(self, data):
         self._update_limits()
         try:
--- a/src/savoryhill/serving/exchange.py
+++ b/src/savoryhill/serving/exchange.py
@@ -22,9 +22,11 @@
         Connection to the client.
     request : Request
         The complete request.
+    is_followed : callable
+        Tells whether another request has arrived on the connection.
     """
 
-    def __init__(self, *, context, sock, request):
+    def __init__(self, *, context, sock, request, is_followed=lambda: False):
         self._context = context
         self._request = ServedRequest(context=context, message=request)
         self._response = ResponseWriter(
@@ -32,6 +34,7 @@
             sock=sock,
             request=self._request,
             keep_alive=request.keep_alive,
+            is_followed=is_followed,
         )
 
     @property
--- a/src/savoryhill/serving/response_writer.py
+++ b/src/savoryhill/serving/response_writer.py
@@ -24,12 +24,16 @@
         The request.
     keep_alive : bool
         Whether the client wants to keep the connection open.
+    is_followed : callable
+        Tells whether another request has arrived on the connection. It is answered,
+        also while the node stops.
     """
 
-    def __init__(self, *, context, sock, request, keep_alive):
+    def __init__(self, *, context, sock, request, keep_alive, is_followed):
         self._context = context
         self._sock = sock
         self._request = request
+        self._is_followed = is_followed
         self.keep_alive = keep_alive
         self.is_head_sent = False
 
@@ -113,7 +117,7 @@
         )
 
     def _add_connection_header(self, headers):
-        if self._context.is_draining():
+        if self._context.is_draining() and not self._is_followed():
             self.keep_alive = False
         if not self.keep_alive:
             headers.append((b"connection", b"close"))
--- /dev/null
+++ b/tests/serving/test_kept_connections.py
@@ -0,0 +1,58 @@
+"""Several requests on one connection of a client, also while the node stops."""
+
+import gevent
+import pytest
+
+from savoryhill.serving.http import ResponseReader, encode_request
+
+RESPONSE_S = 0.4
+
+
+@pytest.fixture
+def node(deployment):
+    """A node in front of a slow endpoint of the plain service."""
+    deployment.add_endpoint("a0", service="app", response_delay_s=RESPONSE_S)
+    return deployment.add_node()
+
+
+def encode(number, *, body=b"", **headers):
+    pairs = [
+        (b"host", b"site.example"),
+        (b"x-attempt-id", f"k{number}".encode()),
+        (b"x-time-remaining", b"4000"),
+        (b"authorization", b"Bearer key-a"),
+        *((k.encode(), v.encode()) for k, v in headers.items()),
+    ]
+    return encode_request(b"POST", b"/order/x", pairs, body)
+
+
+def read_answers(connection, n_answers):
+    """Return the ids of the requests whose answers arrive, in their order."""
+    ids = []
+    for _ in range(n_answers):
+        connection.reader = ResponseReader()
+        while not connection.reader.complete:
+            if not connection.receive(timeout_s=3.0):
+                return ids
+        ids.append(connection.reader.head.header(b"x-attempt-id"))
+    return ids
+
+
+class TestTwoRequestsAtOnce:
+    @pytest.mark.parametrize("is_stopping", [False, True])
+    @pytest.mark.parametrize("is_split", [False, True])
+    def test_both_are_answered(self, deployment, node, is_stopping, is_split):
+        # Guards against a request that a stopping node has read, and for which it ends
+        # the connection without an answer once the one before it has been answered.
+        connection = deployment.connect()
+        first, second = encode(1), encode(2)
+        connection.send(first if is_split else first + second, timeout_s=1.0)
+        deployment.wait_until(lambda: node.context.n_running)
+        if is_split:
+            connection.send(second, timeout_s=1.0)
+        if is_stopping:
+            gevent.spawn(node.drain)
+            gevent.sleep(0.05)
+        assert read_answers(connection, 1) == [b"k1"]
+        assert read_answers(connection, 1) == [b"k2"]
+        connection.close()
