serving: each request that expects it is told to send its body

Callers saw: on a kept connection a client that sends its body only after '100 Continue' was told so for its first such request only, and never for one that came while another was running: the node read a head, waited for the body and answered 408. Cause: the word was sent only if the reader had not expected it before, which was never reset, and not for what had arrived early. Evidence: TestExpectedContinue, two of two cases failed before (time-out of the client). Change: the reader knows whether the request that it reads awaits the word.

--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -161,6 +161,8 @@
             if reader.error_status is not None:
                 self._refuse(reader.error_status)
                 return None
+            if reader.awaits_continue:
+                self._tell_to_continue()
             now = self._context.clock.monotonic()
             self._set_reading(reader.started)
             if not reader.started:
@@ -194,16 +196,14 @@
             return False
         if not data:
             return False
-        expected_continue = self._reader.expects_continue
         self._feed(data)
-        if (
-            self._reader.expects_continue
-            and not expected_continue
-            and self._reader.started
-        ):
-            self._sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
 
+    def _tell_to_continue(self):
+        self._reader.awaits_continue = False
+        self._sock.settimeout(REFUSAL_TIMEOUT_S)
+        self._sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _refuse(self, status):
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
         if status == 503:
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -55,7 +55,8 @@
 class RequestReader:
     """Parses requests and queues complete ones in ``requests``.
 
-    ``started`` tells whether part of a request has been received. ``error_status`` is
+    ``started`` tells whether part of a request has been received, ``awaits_continue``
+    whether its client sends the body only once it is told to. ``error_status`` is
     the status with which a malformed or too large request is refused.
 
     Parameters
@@ -76,7 +77,7 @@
         self.started = False
         self.in_body = False
         self.error_status = None
-        self.expects_continue = False
+        self.awaits_continue = False
         self._reset()
 
     def set_limits(self, *, max_header_bytes, max_body_bytes):
@@ -144,10 +145,11 @@
                 f"request body exceeds {self._max_body_bytes} bytes"
             )
         expect = first_header(self._headers, b"expect")
-        self.expects_continue = expect is not None and expect.lower() == b"100-continue"
+        self.awaits_continue = expect is not None and expect.lower() == b"100-continue"
 
     def on_body(self, data):
         """Collect a part of the body."""
+        self.awaits_continue = False
         self._n_body_bytes += len(data)
         if self._n_body_bytes > self._max_body_bytes:
             self.error_status = 413
@@ -177,6 +179,7 @@
         self._body = []
         self.started = False
         self.in_body = False
+        self.awaits_continue = False
 
 
 @dataclass(kw_only=True, slots=True)
--- a/tests/serving/test_kept_connections.py
+++ b/tests/serving/test_kept_connections.py
@@ -26,6 +26,14 @@
     return encode_request(b"POST", b"/order/x", pairs, body)
 
 
+def receive_until(connection, expected):
+    received = b""
+    connection.sock.settimeout(1.0)
+    while expected not in received:
+        received += connection.sock.recv(4096)
+    return received
+
+
 def read_answers(connection, n_answers):
     """Return the ids of the requests whose answers arrive, in their order."""
     ids = []
@@ -56,3 +64,32 @@
         assert read_answers(connection, 1) == [b"k1"]
         assert read_answers(connection, 1) == [b"k2"]
         connection.close()
+
+
+class TestExpectedContinue:
+    @pytest.mark.parametrize("is_early", [False, True])
+    def test_each_request_of_a_connection_is_told_to_go_on(
+        self, deployment, node, is_early
+    ):
+        # Guards against a client that waits to send its body until the node gives up
+        # the request, because it was told to go on for an earlier one only, or because
+        # the request came while that one was running.
+        connection = deployment.connect()
+        body = b"x" * 64
+        whole = encode(1, body=body, expect="100-continue")
+        head = encode(2, body=body, expect="100-continue")[: -len(body)]
+        connection.send(whole[: -len(body)], timeout_s=1.0)
+        receive_until(connection, b"100 Continue")
+        connection.send(body, timeout_s=1.0)
+        deployment.wait_until(lambda: node.context.n_running)
+        if is_early:
+            connection.send(head, timeout_s=1.0)
+        received = receive_until(connection, b"done by a0")
+        assert b"k1" in received
+        if not is_early:
+            connection.send(head, timeout_s=1.0)
+        if b"100 Continue" not in received:
+            receive_until(connection, b"100 Continue")
+        connection.send(body, timeout_s=1.0)
+        assert read_answers(connection, 1) == [b"k2"]
+        connection.close()
