serving: a question for a repeat tries three engines, then it is asked again

Found in reading: engines that refuse or are not reached one after the other would be tried without a pause but 0.03 s for as long as a run is silent.

--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -37,6 +37,8 @@
 # of its prompt.
 PROBE_CHECK_S = 0.03
 MAX_PROBE_WAIT_S = 1.0
+# How many engines are tried, one after the other, for one question.
+MAX_REPEAT_TRIES = 3
 
 
 # Tells that a request is to be submitted again.
@@ -144,7 +146,7 @@
     def _find_repeat(self, silent):
         """Return the run that takes over from a silent one, or why there is none."""
         request = self._request
-        while True:
+        for _ in range(MAX_REPEAT_TRIES):
             needed_s = self._remaining_answer_s()
             cause = find_denial(self._situation(silent, needed_s))
             if cause is not None:
@@ -172,6 +174,7 @@
                 return run
             request.avoided_endpoint_ids.add(run.endpoint or job.placement.endpoints[0])
             gevent.sleep(PROBE_CHECK_S)
+        return Denial.FAILED.value
 
     def _situation(self, silent, needed_s):
         """Return what decides whether a repeat is asked for beside a silent run."""
