tests: the stop of a kept run's test is counted from the start of the run

Cause: the end of the node was set from the moment at which the other endpoints were known; the later that was, the more time was left, up to enough for a repeat. Change: it is counted from the send. The assertions are as they were.

--- a/tests/serving/test_kept_runs.py
+++ b/tests/serving/test_kept_runs.py
@@ -128,11 +128,11 @@
             route("stock", "idempotent", "app", targetLatencyMs=400),
         ]
         fleet.configure_nodes(version=2, routes=routes)
+        node = fleet.nodes[0].context
+        stops_at = node.clock.monotonic() + SILENCE_S + 0.45
         connection = start_silent(fleet, kind, x_token_counts="100000,100")
         add_others(fleet)
-        node = fleet.nodes[0].context
-        now = node.clock.monotonic()
-        node.draining_since, node.stops_at = now, now + SILENCE_S + 0.45
+        node.draining_since, node.stops_at = node.clock.monotonic(), stops_at
         assert_answered(fleet, connection)
         assert n_sent(fleet) == 1
 
