--- a/tests/serving/test_leaving_endpoints.py
+++ b/tests/serving/test_leaving_endpoints.py
@@ -34,10 +34,12 @@
 
 
 def ask_until_answered_by(deployment, path, endpoint, **fields):
-    """Send requests until the endpoint has answered one."""
+    """Send requests, more at once than one engine has slots, until it has got one."""
     with gevent.Timeout(5.0):
         while not endpoint.arrivals:
-            deployment.ask(path, **fields)
+            connections = [deployment.open(path, **fields) for _ in range(6)]
+            for connection in connections:
+                deployment.finish(connection)
 
 
 def n_arrivals(endpoint, *, since):
