serving: clients outside the limits can't use up a node's memory

Callers saw a process end for want of memory, and their requests with it, while a crowd of other clients held chunked bodies open just short of their end.

Cause: a body was counted by its bytes, and kept as an object for each chunk, which for chunks of two bytes costs 40 times as much; heads, unfinished headers and trailers, and requests behind another one were not counted at all. When the budget was full, whoever came next was refused, and the crowd kept its room. Descriptors were not bounded by the settings. Change: core/client_buffers.py counts all that a connection makes the process keep, at its cost, and lets slow requests and idle connections make room; pieces are joined as they arrive, of endpoints' answers as well; heads are parsed in slices; a client that sends without a pause lets others run.

--- a/src/savoryhill/platform/boot_settings.py
+++ b/src/savoryhill/platform/boot_settings.py
@@ -10,6 +10,7 @@
 BYTES_PER_MB = 1_000_000
 # Assumed if the platform names no limit.
 DEFAULT_MEMORY_MB = 300.0
+DEFAULT_MAX_DESCRIPTORS = 4_100
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -23,7 +24,8 @@
     sends that all nodes together may make beyond ``repeat_ratio`` of the requests in
     ``repeat_window_s``. ``capacity`` is the relative capacity of the node: usable
     processor cores times network bandwidth in Mbit/s. ``memory_bytes`` is what the
-    process may use before the platform ends it.
+    process may use before the platform ends it, ``max_descriptors`` how many files and
+    sockets it may have open.
     """
 
     node: str
@@ -39,6 +41,7 @@
     capacity: float = 1.0
     relay_address: str = ""
     memory_bytes: float = DEFAULT_MEMORY_MB * BYTES_PER_MB
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
 
 def parse_assignments(text):
@@ -151,6 +154,9 @@
         * number_or_default("limits.bandwidthMbps", 1.0),
         memory_bytes=number_or_default("limits.memoryMb", DEFAULT_MEMORY_MB)
         * BYTES_PER_MB,
+        max_descriptors=int(
+            number_or_default("limits.fileDescriptors", DEFAULT_MAX_DESCRIPTORS)
+        ),
     )
     if findings:
         raise SettingsError(f"settings file {path}:\n" + "\n".join(findings))
--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -1,5 +1,7 @@
 """Client connections: reading requests in order, and detecting disconnects."""
 
+import contextlib
+
 import gevent
 from gevent import socket as gsocket
 
@@ -12,11 +14,14 @@
 
 # Reading stops once a client has sent more than this while its request is running.
 MAX_PIPELINED_BYTES = 262_144
+# Few, as they are kept even if there is no room for them.
+PIPELINED_RECV_BYTES = 4_096
 # From then on, only the state of the connection tells that its client has left.
 STATE_CHECK_S = 0.25
 TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 # Linux states of a connection that is closed, or that the other side has closed.
 CLOSED_TCP_STATES = (TCP_CLOSE, TCP_CLOSE_WAIT)
+NOTHING = memoryview(b"")
 # Bound of the write of "100 Continue".
 CONTINUE_TIMEOUT_S = 0.5
 
@@ -25,11 +30,14 @@
     """Raises `ClientDisconnectedError` in a greenlet when its client disconnects.
 
     Bytes received meanwhile belong to the next request and are kept in ``pipelined``.
+    ``may_keep(n_bytes)`` tells whether there is room for so many; what does not fit is
+    left to be read after the request.
     """
 
-    def __init__(self, *, sock, greenlet):
+    def __init__(self, *, sock, greenlet, may_keep):
         self._sock = sock
         self._greenlet = greenlet
+        self._may_keep = may_keep
         loop = gevent.get_hub().loop
         self._io = loop.io(sock.fileno(), 1)
         self._state_timer = loop.timer(STATE_CHECK_S, STATE_CHECK_S)
@@ -47,14 +55,15 @@
 
     def _on_readable(self):
         try:
-            data = self._sock._sock.recv(connection_end.RECV_BYTES)
+            data = self._sock._sock.recv(PIPELINED_RECV_BYTES)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
             data = b""
         if data:
             self.pipelined += data
-            if len(self.pipelined) > MAX_PIPELINED_BYTES:
+            n_bytes = len(self.pipelined)
+            if n_bytes > MAX_PIPELINED_BYTES or not self._may_keep(n_bytes):
                 self._io.stop()
                 self._state_timer.start(self._check_state)
             return
@@ -89,12 +98,15 @@
         self._has_served = False
         self._is_reading = False
         self._is_broken = False
+        self._may_have_more = False
         self._limits = ClientLimits()
-        self._body_buffer = context.body_budget.open("clients")
+        self._unparsed = NOTHING
+        self._n_serving_bytes = 0
+        self._buffer = context.client_buffers.open(on_evict=self._give_up)
         self._reader = RequestReader(
             max_header_bytes=self._limits.max_header_bytes,
             max_body_bytes=self._limits.max_body_bytes,
-            may_keep_body=self._resize_body_buffer,
+            may_keep=self._may_keep,
         )
         self._update_limits()
 
@@ -109,15 +121,30 @@
             max_body_bytes=self._limits.max_body_bytes,
         )
 
-    def _resize_body_buffer(self, n_bytes):
-        return self._context.body_budget.try_resize(self._body_buffer, n_bytes)
+    def _may_keep(self, n_reader_bytes, n_pipelined_bytes=0):
+        """Tell whether there is room for what is kept for this connection."""
+        n_bytes = n_reader_bytes + len(self._unparsed) + n_pipelined_bytes
+        return self._context.client_buffers.try_resize(
+            self._buffer, self._n_serving_bytes + n_bytes
+        )
+
+    def _give_up(self):
+        """Free what is kept of a request that makes room for others, and refuse it.
+
+        An idle connection is closed.
+        """
+        self._unparsed = NOTHING
+        self._reader.discard(503 if self._reader.started else None)
+        # Wakes the greenlet, which waits for more.
+        with contextlib.suppress(OSError):
+            self._sock._sock.shutdown(gsocket.SHUT_RD)
 
     def serve(self):
         """Serve requests until either side closes the connection."""
         try:
             self._serve_requests()
         finally:
-            self._context.body_budget.close(self._body_buffer)
+            self._context.client_buffers.close(self._buffer)
 
     def _serve_requests(self):
         keep_alive = True
@@ -129,6 +156,9 @@
             if request is None:
                 return
             keep_alive = self._serve_request(request)
+            if keep_alive and self._has_next():
+                # Requests in a row must not keep those of others from being served.
+                gevent.sleep(0)
         if not self._is_broken:
             connection_end.finish(self._sock)
 
@@ -148,12 +178,17 @@
                 bool(watcher.pipelined.strip(b"\r\n")) or self._has_next()
             ),
         )
+        buffers = self._context.client_buffers
         with DisconnectWatcher(
-            sock=self._sock, greenlet=gevent.getcurrent()
+            sock=self._sock,
+            greenlet=gevent.getcurrent(),
+            may_keep=lambda n_bytes: self._may_keep(self._reader.n_kept_bytes, n_bytes),
         ) as watcher:
             self._context.n_running += 1
             self._context.exchanges.add(exchange)
             self._context.n_started += 1
+            self._n_serving_bytes = request.n_kept_bytes
+            buffers.begin_serving(self._buffer)
             try:
                 exchange.run()
             except ClientDisconnectedError as error:
@@ -163,23 +198,33 @@
             finally:
                 self._context.n_running -= 1
                 self._context.exchanges.discard(exchange)
-                self._resize_body_buffer(0)
+                self._n_serving_bytes = 0
+                self._unparsed = memoryview(bytes(self._unparsed) + watcher.pipelined)
+                n_bytes = self._reader.n_kept_bytes + len(self._unparsed)
+                buffers.end_serving(self._buffer, n_bytes)
         self._has_served = True
-        if watcher.pipelined and exchange.keep_alive:
-            self._feed(bytes(watcher.pipelined))
         return exchange.keep_alive
 
     def _has_next(self):
         """Tell whether another request, or a part of it, has been read."""
-        return bool(self._reader.requests) or self._reader.started
+        return (
+            bool(self._reader.requests)
+            or self._reader.started
+            or bool(bytes(self._unparsed).strip(b"\r\n"))
+        )
 
-    def _feed(self, data):
+    def _feed(self):
+        """Parse some of the bytes that were received."""
         self._update_limits()
+        n_bytes = self._reader.next_slice_bytes(len(self._unparsed))
+        data, rest = self._unparsed[:n_bytes], self._unparsed[n_bytes:]
+        # An empty view would keep all that was received.
+        self._unparsed = rest if rest else NOTHING
         try:
             self._reader.feed(data)
         except MalformedMessageError as error:
             self._context.log("client.malformed", cause=str(error))
-            self._reader.error_status = 400
+            self._reader.discard(400)
 
     def _next_request(self):
         """Return the next complete request, or None to close the connection."""
@@ -189,6 +234,11 @@
             if reader.error_status is not None:
                 self._refuse(reader.error_status)
                 return None
+            if self._unparsed:
+                self._feed()
+                continue
+            if self._buffer.is_evicted:
+                return None
             if reader.awaits_continue:
                 self._tell_to_continue()
             now = self._context.clock.monotonic()
@@ -216,9 +266,9 @@
                 if reader.started
                 else self._await_request(min(wait_s, 0.5))
             )
-            if not is_open:
+            if not is_open and reader.error_status is None:
                 return None
-        return reader.requests.popleft()
+        return reader.take_request()
 
     def _await_request(self, wait_s):
         """Receive once, on a connection that is closed when the node has stopped."""
@@ -231,6 +281,10 @@
 
     def _receive(self, wait_s):
         """Receive once; return False if the connection ended."""
+        if self._may_have_more:
+            # A client that sends without a pause must not keep the others from being
+            # served. Nothing is received before, as it would be kept meanwhile.
+            gevent.sleep(0)
         self._sock.settimeout(wait_s)
         try:
             data = self._sock.recv(connection_end.RECV_BYTES)
@@ -240,7 +294,8 @@
             return False
         if not data:
             return False
-        self._feed(data)
+        self._unparsed = memoryview(data)
+        self._may_have_more = len(data) == connection_end.RECV_BYTES
         return True
 
     def _tell_to_continue(self):
@@ -253,6 +308,7 @@
         if status == 503:
             headers.append((b"retry-after", b"%.2f" % RETRY_AFTER_S))
         self._context.log("client.refused", status=status)
+        self._context.client_buffers.close(self._buffer)
         connection_end.finish(self._sock, encode_head(status, headers))
 
 
--- a/src/savoryhill/serving/context.py
+++ b/src/savoryhill/serving/context.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from savoryhill.core.buffers import BufferBudget
+from savoryhill.core.client_buffers import ClientBuffers
 from savoryhill.core.observations.signs_of_life import SignsOfLife
 from savoryhill.observability.metrics import observe
 from savoryhill.serving.balancing import Balancer
@@ -35,7 +36,7 @@
     """State and services of one node.
 
     ``answer_budget`` bounds what is kept of the responses of endpoints, and
-    ``body_budget`` what is kept of the bodies of requests.
+    ``client_buffers`` what is kept for clients, and how many there are.
     ``log(event, **fields)`` writes a log line. ``draining_since`` is None until the
     node shuts down; from then on, requests are served as before until
     ``accepts_all_until``, and the node stops at ``stops_at``. ``has_stopped`` tells
@@ -58,7 +59,7 @@
     turns: Turns
     ways: EndpointWays
     answer_budget: BufferBudget
-    body_budget: BufferBudget
+    client_buffers: ClientBuffers
     metrics: object
     log: object
     draining_since: float | None = None
--- a/src/savoryhill/serving/event_splitter.py
+++ b/src/savoryhill/serving/event_splitter.py
@@ -51,18 +51,16 @@
         """
         search_from = max(0, len(self._buffer) - _SEPARATOR_OVERLAP_BYTES)
         self._buffer += data
-        events = []
-        while True:
-            match = _SEPARATOR.search(self._buffer, search_from)
-            if match is None:
-                self._check_partial_event()
-                break
-            event = self._buffer[: match.end()]
-            self._buffer = self._buffer[match.end() :]
-            search_from = 0
+        events, start = [], 0
+        for match in _SEPARATOR.finditer(self._buffer, search_from):
+            event = self._buffer[start : match.end()]
+            start = match.end()
             if self._is_new(event):
                 events.append(event)
                 self._note_data(event)
+        # What is left is copied once, however many events arrived at a time.
+        self._buffer = self._buffer[start:]
+        self._check_partial_event()
         return events
 
     def _note_data(self, event):
--- a/src/savoryhill/serving/gauges.py
+++ b/src/savoryhill/serving/gauges.py
@@ -46,8 +46,10 @@
         relayed_for_others=lambda: context.n_relayed,
         answer_bytes_kept=lambda: context.answer_budget.n_bytes,
         answers_too_large=lambda: context.answer_budget.n_refused,
-        body_bytes_kept=lambda: context.body_budget.n_bytes,
-        bodies_refused=lambda: context.body_budget.n_refused,
+        client_connections=lambda: len(context.client_buffers),
+        client_bytes_kept=lambda: context.client_buffers.n_bytes,
+        clients_refused=lambda: context.client_buffers.n_refused,
+        clients_evicted=lambda: context.client_buffers.n_evicted,
         endpoints_pausing=lambda: len(context.endpoint_statements.pauses),
         parts_refused=lambda: context.crash_guard.n_refused(is_request=False),
         requests_refused_for_crashes=lambda: context.crash_guard.n_refused(
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -7,11 +7,22 @@
 
 from savoryhill.core.observations.parts import start_body_digest
 from savoryhill.errors import MalformedMessageError
+from savoryhill.serving.body_blocks import BodyBlocks
 
 # Limit of the bytes in a row that belong to no final head and no body: headers,
 # interim responses, chunk extensions and trailers.
 MAX_UNUSED_BYTES = 65_536
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
+# Memory that a header takes besides its bytes, and a request besides its headers and
+# its body.
+HEADER_OVERHEAD_BYTES = 160
+REQUEST_OVERHEAD_BYTES = 1_024
+# Parts of a head are parsed one by one, so that no more requests are kept at a time
+# than arrive in one of them.
+HEAD_SLICE_BYTES = 2_048
+# Bytes of a head or of trailers may exceed the limit by what is not counted in it, such
+# as white space.
+RAW_HEADER_FACTOR = 2
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -30,7 +41,10 @@
 
 @dataclass(kw_only=True, slots=True)
 class Request:
-    """A complete request of a client; header names are in lower case."""
+    """A complete request of a client; header names are in lower case.
+
+    ``n_kept_bytes`` is the memory that it takes.
+    """
 
     method: bytes
     target: bytes
@@ -38,6 +52,7 @@
     body: bytes
     keep_alive: bool
     body_digest: bytes = b""
+    n_kept_bytes: int = 0
 
     def header(self, name):
         """Return the first value of a header, or None."""
@@ -63,16 +78,18 @@
     ----------
     max_header_bytes, max_body_bytes : int
         Limits of one request.
-    may_keep_body : callable or None
-        Takes the bytes of a body that have arrived so far, and returns whether there is
-        memory for them. The request is refused with 503 if not.
+    may_keep : callable or None
+        Takes the memory in bytes that the reader needs for the requests that have
+        arrived, and returns whether there is room for it. The last one is refused with
+        503 if not.
     """
 
-    def __init__(self, *, max_header_bytes, max_body_bytes, may_keep_body=None):
+    def __init__(self, *, max_header_bytes, max_body_bytes, may_keep=None):
         self._parser = httptools.HttpRequestParser(self)
         self._max_header_bytes = max_header_bytes
         self._max_body_bytes = max_body_bytes
-        self._may_keep_body = may_keep_body
+        self._may_keep = may_keep
+        self._n_queued_bytes = 0
         self.requests = deque()
         self.started = False
         self.in_body = False
@@ -88,19 +105,39 @@
     def _reset(self):
         self._target = []
         self._headers = []
-        self._body = []
+        self._body = BodyBlocks()
         self._body_digest = start_body_digest()
         self._n_body_bytes = 0
         self._n_header_bytes = 0
+        self._n_unused_bytes = 0
+
+    @property
+    def n_kept_bytes(self):
+        """Return the memory that the queued requests and the unfinished one take."""
+        return self._n_queued_bytes + self._n_unfinished_bytes()
+
+    def _n_unfinished_bytes(self):
+        if not self.started:
+            return 0
+        return (
+            REQUEST_OVERHEAD_BYTES
+            + HEADER_OVERHEAD_BYTES * (len(self._headers) + len(self._target))
+            + self._n_header_bytes
+            + self._n_unused_bytes
+            + self._body.n_bytes
+        )
 
     def feed(self, data):
-        """Parse received bytes.
+        """Parse received bytes; nothing more is parsed once there is an error status.
 
         Raises
         ------
         MalformedMessageError
             If the bytes are not a valid HTTP request.
         """
+        if self.error_status is not None:
+            return
+        self._n_unused_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -110,6 +147,42 @@
                 raise MalformedMessageError(
                     f"malformed HTTP request: {error}"
                 ) from error
+            self.discard(self.error_status)
+            return
+        self._join_body()
+        if self._n_unused_bytes > self._max_unused_bytes():
+            self.discard(431)
+        elif self.started and not self._has_room():
+            self.discard(503)
+
+    def next_slice_bytes(self, n_bytes):
+        """Return how many of so many received bytes to feed next."""
+        return n_bytes if self.in_body else min(n_bytes, HEAD_SLICE_BYTES)
+
+    def take_request(self):
+        """Remove the first complete request from the queue and return it."""
+        request = self.requests.popleft()
+        self._n_queued_bytes -= request.n_kept_bytes
+        return request
+
+    def discard(self, error_status):
+        """Give up the unfinished request, which is refused with a status."""
+        self.error_status = error_status
+        self._reset()
+        if error_status is not None:
+            # It holds what has arrived of an unfinished header.
+            self._parser = None
+
+    def _max_unused_bytes(self):
+        return RAW_HEADER_FACTOR * self._max_header_bytes + HEAD_SLICE_BYTES
+
+    def _has_room(self):
+        return self._may_keep is None or self._may_keep(self.n_kept_bytes)
+
+    def _join_body(self):
+        joined = self._body.join_pieces()
+        if joined is not None:
+            self._body_digest.update(joined)
 
     def on_message_begin(self):
         """Start a new request."""
@@ -138,6 +211,7 @@
     def on_headers_complete(self):
         """Check the announced body size, and whether the client expects a 100."""
         self.in_body = True
+        self._n_unused_bytes = 0
         length = first_header(self._headers, b"content-length")
         if length is not None and int(length) > self._max_body_bytes:
             self.error_status = 413
@@ -150,33 +224,35 @@
     def on_body(self, data):
         """Collect a part of the body."""
         self.awaits_continue = False
+        self._n_unused_bytes = 0
         self._n_body_bytes += len(data)
         if self._n_body_bytes > self._max_body_bytes:
             self.error_status = 413
             raise MalformedMessageError(
                 f"request body exceeds {self._max_body_bytes} bytes"
             )
-        if self._may_keep_body and not self._may_keep_body(self._n_body_bytes):
-            self.error_status = 503
-            raise MalformedMessageError(
-                f"no memory for a request body of {self._n_body_bytes} bytes or more"
-            )
-        self._body.append(data)
-        self._body_digest.update(data)
+        self._body.add(data)
 
     def on_message_complete(self):
-        """Queue the complete request."""
+        """Queue the complete request if there is room for it."""
+        self._join_body()
+        self._n_unused_bytes = 0
+        if not self._has_room():
+            self.error_status = 503
+            raise MalformedMessageError("no memory for the request")
+        n_kept_bytes = self._n_unfinished_bytes()
         self.requests.append(
             Request(
                 method=self._parser.get_method(),
                 target=b"".join(self._target),
                 headers=self._headers,
-                body=b"".join(self._body),
+                body=self._body.take(),
                 body_digest=self._body_digest.digest(),
                 keep_alive=self._parser.should_keep_alive(),
+                n_kept_bytes=n_kept_bytes,
             )
         )
-        self._body = []
+        self._n_queued_bytes += n_kept_bytes
         self.started = False
         self.in_body = False
         self.awaits_continue = False
@@ -195,7 +271,7 @@
 
 
 class ResponseReader:
-    """Parses one response; ``body`` holds the parts not yet consumed.
+    """Parses one response, whose body is kept until it is consumed.
 
     At most ``max_buffered_bytes`` of the body are kept until they are consumed;
     ``n_buffered_bytes`` are at present.
@@ -206,13 +282,22 @@
         self._max_buffered_bytes = max_buffered_bytes
         self._n_unused_bytes = 0
         self._headers = []
-        self.n_buffered_bytes = 0
+        self._body = BodyBlocks()
         self.head = None
-        self.body = []
         self.complete = False
         self.has_trailing_bytes = False
         self.is_close_delimited = False
 
+    @property
+    def n_buffered_bytes(self):
+        """Return how much of the body is kept."""
+        return self._body.n_bytes
+
+    @property
+    def body(self):
+        """Return the blocks of the body that are kept."""
+        return self._body.blocks
+
     def feed(self, data):
         """Parse received bytes.
 
@@ -232,6 +317,8 @@
             if not self.complete:
                 raise MalformedMessageError(f"no HTTP response: {error}") from error
             self.has_trailing_bytes = True
+        finally:
+            self._body.join_pieces()
         if not self.complete:
             self._check_limits()
 
@@ -278,8 +365,7 @@
     def on_body(self, data):
         """Collect a part of the body."""
         if not self.complete:
-            self.body.append(data)
-            self.n_buffered_bytes += len(data)
+            self._body.add(data)
             self._n_unused_bytes = 0
 
     def on_message_complete(self):
@@ -289,10 +375,7 @@
 
     def take_body(self):
         """Return the body received so far and clear the buffer."""
-        data = b"".join(self.body)
-        self.body.clear()
-        self.n_buffered_bytes = 0
-        return data
+        return self._body.take()
 
 
 def encode_request(method, target, headers, body):
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -13,6 +13,7 @@
 
 from savoryhill.clock import system_clock
 from savoryhill.core.buffers import BufferBudget
+from savoryhill.core.client_buffers import ClientBuffers
 from savoryhill.core.observations.rate_limits import RateLimiter
 from savoryhill.errors import MalformedMessageError, SettingsError
 from savoryhill.observability.metrics import Metrics, observe, prometheus_text
@@ -47,6 +48,7 @@
 from savoryhill.serving.ways.relay_server import RelayServer
 
 MAX_CONNECTIONS = 3000
+MAX_METRICS_CONNECTIONS = 16
 METRICS_PORT = 9464
 METRICS_PATH = b"/metrics"
 # Bound of the last flush, within the margin that the drain leaves of the grace period.
@@ -68,8 +70,19 @@
 # Part of the process's memory for what is kept of endpoints' responses. A response is
 # copied once while it is written to its client.
 ANSWER_SHARE = 1.0 / 6.0
-# The same for the bodies of requests, which are copied while they are sent.
-BODY_SHARE = 1.0 / 6.0
+# The same for what clients send, whose bodies are copied while they are sent on.
+CLIENT_SHARE = 1.0 / 6.0
+# Descriptors that are left to files, listeners and links to other nodes.
+RESERVED_DESCRIPTORS = 200
+
+
+def max_client_connections(settings):
+    """Return how many clients may be connected at once.
+
+    Each may need a connection to an endpoint as well.
+    """
+    n_left = settings.max_descriptors - RESERVED_DESCRIPTORS
+    return max(1, min(MAX_CONNECTIONS, n_left // 2))
 
 
 class ServingNode:
@@ -197,8 +210,10 @@
             answer_budget=BufferBudget(
                 limit_bytes=lambda: int(ANSWER_SHARE * self._settings.memory_bytes)
             ),
-            body_budget=BufferBudget(
-                limit_bytes=lambda: int(BODY_SHARE * self._settings.memory_bytes)
+            client_buffers=ClientBuffers(
+                limit_bytes=lambda: int(CLIENT_SHARE * self._settings.memory_bytes),
+                max_connections=max_client_connections(settings),
+                now=clock.monotonic,
             ),
             metrics=metrics,
             log=log,
@@ -225,7 +240,9 @@
         if client_listener is None:
             client_listener = open_listener(settings.client_address)
         self._client_server = self._serve(
-            client_listener, lambda sock, _: serve_client(context, sock)
+            client_listener,
+            lambda sock, _: serve_client(context, sock),
+            max_connections=context.client_buffers.max_connections,
         )
         readiness_listener = open_listener(settings.readiness_address)
         self._serve(readiness_listener, self._serve_readiness)
@@ -236,7 +253,11 @@
             self._serve(relay_listener, self._relay_server.serve)
         metrics_host = split_address(settings.client_address)[0]
         metrics_listener = open_listener(f"{metrics_host}:{METRICS_PORT}")
-        self._serve(metrics_listener, self._serve_metrics)
+        self._serve(
+            metrics_listener,
+            self._serve_metrics,
+            max_connections=MAX_METRICS_CONNECTIONS,
+        )
         for background_task in (
             self._watcher.run,
             self._dispatcher.follow_leader,
@@ -282,8 +303,8 @@
     def _keep_registered(self):
         keep_registered(store=self._store, settings=self._settings, record=self._record)
 
-    def _serve(self, listener, handle):
-        server = StreamServer(listener, handle, spawn=Pool(MAX_CONNECTIONS))
+    def _serve(self, listener, handle, *, max_connections=MAX_CONNECTIONS):
+        server = StreamServer(listener, handle, spawn=Pool(max_connections))
         server.start()
         self._servers.append(server)
         return server
--- a/tests/serving/test_kept_bytes.py
+++ b/tests/serving/test_kept_bytes.py
@@ -149,5 +149,5 @@
         assert len(served) >= 5 and len(refused) >= 5
         assert peak.growth_bytes < 250_000_000
         deployment.wait_until(
-            lambda: not deployment.nodes[0].context.body_budget.n_bytes
+            lambda: not deployment.nodes[0].context.client_buffers.n_bytes
         )
