--- a/src/savoryhill/platform/headers.py
+++ b/src/savoryhill/platform/headers.py
@@ -21,6 +21,7 @@
 # Larger numbers don't fit into the fields of the messages between nodes.
 MAX_NUMBER = 2.0**53
 MAX_EVENT_ID_DIGITS = 18
+MAX_COUNT_DIGITS = 9
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -212,6 +213,28 @@
     return min(numbers, default=None)
 
 
+def reported_load(head):
+    """Return the load that an endpoint tells of itself.
+
+    Returns
+    -------
+    tuple of (int, int, int) or None
+        Running and waiting requests, and slots; None if the header is absent, repeated
+        or not three whole numbers from 0 on.
+    """
+    values = [value for name, value in head.headers if name == names.REPORTED_LOAD]
+    if len(values) != 1:
+        return None
+    counts = [count.strip() for count in values[0].split(b",")]
+    if len(counts) != 3 or not all(map(_is_count, counts)):
+        return None
+    return tuple(map(int, counts))
+
+
+def _is_count(value):
+    return value.isdigit() and len(value) <= MAX_COUNT_DIGITS
+
+
 def faulty_endpoint(head):
     """Return the id or address of the endpoint at fault in a refusal, or None."""
     value = head.header(names.FAULTY_ENDPOINT)
--- a/src/savoryhill/platform/names.py
+++ b/src/savoryhill/platform/names.py
@@ -13,6 +13,8 @@
 LAST_EVENT_ID = b"last-event-id"
 # The requests a second that an endpoint takes from all nodes together.
 RATE_LIMIT = b"server-limit"
+# The endpoint's load, as RUNNING,WAITING,SLOTS, in all its answers.
+REPORTED_LOAD = b"x-server-load"
 # Whether the endpoint leaves, in all its answers.
 ENDPOINT_LEAVING = b"server-leaving"
 SIGNATURE = b"x-response-signature"
--- a/src/savoryhill/platform/statements.py
+++ b/src/savoryhill/platform/statements.py
@@ -5,7 +5,12 @@
 from email.utils import parsedate_to_datetime
 
 from savoryhill.platform import names
-from savoryhill.platform.headers import matches_attempt_id, named_limit, was_not_run
+from savoryhill.platform.headers import (
+    matches_attempt_id,
+    named_limit,
+    reported_load,
+    was_not_run,
+)
 
 # Status of an endpoint that is not the one to which the request was sent.
 OTHER_INSTANCE_STATUS = 421
@@ -24,7 +29,8 @@
     ``pause_s`` is for how long it wants nothing from this node, in seconds; 0 if it
     does not say. ``limit_per_s`` is the requests a second that it takes from all nodes,
     infinite if it names none, and None if it names no number. ``is_refusal`` tells that
-    it turned the request away, ``is_accepted`` that it took it.
+    it turned the request away, ``is_accepted`` that it took it. ``load`` holds its
+    running and waiting requests and its slots, if it tells them.
     """
 
     is_leaving: bool = False
@@ -32,6 +38,7 @@
     is_accepted: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
+    load: tuple[int, int, int] | None = None
 
 
 def decode_statement(head, *, attempt_id, wall_now):
@@ -67,6 +74,7 @@
         is_accepted=not is_refusal,
         pause_s=_decode_pause_s(head, wall_now) if is_refusal else 0.0,
         limit_per_s=named_limit(head),
+        load=reported_load(head),
     )
 
 
