--- a/src/savoryhill/bench/balancing.py
+++ b/src/savoryhill/bench/balancing.py
@@ -40,6 +40,7 @@
     "own reports, refusals",
     "shared reports",
     "shared reports, refusals",
+    "shared reports, weights",
     "shared counts",
     LEADER,
     "leader's count, reports",
@@ -228,6 +229,14 @@
         if way == "random":
             local = [e for e in endpoints if e.zone == zone]
             return random.choice(local or endpoints)
+        if way.endswith("weights"):
+            # Many nodes that know the same spread their calls over the free slots.
+            weights = [
+                max(0.05, 1 - loads.expected_load(e, now) / e.slots)
+                * (1.0 if e.zone == zone else 0.5)
+                for e in endpoints
+            ]
+            return random.choices(endpoints, weights)[0]
         candidates = endpoints
         if way == "two choices":
             candidates = random.sample(endpoints, min(2, len(endpoints)))
