serving: an endpoint that refuses at once does not draw all calls

Cause: nothing runs on an endpoint that refuses or fails all calls, so that the leader took it for idle and chose it for all nodes; each node ejects it only after a failure of its own. Change: nodes tell the leader of failures (BalanceFailure), which count for 1 s as if they ran.

--- a/src/savoryhill/bench/balancing.py
+++ b/src/savoryhill/bench/balancing.py
@@ -14,6 +14,7 @@
 from types import SimpleNamespace
 
 from savoryhill.core.balancing import (
+    FAILURE_S,
     EndpointLoads,
     LoadReport,
     choose_endpoint,
@@ -56,7 +57,8 @@
     ``has_slow_endpoint``. ``cut_share`` of the nodes has no links to others.
     ``share_s`` is the age of a shared report when the other nodes get it. The leader is
     lost at ``lost_at_s``: nodes choose by themselves until there is a new one, which
-    knows nothing.
+    knows nothing. With ``has_refusing_endpoint``, one endpoint refuses all calls and
+    says that it is idle.
     """
 
     name: str
@@ -71,6 +73,7 @@
     share_s: float = 0.1
     call_s: float = CALL_S
     lost_at_s: float = inf
+    has_refusing_endpoint: bool = False
 
 
 SCENARIOS = (
@@ -80,6 +83,7 @@
     Scenario(name="the same, 3 s old", moved_phases=(1,), share_s=2.9),
     Scenario(name="burst in all zones", calls_per_s=(8.0, 100.0, 8.0, 80.0)),
     Scenario(name="slow endpoint", has_slow_endpoint=True, calls_per_s=(40.0,) * 4),
+    Scenario(name="refusing endpoint", has_refusing_endpoint=True),
     Scenario(name="leader lost", moved_phases=(1,), lost_at_s=7.5),
     Scenario(name="a third cut off", moved_phases=(1,), cut_share=1 / 3),
     Scenario(name="all cut off", moved_phases=(1,), cut_share=1.0),
@@ -288,6 +292,10 @@
                 node.loads.note_ended(endpoint.incarnation)
 
     def reach(now, node, endpoint, work_s, counted):
+        if scenario.has_refusing_endpoint and endpoint is endpoints[0]:
+            outcome.n_misplaced += 1
+            refuse(now, node, endpoint, counted)
+            return
         if endpoint.has_free_slot():
             outcome.waits_s.append(0.0)
             start(now, node, endpoint, work_s, counted)
@@ -296,9 +304,18 @@
         if len(endpoint.waiting) < MAX_WAITING:
             endpoint.waiting.append((now, node, work_s, counted))
             return
+        refuse(now, node, endpoint, counted)
+
+    def refuse(now, node, endpoint, counted):
         outcome.n_refused += 1
         endpoint.ejected_until[id(node)] = now + 0.1
         answer(now, node, endpoint, counted)
+        if way == f"{LEADER}, reports" and counted is not None:
+            counted.note_sent(endpoint.incarnation, now)
+            at(now + FAILURE_S, end_failure, endpoint, counted)
+
+    def end_failure(now, endpoint, counted):
+        counted.note_ended(endpoint.incarnation)
 
     def start(now, node, endpoint, work_s, counted):
         endpoint.n_running += 1
--- a/src/savoryhill/core/balancing.py
+++ b/src/savoryhill/core/balancing.py
@@ -12,6 +12,9 @@
 # for each of its slots. At a third, one in twenty calls of a calm service leaves its
 # zone, at a half one in 160 (replay of 8 calls a second on 3 endpoints of 6 slots).
 LEAVE_ZONE_LOAD = 0.5
+# A failed request counts on its endpoint for so long as if it ran, so that one which
+# refuses at once, and is always idle therefore, does not draw the requests of all.
+FAILURE_S = 1.0
 # Bounds what a false report can express; real ones have tens of requests.
 MAX_REPORTED = 1_000_000
 
--- a/src/savoryhill/core/observations/messages.py
+++ b/src/savoryhill/core/observations/messages.py
@@ -89,6 +89,13 @@
     age_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BalanceFailure:
+    """A request failed on an endpoint, named with its start, or was refused there."""
+
+    endpoint: str
+
+
 def encode_observations(observations, now):
     """Return the message for observations; ``now`` is in seconds of their clock."""
     return SharedObservations(
--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -78,6 +78,7 @@
     observations.BalanceRequest,
     observations.BalanceReply,
     observations.BalanceEnd,
+    observations.BalanceFailure,
 )
 _NUMBERS_BY_TYPE = {
     message_type: type_number for type_number, message_type in enumerate(MESSAGE_TYPES)
--- a/src/savoryhill/peers/schema/messages.capnp
+++ b/src/savoryhill/peers/schema/messages.capnp
@@ -300,6 +300,10 @@
   ageS @5 :Float64;
 }
 
+struct BalanceFailure {
+  endpoint @0 :Text;
+}
+
 struct RelayRequest {
   node @0 :Text;
   request @1 :Text;
--- a/src/savoryhill/serving/balance_grants.py
+++ b/src/savoryhill/serving/balance_grants.py
@@ -4,15 +4,22 @@
 older than the requests that make it, and all nodes would choose alike.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 from itertools import count
 
 import gevent
 from gevent.event import AsyncResult
 
-from savoryhill.core.balancing import EndpointLoads, LoadReport, choose_endpoint
+from savoryhill.core.balancing import (
+    FAILURE_S,
+    EndpointLoads,
+    LoadReport,
+    choose_endpoint,
+)
 from savoryhill.core.observations.messages import (
     BalanceEnd,
+    BalanceFailure,
     BalanceReply,
     BalanceRequest,
 )
@@ -53,6 +60,7 @@
     _numbers: object = field(default_factory=count)
     _replies_by_number: dict = field(default_factory=dict)
     _grants_by_key: dict = field(default_factory=dict)
+    _failures: deque = field(default_factory=deque)
     _asks_from: float = 0.0
 
     # What this node asks for.
@@ -118,6 +126,16 @@
         else:
             self.send_to_leader(message)
 
+    def tell_failure(self, incarnation):
+        """Tell the leader that a request failed on an endpoint."""
+        if self.is_leader is None:
+            return
+        message = BalanceFailure(endpoint=incarnation)
+        if self.is_leader():
+            self.handle_failure(message)
+        else:
+            self.send_to_leader(message)
+
     # What this node decides as leader.
 
     @property
@@ -165,6 +183,20 @@
         )
         self.loads.note_report(message.endpoint, report, now)
 
+    def handle_failure(self, message):
+        """Count a failed request for a time as if it ran.
+
+        Load pattern: an endpoint refuses or fails all requests at once, so that none
+        runs there. Each of many nodes avoids it only after its own failure.
+        """
+        now = self.clock.monotonic()
+        self._drop_ended(now)
+        if self._is_present(message.endpoint):
+            self.loads.note_sent(message.endpoint, now)
+            self._failures.append(
+                _Grant(incarnation=message.endpoint, ends_at=now + FAILURE_S)
+            )
+
     def drop_link(self, link):
         """Forget the requests of a node whose link has ended."""
         for key in [key for key in self._grants_by_key if key[0] is link]:
@@ -182,7 +214,9 @@
         return endpoint is not None and endpoint.incarnation == incarnation
 
     def _drop_ended(self, now):
-        # All last equally long, so that the first ones end first.
+        # All of a kind last equally long, so that the first ones end first.
+        while self._failures and self._failures[0].ends_at <= now:
+            self.loads.note_ended(self._failures.popleft().incarnation)
         while self._grants_by_key:
             key = next(iter(self._grants_by_key))
             if self._grants_by_key[key].ends_at > now:
--- a/src/savoryhill/serving/dispatch.py
+++ b/src/savoryhill/serving/dispatch.py
@@ -10,6 +10,7 @@
 
 from savoryhill.core.observations.messages import (
     BalanceEnd,
+    BalanceFailure,
     BalanceReply,
     BalanceRequest,
     SharedObservations,
@@ -364,6 +365,8 @@
                     link.send(self._grants.decide(message, link))
                 elif isinstance(message, BalanceEnd):
                     self._grants.handle_end(message, link)
+                elif isinstance(message, BalanceFailure):
+                    self._grants.handle_failure(message)
                 elif isinstance(message, JobReport):
                     if message.what in ENDS:
                         job_ids.discard(message.job_id)
--- a/tests/core/test_balancing.py
+++ b/tests/core/test_balancing.py
@@ -159,6 +159,13 @@
         assert after.misplaced_share <= 0.6 * before.misplaced_share
         assert after.n_refused <= before.n_refused / 2
 
+    def test_endpoint_that_refuses_all_gets_less(self):
+        # Guards against a count that takes an endpoint which refuses for an idle one.
+        (scenario,) = (each for each in SCENARIOS if each.name == "refusing endpoint")
+        before = replay(scenario, PRESENT)
+        after = replay(scenario, f"{LEADER}, reports")
+        assert after.n_refused <= 0.8 * before.n_refused
+
     def test_loss_of_the_leader_is_better_than_no_leader(self):
         # Guards against a new leader that harms until it has counted all requests.
         by_name = {each.name: each for each in SCENARIOS}
--- a/tests/peers/test_small_messages.py
+++ b/tests/peers/test_small_messages.py
@@ -4,6 +4,7 @@
 
 from savoryhill.core.observations.messages import (
     BalanceEnd,
+    BalanceFailure,
     BalanceReply,
     BalanceRequest,
     ObservationItem,
@@ -53,6 +54,7 @@
                 )
                 for n in (0, 1, 24)
             ),
+            BalanceFailure(endpoint=NAMES[-1]),
             BalanceReply(number=2**62 + 1, endpoint=NAMES[-1]),
             BalanceEnd(
                 number=2**62 + 1,
--- a/tests/serving/test_balancing.py
+++ b/tests/serving/test_balancing.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from savoryhill.core.balancing import FAILURE_S
 from savoryhill.core.observations.messages import BalanceEnd, BalanceRequest
 from savoryhill.serving.balance_grants import GRANT_LIFETIME_S, BalanceGrants
 from savoryhill.serving.balancing import BY_LEADER, BY_OWN_RUNNING, BY_REPORTS, Balancer
@@ -51,8 +52,10 @@
     def send(message):
         if isinstance(message, BalanceRequest):
             grants.handle_reply(leader.decide(message, "link"))
-        else:
+        elif isinstance(message, BalanceEnd):
             leader.handle_end(message, "link")
+        else:
+            leader.handle_failure(message)
         return True
 
     grants.send_to_leader = send
@@ -156,6 +159,21 @@
         serve(follower, endpoint, None)
         assert leader.n_granted == 0
 
+    def test_endpoint_that_refuses_at_once_does_not_draw_all(
+        self, clock, follower, leader
+    ):
+        # Guards against an endpoint that is idle because it refuses: each of many
+        # nodes avoids it only after a refusal of its own.
+        serve(follower, NEAR, (0, 0, 6))
+        for _ in range(3):
+            follower.note_failure(NEAR, is_full=True)
+        request = BalanceRequest(
+            number=1, service="app", zone="zone-b", avoided=("zone-b1",)
+        )
+        assert leader.decide(request, "other").endpoint != NEAR.id
+        clock.now += FAILURE_S
+        assert leader.decide(request, "other").endpoint == NEAR.id
+
     def test_requests_of_a_lost_node_are_forgotten(self, follower, leader):
         serve(follower, NEAR, (0, 0, 6))
         choose(follower)
