--- a/src/savoryhill/peers/codec.py
+++ b/src/savoryhill/peers/codec.py
@@ -75,6 +75,10 @@
     jobs.RetainedRows,
     reachability.RelayRequest,
     reachability.RelayReply,
+    observations.BalanceRequest,
+    observations.BalanceReply,
+    observations.BalanceEnd,
+    observations.BalanceFailure,
 )
 _NUMBERS_BY_TYPE = {
     message_type: type_number for type_number, message_type in enumerate(MESSAGE_TYPES)
