scheduling: fair shares of the engines' time for workspaces

Cause: jobs waited by priority and due time alone, so that one workspace that sends many times its usual rate came first as often as it sent more, and all others were late with it. The early exit of place_waiting compared each job with the last one that did not fit instead of the smallest, so that about half of the waiting jobs were decided anew in each call. Change: core/scheduling/shares.py keeps a virtual counter of engine time for each workspace (prefill, and the output's share of the engine, which is one of its slots), charged at grants and at adoption. A job that ends without a first event is refunded what it cannot have used since its grant. Workspaces whose counters differ by less than 5 s of engine time are served by due time as before; the credit of a workspace is at most 20 s. core/virtual_counters.py holds the arithmetic that core/routing/fairness.py uses as well. The early exit applies within a workspace, and compares with the smallest job that did not fit. Prompts of the replay carry a workspace.

--- a/src/savoryhill/bench/placement/replay.py
+++ b/src/savoryhill/bench/placement/replay.py
@@ -95,7 +95,10 @@
 
 @dataclass(kw_only=True, slots=True)
 class Prompt:
-    """One prompt and its fate; ``delay_s`` is None without a first event."""
+    """One prompt and its fate; ``delay_s`` is None without a first event.
+
+    ``decided_at`` is when it was last placed or rejected.
+    """
 
     kind: Kind
     arrived_at: float
@@ -103,6 +106,8 @@
     delay_s: float | None = None
     n_runs: int = 0
     is_rejected: bool = False
+    workspace: str = "ws"
+    decided_at: float | None = None
 
     @property
     def is_in_time(self):
@@ -119,7 +124,7 @@
     incarnation: str
 
 
-def draw_arrivals(phases, *, seed):
+def draw_arrivals(phases, *, seed, kinds=KINDS, workspace="ws"):
     """Return the prompts of successive phases, by the time of their arrival.
 
     Parameters
@@ -128,6 +133,10 @@
         The phases, one after the other.
     seed : int
         Seed of times and sizes.
+    kinds : sequence of Kind
+        Kinds to which the rates of the phases belong.
+    workspace : str
+        The workspace that sends them.
 
     Returns
     -------
@@ -136,13 +145,20 @@
     rng = random.Random(seed)
     prompts, began_at = [], 0.0
     for phase in phases:
-        for kind, rate in zip(KINDS, phase.rates, strict=True):
+        for kind, rate in zip(kinds, phase.rates, strict=True):
             at = began_at + rng.expovariate(rate) if rate else float("inf")
             while at < began_at + phase.length_s:
                 # The mean of the distribution is that of the kind.
                 factor = rng.lognormvariate(-(kind.spread**2) / 2, kind.spread)
                 n_tokens = min(kind.max_tokens, max(1, int(kind.mean_tokens * factor)))
-                prompts.append(Prompt(kind=kind, arrived_at=at, n_tokens=n_tokens))
+                prompts.append(
+                    Prompt(
+                        kind=kind,
+                        arrived_at=at,
+                        n_tokens=n_tokens,
+                        workspace=workspace,
+                    )
+                )
                 at += rng.expovariate(rate)
         began_at += phase.length_s
     return sorted(prompts, key=lambda prompt: prompt.arrived_at)
@@ -151,7 +167,8 @@
 class Replay:
     """Prompts, the scheduler that places them, and the engines that read them."""
 
-    def __init__(self, *, n_engines, profile=PROFILE, node="node-a"):
+    def __init__(self, *, n_engines, profile=PROFILE, node="node-a", answer_s=ANSWER_S):
+        self._answer_s = answer_s
         self._scheduler = ServiceScheduler(service="pool", node=node)
         zones = ("zone-a", "zone-b", "zone-c")
         endpoints = [
@@ -205,7 +222,7 @@
         job = Job(
             id=f"{name}.1",
             service="pool",
-            workspace="ws",
+            workspace=prompt.workspace,
             prompt_tokens=prompt.n_tokens,
             answer_tokens=1_300,
             first_event_due_at=prompt.arrived_at + prompt.kind.due_s,
@@ -228,6 +245,7 @@
 
     def _apply(self, decisions):
         for decision in decisions:
+            self._prompts_by_job[decision.job_id].decided_at = self._now
             if isinstance(decision, Grant):
                 self._start(decision)
             else:
@@ -252,7 +270,7 @@
         prompt = self._prompts_by_job[job_id]
         prompt.delay_s = self._now - prompt.arrived_at
         self._apply(self._scheduler.note_first_event(job_id, self._now))
-        self._schedule(self._now + ANSWER_S, self._finish, job_id)
+        self._schedule(self._now + self._answer_s, self._finish, job_id)
 
     def _finish(self, job_id):
         self._apply(self._scheduler.finish(job_id, self._now))
--- a/src/savoryhill/core/routing/coordinator.py
+++ b/src/savoryhill/core/routing/coordinator.py
@@ -1,5 +1,6 @@
 """Event handlers for the groups that this node coordinates."""
 
+from savoryhill.core import virtual_counters
 from savoryhill.core.effects import Observe, PollLoad, record
 from savoryhill.core.events import (
     ConfigurationRead,
@@ -246,11 +247,9 @@
             )
     summaries.update_summary(group, now)
     if len(group.counters_by_workspace) > MAX_IDLE_COUNTERS:
-        group.counters_by_workspace = {
-            workspace: value
-            for workspace, value in group.counters_by_workspace.items()
-            if value > group.counter_floor
-        }
+        group.counters_by_workspace = virtual_counters.above_floor(
+            group.counters_by_workspace, group.counter_floor
+        )
 
 
 def _on_tick(state, event):
--- a/src/savoryhill/core/routing/fairness.py
+++ b/src/savoryhill/core/routing/fairness.py
@@ -3,6 +3,8 @@
 from functools import lru_cache
 from hashlib import blake2b
 
+from savoryhill.core import virtual_counters
+
 # A generated token takes more engine time than a prompt token.
 OUTPUT_WEIGHT = 2.0
 # Share of a workspace's limit for a model that belongs to the home group.
@@ -26,25 +28,30 @@
     A counter below the floor is raised to the floor first. Otherwise a workspace
     that was idle would be served before all others until its counter has caught up.
     """
-    counters = group.counters_by_workspace
-    weight = workspace_weight(group.configuration, workspace)
-    value = max(counters.get(workspace, 0.0), group.counter_floor)
-    counters[workspace] = value + tokens / weight
+    virtual_counters.charge(
+        group.counters_by_workspace,
+        workspace,
+        tokens,
+        floor=group.counter_floor,
+        weight=workspace_weight(group.configuration, workspace),
+    )
 
 
 def refund(group, workspace, tokens):
     """Subtract tokens that were charged but not used from a workspace's counter."""
-    counters = group.counters_by_workspace
-    if workspace in counters:
-        counters[workspace] -= tokens / workspace_weight(group.configuration, workspace)
+    virtual_counters.refund(
+        group.counters_by_workspace,
+        workspace,
+        tokens,
+        weight=workspace_weight(group.configuration, workspace),
+    )
 
 
 def raise_counter_floor(group, workspaces):
     """Raise the counter floor to the lowest counter of the workspaces in the queue."""
-    counters = group.counters_by_workspace
-    lowest = min((counters.get(each, 0.0) for each in workspaces), default=None)
-    if lowest is not None and lowest > group.counter_floor:
-        group.counter_floor = lowest
+    group.counter_floor = virtual_counters.raised_floor(
+        group.counter_floor, group.counters_by_workspace, workspaces
+    )
 
 
 def add_outstanding(group, workspace, n_tokens):
--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -57,7 +57,7 @@
 
     The first of ``engine_ids`` generates the output; all of them prefill a part of
     the prompt, which takes ``prefill_part_s`` each and may be delayed until
-    ``due_at``.
+    ``due_at``. ``charged_s`` is the engine time that its workspace was charged.
     """
 
     job: Job
@@ -67,6 +67,7 @@
     due_at: float
     first_event_at: float | None = None
     reserved_tokens: tuple[int, ...] = ()
+    charged_s: float = 0.0
 
     @property
     def first_engine_tokens(self):
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -12,6 +12,7 @@
 from savoryhill.core.scheduling.engine_choice import (
     PREFILL_TIME_SHARES,
     choose_engines,
+    has_free_slot,
 )
 from savoryhill.core.scheduling.engine_state import (
     EngineState,
@@ -35,6 +36,7 @@
     needed_tokens,
     reservations,
 )
+from savoryhill.core.scheduling.shares import WorkspaceShares, job_engine_s
 from savoryhill.core.silence import MIN_SILENCE_S
 
 # A job that is due sooner claims as many engines as one that is due then.
@@ -63,8 +65,10 @@
     waiting_by_id: dict[str, Job] = field(default_factory=dict)
     limited_turns: LimitedTurns = field(default_factory=LimitedTurns)
     claims: EngineClaims = field(init=False)
+    shares: WorkspaceShares = field(init=False)
 
     def __post_init__(self):
+        self.shares = WorkspaceShares(engine_s=self._engine_s)
         self.claims = EngineClaims(waiting_by_id=self.waiting_by_id)
 
     def set_engines(self, endpoints, profile):
@@ -136,6 +140,12 @@
         placed = self.placed_by_id.pop(job_id, None)
         if placed is None:
             return ()
+        self.shares.note_ended(placed.job.workspace)
+        if placed.first_event_at is None:
+            # A job that was withdrawn or given up has used at most the time since then.
+            used_s = (now - placed.granted_at) * len(placed.engine_ids)
+            unused_s = max(0.0, placed.charged_s - used_s)
+            self.shares.refund(placed.job.workspace, unused_s)
         for engine_id in placed.engine_ids:
             engine = self.engines_by_id.get(engine_id)
             if engine is not None:
@@ -246,26 +256,23 @@
     def place_waiting(self, now):
         """Place the jobs that fit, and reject those that cannot meet their deadline.
 
-        Jobs are considered by priority and by the time at which their first event is
-        due, those that are not late first. A long prompt that fits nowhere claims the
-        engines that will be free first; otherwise a burst of short prompts would
-        refill them as soon as they become free.
+        Jobs are considered by priority, by what their workspaces have received, and by
+        the time at which their first event is due, those that are not late first. A
+        long prompt that fits nowhere claims the engines that will be free first;
+        otherwise a burst of short prompts would refill them as soon as they become
+        free.
         """
         decisions = []
-        waiting = sorted(
-            self.waiting_by_id.values(),
-            key=lambda j: (
-                j.priority,
-                j.first_event_due_at <= now,
-                j.first_event_due_at,
-            ),
-        )
-        unplaced_tokens_by_gap = {}
+        waiting = self.shares.order(self.waiting_by_id.values(), now)
+        unplaced_tokens_by_kind = {}
         rate = limited_rate(self.engines_by_id.values(), self.rate_limiter, now)
         n_left = len(waiting)
         for job in waiting:
             # A job that is at least as large as one that did not fit won't fit either.
-            unplaced_tokens = unplaced_tokens_by_gap.get(job.max_gap_s)
+            # That assumes the order by due time, which holds within a workspace: of two
+            # jobs of different ones, the second may be the one with more time left.
+            kind = (job.workspace, job.max_gap_s)
+            unplaced_tokens = unplaced_tokens_by_kind.get(kind)
             if (
                 unplaced_tokens is not None
                 and job.prompt_tokens >= unplaced_tokens
@@ -281,7 +288,10 @@
             n_left -= 1
             if decision is None:
                 if not job.has_own_engines:
-                    unplaced_tokens_by_gap[job.max_gap_s] = job.prompt_tokens
+                    unplaced_tokens_by_kind[kind] = min(
+                        job.prompt_tokens,
+                        unplaced_tokens_by_kind.get(kind, job.prompt_tokens),
+                    )
                 continue
             del self.waiting_by_id[job.id]
             self.claims.drop(job.id)
@@ -404,6 +414,9 @@
         """
         claimed = self.claims.claimed_by_others(job)
         unclaimed = [engine for engine in engines if engine.id not in claimed]
+        # Costs less than `choose_engines`, as one job of each workspace comes here.
+        if not any(map(has_free_slot, unclaimed)):
+            return None
         return choose_engines(
             job,
             unclaimed,
@@ -437,7 +450,16 @@
             predicted_first_s=predicted_s,
         )
 
+    def _engine_s(self, job):
+        """Predict the engine time of a job, in seconds; 0 if no engine is known."""
+        engine = next(iter(self.engines_by_id.values()), None)
+        return 0.0 if engine is None else job_engine_s(engine.profile, job)
+
     def _add_placed(self, placed, now):
+        if placed.job.id in self.placed_by_id:
+            self.shares.note_ended(placed.job.workspace)
+        placed.charged_s = self._engine_s(placed.job)
+        self.shares.charge(placed.job.workspace, placed.charged_s)
         self.placed_by_id[placed.job.id] = placed
         for index, engine_id in enumerate(placed.engine_ids):
             engine = self.engines_by_id.get(engine_id)
