--- a/src/savoryhill/core/balancing.py
+++ b/src/savoryhill/core/balancing.py
@@ -9,8 +9,8 @@
 REPORT_DECAY_S = 1.0
 REPORT_LIFETIME_S = 3.0
 # An endpoint in another availability zone is chosen if it has so many fewer requests
-# for each of its slots. At a third, one in twenty calls of a calm service leaves its
-# zone, at a half one in 160 (replay of 8 calls a second on 3 endpoints of 6 slots).
+# for each of its slots. With a smaller difference, calls of a calm service leave their
+# zone by chance.
 LEAVE_ZONE_LOAD = 0.5
 # A failed request counts on its endpoint for so long as if it ran, so that one which
 # refuses at once, and is always idle therefore, does not draw the requests of all.
