bench: engines of the placement replay can turn slow for a time

Cause: the replay reads every prompt at the speed of the profile, so it can't show what slow engines cost. Change: Slowdown names how many engines read how much slower and when; an optional decode pass lies between the reading and the first event; the replay keeps its grants. Without these, replays are as before.

--- a/src/savoryhill/bench/placement/engines.py
+++ b/src/savoryhill/bench/placement/engines.py
@@ -30,10 +30,12 @@
     """One engine, which reads one prompt, or part of one, after the other.
 
     A part of a prompt that several engines read comes before all other reading, and
-    before the parts that arrived earlier; see docs/platform.md.
+    before the parts that arrived earlier; see docs/platform.md. ``slowness`` is how
+    many times longer than predicted it reads.
     """
 
     id: str
+    slowness: float = 1.0
     reads: list[_Read] = field(default_factory=list)
 
     def add(self, run, seconds, *, is_part):
@@ -50,14 +52,14 @@
 
     def next_end_s(self):
         """Return the seconds until the current reading ends; infinite if idle."""
-        return self._next_read().left_s if self.reads else float("inf")
+        return self._next_read().left_s * self.slowness if self.reads else float("inf")
 
     def advance(self, seconds):
         """Read for some seconds, at most `next_end_s`; return the run that ended."""
         if not self.reads:
             return None
         read = self._next_read()
-        read.left_s -= seconds
+        read.left_s -= seconds / self.slowness
         if read.left_s > 1e-9:
             return None
         self.reads.remove(read)
--- a/src/savoryhill/bench/placement/replay.py
+++ b/src/savoryhill/bench/placement/replay.py
@@ -110,6 +110,16 @@
         return self.delay_s is not None and self.delay_s <= self.kind.due_s
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Slowdown:
+    """Engines that are ``factor`` times slower from ``begin_s`` to ``end_s``."""
+
+    n_engines: int
+    factor: float
+    begin_s: float
+    end_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Endpoint:
     id: str
@@ -149,9 +159,21 @@
 
 
 class Replay:
-    """Prompts, the scheduler that places them, and the engines that read them."""
+    """Prompts, the scheduler that places them, and the engines that read them.
+
+    ``first_pass_s`` is the decode pass between the reading and the first event, and
+    ``grants`` holds what was granted when.
+    """
 
-    def __init__(self, *, n_engines, profile=PROFILE, node="node-a"):
+    def __init__(
+        self,
+        *,
+        n_engines,
+        profile=PROFILE,
+        node="node-a",
+        first_pass_s=0.0,
+        slowdown=None,
+    ):
         self._scheduler = ServiceScheduler(service="pool", node=node)
         zones = ("zone-a", "zone-b", "zone-c")
         endpoints = [
@@ -173,6 +195,14 @@
         self._events = []
         self._event_numbers = count()
         self._now = 0.0
+        self._first_pass_s = first_pass_s
+        self.grants = []
+        if slowdown is not None:
+            # Every other engine, so that each zone has some.
+            ids = [e.id for e in (endpoints[::2] + endpoints[1::2])]
+            ids = ids[: slowdown.n_engines]
+            self._schedule(slowdown.begin_s, self._set_slowness, ids, slowdown.factor)
+            self._schedule(slowdown.end_s, self._set_slowness, ids, 1.0)
 
     def run(self, prompts):
         """Place prompts until the last one has ended; their fate is in them."""
@@ -187,6 +217,10 @@
             self._read_until(at)
             handle(*arguments)
 
+    def _set_slowness(self, engine_ids, slowness):
+        for engine_id in engine_ids:
+            self._engines_by_id[engine_id].slowness = slowness
+
     def _schedule(self, at, handle, *arguments):
         item = (at, next(self._event_numbers), handle, arguments)
         heapq.heappush(self._events, item)
@@ -235,6 +269,7 @@
 
     def _start(self, grant):
         job_id, engine_ids = grant.job_id, grant.endpoint_ids
+        self.grants.append((self._now, grant))
         self._prompts_by_job[job_id].n_runs += 1
         self._n_parts_left_by_job[job_id] = len(engine_ids)
         self._engine_ids_by_job[job_id] = engine_ids
@@ -249,7 +284,17 @@
         self._n_parts_left_by_job[job_id] -= 1
         if self._n_parts_left_by_job[job_id]:
             return
+        if not self._first_pass_s:
+            self._begin(job_id)
+            return
+        first = self._engines_by_id[self._engine_ids_by_job[job_id][0]]
+        first_at = self._now + self._first_pass_s * first.slowness
+        self._schedule(first_at, self._begin, job_id)
+
+    def _begin(self, job_id):
         prompt = self._prompts_by_job[job_id]
+        if self._now >= prompt.arrived_at + prompt.kind.ends_s:
+            return
         prompt.delay_s = self._now - prompt.arrived_at
         self._apply(self._scheduler.note_first_event(job_id, self._now))
         self._schedule(self._now + ANSWER_S, self._finish, job_id)
