scheduling: the leader learns how slow each engine is

Cause: predictions use the profile alone, so an engine that has turned slow gets as many jobs as a healthy one. Change: EnginePace (pace.py) is the median of real to predicted time of the last three first events, and of a job that is overdue; the prediction compared is that of the profile, with the pending prefill at the grant and the parts that came later. Reads are kept in seconds of the profile and take longer by the pace; the room of an engine is divided by it. A late prompt of several engines counts only for one that is known to be the slowest. If more than half of the engines are slow, no pace is used. job_prefill_s stays that of the profile, as one engine stands for all there.

--- a/src/savoryhill/core/scheduling/engine_choice.py
+++ b/src/savoryhill/core/scheduling/engine_choice.py
@@ -79,7 +79,9 @@
     ]
 
     def sort_key(engine):
-        pending_s = engine.pending_prefill_s(now)
+        # A slower engine reads the prompt longer, which is like more to read before it.
+        slowness = engine.factor_for(job, now) - 1.0
+        pending_s = engine.pending_prefill_s(now) + slowness * prefill_s
         return (
             pending_s // LOCAL_WAIT_S,
             engine.zone != job.zone,
--- a/src/savoryhill/core/scheduling/engine_state.py
+++ b/src/savoryhill/core/scheduling/engine_state.py
@@ -10,6 +10,8 @@
     decode_pass_s,
     prefill_s,
 )
+from savoryhill.core.scheduling.pace import TRIAL_PREFILL_S, EnginePace
+from savoryhill.core.scheduling.pace_notes import FirstEventPrediction
 from savoryhill.core.scheduling.read_queue import ReadQueue
 
 # Part of a job's time that its reading must not use up: the first decode pass and the
@@ -57,7 +59,7 @@
 
     The first of ``engine_ids`` generates the output; all of them prefill a part of
     the prompt, which takes ``prefill_part_s`` each and may be delayed until
-    ``due_at``.
+    ``due_at``. ``prediction`` is None if another scheduler has placed the job.
     """
 
     job: Job
@@ -67,6 +69,7 @@
     due_at: float
     first_event_at: float | None = None
     reserved_tokens: tuple[int, ...] = ()
+    prediction: FirstEventPrediction | None = None
 
     @property
     def first_engine_tokens(self):
@@ -87,7 +90,8 @@
     was at ``heard_at``, and so does ``n_silences``, of jobs that were silent while the
     engine went on with others. Until ``avoided_until`` it is used only if there is no
     other. ``silent_job_ids`` holds the running jobs that were silent for so long that
-    the engine was suspected.
+    the engine was suspected. ``pace`` is how fast this incarnation is, and is used
+    unless ``uses_pace`` is False.
     ``rank`` orders engines that are equally good, in another order on each node.
     """
 
@@ -111,6 +115,8 @@
     avoided_until: float = 0.0
     silent_job_ids: set[str] = field(default_factory=set)
     grant_times: deque = field(default_factory=deque)
+    pace: EnginePace = field(default_factory=EnginePace)
+    uses_pace: bool = True
     # Cached values computed from the jobs, cleared whenever the jobs change.
     _decode_pass_s: float | None = None
     _min_gap_s: float | None = None
@@ -121,6 +127,30 @@
             self.slots, self.profile = slots, profile
             self._clear_cache()
 
+    def set_incarnation(self, incarnation):
+        """Set the incarnation; the pace of an earlier one doesn't apply to it."""
+        if incarnation != self.incarnation:
+            self.incarnation, self.pace = incarnation, EnginePace()
+
+    def factor(self, now):
+        """Return by how much the engine is slower than its profile."""
+        factor = self.pace.factor(now) if self.uses_pace else 1.0
+        if factor != self.reads.factor:
+            self.reads.set_factor(factor, now)
+        return factor
+
+    def factor_for(self, job, now):
+        """Return the factor for a job that would be read whole; 1 if it is a trial."""
+        factor = self.factor(now)
+        if (
+            factor > 1.0
+            and not self.reads.reads_by_job_id
+            and self.pace.is_trial_due(now)
+            and job_prefill_s(self, job) <= TRIAL_PREFILL_S
+        ):
+            return 1.0
+        return factor
+
     def free_tokens(self, share):
         """Return how much of a share of the memory is not allocated, in tokens.
 
@@ -131,11 +161,15 @@
         return int(share * self.profile.memory_tokens) - held
 
     def pending_prefill_s(self, now):
-        """Predict the seconds of prefill that are left."""
+        """Predict the seconds of prefill that are left, at the engine's pace."""
+        self.factor(now)
         return self.reads.pending_s(now)
 
-    def decode_pass_s(self):
-        """Predict the seconds of a pass without prefill."""
+    def decode_pass_s(self, now):
+        """Predict the seconds of a pass without prefill, at the engine's pace."""
+        return self._profile_pass_s() * self.factor(now)
+
+    def _profile_pass_s(self):
         if self._decode_pass_s is None:
             context_tokens = sum(p.job.prompt_tokens for p in self.jobs_by_id.values())
             self._decode_pass_s = decode_pass_s(
@@ -174,12 +208,15 @@
         Returns
         -------
         float
-            Seconds; zero or negative if nothing fits.
+            Seconds of the profile; zero or negative if nothing fits.
         """
+        # It also sets the factor of the reads.
+        factor = self.factor_for(job, now)
         allowed_s = min(
             (job.first_event_due_at - now) * share, self.min_gap_s() * GAP_SHARE
         )
-        return allowed_s - self.decode_pass_s() - self.pending_prefill_s(now)
+        pass_s = self._profile_pass_s() * factor
+        return (allowed_s - pass_s - self.reads.pending_s(now)) / factor
 
     def available_part_s(self, now, job, *, share):
         """Return the seconds of a part of a prompt that a job may add to this engine.
@@ -187,11 +224,13 @@
         The part is read before all that is pending, which must not become late. The
         parameters and the result are those of `available_whole_s`.
         """
+        factor = self.factor(now)
         allowed_s = min(
             (job.first_event_due_at - now) * share,
-            self.min_gap_s() * GAP_SHARE - self.pending_prefill_s(now),
+            self.min_gap_s() * GAP_SHARE - self.reads.pending_s(now),
         )
-        return min(allowed_s - self.decode_pass_s(), self.reads.slack_s(now))
+        pass_s = self._profile_pass_s() * factor
+        return min(allowed_s - pass_s, self.reads.slack_s(now)) / factor
 
     def add(self, placed, *, now, is_first):
         """Add a granted job, or the part of its prompt that this engine prefills.
@@ -201,13 +240,15 @@
         if is_first:
             self.jobs_by_id[placed.job.id] = placed
             self._clear_cache()
+            if len(placed.engine_ids) == 1:
+                self.pace.note_granted(now)
         self.reads.add(
             placed.job.id,
             placed.prefill_part_s,
             now,
             is_part=len(placed.engine_ids) > 1,
             ends_by=placed.due_at - AFTER_READING_S,
-            wait_s=self.decode_pass_s() / 2 if len(self.jobs_by_id) > 1 else 0.0,
+            wait_s=self._profile_pass_s() / 2 if len(self.jobs_by_id) > 1 else 0.0,
         )
         self.grant_times.append(now)
 
@@ -244,5 +285,9 @@
 
 
 def job_prefill_s(engine, job):
-    """Predict the seconds in which a single engine prefills a job's prompt."""
+    """Predict the seconds in which a single engine prefills a job's prompt.
+
+    The prediction is that of the profile and holds for any engine of the service; the
+    room of an engine (`available_whole_s`) is in the same unit.
+    """
     return prefill_s(engine.profile, job.prompt_tokens)
--- a/src/savoryhill/core/scheduling/read_queue.py
+++ b/src/savoryhill/core/scheduling/read_queue.py
@@ -30,10 +30,14 @@
     """Predicted reading of one engine, by job, in the order of arrival.
 
     A read that has been finished here stays until `finish`, as the job may still wait
-    for other engines. Times are in seconds of the scheduler's clock.
+    for other engines. Times are in seconds of the scheduler's clock; reads are kept in
+    seconds of the profile, which take ``factor`` times as long. ``parts_added_s`` is
+    the sum of all parts so far.
     """
 
     reads_by_job_id: dict[str, _Read] = field(default_factory=dict)
+    factor: float = 1.0
+    parts_added_s: float = 0.0
     _advanced_at: float = 0.0
     _outlook_at: float | None = None
     _known_outlook: tuple[float, float] = IDLE
@@ -47,7 +51,7 @@
             The job.
         seconds, wait_s : float
             Predicted time to read, and to wait for the running pass if nothing else is
-            read.
+            read, by the profile.
         now : float
             Current time.
         is_part : bool
@@ -64,6 +68,15 @@
             is_part=is_part,
             ends_by=ends_by,
         )
+        if is_part:
+            self.parts_added_s += seconds
+
+    def set_factor(self, factor, now):
+        """Set by how much the engine is slower than its profile from now on."""
+        if factor != self.factor:
+            self._advance(now)
+            self._outlook_at = None
+            self.factor = factor
 
     def finish(self, job_id, now):
         """Remove the reading of a job, finished or not."""
@@ -97,11 +110,12 @@
         self._advance(now)
         pending_s, slack_s = 0.0, math.inf
         for read in self._in_order():
-            pending_s += read.left_s
+            pending_s += read.left_s * self.factor
             slack_s = min(slack_s, read.ends_by - now - pending_s)
         if pending_s == 0.0:
             overdue = (r for r in self.reads_by_job_id.values() if r.ends_by < now)
             pending_s = OVERDUE_SHARE * sum(read.total_s for read in overdue)
+            pending_s *= self.factor
         return pending_s, slack_s
 
     def _in_order(self):
@@ -113,7 +127,7 @@
         return [*reversed(parts), *(r for r in unfinished if not r.is_part)]
 
     def _advance(self, now):
-        elapsed_s = now - self._advanced_at
+        elapsed_s = (now - self._advanced_at) / self.factor
         self._advanced_at = now
         if elapsed_s <= 0.0 or not self.reads_by_job_id:
             return
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -35,6 +35,7 @@
     needed_tokens,
     reservations,
 )
+from savoryhill.core.scheduling.pace_notes import PaceNotes, predict_first_event
 from savoryhill.core.silence import MIN_SILENCE_S
 
 # A job that is due sooner claims as many engines as one that is due then.
@@ -63,9 +64,11 @@
     waiting_by_id: dict[str, Job] = field(default_factory=dict)
     limited_turns: LimitedTurns = field(default_factory=LimitedTurns)
     claims: EngineClaims = field(init=False)
+    pace_notes: PaceNotes = field(init=False)
 
     def __post_init__(self):
         self.claims = EngineClaims(waiting_by_id=self.waiting_by_id)
+        self.pace_notes = PaceNotes(engines_by_id=self.engines_by_id)
 
     def set_engines(self, endpoints, profile):
         """Set the endpoints that may be used.
@@ -97,7 +100,7 @@
                     rank=engine_rank(self.node, endpoint.id),
                 )
             else:
-                engine.incarnation = endpoint.incarnation
+                engine.set_incarnation(endpoint.incarnation)
                 engine.set_capacity(slots=endpoint.slots, profile=profile)
 
     def submit(self, job, now):
@@ -116,6 +119,7 @@
         placed = self.placed_by_id.get(job_id)
         if placed is None:
             return ()
+        self.pace_notes.note_first_event(placed, now)
         placed.first_event_at = now
         for engine_id in placed.engine_ids:
             engine = self.engines_by_id.get(engine_id)
@@ -136,6 +140,7 @@
         placed = self.placed_by_id.pop(job_id, None)
         if placed is None:
             return ()
+        self.pace_notes.note_end(placed, now)
         for engine_id in placed.engine_ids:
             engine = self.engines_by_id.get(engine_id)
             if engine is not None:
@@ -251,6 +256,7 @@
         engines that will be free first; otherwise a burst of short prompts would
         refill them as soon as they become free.
         """
+        self.pace_notes.review(self.placed_by_id, now)
         decisions = []
         waiting = sorted(
             self.waiting_by_id.values(),
@@ -416,10 +422,7 @@
         """Place a job; ``due_at`` is when its first event must come if it is late."""
         self.rate_limiter.take(chosen[0].incarnation, now)
         reserved_tokens = reservations(job, chosen)
-        # A part of a prompt is read before all that is pending.
-        is_whole = len(chosen) == 1
-        wait_s = chosen[0].pending_prefill_s(now) if is_whole else 0.0
-        predicted_s = wait_s + prefill_part_s + chosen[0].decode_pass_s()
+        prediction = predict_first_event(chosen, prefill_part_s, now)
         placed = PlacedJob(
             job=job,
             engine_ids=tuple(engine.id for engine in chosen),
@@ -427,6 +430,7 @@
             granted_at=now,
             due_at=job.first_event_due_at if due_at is None else due_at,
             reserved_tokens=reserved_tokens,
+            prediction=prediction,
         )
         self._add_placed(placed, now)
         return Grant(
@@ -434,7 +438,7 @@
             endpoint_ids=placed.engine_ids,
             reserved_tokens=reserved_tokens,
             prefill_part_s=prefill_part_s,
-            predicted_first_s=predicted_s,
+            predicted_first_s=prediction.with_pace_s,
         )
 
     def _add_placed(self, placed, now):
