--- a/src/savoryhill/serving/gauges.py
+++ b/src/savoryhill/serving/gauges.py
@@ -30,6 +30,10 @@
         jobs_waiting=lambda: sum(
             len(s.waiting_by_id) for s in scheduling.schedulers_by_service.values()
         ),
+        engines_slow=lambda: sum(
+            len(s.pace_notes.slow_ids)
+            for s in scheduling.schedulers_by_service.values()
+        ),
         log_lines_dropped=lambda: lines.n_dropped,
         requests_started=lambda: context.n_started,
         endpoints_limited=lambda: len(
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -258,6 +258,16 @@
                 self._deliver_all(scheduler, scheduler.place_waiting(now))
 
     def _deliver_all(self, scheduler, decisions):
+        for engine_id, factor in scheduler.pace_notes.take_changes():
+            self._record(
+                "engine.pace",
+                {
+                    "endpoint": engine_id,
+                    "pace": round(factor, 1),
+                    "slow": len(scheduler.pace_notes.slow_ids),
+                    "engines": len(scheduler.engines_by_id),
+                },
+            )
         for decision in decisions:
             submission = self._submissions_by_job.get(decision.job_id)
             if isinstance(decision, Grant):
