--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -37,6 +37,7 @@
     needed_tokens,
     reservations,
 )
+from savoryhill.core.scheduling.pace_notes import PaceNotes, predict_first_event
 from savoryhill.core.scheduling.shares import WorkspaceShares, job_engine_s
 from savoryhill.core.silence import MIN_SILENCE_S
 
@@ -73,10 +74,12 @@
     # Valid for the jobs without engines of their own until the next decision.
     _shared_engines: list | None = field(default=None, init=False)
     _shared_limit: LongPrefillLimit | None = field(default=None, init=False)
+    pace_notes: PaceNotes = field(init=False)
 
     def __post_init__(self):
         self.shares = WorkspaceShares(engine_s=self._engine_s)
         self.claims = EngineClaims(waiting_by_id=self.waiting_by_id)
+        self.pace_notes = PaceNotes(engines_by_id=self.engines_by_id)
 
     def set_engines(self, endpoints, profile):
         """Set the endpoints that may be used.
@@ -108,7 +111,7 @@
                     rank=engine_rank(self.node, endpoint.id),
                 )
             else:
-                engine.incarnation = endpoint.incarnation
+                engine.set_incarnation(endpoint.incarnation)
                 engine.set_capacity(slots=endpoint.slots, profile=profile)
 
     def submit(self, job, now):
@@ -133,6 +136,7 @@
         placed = self.placed_by_id.get(job_id)
         if placed is None:
             return ()
+        self.pace_notes.note_first_event(placed, now)
         placed.first_event_at = now
         for engine_id in placed.engine_ids:
             engine = self.engines_by_id.get(engine_id)
@@ -153,6 +157,7 @@
         placed = self.placed_by_id.pop(job_id, None)
         if placed is None:
             return ()
+        self.pace_notes.note_end(placed, now)
         self.shares.note_ended(placed.job.workspace)
         if placed.first_event_at is None:
             # A job that was withdrawn or given up has used at most the time since then.
@@ -275,6 +280,7 @@
         otherwise a burst of short prompts would refill them as soon as they become
         free.
         """
+        self.pace_notes.review(self.placed_by_id, now)
         decisions = []
         self._forget_shared()
         waiting = self.shares.order(self.waiting_by_id.values(), now)
@@ -466,10 +472,7 @@
         """Place a job; ``due_at`` is when its first event must come if it is late."""
         self.rate_limiter.take(chosen[0].incarnation, now)
         reserved_tokens = reservations(job, chosen)
-        # A part of a prompt is read before all that is pending.
-        is_whole = len(chosen) == 1
-        wait_s = chosen[0].pending_prefill_s(now) if is_whole else 0.0
-        predicted_s = wait_s + prefill_part_s + chosen[0].decode_pass_s()
+        prediction = predict_first_event(chosen, prefill_part_s, now)
         placed = PlacedJob(
             job=job,
             engine_ids=tuple(engine.id for engine in chosen),
@@ -477,6 +480,7 @@
             granted_at=now,
             due_at=job.first_event_due_at if due_at is None else due_at,
             reserved_tokens=reserved_tokens,
+            prediction=prediction,
         )
         self._add_placed(placed, now)
         return Grant(
@@ -484,7 +488,7 @@
             endpoint_ids=placed.engine_ids,
             reserved_tokens=reserved_tokens,
             prefill_part_s=prefill_part_s,
-            predicted_first_s=predicted_s,
+            predicted_first_s=prediction.with_pace_s,
         )
 
     def _engine_s(self, job):
