scheduling: log fields and gauges of shares; long prompts keep being decided

Cause: with the early exit at the smallest job that did not fit, a long prompt hid all larger ones of its workspace. Nothing showed which jobs are served later because of their workspace.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -288,9 +288,12 @@
             n_left -= 1
             if decision is None:
                 if not job.has_own_engines:
+                    # Long prompts are compared with the last one, so that large ones
+                    # are decided too; with the smallest, fewer of them are served.
+                    if unplaced_tokens is None or self._is_long(job):
+                        unplaced_tokens = job.prompt_tokens
                     unplaced_tokens_by_kind[kind] = min(
-                        job.prompt_tokens,
-                        unplaced_tokens_by_kind.get(kind, job.prompt_tokens),
+                        job.prompt_tokens, unplaced_tokens
                     )
                 continue
             del self.waiting_by_id[job.id]
@@ -315,7 +318,8 @@
 
     def _is_long(self, job):
         """Return whether a job's prefill keeps it waiting, rather than its turn."""
-        return is_long(job, next(iter(self.engines_by_id.values())))
+        engine = next(iter(self.engines_by_id.values()), None)
+        return engine is not None and is_long(job, engine)
 
     def _usable_engines(self, job, now):
         limit = self.max_grants_per_s
--- a/src/savoryhill/serving/gauges.py
+++ b/src/savoryhill/serving/gauges.py
@@ -30,6 +30,21 @@
         jobs_waiting=lambda: sum(
             len(s.waiting_by_id) for s in scheduling.schedulers_by_service.values()
         ),
+        workspaces_waiting=lambda: len(
+            {
+                job.workspace
+                for scheduler in scheduling.schedulers_by_service.values()
+                for job in scheduler.waiting_by_id.values()
+            }
+        ),
+        workspace_lead_s=lambda: max(
+            (
+                scheduler.shares.lead_s(workspace)
+                for scheduler in scheduling.schedulers_by_service.values()
+                for workspace in scheduler.shares.counters_by_workspace
+            ),
+            default=0.0,
+        ),
         log_lines_dropped=lambda: lines.n_dropped,
         requests_started=lambda: context.n_started,
         endpoints_limited=lambda: len(
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -17,6 +17,7 @@
     JobRejected,
 )
 from savoryhill.core.scheduling.scheduler import ServiceScheduler
+from savoryhill.core.scheduling.shares import ROUND_S
 
 REJECTED_RETRY_AFTER_S = 1.0
 REPORTS_ON_ENGINES = frozenset(
@@ -27,6 +28,7 @@
 @dataclass(kw_only=True)
 class _Submission:
     service: str
+    workspace: str
     deliver: object
     needs_budget: bool = False
 
@@ -132,6 +134,7 @@
         self._update_cold_limits()
         self._submissions_by_job[job.id] = _Submission(
             service=message.service,
+            workspace=message.workspace,
             deliver=deliver,
             needs_budget=message.needs_budget and not message.endpoints,
         )
@@ -286,12 +289,23 @@
                     "reason": getattr(decision, "reason", ""),
                     "waiting": len(scheduler.waiting_by_id),
                     "revision": self._cluster_view.revision,
+                    **_share_fields(scheduler, submission),
                 },
             )
             if submission is not None:
                 submission.deliver(reply)
 
 
+def _share_fields(scheduler, submission):
+    """Return log fields for a job whose workspace is served after others, else none."""
+    if submission is None:
+        return {}
+    lead_s = scheduler.shares.lead_s(submission.workspace)
+    if lead_s < ROUND_S:
+        return {}
+    return {"workspace": submission.workspace, "lead_s": round(lead_s, 3)}
+
+
 def _exclusions(message, now):
     """Return until when each engine that a submission excludes must not be used."""
     durations_s = message.excluded_for_s or [math.inf] * len(message.excluded)
--- a/tests/core/scheduling/test_shares.py
+++ b/tests/core/scheduling/test_shares.py
@@ -188,6 +188,12 @@
             "ws": pytest.approx(job_engine_s(PROFILE, job))
         }
 
+    def test_jobs_wait_while_no_engine_is_known(self, scheduler):
+        # Guards against costs and sizes that are asked of an engine that is not there.
+        scheduler.set_engines([], PROFILE)
+        jobs = [make_job(f"j{n}", f"ws-{n % 2}") for n in range(4)]
+        assert [scheduler.submit(job, 0.0) for job in jobs] == [[]] * 4
+
     def test_job_that_does_not_fit_hides_no_job_of_another_workspace(self, scheduler):
         # The one of "large" is nearly late and finds no room in the time left to it;
         # that says nothing about a job of the same size that is due later.
