scheduling: delays of the network make no engine slow

Cause: predictions are without the network and the wait for the running pass, so that jitter of 60 ms makes a short prompt 1.4 times as long as predicted. Change: 50 ms of a real time are not compared.

--- a/src/savoryhill/core/scheduling/pace.py
+++ b/src/savoryhill/core/scheduling/pace.py
@@ -7,7 +7,11 @@
 MAX_PACE = 8.0
 # A pace below this counts as 1, so that small delays don't change placements.
 NOISE_PACE = 1.3
-# Shorter times count as this one: a network delay or one decode pass dominates them.
+# Part of a real time that is not compared: the network and the wait for the running
+# pass, which no prediction contains.
+NETWORK_DELAY_S = 0.05
+# Shorter times count as this one: a delay that doesn't depend on the engine's speed
+# dominates them.
 MIN_COMPARED_S = 0.1
 # Number of first events whose median is the pace; one that is late changes nothing.
 N_RATIOS = 3
@@ -33,7 +37,9 @@
     """
     if min(predicted_s, real_s) < 0.0:
         raise ValueError(f"times must not be negative, got {predicted_s}, {real_s}")
-    ratio = max(real_s, MIN_COMPARED_S) / max(predicted_s, MIN_COMPARED_S)
+    ratio = max(real_s - NETWORK_DELAY_S, MIN_COMPARED_S) / max(
+        predicted_s, MIN_COMPARED_S
+    )
     return min(MAX_PACE, max(1.0, ratio))
 
 
