serving: a failed call outweighs the endpoint's report that it is idle

Cause: a node without a leader went by the report in the refusal itself, and sent the next call to the endpoint that had just refused, as the others were busy.

--- a/src/savoryhill/bench/balancing.py
+++ b/src/savoryhill/bench/balancing.py
@@ -309,11 +309,16 @@
     def refuse(now, node, endpoint, counted):
         outcome.n_refused += 1
         endpoint.ejected_until[id(node)] = now + 0.1
+        if way.endswith("refusals") or way.startswith(LEADER):
+            at(now + 2 * HOP_S, note_failed, node, endpoint)
         answer(now, node, endpoint, counted)
         if way == f"{LEADER}, reports" and counted is not None:
             counted.note_sent(endpoint.incarnation, now)
             at(now + FAILURE_S, end_failure, endpoint, counted)
 
+    def note_failed(now, node, endpoint):
+        node.loads.note_failed(endpoint, now)
+
     def end_failure(now, endpoint, counted):
         counted.note_ended(endpoint.incarnation)
 
--- a/src/savoryhill/core/balancing.py
+++ b/src/savoryhill/core/balancing.py
@@ -79,6 +79,21 @@
         load.report = report
         return True
 
+    def note_failed(self, endpoint, now):
+        """Take an endpoint for full, whatever it reports, after a failed request.
+
+        One that refuses all requests is idle, and would get those of busy ones.
+        """
+        report = self.report(endpoint.incarnation, now)
+        n_waiting = report.n_waiting if report is not None else 0
+        full = LoadReport(
+            n_running=endpoint.slots,
+            n_waiting=n_waiting,
+            n_slots=endpoint.slots,
+            observed_at=now,
+        )
+        self.note_report(endpoint.incarnation, full, now)
+
     def note_sent(self, incarnation, now):
         """Count a request of this node as running from now on."""
         load = self._by_incarnation.setdefault(incarnation, _Load())
--- a/src/savoryhill/serving/balancing.py
+++ b/src/savoryhill/serving/balancing.py
@@ -187,5 +187,8 @@
             ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**state.n_failures)
             state.n_failures += 1
         state.ejected_until = self.clock.monotonic() + ejection_s
-        if self.grants is not None and self._telling:
+        if not self._telling:
+            return
+        self.loads.note_failed(endpoint, self.clock.monotonic())
+        if self.grants is not None:
             self.grants.tell_failure(endpoint.incarnation)
--- a/tests/serving/test_balancing.py
+++ b/tests/serving/test_balancing.py
@@ -119,6 +119,14 @@
         choose(follower)
         assert follower.chosen_by == BY_OWN_RUNNING
 
+    def test_refusal_of_an_idle_endpoint_counts(self, clock, balancer):
+        serve(balancer, NEAR, (0, 0, 6))
+        clock.now += 0.1
+        balancer.note_failure(NEAR, is_full=True)
+        clock.now += 0.11
+        assert not balancer.is_ejected(NEAR)
+        assert NEAR.id not in {choose(balancer).id for _ in range(20)}
+
     def test_report_to_another_node_s_request_is_not_taken(self, balancer):
         # Guards against memory for engines, whose answers are not balanced here.
         balancer.note_load(NEAR, (6, 3, 6))
