scheduling: reviews of a long queue are limited by the jobs that they look at

Cause: with more than eight waiting jobs, only the review every 20 ms placed any. Change: reviews after events may look at 5,000 jobs a second in all.

--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -41,9 +41,12 @@
 from savoryhill.core.scheduling.shares import WorkspaceShares, job_engine_s
 from savoryhill.core.silence import MIN_SILENCE_S
 
-# Longer queues are reviewed at intervals only. A review looks at each job, and a leader
-# that reviews its queue at each event under a burst is too busy to send heartbeats.
+# Longer queues are not reviewed at each event. A review looks at each job, and a leader
+# that is busy with reviews under a burst sends no heartbeats.
 MAX_IMMEDIATE_JOBS = 8
+MAX_REVIEWED_JOBS_PER_S = 5_000.0
+# Jobs in all that reviews in a row, each after an event, may look at.
+MAX_REVIEW_CREDIT_JOBS = 250.0
 # A job that is due sooner claims as many engines as one that is due then.
 MIN_CLAIM_TIME_S = 0.5
 INITIAL_EJECTION_S = 0.5
@@ -71,6 +74,8 @@
     limited_turns: LimitedTurns = field(default_factory=LimitedTurns)
     claims: EngineClaims = field(init=False)
     shares: WorkspaceShares = field(init=False)
+    _reviewed_at: float = field(default=0.0, init=False)
+    _review_credit_jobs: float = field(default=MAX_REVIEW_CREDIT_JOBS, init=False)
     # Valid for the jobs without engines of their own until the next decision.
     _shared_engines: list | None = field(default=None, init=False)
     _shared_limit: LongPrefillLimit | None = field(default=None, init=False)
@@ -120,9 +125,16 @@
         return self._place_promptly(now)
 
     def _place_promptly(self, now):
-        """Place waiting jobs now if they are few; else the next review does."""
+        """Place waiting jobs now, unless they are many and were reviewed often."""
         if len(self.waiting_by_id) > MAX_IMMEDIATE_JOBS:
-            return ()
+            elapsed_s, self._reviewed_at = now - self._reviewed_at, now
+            self._review_credit_jobs = min(
+                MAX_REVIEW_CREDIT_JOBS,
+                self._review_credit_jobs + elapsed_s * MAX_REVIEWED_JOBS_PER_S,
+            )
+            if self._review_credit_jobs <= 0.0:
+                return ()
+            self._review_credit_jobs -= len(self.waiting_by_id)
         return self.place_waiting(now)
 
     def cancel(self, job_id, now):
