serving: what a review of the clients' bounds found

Cause, by a review with scripts: a request on a connection that was idle counted as slow from its first byte and made room before requests that had stalled; the body of the last request was kept while its connection idled; the drain could end between two requests of one connection; slow requests were evicted for one that was refused all the same, and for bytes that could stay in the kernel; a connection that was being closed could be evicted, which may cut off its answer; the metrics kept reading from a client that was refused. Change: progress counts from the first byte; the request is forgotten once it is served; a next request counts as being read; evictions are decided as a whole. Measured: two new tests of core/client_buffers.py, which failed before; tests of connections, exchanges, kept pieces and the build pass.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -38,7 +38,8 @@
     subprocess.CalledProcessError
         If pip fails.
     """
-    shutil.rmtree(LIBRARIES, ignore_errors=True)
+    if LIBRARIES.exists():
+        shutil.rmtree(LIBRARIES)
     pip = ["python3", "-m", "pip", "install", "--quiet", "--require-hashes"]
     where = ["--target", str(LIBRARIES), "-r", str(REQUIREMENTS)]
     subprocess.run([*pip, *where], check=True)
--- a/src/savoryhill/core/client_buffers.py
+++ b/src/savoryhill/core/client_buffers.py
@@ -93,6 +93,9 @@
         if growth_bytes > 0 and not self._make_room(buffer, n_bytes):
             self.n_refused += 1
             return False
+        if not buffer.n_bytes:
+            # The time before the request began tells nothing of its progress.
+            buffer.progressed_at, buffer.progressed_bytes = self.now(), 0
         self.n_bytes += growth_bytes
         buffer.n_bytes = n_bytes
         self._note_progress(buffer)
@@ -114,10 +117,18 @@
         limit_bytes = self.limit_bytes()
         if n_bytes <= ALWAYS_KEPT_BYTES:
             limit_bytes *= SMALL_REQUEST_FACTOR
-        while self.n_bytes + n_bytes - buffer.n_bytes > limit_bytes:
-            victim = self._find_slowest(buffer)
-            if victim is None:
-                return False
+        n_missing = self.n_bytes + n_bytes - buffer.n_bytes - limit_bytes
+        if n_missing <= 0:
+            return True
+        victims = []
+        for victim in sorted(self._slow(buffer), key=lambda b: b.progressed_at):
+            victims.append(victim)
+            n_missing -= victim.n_bytes
+            if n_missing <= 0:
+                break
+        if n_missing > 0:
+            return False
+        for victim in victims:
             self._evict(victim)
         return True
 
@@ -138,8 +149,12 @@
 
     def _find_slowest(self, besides):
         """Return the buffer of a slow request that has waited longest, or None."""
+        slow = self._slow(besides)
+        return min(slow, key=lambda each: each.progressed_at, default=None)
+
+    def _slow(self, besides):
         slow_since = self.now() - MAX_STALL_S
-        slow = [
+        return [
             buffer
             for buffer in self._buffers
             if buffer.n_bytes
@@ -147,7 +162,6 @@
             and not buffer.is_serving
             and buffer is not besides
         ]
-        return min(slow, key=lambda each: each.progressed_at, default=None)
 
     def _evict(self, buffer):
         self.close(buffer)
--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -14,14 +14,14 @@
 
 # Reading stops once a client has sent more than this while its request is running.
 MAX_PIPELINED_BYTES = 262_144
-# Few, as they are kept even if there is no room for them.
+# The last read is kept even if there is no room for it, so that it is small.
 PIPELINED_RECV_BYTES = 4_096
 # From then on, only the state of the connection tells that its client has left.
 STATE_CHECK_S = 0.25
 TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 # Linux states of a connection that is closed, or that the other side has closed.
 CLOSED_TCP_STATES = (TCP_CLOSE, TCP_CLOSE_WAIT)
-NOTHING = memoryview(b"")
+EMPTY_VIEW = memoryview(b"")
 # Bound of the write of "100 Continue".
 CONTINUE_TIMEOUT_S = 0.5
 
@@ -100,7 +100,7 @@
         self._is_broken = False
         self._may_have_more = False
         self._limits = ClientLimits()
-        self._unparsed = NOTHING
+        self._unparsed = EMPTY_VIEW
         self._n_serving_bytes = 0
         self._buffer = context.client_buffers.open(on_evict=self._give_up)
         self._reader = RequestReader(
@@ -128,12 +128,23 @@
             self._buffer, self._n_serving_bytes + n_bytes
         )
 
+    def _may_keep_pipelined(self, n_bytes):
+        """Tell whether there is room for bytes behind the request that is served.
+
+        Others don't make room for them, as they can stay where they are.
+        """
+        kept_bytes = self._reader.n_kept_bytes + len(self._unparsed) + n_bytes
+        growth_bytes = self._n_serving_bytes + kept_bytes - self._buffer.n_bytes
+        return self._context.client_buffers.has_room(growth_bytes) and self._may_keep(
+            self._reader.n_kept_bytes, n_bytes
+        )
+
     def _give_up(self):
         """Free what is kept of a request that makes room for others, and refuse it.
 
         An idle connection is closed.
         """
-        self._unparsed = NOTHING
+        self._unparsed = EMPTY_VIEW
         self._reader.discard(503 if self._reader.started else None)
         # Wakes the greenlet, which waits for more.
         with contextlib.suppress(OSError):
@@ -156,9 +167,15 @@
             if request is None:
                 return
             keep_alive = self._serve_request(request)
+            # Its body must not be kept while the connection is idle.
+            del request
             if keep_alive and self._has_next():
+                # The next request counts, so that the node does not end before it.
+                self._set_reading(True)
                 # Requests in a row must not keep those of others from being served.
                 gevent.sleep(0)
+        # It no longer makes room for others, which would cut off the end of its answer.
+        self._context.client_buffers.close(self._buffer)
         if not self._is_broken:
             connection_end.finish(self._sock)
 
@@ -182,7 +199,7 @@
         with DisconnectWatcher(
             sock=self._sock,
             greenlet=gevent.getcurrent(),
-            may_keep=lambda n_bytes: self._may_keep(self._reader.n_kept_bytes, n_bytes),
+            may_keep=self._may_keep_pipelined,
         ) as watcher:
             self._context.n_running += 1
             self._context.exchanges.add(exchange)
@@ -199,7 +216,9 @@
                 self._context.n_running -= 1
                 self._context.exchanges.discard(exchange)
                 self._n_serving_bytes = 0
-                self._unparsed = memoryview(bytes(self._unparsed) + watcher.pipelined)
+                if watcher.pipelined:
+                    unparsed = bytes(self._unparsed) + watcher.pipelined
+                    self._unparsed = memoryview(unparsed)
                 n_bytes = self._reader.n_kept_bytes + len(self._unparsed)
                 buffers.end_serving(self._buffer, n_bytes)
         self._has_served = True
@@ -218,8 +237,8 @@
         self._update_limits()
         n_bytes = self._reader.next_slice_bytes(len(self._unparsed))
         data, rest = self._unparsed[:n_bytes], self._unparsed[n_bytes:]
-        # An empty view would keep all that was received.
-        self._unparsed = rest if rest else NOTHING
+        # A slice, even an empty one, would keep the whole received buffer.
+        self._unparsed = rest if rest else EMPTY_VIEW
         try:
             self._reader.feed(data)
         except MalformedMessageError as error:
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -17,8 +17,8 @@
 # its body.
 HEADER_OVERHEAD_BYTES = 160
 REQUEST_OVERHEAD_BYTES = 1_024
-# Parts of a head are parsed one by one, so that no more requests are kept at a time
-# than arrive in one of them.
+# Bytes that are parsed at a time while no body arrives. Requests that follow each other
+# are parsed as they are served; all that are complete in a slice are kept.
 HEAD_SLICE_BYTES = 2_048
 # Bytes of a head or of trailers may exceed the limit by what is not counted in it, such
 # as white space.
@@ -166,11 +166,11 @@
         return request
 
     def discard(self, error_status):
-        """Give up the unfinished request, which is refused with a status."""
+        """Forget the unfinished request, which is refused with a status, if any."""
         self.error_status = error_status
         self._reset()
         if error_status is not None:
-            # It holds what has arrived of an unfinished header.
+            # The parser holds the bytes of an unfinished header.
             self._parser = None
 
     def _max_unused_bytes(self):
--- a/src/savoryhill/serving/process.py
+++ b/src/savoryhill/serving/process.py
@@ -66,12 +66,14 @@
         "peer_address",
         "relay_address",
         "store_address",
+        "max_descriptors",
     )
 )
 # Part of the process's memory for what is kept of endpoints' responses. A response is
 # copied once while it is written to its client.
 ANSWER_SHARE = 1.0 / 6.0
-# The same for what clients send, whose bodies are copied while they are sent on.
+# Part of the process's memory for requests, whose bodies are copied while they are sent
+# to endpoints.
 CLIENT_SHARE = 1.0 / 6.0
 # Descriptors that are left to files, listeners and links to other nodes.
 RESERVED_DESCRIPTORS = 200
@@ -340,7 +342,9 @@
                     if not data:
                         return
                     reader.feed(data)
-                request = reader.requests.popleft()
+                    if reader.error_status is not None:
+                        return
+                request = reader.take_request()
                 status, body = make_response() if request.target == path else (404, b"")
                 length = str(len(body)).encode()
                 sock.sendall(encode_head(status, [(b"content-length", length)]) + body)
--- a/src/savoryhill/standins/serving/server.py
+++ b/src/savoryhill/standins/serving/server.py
@@ -37,7 +37,9 @@
                     if not data:
                         return
                     reader.feed(data)
-                if not handle(sock, reader.requests.popleft()):
+                    if reader.error_status is not None:
+                        return
+                if not handle(sock, reader.take_request()):
                     return
         except (OSError, MalformedMessageError):
             # The client disconnected or sent no valid HTTP; stand-ins do not log this.
--- a/tests/core/test_client_buffers.py
+++ b/tests/core/test_client_buffers.py
@@ -83,6 +83,25 @@
         assert not clients.send("ordinary", 100_000)
         assert clients.evicted == []
 
+    def test_time_before_the_request_does_not_count(self, clients):
+        # Guards against a request on a connection that was idle, which would make room
+        # for others before those that have stalled.
+        clients.open("idle before")
+        clients.send("stalled", 900_000)
+        clients.now_s = 60.0
+        clients.send("idle before", 100_000)
+        clients.now_s = 60.5
+        assert clients.send("ordinary", 200_000)
+        assert clients.evicted == ["stalled"]
+
+    def test_nobody_is_evicted_in_vain(self, clients):
+        clients.send("running", LIMIT_BYTES)
+        clients.buffers.begin_serving(clients["running"])
+        clients.send("slow", 10_000)
+        clients.now_s = 2 * MAX_STALL_S
+        assert not clients.send("large", 100_000)
+        assert clients.evicted == []
+
     def test_complete_requests_are_kept(self, clients):
         # Guards against a request that is cut while an endpoint runs it.
         clients.send("running", LIMIT_BYTES)
