scheduling, balancing: what a review of shares, speeds and loads found

Cause, by a review with scripts: a job submitted again while still placed held its slot for ever and was charged twice; a restarted engine took over the slowness of its earlier start; an engine that was slow once got no job again if the service has no short prompts; an engine that one node did not reach was slow for all; the backoff overflowed after 1,024 failures in a row; the leader counted calls that were chosen and not sent for as long as others followed. Change: a job that is submitted again gives up its placement; speeds are noted for the start of the engine that got the job, not for ejected engines, and end after 15 s without a word; one function for the backoff; the newest choice is the one that is sent.

--- a/src/savoryhill/core/scheduling/pace.py
+++ b/src/savoryhill/core/scheduling/pace.py
@@ -23,7 +23,10 @@
 # After so many seconds without a job, a slow engine is tried with a short one. Each
 # trial of an engine that is still slow makes one request late.
 TRIAL_INTERVAL_S = 5.0
-# Longest prefill of such a job, in seconds of the profile.
+# A pace that nothing has confirmed for so long counts as 1. A service without short
+# prompts would never try its slow engines otherwise.
+PACE_LIFETIME_S = 15.0
+# Longest prefill of a trial, in seconds of the profile.
 TRIAL_PREFILL_S = 0.05
 
 
@@ -62,12 +65,14 @@
     _overdue_pace: float = 1.0
     _overdue_until: float = -math.inf
     _tried_at: float = -math.inf
+    _noted_at: float = -math.inf
 
     def note(self, predicted_s, real_s, now):
         """Record the predicted and the real time from a grant to the first event."""
         ratio = pace_ratio(predicted_s, real_s)
         self._ratios = [*self._ratios[1:], ratio]
         self._pace = _without_noise(median(self._ratios))
+        self._noted_at = now
         # After an event that was on time, the next trial may follow immediately.
         self._tried_at = now if ratio >= NOISE_PACE else -math.inf
         self._overdue_until = -math.inf
@@ -86,9 +91,10 @@
 
     def factor(self, now):
         """Return the factor by which predictions of the profile are multiplied."""
+        pace = self._pace if now - self._noted_at < PACE_LIFETIME_S else 1.0
         if now >= self._overdue_until:
-            return self._pace
-        return max(self._pace, self._overdue_pace)
+            return pace
+        return max(pace, self._overdue_pace)
 
     def is_trial_due(self, now):
         """Return whether a slow engine should get a short job to show its speed."""
--- a/src/savoryhill/core/scheduling/pace_notes.py
+++ b/src/savoryhill/core/scheduling/pace_notes.py
@@ -15,12 +15,14 @@
 
     ``with_pace_s`` uses the pace of the engines, ``by_profile_s`` the profile alone.
     ``parts_before_s`` is what `ReadQueue.parts_added_s` of each engine was at the
-    grant: parts that arrive later are read first and delay the job.
+    grant: parts that arrive later are read first and delay the job. ``incarnations``
+    are those of the engines at the grant.
     """
 
     with_pace_s: float
     by_profile_s: float
     parts_before_s: tuple[float, ...]
+    incarnations: tuple[str, ...]
 
 
 def predict_first_event(chosen, prefill_part_s, now):
@@ -48,6 +50,7 @@
         with_pace_s=wait_s + prefill_part_s * slowest + pass_s,
         by_profile_s=wait_s / factor + prefill_part_s + pass_s / factor,
         parts_before_s=tuple(engine.reads.parts_added_s for engine in chosen),
+        incarnations=tuple(engine.incarnation for engine in chosen),
     )
 
 
@@ -79,7 +82,7 @@
         factors = [e.pace.factor(now) if e is not None else 1.0 for e in engines]
         slowest = max(factors)
         for index, (engine, factor) in enumerate(zip(engines, factors, strict=True)):
-            if engine is None:
+            if engine is None or _has_restarted(placed, engine, index):
                 continue
             predicted_s = _by_profile_s(placed, engine, index)
             ratio = pace_ratio(predicted_s, real_s)
@@ -91,10 +94,16 @@
                 engine.pace.note(predicted_s, real_s, now)
 
     def note_end(self, placed, now):
-        """Note a job that ended without a first event, if it was overdue."""
+        """Note a job that ended without a first event, if it was overdue.
+
+        An engine that has just been ejected failed, or was not reached by one node,
+        which tells nothing of its pace.
+        """
         engine = self.engines_by_id.get(placed.engine_ids[0])
         if engine is None or not _is_alone_and_silent(placed):
             return
+        if engine.ejected_until > now or _has_restarted(placed, engine):
+            return
         predicted_s, elapsed_s = _by_profile_s(placed, engine), now - placed.granted_at
         if pace_ratio(predicted_s, elapsed_s) >= NOISE_PACE:
             engine.pace.note(predicted_s, elapsed_s, now)
@@ -135,6 +144,8 @@
             placed = placed_by_id.get(job_id)
             if placed is None or not _is_alone_and_silent(placed):
                 continue
+            if _has_restarted(placed, engine):
+                continue
             times = now - placed.granted_at, _by_profile_s(placed, engine)
             ratio = pace_ratio(times[1], times[0])
             if ratio > most:
@@ -151,6 +162,11 @@
     )
 
 
+def _has_restarted(placed, engine, index=0):
+    """Return whether an engine is no longer the incarnation that got the job."""
+    return placed.prediction.incarnations[index] != engine.incarnation
+
+
 def _by_profile_s(placed, engine, index=0):
     """Predict the first event by the profile, with the parts that have come since."""
     prediction = placed.prediction
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field, replace
 
+from savoryhill.core.backoff import backoff_s
 from savoryhill.core.observations.rate_limits import RateLimiter, unlimited
 from savoryhill.core.scheduling.claims import EngineClaims
 from savoryhill.core.scheduling.decisions import Grant, Rejection
@@ -120,7 +121,12 @@
                 engine.set_capacity(slots=endpoint.slots, profile=profile)
 
     def submit(self, job, now):
-        """Queue a job and return the resulting decisions."""
+        """Queue a job and return the resulting decisions.
+
+        A job that its node submits again, as it never learned of the placement, gives
+        up that one.
+        """
+        self._give_up_placement(job.id, now)
         self.waiting_by_id[job.id] = job
         return self._place_promptly(now)
 
@@ -166,10 +172,18 @@
 
     def finish(self, job_id, now):
         """Record that a job ended on its engines and return the resulting decisions."""
-        placed = self.placed_by_id.pop(job_id, None)
+        placed = self.placed_by_id.get(job_id)
         if placed is None:
             return ()
         self.pace_notes.note_end(placed, now)
+        self._give_up_placement(job_id, now)
+        return self._place_promptly(now)
+
+    def _give_up_placement(self, job_id, now):
+        """Free what a job holds on its engines, if it is placed."""
+        placed = self.placed_by_id.pop(job_id, None)
+        if placed is None:
+            return
         self.shares.note_ended(placed.job.workspace)
         if placed.first_event_at is None:
             # A job that was withdrawn or given up has used at most the time since then.
@@ -182,7 +196,6 @@
                 engine.finish(job_id, now)
                 if not engine.is_usable and not engine.jobs_by_id:
                     del self.engines_by_id[engine_id]
-        return self._place_promptly(now)
 
     def note_failure(self, engine_id, now, *, is_full=False):
         """Eject an engine that failed or refused a job, with exponential backoff.
@@ -201,12 +214,14 @@
         if engine is None:
             return 0.0
         if is_full:
-            ejection_s = min(
-                MAX_EJECTION_S, INITIAL_FULL_EJECTION_S * 2**engine.n_refusals
+            ejection_s = backoff_s(
+                INITIAL_FULL_EJECTION_S, MAX_EJECTION_S, engine.n_refusals
             )
             engine.n_refusals += 1
         else:
-            ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2**engine.n_failures)
+            ejection_s = backoff_s(
+                INITIAL_EJECTION_S, MAX_EJECTION_S, engine.n_failures
+            )
             engine.n_failures += 1
         engine.ejected_until = max(engine.ejected_until, now + ejection_s)
         return engine.ejected_until - now
@@ -240,7 +255,7 @@
         if placed is None or engine is None or placed.engine_ids[0] != engine_id:
             return self.note_failure(engine_id, now)
         if was_heard or engine.heard_at > max(placed.granted_at, now - MIN_SILENCE_S):
-            avoided_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2**engine.n_silences)
+            avoided_s = backoff_s(INITIAL_EJECTION_S, MAX_EJECTION_S, engine.n_silences)
             engine.n_silences += 1
             engine.avoided_until = max(engine.avoided_until, now + avoided_s)
             return 0.0
@@ -266,8 +281,10 @@
         each engine.
         """
         self.waiting_by_id.pop(job.id, None)
-        if job.id in self.placed_by_id:
+        known = self.placed_by_id.get(job.id)
+        if known is not None and known.engine_ids == tuple(engine_ids):
             return
+        self._give_up_placement(job.id, now)
         placed = PlacedJob(
             job=job,
             engine_ids=engine_ids,
@@ -320,8 +337,8 @@
             n_left -= 1
             if decision is None:
                 if not job.has_own_engines:
-                    # Long prompts are compared with the last one, so that large ones
-                    # are decided too; with the smallest, fewer of them are served.
+                    # A long prompt that does not fit does not rule out a shorter one
+                    # that is long as well.
                     if unplaced_tokens is None or self._is_long(job):
                         unplaced_tokens = job.prompt_tokens
                     unplaced_tokens_by_kind[kind] = min(
@@ -365,21 +382,18 @@
         return self._shared_engines
 
     def _limit_long_prefill(self, job, engines, prefill_s, now):
-        if prefill_s > LONG_PREFILL_S and not job.has_own_engines:
-            if self._shared_limit is None:
-                self._shared_limit = limit_long_prefill(
-                    engines=engines,
-                    waiting=self.waiting_by_id.values(),
-                    prefill_s=prefill_s,
-                    now=now,
-                )
+        is_shared = prefill_s > LONG_PREFILL_S and not job.has_own_engines
+        if is_shared and self._shared_limit is not None:
             return self._shared_limit
-        return limit_long_prefill(
+        limit = limit_long_prefill(
             engines=engines,
             waiting=self.waiting_by_id.values(),
             prefill_s=prefill_s,
             now=now,
         )
+        if is_shared:
+            self._shared_limit = limit
+        return limit
 
     def _find_usable_engines(self, job, now):
         limit = self.max_grants_per_s
@@ -473,7 +487,7 @@
         """
         claimed = self.claims.claimed_by_others(job)
         unclaimed = [engine for engine in engines if engine.id not in claimed]
-        # Costs less than `choose_engines`, as one job of each workspace comes here.
+        # Without a free slot, `choose_engines` finds none either, and takes longer.
         if not any(map(has_free_slot, unclaimed)):
             return None
         return choose_engines(
@@ -513,8 +527,6 @@
         return 0.0 if engine is None else job_engine_s(engine.profile, job)
 
     def _add_placed(self, placed, now):
-        if placed.job.id in self.placed_by_id:
-            self.shares.note_ended(placed.job.workspace)
         placed.charged_s = self._engine_s(placed.job)
         self.shares.charge(placed.job.workspace, placed.charged_s)
         self.placed_by_id[placed.job.id] = placed
--- a/src/savoryhill/serving/balancing.py
+++ b/src/savoryhill/serving/balancing.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from savoryhill.core.backoff import backoff_s
 from savoryhill.core.balancing import EndpointLoads, LoadReport, choose_endpoint
 from savoryhill.serving.balance_grants import GRANT_LIFETIME_S
 
@@ -109,13 +110,14 @@
     def _take_granted(self, incarnation):
         """Return the number of a request that the leader counts there, or None.
 
-        Requests that were not sent after all have left numbers that are too old.
+        The newest is the one of this request. Others are of requests that were not sent
+        after all, and end with time.
         """
         granted = self._granted_by_incarnation.get(incarnation, ())
         now = self.clock.monotonic()
         while granted and granted[0][1] <= now:
             granted.popleft()
-        number = granted.popleft()[0] if granted else None
+        number = granted.pop()[0] if granted else None
         if not granted:
             self._granted_by_incarnation.pop(incarnation, None)
         return number
@@ -184,7 +186,7 @@
         if is_full:
             ejection_s = FULL_EJECTION_S
         else:
-            ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**state.n_failures)
+            ejection_s = backoff_s(FIRST_EJECTION_S, MAX_EJECTION_S, state.n_failures)
             state.n_failures += 1
         state.ejected_until = self.clock.monotonic() + ejection_s
         if not self._telling:
--- a/tests/core/scheduling/test_review_cost.py
+++ b/tests/core/scheduling/test_review_cost.py
@@ -81,3 +81,22 @@
         first = next(iter(scheduler.placed_by_id))
         scheduler.note_first_event(first, 0.1)
         assert len(scheduler.finish(first, 0.1)) == 1
+
+
+class TestJobSubmittedAgain:
+    @pytest.mark.parametrize("is_waiting", [True, False], ids=["waiting", "running"])
+    def test_first_placement_is_given_up(self, scheduler, is_waiting):
+        # Guards against slots that are held for ever by a job whose node has lost the
+        # word of its placement, and submits it again.
+        job = make_job(1)
+        (grant,) = scheduler.submit(job, 0.0)
+        other_id = next(
+            e for e in scheduler.engines_by_id if e != grant.endpoint_ids[0]
+        )
+        if is_waiting:
+            scheduler.submit(job, 1.0)
+        else:
+            scheduler.adopt(job, (other_id,), has_started=True, now=1.0)
+        scheduler.finish(job.id, 2.0)
+        assert not any(e.jobs_by_id for e in scheduler.engines_by_id.values())
+        assert not scheduler.shares.counters_by_workspace.keys() - {job.workspace}
