serving: a client that leaves behind many bytes of next requests is noticed

Callers' engines worked on for a client that had left: the end of a connection was not seen, and its stream went on until the deadline.

Cause: read the bytes behind a running request 4 KiB at a time. With 64 KiB at a time, reading went on past its limit by up to as much, and what was left fitted into the receive window; now some 60 KiB stayed unread, so that the end of the connection was not delivered (TCP state 1 at each check, by a trace). Change: 64 KiB are read if there is room for them, 4 KiB if not.

--- a/src/savoryhill/serving/client_connection.py
+++ b/src/savoryhill/serving/client_connection.py
@@ -30,14 +30,17 @@
     """Raises `ClientDisconnectedError` in a greenlet when its client disconnects.
 
     Bytes received meanwhile belong to the next request and are kept in ``pipelined``.
-    ``may_keep(n_bytes)`` tells whether there is room for so many; what does not fit is
-    left to be read after the request.
+    ``may_keep(n_bytes)`` tells whether there is room for so many, and
+    ``has_room(n_bytes)`` whether there would be; what does not fit is left to be read
+    after the request. The end of a connection is only seen behind all that fills its
+    receive window, so that as much as possible is read.
     """
 
-    def __init__(self, *, sock, greenlet, may_keep):
+    def __init__(self, *, sock, greenlet, may_keep, has_room):
         self._sock = sock
         self._greenlet = greenlet
         self._may_keep = may_keep
+        self._has_room = has_room
         loop = gevent.get_hub().loop
         self._io = loop.io(sock.fileno(), 1)
         self._state_timer = loop.timer(STATE_CHECK_S, STATE_CHECK_S)
@@ -54,8 +57,10 @@
             watcher.close()
 
     def _on_readable(self):
+        has_room = self._has_room(connection_end.RECV_BYTES)
+        n_bytes = connection_end.RECV_BYTES if has_room else PIPELINED_RECV_BYTES
         try:
-            data = self._sock._sock.recv(PIPELINED_RECV_BYTES)
+            data = self._sock._sock.recv(n_bytes)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
@@ -200,6 +205,7 @@
             sock=self._sock,
             greenlet=gevent.getcurrent(),
             may_keep=self._may_keep_pipelined,
+            has_room=buffers.has_room,
         ) as watcher:
             self._context.n_running += 1
             self._context.exchanges.add(exchange)
