serving, scheduling: logic that this change wrote twice stands once

Cause: reading the change again found the choice of any engine three times, the size of a client's buffer set in two places, and a count of body bytes that the blocks of the body keep as well. Change: one method each; the second count goes. No behaviour changes.

--- a/src/savoryhill/core/client_buffers.py
+++ b/src/savoryhill/core/client_buffers.py
@@ -96,8 +96,7 @@
         if not buffer.n_bytes:
             # The time before the request began tells nothing of its progress.
             buffer.progressed_at, buffer.progressed_bytes = self.now(), 0
-        self.n_bytes += growth_bytes
-        buffer.n_bytes = n_bytes
+        self._set_size(buffer, n_bytes)
         self._note_progress(buffer)
         return True
 
@@ -109,10 +108,13 @@
         """Free all but so many bytes, which belong to requests that follow."""
         buffer.is_serving = False
         if buffer in self._buffers:
-            self.n_bytes += n_bytes - buffer.n_bytes
-            buffer.n_bytes = n_bytes
+            self._set_size(buffer, n_bytes)
         buffer.progressed_at, buffer.progressed_bytes = self.now(), n_bytes
 
+    def _set_size(self, buffer, n_bytes):
+        self.n_bytes += n_bytes - buffer.n_bytes
+        buffer.n_bytes = n_bytes
+
     def _make_room(self, buffer, n_bytes):
         limit_bytes = self.limit_bytes()
         if n_bytes <= ALWAYS_KEPT_BYTES:
--- a/src/savoryhill/core/scheduling/scheduler.py
+++ b/src/savoryhill/core/scheduling/scheduler.py
@@ -360,7 +360,7 @@
         The client of a long prompt that is queued behind others is told at once that
         waiting is of no use.
         """
-        engine = next(iter(self.engines_by_id.values()), None)
+        engine = self._any_engine()
         if engine is None:
             return None
         if misses_deadline(
@@ -371,7 +371,7 @@
 
     def _is_long(self, job):
         """Return whether a job's prefill keeps it waiting, rather than its turn."""
-        engine = next(iter(self.engines_by_id.values()), None)
+        engine = self._any_engine()
         return engine is not None and is_long(job, engine)
 
     def _usable_engines(self, job, now):
@@ -521,9 +521,13 @@
             predicted_first_s=prediction.with_pace_s,
         )
 
+    def _any_engine(self):
+        """Return an engine, whose profile is that of all, or None if none is known."""
+        return next(iter(self.engines_by_id.values()), None)
+
     def _engine_s(self, job):
         """Predict the engine time of a job, in seconds; 0 if no engine is known."""
-        engine = next(iter(self.engines_by_id.values()), None)
+        engine = self._any_engine()
         return 0.0 if engine is None else job_engine_s(engine.profile, job)
 
     def _add_placed(self, placed, now):
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -107,7 +107,6 @@
         self._headers = []
         self._body = BodyBlocks()
         self._body_digest = start_body_digest()
-        self._n_body_bytes = 0
         self._n_header_bytes = 0
         self._n_unused_bytes = 0
 
@@ -225,8 +224,7 @@
         """Collect a part of the body."""
         self.awaits_continue = False
         self._n_unused_bytes = 0
-        self._n_body_bytes += len(data)
-        if self._n_body_bytes > self._max_body_bytes:
+        if self._body.n_bytes + len(data) > self._max_body_bytes:
             self.error_status = 413
             raise MalformedMessageError(
                 f"request body exceeds {self._max_body_bytes} bytes"
