--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case: a part is taken for sound as the engine has sent an event when it crashes."""
+"""Case: a part that crashes engines is not found in prompts of many parts."""
 
 import os
 import sys
@@ -7,15 +7,13 @@
 from standins2.deployment import run_case
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Events that an engine has sent when it crashes.
-N_WRITTEN = int(os.environ.get("WRITTEN", "1"))
+# Of each prompt; a header of 13 bytes for each part, of 16,384 that are allowed.
+N_PARTS = int(os.environ.get("PARTS", "100"))
 
 
 async def run(deployment):
     """Play the case; return whether the rule was broken."""
-    return await play(
-        deployment, n_parts=3, has_trouble=HAS_TROUBLE, n_written=N_WRITTEN
-    )
+    return await play(deployment, n_parts=N_PARTS, has_trouble=HAS_TROUBLE)
 
 
 if __name__ == "__main__":
