serving: a first event no longer shows that a prompt's parts are sound

Cause: CrashCheck.note_start took the first event of a run as proof that an engine bears all parts of the prompt, told all nodes so, and held no part responsible for the end of the connection any more. Engines that end as they begin to write have sent events, so each run cleared the part that ended it. Change: parts are sound once a request with them has been answered, or once its events have been waited for during 2 s after the first one. The time counts only while the node waits for the endpoint, as one that has ended can't be told from one whose client does not read. The first event still tells that the endpoint is there. The tests' engines come back as another start, as engines do, and their requests have bodies of their own, so that no other observation decides. Conclusion: kept; a part that ends engines later than 2 s into its answers counts as sound, as "begins to write" says.

--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -4,10 +4,12 @@
 endpoint that begins to run it, and is sent again or replaced by the next; other
 requests on the endpoint, with nothing at fault, are broken off with it.
 
-The subjects of what is observed are the digests of requests and of parts. A part is
-sound once a request with it has started; a request, which may end its endpoint at any
-moment of its run, once it has been answered. Endpoints with another release of their
-software may bear what ends the others, so that this holds for each release by itself.
+The subjects of what is observed are the digests of requests and of parts. An endpoint
+ends under a part as it begins to write the answer, maybe after some events, so a part
+is sound once a request with it has been written for a while or answered. A request,
+which may end its endpoint at any moment of its run, is once it has been answered.
+Endpoints with another release of their software may bear what ends the others, so that
+this holds for each release by itself.
 """
 
 from dataclasses import dataclass, replace
@@ -16,15 +18,15 @@
 from savoryhill.core.observations.parts import is_request_digest
 from savoryhill.core.observations.table import Observation
 
-# A part was in a request that had not started on an engine (the source) when its
-# connection ended; a request had not been answered. The value is how long before the
-# request had been sent, in seconds.
+# An engine (the source) had not borne a part for long when its connection ended; a
+# request had not been answered. The value is how long before the request had been sent,
+# in seconds.
 CRASH = "crash"
-# A request with the part has started since, or the request has been answered, at an
-# endpoint of a release (the source), so the crashes of that release so far don't count.
+# An endpoint of a release (the source) has borne the part since, or answered the
+# request, so the crashes of that release so far don't count.
 SOUND = "sound"
-# A request with the part had started, or the request had been answered, shortly before
-# the first crash, at an endpoint of a release (the source).
+# An endpoint of a release (the source) had borne the part, or answered the request,
+# shortly before the first crash.
 KNOWN = "known"
 # A request that was sent to the engine later has started, so the engine had not ended.
 ALIVE = "alive"
@@ -32,9 +34,9 @@
 
 # Crashes in succession. Fewer may be chance while engines end for other reasons.
 MIN_CRASHES = 3
-# More of them speak against a part that was in a request which started this recently:
-# engines that all end for another reason end under the parts of most prompts, but one
-# that was sound may also have begun to end engines.
+# More of them speak against a part that was borne this recently: engines that all end
+# for another reason end under the parts of most prompts, but one that was sound may
+# also have begun to end engines.
 MIN_CRASHES_OF_SOUND = 6
 SOUND_S = 20.0
 FIRST_PROBE_DELAY_S = 30.0
@@ -99,14 +101,14 @@
 
 
 def observe_crash(table, *, parts, source, workspace, sent_at, now, release=""):
-    """Return the observations of a connection that ended before its first event.
+    """Return the observations of a connection that ended under a request.
 
     Parameters
     ----------
     table : ObservationTable
         The observations known so far.
     parts : iterable of str
-        Digests of the parts of the request.
+        Digests of the request, and of its parts that had not been borne.
     source : str
         The engine, with its incarnation.
     workspace : str
@@ -137,7 +139,7 @@
 
 
 def observe_start(table, *, parts, source, sent_at, now, release=""):
-    """Return the observations of the first event, or of the end, of a request.
+    """Return the observations of a request that goes on, or has been answered.
 
     There are none unless a subject or the engine is under suspicion. The parameters are
     those of `observe_crash`; ``parts`` are those that this shows to be sound.
@@ -175,7 +177,7 @@
 
 
 def recall_starts(table, *, crashes, started_at_by_part, now):
-    """Return the observations of parts that a node saw start before their crash.
+    """Return the observations of parts that a node saw borne before their crash.
 
     Parameters
     ----------
@@ -184,8 +186,7 @@
     crashes : iterable of Observation
         Observations that the node has just learned of.
     started_at_by_part : dict of (str, str) to float
-        When a request with a part last started at the node, at an endpoint of a
-        release, in seconds.
+        When a request of the node last showed that a release bears a part, in seconds.
     now : float
         Current time of the node's clock, in seconds.
 
--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -11,17 +11,17 @@
 class CrashCheck:
     """Refuses a request that ends endpoints, and reports what its sends show.
 
-    Once a send has started, the parts of the prompt are sound and not checked any more.
-    The request itself is until it has been answered. ``probed_parts`` holds the digests
-    that the next send tries, ``stop_cause`` is why the current send must not go on, or
-    None, and ``sent_at`` when it was sent.
+    Once a send has borne the parts of the prompt, they are sound and not checked any
+    more. The request itself is until it has been answered. ``probed_parts`` holds the
+    digests that the next send tries, ``stop_cause`` is why the current send must not go
+    on, or None, and ``sent_at`` when it was sent.
     """
 
     def __init__(self, *, request):
         self._request = request
         self._guard = request.context.crash_guard
         self._workspace = request.workspace.name if request.workspace else ""
-        self._has_started = False
+        self._are_parts_sound = False
         self._is_answering = False
         self._job = None
         self._connection = None
@@ -33,7 +33,7 @@
 
     def _suspects(self):
         """Return the digests that may be at fault if an endpoint ends."""
-        parts = () if self._has_started else self._request.part_digests
+        parts = () if self._are_parts_sound else self._request.part_digests
         return (*parts, self._request.digest)
 
     def refusal_cause(self):
@@ -141,13 +141,22 @@
         self.sent_at = self._request.context.clock.monotonic()
 
     def note_start(self):
-        """Record the first event of the current send."""
-        self._has_started = self._is_answering = True
+        """Record the first event of the current send.
+
+        It tells that the endpoint is there. One that ends as it begins to write an
+        answer may have sent some events, so it tells nothing of the parts.
+        """
+        self._is_answering = True
+        self._note_sound(())
+
+    def note_parts_borne(self):
+        """Record that the current send goes on, long after its first event."""
+        self._are_parts_sound = True
         self._note_sound(self._request.part_digests)
 
     def note_answer(self):
         """Record that the current send has been answered completely."""
-        self._has_started = self._is_answering = True
+        self._are_parts_sound = self._is_answering = True
         self._note_sound((*self._request.part_digests, self._request.digest))
 
     def _note_sound(self, digests):
--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -9,8 +9,9 @@
 class EndpointRun:
     """A request that is about to be sent to an endpoint on a connection of its own.
 
-    ``is_open`` tells whether the endpoint may still send something, and
-    ``n_partial_bytes`` how much is kept of its response besides what the reader holds.
+    ``is_open`` tells whether the endpoint may still send something,
+    ``n_partial_bytes`` how much is kept of its response besides what the reader holds,
+    and ``waited_s`` for how many seconds the endpoint was waited for.
 
     Parameters
     ----------
@@ -38,6 +39,7 @@
         self.connection = connection
         self.is_open = True
         self.n_partial_bytes = 0
+        self.waited_s = 0.0
         history.n_runs += 1
         check.note_sent(endpoint, connection)
 
@@ -62,6 +64,7 @@
         time_left_s = self._request.time_left_s()
         if time_left_s <= 0:
             return self.end_silent("deadline passed")
+        began_at = self._context.clock.monotonic()
         try:
             self.is_open = self.connection.receive(
                 timeout_s=min(max_wait_s, time_left_s)
@@ -72,6 +75,7 @@
             if not self._buffer.is_evicted:
                 raise
         finally:
+            self.waited_s += self._context.clock.monotonic() - began_at
             self._note_head()
         return self._count_kept_bytes()
 
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -1,11 +1,15 @@
 """Forwarding of one stream to its client, over all runs that it takes."""
 
+import math
+
 from savoryhill.core.silence import first_event_timeout_s, gap_timeout_s
 from savoryhill.serving.event_splitter import EventSplitter
 
 # Limit of the body of a failure; the body of a stream is forwarded as it arrives.
 MAX_BUFFERED_STREAM_BYTES = 262_144
 EVENT_STREAM = b"text/event-stream"
+# An endpoint that ends as it begins to answer has not written events for so long.
+PARTS_BORNE_S = 2.0
 
 
 class StreamForwarder:
@@ -34,6 +38,7 @@
         self._suspicious_s = 0.0
         self._silent_since = 0.0
         self._has_written = False
+        self._first_event_waited_s = math.inf
         self.has_started = False
         self.written_s = 0.0
 
@@ -59,6 +64,7 @@
         self._suspicious_s = first_event_timeout_s(usual_s)
         self._silent_since = started_at
         self._has_written = self.has_started = False
+        self._first_event_waited_s = math.inf
 
     def forward(self, run, question):
         """Forward a run's events; return None if it was complete, else the failure.
@@ -115,6 +121,10 @@
         self._request.last_denial = ""
         self._suspicious_s = gap_timeout_s(self._request.route.max_gap_s)
         run.note_sign_of_life(now)
+        # Not by the clock: while the client did not read, the endpoint may have ended.
+        if run.waited_s - self._first_event_waited_s >= PARTS_BORNE_S:
+            self._first_event_waited_s = math.inf
+            self._check.note_parts_borne()
 
     def _forward_events(self, run):
         """Forward the complete events received; return whether any carried data."""
@@ -130,6 +140,7 @@
         has_data = self._splitter.n_with_data > n_with_data
         if has_data and not self.has_started:
             self.has_started = True
+            self._first_event_waited_s = run.waited_s
             self._check.note_start()
             if self._on_start is not None:
                 self._on_start()
--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -1,10 +1,13 @@
 """Parts of prompts that end the engines that answer them."""
 
+from functools import partial
+
 import gevent
 import pytest
 
 from savoryhill.core.observations.parts import digest_part
 from savoryhill.observability.metrics import prometheus_text
+from savoryhill.serving import stream_forwarder
 from savoryhill.soak.deployment import route
 
 N_ENGINES = 8
@@ -16,13 +19,26 @@
 
 @pytest.fixture
 def engines(deployment):
-    """Engines that end when they begin to answer a prompt with the part ``dead``."""
-    return [
+    """Engines that end when they begin to answer a prompt with the part ``dead``.
+
+    They come back as another start of the engine.
+    """
+    engines = [
         deployment.add_endpoint(
             f"e{n}", service="pool", zone=f"zone-{n % 3}", crashing_parts={"dead"}
         )
         for n in range(N_ENGINES)
     ]
+    for number, engine in enumerate(engines):
+        engine.on_return = partial(
+            register_return, deployment, engine, zone=f"zone-{number % 3}"
+        )
+    return engines
+
+
+def register_return(deployment, engine, *, zone):
+    born = 1 + len(engine.crashes)
+    deployment.register(engine.id, service="pool", zone=zone, born=born)
 
 
 def crash_times(engines):
@@ -41,20 +57,32 @@
 
 def ask_with_part(deployment, number, *, node=0):
     return deployment.ask(
-        "/chat/x", node=node, x_prompt_prefix=f"aa:40,dead:900,{number:x}:60"
+        "/chat/x",
+        node=node,
+        body=b"%d" % number,
+        x_prompt_prefix=f"aa:40,dead:900,{number:x}:60",
     )
 
 
 def ask_sound(deployment, number, *, node=0):
     return deployment.ask(
-        "/chat/x", node=node, x_prompt_prefix=f"aa:40,bb:900,{number:x}:60"
+        "/chat/x",
+        node=node,
+        body=b"%d" % number,
+        x_prompt_prefix=f"aa:40,bb:900,{number:x}:60",
     )
 
 
 class TestCrashingPart:
-    def test_part_does_not_end_engine_after_engine(self, deployment, engines):
+    @pytest.mark.parametrize("crashes_at_event", (1, 2, 5))
+    def test_part_does_not_end_engine_after_engine(
+        self, deployment, engines, crashes_at_event
+    ):
         # Guards against requests with one part that end back ends one after the other,
-        # new ones and repeats, at all nodes.
+        # new ones and repeats, at all nodes; also if some events were sent before.
+        for engine in engines:
+            engine.crashes_at_event = crashes_at_event
+            engine.n_events = 20
         for _ in range(2):
             deployment.add_node()
         deployment.wait_until(
@@ -161,3 +189,23 @@
         deployment.add_node()
         for value in ("", ",,,", "zz", "aa:-1,:,zz:x,9", "dead:900"):
             assert deployment.ask("/chat/x", x_prompt_prefix=value)[0] == 200
+
+
+class TestPartThatIsBorne:
+    """Engines end under a part for another reason, long after they began to answer."""
+
+    def test_stream_that_was_written_for_a_while_tells_nothing_of_its_parts(
+        self, deployment, engines, monkeypatch
+    ):
+        # Guards against refusing the parts of sound prompts whose answers are long,
+        # while engines end for another reason.
+        monkeypatch.setattr(stream_forwarder, "PARTS_BORNE_S", 0.2)
+        for engine in engines:
+            engine.event_interval_s = 0.06
+            engine.crashes_at_event = 6
+            engine.n_events = 20
+        node = deployment.add_node()
+        for number in range(4):
+            ask_with_part(deployment, number)
+        assert len(crash_times(engines)) > CERTAIN_CRASHES
+        assert not node.context.crash_guard.n_refused(is_request=False)
