serving: sound requests that share many parts with crashing ones are tried

Cause: CrashCheck.refusal_cause refused a request with more than four parts under suspicion, where one with fewer is tried. Only a request that is tried can show that its parts are sound, so that nothing ever cleared them. Change: the limit is gone; the leader admits one try at a time as before. What the limit was good for is done by a delay: prompts that lack some of the parts which all crashes had in common are tried at once only until the fifth crash, then after 5 s, 10 s and so on. Else prompts that hold the crashing part and each lack another of many parts would all be tried, one engine each.

--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -46,6 +46,11 @@
 REQUEST_PROBE_DELAY_FACTOR = 4
 MAX_PROBE_DELAY_S = 600.0
 MAX_PROBE_DELAYS = 10
+# Prompts with only some of the parts that all crashes had in common are tried at once.
+# If so many engines have ended, each of the prompts may have had the part at fault and
+# lacked another one, so that they are tried after a delay that grows as well.
+CRASHES_BEFORE_DELAY = 5
+FIRST_PARTIAL_PROBE_DELAY_S = 5.0
 # How often nodes tell each other that a release bears what others don't.
 CONFIRMATION_INTERVAL_S = 15.0
 
@@ -89,7 +94,19 @@
         delay_s, factor = FIRST_PROBE_DELAY_S, PROBE_DELAY_FACTOR
         if any(is_request_digest(part) for part in self.parts):
             delay_s, factor = FIRST_REQUEST_PROBE_DELAY_S, REQUEST_PROBE_DELAY_FACTOR
-        delay_s *= factor ** min(self.n_crashes - MIN_CRASHES, MAX_PROBE_DELAYS)
+        return self._after_last_crash(delay_s, factor, self.n_crashes - MIN_CRASHES)
+
+    def _next_partial_probe_at(self):
+        """Return when a request with only some of the parts is tried."""
+        n_delays = self.n_crashes - CRASHES_BEFORE_DELAY
+        if n_delays < 0:
+            return self.last_crash_at
+        return self._after_last_crash(
+            FIRST_PARTIAL_PROBE_DELAY_S, PROBE_DELAY_FACTOR, n_delays
+        )
+
+    def _after_last_crash(self, first_delay_s, factor, n_delays):
+        delay_s = first_delay_s * factor ** min(n_delays, MAX_PROBE_DELAYS)
         return self.last_crash_at + min(MAX_PROBE_DELAY_S, delay_s)
 
     def refuses(self, parts, now):
@@ -97,7 +114,9 @@
 
         One that lacks some of the parts which were in all crashes may be sound.
         """
-        return self.parts <= parts and now < self.next_probe_at()
+        if self.parts <= parts:
+            return now < self.next_probe_at()
+        return now < self._next_partial_probe_at()
 
 
 def observe_crash(table, *, parts, source, workspace, sent_at, now, release=""):
--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -4,7 +4,7 @@
 
 from savoryhill.core.observations.crashes import Admission
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
-from savoryhill.serving.crash_guard import MAX_PROBED_PARTS, refusal_cause
+from savoryhill.serving.crash_guard import refusal_cause
 from savoryhill.serving.served_request import SendFailure
 
 
@@ -49,10 +49,9 @@
             is_borne = len(self._endpoints()) > len(self.excluded_ids())
             return None if is_borne else refusal_cause(crashing)
         known = self._guard.crashing_by_part
-        probed_parts = tuple(part for part in suspects if part in known)
-        if admission is Admission.REFUSE or len(probed_parts) > MAX_PROBED_PARTS:
+        if admission is Admission.REFUSE:
             return refusal_cause(crashing)
-        self.probed_parts = probed_parts
+        self.probed_parts = tuple(part for part in suspects if part in known)
         return None
 
     def _endpoints(self):
--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -18,8 +18,6 @@
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 
 MAX_STARTED_PARTS = 4_096
-# Parts that are tried at once in one request; it is refused if it has more.
-MAX_PROBED_PARTS = 4
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
--- a/tests/core/observations/test_crashes.py
+++ b/tests/core/observations/test_crashes.py
@@ -8,6 +8,7 @@
 from savoryhill.core.observations.crashes import (
     ALIVE,
     CRASH,
+    FIRST_PARTIAL_PROBE_DELAY_S,
     FIRST_PROBE_DELAY_S,
     MAX_PROBE_DELAY_S,
     MIN_CRASHES,
@@ -27,6 +28,11 @@
     ObservationTable,
 )
 
+# Crashes after which it is certain that requests with the part end engines, and how
+# many of them may still run.
+CERTAIN_CRASHES = 5
+MAX_LATER_RUNS = 3
+
 
 @pytest.fixture
 def table():
@@ -235,6 +241,30 @@
         assert observations == [[], [], []]
 
 
+class TestPromptsWithSomeOfTheParts:
+    """The part that ends engines is not the one that a prompt lacks."""
+
+    SHARED = tuple(f"b{number}" for number in range(16))
+
+    def test_few_of_them_are_tried_after_many_crashes(self, table):
+        # Guards against prompts with a crashing part each of which lacks another one of
+        # the parts that all crashes had in common, so that all of them are tried.
+        crash_in_succession(table, ["dead", *self.SHARED])
+        tried_at = []
+        for number, left_out in enumerate(self.SHARED):
+            now = 104.0 + number
+            parts = [part for part in ("dead", *self.SHARED) if part != left_out]
+            if decide(table, parts, now=now) is Admission.REFUSE:
+                continue
+            tried_at.append(now)
+            crash(table, parts, engine=f"p{number}", now=now)
+        n_before = CERTAIN_CRASHES - MIN_CRASHES
+        assert len(tried_at) <= n_before + MAX_LATER_RUNS
+        # What is sound is not refused for long.
+        now = tried_at[-1] + FIRST_PARTIAL_PROBE_DELAY_S * 2 ** len(tried_at)
+        assert decide(table, self.SHARED[-2:], now=now) is not Admission.REFUSE
+
+
 class TestProbes:
     def test_part_is_tried_again_after_a_delay_that_grows(self, table):
         crash_in_succession(table, ["dead"])
--- a/tests/peers/test_small_messages.py
+++ b/tests/peers/test_small_messages.py
@@ -14,8 +14,9 @@
 )
 from savoryhill.core.scheduling.messages import JobSubmit
 from savoryhill.peers.codec import Envelope, decode, encode
-from savoryhill.serving.crash_guard import MAX_PROBED_PARTS
 
+# Those of a prompt that is tried; its parts are not limited in number.
+NUMBERS_OF_PARTS = (*range(65), 100, 1_000)
 NAMES = tuple(f"i-{'f' * n}@1792178441316" for n in range(1, 25))
 
 
@@ -42,7 +43,7 @@
     @pytest.mark.parametrize(
         "message",
         [
-            *(job_submit(n) for n in range(MAX_PROBED_PARTS + 1)),
+            *(job_submit(n) for n in NUMBERS_OF_PARTS),
             *(
                 TurnRequest(number=-1, endpoints=NAMES[:n], max_wait_s=1.0 / 3.0)
                 for n in (1, 8, 24)
--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -41,6 +41,19 @@
     deployment.register(engine.id, service="pool", zone=zone, born=born)
 
 
+def await_return(deployment, engines):
+    """Wait until all engines are back, and the newest node knows it."""
+    view = deployment.nodes[-1].context.cluster_view
+
+    def is_known(engine):
+        known = view.endpoints_by_id[engine.id].incarnation
+        return known.endswith(f"@{1 + len(engine.crashes)}")
+
+    deployment.wait_until(
+        lambda: all(not engine.is_down and is_known(engine) for engine in engines)
+    )
+
+
 def crash_times(engines):
     return sorted(at for engine in engines for _, at in engine.crashes)
 
@@ -103,7 +116,7 @@
         deployment.add_node()
         for number in range(6):
             ask_with_part(deployment, number)
-        deployment.wait_until(lambda: not any(e.is_down for e in engines))
+        await_return(deployment, engines)
         answers = [ask_sound(deployment, number)[::2] for number in range(6)]
         assert [status for status, _ in answers] == [200] * 6, answers
 
@@ -137,7 +150,7 @@
         deployment.wait_until(lambda: second.context.crash_guard.crashing_by_part)
         first.stop()
         deployment.wait_until(second._dispatcher.is_leader)
-        deployment.wait_until(lambda: not any(e.is_down for e in engines))
+        await_return(deployment, engines)
         assert ask_with_part(deployment, 9, node=1)[0] == 503
         assert len(crash_times(engines)) == n_crashes
 
@@ -209,3 +222,30 @@
             ask_with_part(deployment, number)
         assert len(crash_times(engines)) > CERTAIN_CRASHES
         assert not node.context.crash_guard.n_refused(is_request=False)
+
+
+class TestPromptsThatShareManyParts:
+    N_SHARED = 8
+
+    def ask(self, deployment, number, *, middle):
+        shared = ",".join(f"b{part}:300" for part in range(self.N_SHARED))
+        return deployment.ask(
+            "/chat/x",
+            body=b"%d" % number,
+            x_prompt_prefix=f"aa:40,{shared},{middle}:40,{number:x}:60",
+        )
+
+    def test_sound_ones_are_tried_and_served(self, deployment, engines):
+        # Guards against refusing all sound requests on a text, none of which has been
+        # tried, as requests with a crashing part were on the same text.
+        deployment.add_node()
+        for number in range(4):
+            answer = self.ask(deployment, number, middle="dead")
+        assert answer[0] == 503
+        await_return(deployment, engines)
+        answers = [
+            self.ask(deployment, 10 + number, middle="bb")[::2] for number in range(6)
+        ]
+        assert [status for status, _ in answers] == [200] * 6, answers
+        assert self.ask(deployment, 20, middle="dead")[0] == 503
+        assert len(crash_times(engines)) <= CERTAIN_CRASHES
