serving: a silent run goes on until its repeat has been answered

Cause: a repeat counted as granted once its connection was open. Calls and generations both ended the silent run for it before they had sent it. Change: the repeat is sent beside the silent run, in the greenlet that asks for it, and the run goes on until the repeat has had its first event, or its whole answer where nothing is forwarded before. One that fails counts as before and is followed by another if the route allows it; one that is not needed any more is dropped; one that is under way takes over if the first run breaks. What is known of crashes is kept by run, as there may be two, and only runs that no endpoint has begun to answer are stopped for them. A job that was sent to an engine and dropped is cancelled at the leader.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -16,7 +16,7 @@
 )
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
-from savoryhill.serving.endpoint_run import EndpointRun
+from savoryhill.serving.endpoint_run import EndpointRun, await_start
 from savoryhill.serving.model import STREAM
 from savoryhill.serving.prepared_run import OpenRun
 from savoryhill.serving.repeat_question import RepeatQuestion
@@ -84,12 +84,12 @@
             if failure is None:
                 return
             request.avoided_endpoint_ids.add(endpoint.id)
-            if repeat is not None:
-                request.note_failed_send(failure, has_started=self._answer.has_started)
-                continue
             # A run that this node has ended was blamed when it fell silent.
             if failure.blames_endpoint and not failure.is_silent:
                 balancer.note_failure(endpoint, is_full=failure.is_full)
+            if repeat is not None:
+                request.note_failed_send(failure, has_started=self._answer.has_started)
+                continue
             if not request.allow_repeat(
                 self._history, failure, has_started=self._answer.has_started
             ):
@@ -114,7 +114,7 @@
 
     def _find_repeat(self, silent):
         """Return the run that takes over from a silent one, or why there is none."""
-        request, context = self._request, self._context
+        request = self._request
         while True:
             cause = find_denial(self._situation(silent))
             if cause is not None:
@@ -135,16 +135,57 @@
             if isinstance(run, PreparedCall):
                 run.on_withdrawal = self._return_repeat
                 cause = find_denial(self._situation(silent))
-                # Of the denials, only the stop cuts off a repeat that is ready.
-                if cause is Denial.STOP:
+                # Of the denials, only these cut off a repeat that is ready.
+                if cause in (Denial.STOP, Denial.CRASHES):
                     run.withdraw()
                     return cause.value
                 return run
-            request.note_failed_send(run)
             self._return_repeat()
-            if run.blames_endpoint:
-                context.balancer.note_failure(endpoint, is_full=run.is_full)
-            request.avoided_endpoint_ids.add(endpoint.id)
+            self._note_failed_repeat(run, endpoint)
+
+    def _note_failed_repeat(self, failure, endpoint):
+        self._request.note_failed_send(failure)
+        if failure.blames_endpoint:
+            self._context.balancer.note_failure(endpoint, is_full=failure.is_full)
+        self._request.avoided_endpoint_ids.add(endpoint.id)
+
+    def _send_repeat(self, prepared):
+        """Send a repeat beside the silent run; return whether it is taken up."""
+        endpoint = prepared.endpoint
+        failure = self._request.find_withheld(endpoint)
+        if failure is not None:
+            prepared.withdraw()
+        else:
+            failure = self._try_repeat(prepared)
+            if failure is None:
+                return True
+            prepared.closing.close()
+        self._note_failed_repeat(failure, endpoint)
+        return False
+
+    def _try_repeat(self, prepared):
+        """Send a repeat; return its failure, or None once it is taken up."""
+        prepared.run = run = self._begin_run(prepared)
+        try:
+            self._send(prepared)
+            failure = await_start(run, self._answer.is_taken_up)
+        except (OSError, MalformedMessageError) as error:
+            failure = describe_break(error, prepared.endpoint)
+        return None if failure is None else run.settle(failure)
+
+    def _begin_run(self, prepared):
+        return EndpointRun(
+            request=self._request,
+            endpoint=prepared.endpoint,
+            connection=prepared.connection,
+            history=self._history,
+            check=self._check,
+        )
+
+    def _send(self, prepared):
+        self._request.send(
+            prepared.connection, prepared.endpoint, last_event_id=self._answer.last_id
+        )
 
     def _situation(self, silent):
         """Return what decides whether a repeat is asked for beside a silent run."""
@@ -322,7 +363,9 @@
         tuple of (SendFailure or None, PreparedCall or None)
             The failure, and the repeat that takes over if the run was ended for one.
         """
-        failure = self._request.find_withheld(prepared.endpoint)
+        failure = None
+        if prepared.run is None:
+            failure = self._request.find_withheld(prepared.endpoint)
         if failure is not None:
             # The endpoint may have begun to leave since this run was prepared.
             prepared.closing.close()
@@ -331,6 +374,7 @@
             request=self._request,
             endpoint=prepared.endpoint,
             ask=partial(self._find_repeat, prepared),
+            send=self._send_repeat,
             on_silence=partial(self._suspect, prepared),
         )
         with closing(question):
@@ -342,25 +386,19 @@
         context, request, answer = self._context, self._request, self._answer
         endpoint = prepared.endpoint
         with prepared.closing:
-            run = EndpointRun(
-                request=request,
-                endpoint=endpoint,
-                connection=prepared.connection,
-                history=self._history,
-                check=self._check,
-            )
+            was_sent = prepared.run is not None
+            run = prepared.run = prepared.run or self._begin_run(prepared)
             answer.begin_run(
                 started_at=prepared.started_at, usual_s=request.route.target_latency_s
             )
             try:
-                request.send(
-                    prepared.connection, endpoint, last_event_id=answer.last_id
-                )
+                if not was_sent:
+                    self._send(prepared)
                 failure = answer.forward(run, question)
             except (OSError, MalformedMessageError) as error:
                 failure = describe_break(error, endpoint)
         if failure is None:
-            self._check.note_answer()
+            self._check.note_answer(run)
             context.balancer.note_success(endpoint)
             answer.finish(run)
             return None
--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -13,8 +13,8 @@
 
     Once a send has borne the parts of the prompt, they are sound and not checked any
     more. The request itself is until it has been answered. ``probed_parts`` holds the
-    digests that the next send tries, ``stop_cause`` is why the current send must not go
-    on, or None, and ``sent_at`` when it was sent.
+    digests that the next send tries, and ``stop_cause`` is why the request must not be
+    sent, or None. Two runs may go on at a time, one of them as a repeat of the other.
     """
 
     def __init__(self, *, request):
@@ -22,12 +22,9 @@
         self._guard = request.context.crash_guard
         self._workspace = request.workspace.name if request.workspace else ""
         self._are_parts_sound = False
-        self._is_answering = False
         self._job = None
-        self._connection = None
-        self._endpoint = None
+        self._runs = set()
         self._sound_releases = None
-        self.sent_at = 0.0
         self.probed_parts = ()
         self.stop_cause = None
 
@@ -84,12 +81,11 @@
 
     @contextmanager
     def watch(self, job=None):
-        """Stop the send inside the context if it proves to end endpoints.
+        """Stop what is sent inside the context if it proves to end endpoints.
 
         ``job`` is the one that waits for its placement, if any.
         """
-        self._job, self._connection, self.stop_cause = job, None, None
-        self._is_answering = False
+        self._job, self.stop_cause = job, None
         with self._guard.watch(
             parts=self._suspects(),
             workspace=self._workspace,
@@ -99,11 +95,12 @@
             yield
 
     def _stop(self, cause):
-        if self._is_answering:
+        if any(run.is_answering for run in self._runs):
+            self._stop_runs(cause)
             return
         self.stop_cause = cause
-        if self._connection is not None:
-            self._connection.abort()
+        if self._runs:
+            self._stop_runs(cause)
         elif self._job is not None and not self._job.decision.ready():
             self._job.decision.set(
                 JobRejected(
@@ -113,6 +110,13 @@
                 )
             )
 
+    def _stop_runs(self, cause):
+        """End the runs that no endpoint has begun to answer."""
+        for run in self._runs:
+            if not run.is_answering:
+                run.stop_cause = cause
+                run.connection.abort()
+
     @contextmanager
     def probe(self, job_id):
         """Try what may end endpoints inside the context, without a scheduler.
@@ -133,52 +137,56 @@
         finally:
             self._guard.end_probe(job_id)
 
-    def note_sent(self, endpoint, connection):
-        """Record the endpoint and the connection of the current send."""
-        self._endpoint = endpoint
-        self._connection = connection
-        self.sent_at = self._request.context.clock.monotonic()
+    def note_sent(self, run):
+        """Record a run whose request is about to be sent."""
+        self._runs.add(run)
+
+    def note_ended(self, run):
+        """Record the end of a run, however it ended."""
+        self._runs.discard(run)
 
-    def note_start(self):
-        """Record the first event of the current send.
+    def note_start(self, run):
+        """Record the first event of a run.
 
         It tells that the endpoint is there. One that ends as it begins to write an
         answer may have sent some events, so it tells nothing of the parts.
         """
-        self._is_answering = True
-        self._note_sound(())
+        run.is_answering = True
+        self._note_sound(run, ())
 
-    def note_parts_borne(self):
-        """Record that the current send goes on, long after its first event."""
+    def note_parts_borne(self, run):
+        """Record that a run goes on, long after its first event."""
         self._are_parts_sound = True
-        self._note_sound(self._request.part_digests)
+        self._note_sound(run, self._request.part_digests)
 
-    def note_answer(self):
-        """Record that the current send has been answered completely."""
-        self._are_parts_sound = self._is_answering = True
-        self._note_sound((*self._request.part_digests, self._request.digest))
+    def note_answer(self, run):
+        """Record that a run has been answered completely."""
+        self._are_parts_sound = run.is_answering = True
+        self._note_sound(run, (*self._request.part_digests, self._request.digest))
+        self.note_ended(run)
 
-    def _note_sound(self, digests):
+    def _note_sound(self, run, digests):
         self._guard.note_start(
-            parts=digests, endpoint=self._endpoint, sent_at=self.sent_at
+            parts=digests, endpoint=run.endpoint, sent_at=run.sent_at
         )
 
-    def note_failure(self, failure, endpoint):
-        """Record a failed send, if its endpoint may have ended under it.
+    def note_failure(self, run, failure):
+        """Record a failed run, if its endpoint may have ended under it.
 
         An endpoint that leaves ends its connections in any case; one that answers with
         a failure of its own has not ended, but may not have run the request either.
         """
+        self.note_ended(run)
         if failure.head is not None:
-            self._note_sound(())
-        if not failure.connection_ended or self.stop_cause:
+            self._note_sound(run, ())
+        if not failure.connection_ended or self.stop_cause or run.stop_cause:
             return
-        if not self._request.context.cluster_view.is_usable(endpoint):
+        if not self._request.context.cluster_view.is_usable(run.endpoint):
             return
         self._guard.note_crash(
             request=self._request.id,
             parts=self._suspects(),
             workspace=self._workspace,
-            endpoint=self._endpoint,
-            sent_at=self.sent_at,
+            endpoint=run.endpoint,
+            sent_at=run.sent_at,
         )
--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -3,13 +3,15 @@
 from dataclasses import replace
 
 from savoryhill.errors import MalformedMessageError
-from savoryhill.serving.served_request import SendFailure
+from savoryhill.serving.served_request import RECHECK_S, SendFailure
 
 
 class EndpointRun:
     """A request that is about to be sent to an endpoint on a connection of its own.
 
-    ``is_open`` tells whether the endpoint may still send something,
+    ``is_open`` tells whether the endpoint may still send something, ``is_answering``
+    whether it has begun to, and ``sent_at`` when the request was sent. ``stop_cause``
+    is why the run was ended, as the request proved to end endpoints, or None.
     ``n_partial_bytes`` how much is kept of its response besides what the reader holds,
     and ``waited_s`` for how many seconds the endpoint was waited for.
 
@@ -33,21 +35,35 @@
         self._history = history
         self._check = check
         self._is_head_noted = False
+        self._is_ahead = False
         self._send = request.n_sends
         self._buffer = request.open_answer_buffer(endpoint, on_evict=self._drop)
         self.endpoint = endpoint
         self.connection = connection
         self.is_open = True
+        self.is_answering = False
+        self.stop_cause = None
+        self.sent_at = request.context.clock.monotonic()
         self.n_partial_bytes = 0
         self.waited_s = 0.0
         history.n_runs += 1
-        check.note_sent(endpoint, connection)
+        check.note_sent(self)
 
     @property
     def reader(self):
         """Return the reader of the response."""
         return self.connection.reader
 
+    def receive_ahead(self):
+        """Receive once; the next `receive` returns at once, with what has arrived.
+
+        Returns and raises what `receive` does.
+        """
+        self._is_ahead = False
+        failure = self.receive(RECHECK_S)
+        self._is_ahead = True
+        return failure
+
     def receive(self, max_wait_s):
         """Receive once; return the failure if the request's time is up, else None.
 
@@ -64,6 +80,9 @@
         time_left_s = self._request.time_left_s()
         if time_left_s <= 0:
             return self.end_silent("deadline passed")
+        if self._is_ahead:
+            self._is_ahead = False
+            return self._count_kept_bytes()
         began_at = self._context.clock.monotonic()
         try:
             self.is_open = self.connection.receive(
@@ -113,7 +132,7 @@
             self.reader.head,
             self.endpoint,
             attempt_id=self._request.metadata.attempt_id,
-            sent_at=self._check.sent_at,
+            sent_at=self.sent_at,
         )
 
     def note_sign_of_life(self, now):
@@ -142,7 +161,7 @@
     def settle(self, failure):
         """Count a failed run; return its failure with what it turned out to be."""
         failure = self._request.judge_end(failure, self.endpoint, self.connection)
-        self._check.note_failure(failure, self.endpoint)
+        self._check.note_failure(self, failure)
         if failure.body:
             self.end_reception()
         else:
@@ -150,6 +169,49 @@
         if not failure.may_have_run:
             self._history.n_runs -= 1
             self._history.n_refused += 1
-        elif self._check.stop_cause is not None:
-            return replace(failure, cause=self._check.stop_cause)
-        return failure
+            return failure
+        stop_cause = self.stop_cause or self._check.stop_cause
+        return failure if stop_cause is None else replace(failure, cause=stop_cause)
+
+    def drop(self):
+        """Give up a run that is not needed any more, whatever has become of it."""
+        self._check.note_ended(self)
+        self._context.answer_budget.close(self._buffer)
+        self._context.log(
+            "request.repeat_dropped",
+            request=self._request.id,
+            endpoint=self.endpoint.id,
+            send=self._send,
+        )
+
+
+def await_start(run, is_taken_up):
+    """Wait until an endpoint takes up a run beside another one, or fails to.
+
+    Parameters
+    ----------
+    run : EndpointRun
+        The run, whose request has been sent.
+    is_taken_up : callable
+        Called with the run when something may have arrived. Returns whether the
+        endpoint has taken it up, or the failure.
+
+    Returns
+    -------
+    SendFailure or None
+        None if the endpoint has taken it up.
+
+    Raises
+    ------
+    OSError, MalformedMessageError
+        If the connection broke, or carries no valid response.
+    """
+    while True:
+        failure = run.receive_ahead()
+        if failure is not None:
+            return failure
+        outcome = is_taken_up(run)
+        if outcome is True:
+            return None
+        if outcome is not False:
+            return outcome
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -8,7 +8,7 @@
 from savoryhill.core.scheduling.messages import FINISHED, JobRejected
 from savoryhill.errors import MalformedMessageError
 from savoryhill.serving.crash_check import CrashCheck
-from savoryhill.serving.endpoint_run import EndpointRun
+from savoryhill.serving.engine_runs import EngineRuns
 from savoryhill.serving.generation_repeats import GenerationRepeats
 from savoryhill.serving.prepared_run import RunPreparation
 from savoryhill.serving.repeat_question import RepeatQuestion
@@ -40,12 +40,19 @@
         self._forwarder = StreamForwarder(
             request=request, response=response, history=history, check=self._check
         )
+        self._runs = EngineRuns(
+            request=request,
+            history=history,
+            check=self._check,
+            forwarder=self._forwarder,
+        )
         self._repeats = GenerationRepeats(
             request=request,
             history=history,
             check=self._check,
             jobs=self._jobs,
             preparation=self._preparation,
+            runs=self._runs,
             forwarder=self._forwarder,
         )
 
@@ -79,7 +86,10 @@
             request.avoided_endpoint_ids.add(failed_endpoint)
             if repeat is not None:
                 request.note_failed_send(failure, has_started=job.has_started)
-                gevent.spawn(self._repeats.end_silent_job, run)
+                if failure.is_silent:
+                    gevent.spawn(self._repeats.end_silent_job, run)
+                else:
+                    self._jobs.report_failure(job, failure, failed_endpoint)
                 continue
             self._jobs.report_failure(job, failure, failed_endpoint)
             if not request.allow_repeat(
@@ -158,7 +168,9 @@
         tuple of (SendFailure or None, PreparedRun or None)
             The failure, and the repeat that takes over if the run was ended for one.
         """
-        failure = self._preparation.find_withheld(prepared.endpoints)
+        failure = None
+        if prepared.run is None:
+            failure = self._preparation.find_withheld(prepared.endpoints)
         if failure is not None:
             # An endpoint may have begun to leave since this run was prepared.
             prepared.closing.close()
@@ -168,6 +180,7 @@
             request=self._request,
             endpoint=prepared.endpoint,
             ask=partial(self._repeats.find, prepared),
+            send=self._repeats.send,
             on_silence=partial(self._repeats.suspect, prepared),
             on_heard=partial(jobs.report_heard_again, prepared.job),
         )
@@ -177,15 +190,8 @@
 
     def _forward(self, prepared, question):
         """Forward the answer of a run; return None if it was complete."""
-        request, first = self._request, prepared.endpoint
-        connection, reservations = prepared.connection, prepared.reservations
-        run = EndpointRun(
-            request=request,
-            endpoint=first,
-            connection=connection,
-            history=self._history,
-            check=self._check,
-        )
+        was_sent = prepared.run is not None
+        run = prepared.run or self._runs.begin(prepared)
         self._forwarder.begin_run(
             started_at=self._context.clock.monotonic(),
             usual_s=prepared.predicted_first_s,
@@ -194,42 +200,15 @@
             ),
         )
         try:
-            request.send(
-                connection,
-                first,
-                helpers=prepared.helpers,
-                last_event_id=self._forwarder.last_id,
-            )
+            if not was_sent:
+                self._runs.send(prepared)
             failure = self._forwarder.forward(run, question)
         except (OSError, MalformedMessageError) as error:
-            failure = describe_break(error, first)
+            failure = describe_break(error, prepared.endpoint)
         finally:
-            connection.close()
+            prepared.connection.close()
         if failure is None:
-            self._check.note_answer()
+            self._check.note_answer(run)
             self._forwarder.finish(run)
             return None
-        if reservations.lost is not None:
-            return SendFailure(
-                cause=f"memory was lost: {reservations.lost.cause}",
-                may_have_run=True,
-                was_aborted=True,
-                endpoint=reservations.lost.endpoint_id,
-            )
-        failure = run.settle(failure)
-        if failure.may_have_run:
-            return failure
-        return _with_endpoint_id(failure, prepared.endpoints)
-
-
-def _with_endpoint_id(failure, endpoints):
-    """Return a refusal with the faulty endpoint's address replaced by its id."""
-    ids_by_address = {endpoint.address: endpoint.id for endpoint in endpoints}
-    if failure.endpoint not in ids_by_address:
-        return failure
-    return SendFailure(
-        cause=failure.cause,
-        may_have_run=False,
-        is_full=failure.is_full,
-        endpoint=ids_by_address[failure.endpoint],
-    )
+        return self._runs.settle(prepared, failure)
--- a/src/savoryhill/serving/generation_repeats.py
+++ b/src/savoryhill/serving/generation_repeats.py
@@ -12,8 +12,10 @@
     find_denial,
     remaining_answer_s,
 )
+from savoryhill.errors import MalformedMessageError
+from savoryhill.serving.endpoint_run import await_start
 from savoryhill.serving.prepared_run import PreparedRun
-from savoryhill.serving.served_request import SendFailure
+from savoryhill.serving.served_request import SendFailure, describe_break
 
 # How long a repeat that failed waits before the next one.
 RETRY_WAIT_S = 0.03
@@ -36,17 +38,20 @@
         Submits the repeat.
     preparation : RunPreparation
         Makes a placed repeat ready to be sent.
+    runs : EngineRuns
+        Sends the repeat.
     forwarder : StreamForwarder
         Knows how much of the answer has been written.
     """
 
-    def __init__(self, *, request, history, check, jobs, preparation, forwarder):
+    def __init__(self, *, request, history, check, jobs, preparation, runs, forwarder):
         self._request = request
         self._history = history
         self._context = request.context
         self._check = check
         self._jobs = jobs
         self._preparation = preparation
+        self._runs = runs
         self._forwarder = forwarder
 
     def find(self, silent):
@@ -70,6 +75,7 @@
                 run.on_withdrawal = partial(
                     self._return_repeat, job, budget_is_local=budget_is_local
                 )
+                run.on_drop = partial(self._context.dispatcher.jobs.cancel, job)
                 return run
             self._return_repeat(
                 job,
@@ -82,6 +88,35 @@
             gevent.sleep(RETRY_WAIT_S)
         return Denial.FAILED.value
 
+    def send(self, prepared):
+        """Send a repeat beside the silent run; return whether it is taken up."""
+        job = prepared.job
+        failure = self._preparation.find_withheld(prepared.endpoints)
+        if failure is not None:
+            prepared.withdraw()
+        else:
+            failure = self._try(prepared)
+            if failure is None:
+                return True
+            prepared.closing.close()
+            endpoint_id = failure.endpoint or job.placement.endpoints[0]
+            self._request.note_failed_send(failure)
+            self._jobs.report_failure(job, failure, endpoint_id)
+        self._request.avoided_endpoint_ids.add(
+            failure.endpoint or job.placement.endpoints[0]
+        )
+        return False
+
+    def _try(self, prepared):
+        """Send a repeat; return its failure, or None once it is taken up."""
+        run = self._runs.begin(prepared)
+        try:
+            self._runs.send(prepared)
+            failure = await_start(run, self._forwarder.is_taken_up)
+        except (OSError, MalformedMessageError) as error:
+            failure = describe_break(error, prepared.endpoint)
+        return None if failure is None else self._runs.settle(prepared, failure)
+
     def _situation(self, silent, needed_s):
         """Return what decides whether a repeat is asked for beside a silent run."""
         cause = self._check.refusal_cause()
--- a/src/savoryhill/serving/prepared_run.py
+++ b/src/savoryhill/serving/prepared_run.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from savoryhill.errors import EndpointError, NotConnectedError, WayLostError
+from savoryhill.serving.endpoint_run import EndpointRun
 from savoryhill.serving.helper_check import find_unreached
 from savoryhill.serving.reservations import Reservations
 from savoryhill.serving.served_request import (
@@ -16,20 +17,29 @@
 
 @dataclass(kw_only=True)
 class OpenRun:
-    """A run whose connection to its endpoint is open, and for which nothing was sent.
+    """A run whose connection to its endpoint is open.
 
     ``closing`` closes the connection and gives back all else that the run holds;
-    ``on_withdrawal`` is called without arguments if nothing is sent.
+    ``on_withdrawal`` is called without arguments if nothing is sent, ``on_drop`` if the
+    run is given up later. ``run`` is set once the request has been sent, which it is
+    beforehand only to see whether the endpoint takes a repeat.
     """
 
     connection: object
     closing: ExitStack
     on_withdrawal: object = None
+    on_drop: object = None
+    run: EndpointRun | None = None
 
     def withdraw(self):
-        """Give up the run, for which nothing was sent."""
+        """Give up the run."""
         self.closing.close()
-        self.on_withdrawal()
+        if self.run is None:
+            self.on_withdrawal()
+            return
+        self.run.drop()
+        if self.on_drop is not None:
+            self.on_drop()
 
 
 @dataclass(kw_only=True)
--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -109,6 +109,31 @@
             if is_granted:
                 return run.end_silent("endpoint is silent")
 
+    def is_taken_up(self, run):
+        """Tell whether a run beside the present one has had an event to forward.
+
+        Returns
+        -------
+        bool or SendFailure
+            The failure of a run that can't go on.
+        """
+        request, reader = self._request, run.reader
+        if reader.head is None:
+            if run.is_open:
+                return False
+            return run.end_within_answer("closed without an answer")
+        if reader.head.status != 200 or not request.is_valid(reader.head):
+            if reader.complete or not run.is_open:
+                return request.classify_failure(reader, run.endpoint)
+            return False
+        splitter = EventSplitter(last_id=self.last_id)
+        splitter.feed(b"".join(reader.body))
+        if splitter.n_with_data or (is_document(reader.head) and reader.complete):
+            return True
+        if reader.complete or not run.is_open:
+            return run.end_within_answer("stream ends before its first event")
+        return False
+
     def _note_event(self, run):
         """Measure the silence from now on, against the gap that the route allows."""
         now = self._context.clock.monotonic()
@@ -124,7 +149,7 @@
         # Not by the clock: while the client did not read, the endpoint may have ended.
         if run.waited_s - self._first_event_waited_s >= PARTS_BORNE_S:
             self._first_event_waited_s = math.inf
-            self._check.note_parts_borne()
+            self._check.note_parts_borne(run)
 
     def _forward_events(self, run):
         """Forward the complete events received; return whether any carried data."""
@@ -141,7 +166,7 @@
         if has_data and not self.has_started:
             self.has_started = True
             self._first_event_waited_s = run.waited_s
-            self._check.note_start()
+            self._check.note_start(run)
             if self._on_start is not None:
                 self._on_start()
             self._record_first_event(run.endpoint)
--- a/src/savoryhill/serving/whole_answer.py
+++ b/src/savoryhill/serving/whole_answer.py
@@ -74,12 +74,32 @@
             elif is_granted:
                 return run.end_silent("endpoint is silent")
         run.end_reception()
-        if reader.head.status >= 300 or not self._request.is_valid(reader.head):
+        if not self._is_success(reader):
             return self._request.classify_failure(reader, run.endpoint)
         run.note_sign_of_life(self._context.clock.monotonic())
         question.withdraw()
         return None
 
+    def _is_success(self, reader):
+        return reader.head.status < 300 and self._request.is_valid(reader.head)
+
+    def is_taken_up(self, run):
+        """Tell whether a run beside the present one has been answered.
+
+        Returns
+        -------
+        bool or SendFailure
+            The failure of a run that can't go on.
+        """
+        reader = run.reader
+        if not reader.complete:
+            if run.is_open:
+                return False
+            return run.end_within_answer("closed within the answer")
+        if not self._is_success(reader):
+            return self._request.classify_failure(reader, run.endpoint)
+        return True
+
     def finish(self, run):
         """Write the response of a successful run to the client."""
         reader = run.reader
--- a/tests/serving/test_kept_runs.py
+++ b/tests/serving/test_kept_runs.py
@@ -1,5 +1,8 @@
 """Runs that fall silent: kept until a repeat is granted, whatever denies it."""
 
+from itertools import product
+from socket import SHUT_RDWR
+
 import gevent
 import pytest
 
@@ -238,3 +241,59 @@
         assert {f["endpoint"] for f in lines_of(fleet, "engine.ejected")} == {"e0"}
         gevent.sleep(MIN_SILENCE_S)
         assert fleet.ask("/chat/x")[0] == 200
+
+
+class TestRepeatThatIsNotTakenUp:
+    """The silent run is the only one that goes on; it was ended for the repeat."""
+
+    FAULTS = ("full", "failing", "silent")
+    # The connection ends before the first event of a stream.
+    STREAM_FAULTS = (*FAULTS, "unframed_empty")
+    CASES = (
+        *product(("chat", "plain-chat"), STREAM_FAULTS),
+        *product(("stock",), FAULTS),
+    )
+
+    @pytest.mark.parametrize(("kind", "fault"), CASES)
+    def test_run_goes_on(self, fleet, kind, fault):
+        connection = start_silent(fleet, kind)
+        add_others(fleet)
+        for name in ("e1", "a1"):
+            fleet.endpoints_by_id[name].faults.extend([fault] * 3)
+        assert_answered(fleet, connection)
+        assert n_sent(fleet) > 1
+
+    @pytest.mark.parametrize("kind", KINDS)
+    def test_repeat_takes_over_from_a_run_that_breaks(self, fleet, kind):
+        # Guards against a repeat that is given up, though it is the only run left and
+        # the route allows no other.
+        connection = start_silent(fleet, kind)
+        add_others(fleet)
+        for name in ("e1", "a1"):
+            fleet.endpoints_by_id[name].response_delay_s = 0.3
+            fleet.endpoints_by_id[name].event_interval_s = 0.3
+        fleet.wait_until(lambda: n_sent(fleet) > 1)
+        first = fleet.endpoints_by_id["e0" if kind == "chat" else "a0"]
+        for sock in list(first.attempt_by_open_socket):
+            sock.shutdown(SHUT_RDWR)
+        assert_answered(fleet, connection)
+        assert n_sent(fleet) == 2
+
+    @pytest.mark.parametrize("kind", KINDS)
+    def test_repeat_is_dropped_when_the_run_goes_on(self, fleet, kind):
+        # Guards against an endpoint that works on for nobody, and against a repeat
+        # whose end counts as that of the request.
+        connection = start_silent(fleet, kind)
+        add_others(fleet)
+        others = [fleet.endpoints_by_id[name] for name in ("e1", "a1")]
+        for other in others:
+            other.response_delay_s = other.event_interval_s = 1.0
+        assert_answered(fleet, connection)
+        dropped = lines_of(fleet, "request.repeat_dropped")
+        assert [fields["endpoint"] for fields in dropped] == [
+            "e1" if kind == "chat" else "a1"
+        ]
+        if kind != "stock":
+            fleet.wait_until(lambda: sum(other.n_cancelled for other in others) == 1)
+        answer_budget = fleet.nodes[0].context.answer_budget
+        fleet.wait_until(lambda: answer_budget.n_bytes == 0)
