serving: a crashing part is found wherever it stands in a prompt

Cause: digest_parts kept the first 64 parts and dropped the others, so that a part behind them was never held responsible. The same cause on a related path: of a list that is spread over several header lines, only the first was read. Change: all parts count that the header of a request holds. What the bound was good for is bounded where it arises: log lines and answers name 64 digests and how many others there are; the table has room for six crashes under 1,200 parts that nobody knows to be sound (8,192 observations in place of 1,024), and gives up what must outlast the crashes last; the store's row holds 1,000 crashes in place of 200, and those of one part together, or none of them.

--- a/src/savoryhill/core/observations/parts.py
+++ b/src/savoryhill/core/observations/parts.py
@@ -5,8 +5,11 @@
 from itertools import islice
 
 DIGEST_BYTES = 8
-# Bounds the memory and the log line of one prompt.
-MAX_PARTS = 64
+# Bounds the memory that one prompt takes. More do not fit into the header of a request,
+# unless an operator allows much larger headers.
+MAX_PARTS = 4_096
+# Bounds the log line and the message to the client.
+MAX_NAMED_DIGESTS = 64
 REQUEST_PREFIX = "request-"
 DIGEST_CACHE_ENTRIES = 4_096
 
@@ -30,6 +33,14 @@
     return tuple(digest_part(service, part_id) for part_id in unique_ids)
 
 
+def name_digests(digests):
+    """Return digests as text: the first ones, and how many others there are."""
+    digests = tuple(digests)
+    names = ",".join(digests[:MAX_NAMED_DIGESTS])
+    n_others = len(digests) - MAX_NAMED_DIGESTS
+    return f"{names},and {n_others} more" if n_others > 0 else names
+
+
 def start_body_digest():
     """Return a hash to which a request's body is added as it arrives."""
     return blake2b(digest_size=DIGEST_BYTES)
--- a/src/savoryhill/core/observations/table.py
+++ b/src/savoryhill/core/observations/table.py
@@ -12,8 +12,9 @@
 LIFETIME_S = 120.0
 # Of observations about protected subjects, or of a kind that must outlast them.
 MAX_LIFETIME_S = 1_200.0
-# The leader sends all of them on each new link.
-MAX_OBSERVATIONS = 1_024
+# Room for the crashes under a prompt with as many parts as a header of usual size
+# holds. The leader sends all of them on each new link.
+MAX_OBSERVATIONS = 8_192
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -136,11 +137,13 @@
         return bool(ended)
 
     def _lifetime_s(self, observation):
-        is_lasting = (
+        return MAX_LIFETIME_S if self._is_lasting(observation) else LIFETIME_S
+
+    def _is_lasting(self, observation):
+        return (
             observation.subject in self.protected_subjects
             or observation.kind in self._lasting_kinds
         )
-        return MAX_LIFETIME_S if is_lasting else LIFETIME_S
 
     def _store(self, observation):
         kind, subject, source = key = observation.key
@@ -165,7 +168,7 @@
             return
         oldest_first = sorted(
             self._by_key.values(),
-            key=lambda o: (o.subject in self.protected_subjects, o.observed_at),
+            key=lambda o: (self._is_lasting(o), o.observed_at),
         )
         for observation in oldest_first[:n_excess]:
             self._drop(observation.key)
--- a/src/savoryhill/platform/headers.py
+++ b/src/savoryhill/platform/headers.py
@@ -74,7 +74,9 @@
         last_event_id=int(last_event_id) if has_event_id else None,
         has_invalid_event_id=last_event_id is not None and not has_event_id,
         invalid_header=invalid_headers[0] if invalid_headers else None,
-        shared_parts=_parse_shared_parts(request.header(names.PROMPT_PARTS)),
+        shared_parts=_parse_shared_parts(
+            [value for name, value in request.headers if name == names.PROMPT_PARTS]
+        ),
     )
 
 
@@ -96,14 +98,15 @@
     return number if 0.0 <= number <= MAX_NUMBER else None
 
 
-def _parse_shared_parts(value):
+def _parse_shared_parts(values):
     """Return the ids of all parts but the last, without entries that have none.
 
-    The header is forwarded as it is, so a malformed one is no reason to refuse.
+    The header is forwarded as it is, so a malformed one is no reason to refuse. Its
+    list may be spread over several lines.
     """
-    if value is None:
+    if not values:
         return ()
-    *entries, _ = value.decode("latin-1").split(",")
+    *entries, _ = b",".join(values).decode("latin-1").split(",")
     ids = (entry.partition(":")[0].strip().lower() for entry in entries)
     return tuple(part_id for part_id in ids if part_id)
 
--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -14,10 +14,10 @@
     observe_start,
     recall_starts,
 )
-from savoryhill.core.observations.parts import is_request_digest
+from savoryhill.core.observations.parts import is_request_digest, name_digests
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 
-MAX_STARTED_PARTS = 4_096
+MAX_STARTED_PARTS = 8_192
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
@@ -81,7 +81,7 @@
             return
         self._record(
             "crash.observed",
-            {"request": request, "endpoint": source, "parts": ",".join(parts)},
+            {"request": request, "endpoint": source, "parts": name_digests(parts)},
         )
         self._sharing.add(observations)
 
@@ -208,7 +208,7 @@
     parts = sorted(part for part in crashing.parts if not is_request_digest(part))
     if not parts:
         return f"endpoints end when they run {','.join(requests)}"
-    cause = f"engines end when they answer a prompt with part {','.join(parts)}"
+    cause = f"engines end when they answer a prompt with part {name_digests(parts)}"
     if requests:
         cause += f" in {','.join(requests)}"
     return cause
@@ -227,7 +227,7 @@
     crashing = crashing_by_part[part]
     return {
         name: part,
-        "together_with": ",".join(sorted(crashing.parts - {part})),
+        "together_with": name_digests(sorted(crashing.parts - {part})),
         "crashes": crashing.n_crashes,
         "endpoints": ",".join(crashing.sources),
         "workspaces": ",".join(sorted(crashing.workspaces)),
--- a/src/savoryhill/serving/refusal_record.py
+++ b/src/savoryhill/serving/refusal_record.py
@@ -10,8 +10,8 @@
 RECORD_INTERVAL_S = 1.0
 # Wait after a failed call. The observations are shared meanwhile as usual.
 RETRY_DELAY_S = 5.0
-# Bounds the size of the row; the latest crashes are recorded.
-MAX_RECORDED_CRASHES = 200
+# Bounds the size of the row.
+MAX_RECORDED_CRASHES = 1_000
 
 
 class RefusalRecord:
@@ -78,14 +78,28 @@
         self._record("refusals.recorded", {"crashes": len(crashes)})
 
     def _crashes_of_refusals(self):
-        """Return the latest crashes of all that is refused."""
-        crashes = [
-            crash
-            for subject in self._crash_guard.crashing_by_part
-            for crash in self._sharing.table.about(CRASH, subject)
-        ]
-        crashes.sort(key=lambda crash: crash.observed_at, reverse=True)
-        return crashes[:MAX_RECORDED_CRASHES]
+        """Return the crashes of what is refused, as far as there is room.
+
+        Those of a subject are recorded together, as fewer would not be held against it.
+        Subjects that ended endpoints with few others come first, the latest of them
+        before the rest.
+        """
+        found = self._crash_guard.crashing_by_part
+        fewest_others_first = sorted(
+            found,
+            key=lambda subject: (
+                len(found[subject].parts),
+                -found[subject].last_crash_at,
+                subject,
+            ),
+        )
+        recorded = []
+        for subject in fewest_others_first:
+            crashes = self._sharing.table.about(CRASH, subject)
+            if len(recorded) + len(crashes) > MAX_RECORDED_CRASHES:
+                break
+            recorded += crashes
+        return recorded
 
 
 def _identities(crashes):
--- a/src/savoryhill/serving/served_request.py
+++ b/src/savoryhill/serving/served_request.py
@@ -5,7 +5,11 @@
 
 import gevent
 
-from savoryhill.core.observations.parts import digest_parts, digest_request
+from savoryhill.core.observations.parts import (
+    digest_parts,
+    digest_request,
+    name_digests,
+)
 from savoryhill.core.silence import Denial, RepeatSituation
 from savoryhill.errors import RelayLostError, WayLostError
 from savoryhill.platform import headers as platform_headers
@@ -313,7 +317,7 @@
             may_have_run=failure.may_have_run,
             send=failure.send or self.n_sends,
             started=has_started,
-            parts=",".join(self.part_digests),
+            parts=name_digests(self.part_digests),
             digest=self.digest,
             lost_way=failure.lost_way,
         )
--- a/tests/core/observations/test_parts.py
+++ b/tests/core/observations/test_parts.py
@@ -3,10 +3,12 @@
 import pytest
 
 from savoryhill.core.observations.parts import (
+    MAX_NAMED_DIGESTS,
     MAX_PARTS,
     digest_parts,
     digest_request,
     is_request_digest,
+    name_digests,
 )
 from savoryhill.serving.http import RequestReader
 
@@ -20,9 +22,18 @@
         assert digest_parts("pool", ["5c1e"]) != digest_parts("other", ["5c1e"])
 
     def test_repeated_parts_count_once_and_their_number_is_bounded(self):
-        ids = [f"{n:x}" for n in range(200)]
+        ids = [f"{n:x}" for n in range(MAX_PARTS + 10)]
         assert len(digest_parts("pool", ["5c1e", "5c1e"])) == 1
-        assert digest_parts("pool", ids) == digest_parts("pool", ids)[:MAX_PARTS]
+        assert len(digest_parts("pool", ids)) == MAX_PARTS
+
+    def test_names_of_many_are_bounded(self):
+        # Guards against log lines, and answers of this node, as long as a prompt's
+        # list of parts.
+        digests = [f"{n:016x}" for n in range(MAX_NAMED_DIGESTS + 2)]
+        named = name_digests(digests)
+        assert named.startswith(digests[0])
+        assert named.endswith(f"{digests[MAX_NAMED_DIGESTS - 1]},and 2 more")
+        assert name_digests(digests[:2]) == ",".join(digests[:2])
 
 
 class TestRequestDigest:
--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -249,3 +249,31 @@
         assert [status for status, _ in answers] == [200] * 6, answers
         assert self.ask(deployment, 20, middle="dead")[0] == 503
         assert len(crash_times(engines)) <= CERTAIN_CRASHES
+
+
+class TestPromptsOfManyParts:
+    """As many as the header of a request holds, none of them known to be sound."""
+
+    @pytest.mark.parametrize("n_parts", (66, 100, 1_000))
+    def test_crashing_part_at_the_end_is_found(self, deployment, engines, n_parts):
+        # Guards against engines that end one after the other under a part that is
+        # never looked at, and against a part that is forgotten for the many others.
+        for _ in range(2):
+            deployment.add_node()
+        shared = ",".join(f"{0xA0000000 + part:08x}:1" for part in range(n_parts - 2))
+        for number in range(10):
+            deployment.ask(
+                "/chat/x",
+                node=number % 2,
+                body=b"%d" % number,
+                x_prompt_prefix=f"{shared},dead:40,{number:x}:60",
+            )
+            # Sound prompts share all parts but one.
+            status, *_ = deployment.ask(
+                "/chat/x",
+                node=number % 2,
+                body=b"s%d" % number,
+                x_prompt_prefix=f"{shared},bb:40,{number:x}:60",
+            )
+        assert len(crash_times(engines)) <= CERTAIN_CRASHES
+        assert status == 200
