ways: a reset that a send was told of is no proper end of an answer

What callers saw: a part of an answer as the whole of it, with a length of our own, when an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written (MIXED). Cause: the operating system tells of a reset once. Long requests are sent in the background; if that send was told, the next receive returned no bytes, as at a proper end, which completes an answer without a length. The other way round through another node: there a failed send ended the endpoint's connection, so that a proper answer to a long upload broke off. Evidence: TestReset on, directly: 5 of 5 kinds of requests; the receive after a send that raised ConnectionResetError returned False. Change: a connection notes that it broke under a send, and a receive without bytes then raises. A broken pipe does not count, as the endpoint had ended its side before. A relay tells the asking node of such an end as of a reset, and goes on with the answer when the endpoint takes no more of the request. Reports and orders of endpoints and the store send before they receive, where a failed send is an error of its own.

--- a/src/savoryhill/serving/ways/connection.py
+++ b/src/savoryhill/serving/ways/connection.py
@@ -2,6 +2,7 @@
 
 from contextlib import suppress
 from dataclasses import dataclass
+from errno import EPIPE
 
 import gevent
 from gevent import socket as gsocket
@@ -26,18 +27,30 @@
     """An outgoing connection to an HTTP server, for one exchange at a time.
 
     ``relay`` names the node through which it goes, empty if there is none.
-    ``is_aborted`` tells that this node has ended it.
+    ``is_aborted`` tells that this node has ended it, ``has_broken`` that it broke under
+    a send.
     """
 
     sock: object
     reader: ResponseReader
     relay: str = ""
     is_aborted: bool = False
+    has_broken: bool = False
 
     def send(self, data, *, timeout_s):
-        """Send all bytes, or raise an error."""
+        """Send all bytes, or raise an error.
+
+        The response may arrive meanwhile. The operating system tells of a reset only
+        once: if a send is told, a later receive sees what looks like a proper end. A
+        broken pipe is none, as the server had ended the connection properly before.
+        """
         self.sock.settimeout(timeout_s)
-        self.sock.sendall(data)
+        try:
+            self.sock.sendall(data)
+        except OSError as error:
+            # A send that takes too long has no error number.
+            self.has_broken |= error.errno not in (None, EPIPE)
+            raise
 
     def receive(self, *, timeout_s):
         """Receive and parse once; return False if the server closed the connection.
@@ -56,6 +69,7 @@
         if not data:
             # Not the server's end, which completes a response without a length.
             self.raise_if_aborted()
+            self.raise_if_broken()
             self.reader.feed_end()
             return False
         self.reader.feed(data)
@@ -87,6 +101,11 @@
         if self.is_aborted:
             raise ConnectionAbortedError("this node has ended the connection")
 
+    def raise_if_broken(self):
+        """Raise `ConnectionResetError` if the connection broke under a send."""
+        if self.has_broken:
+            raise ConnectionResetError("the connection broke while it was written to")
+
     def abort(self):
         """End the connection; a receive that waits sees its end at once."""
         self.is_aborted = True
--- a/src/savoryhill/serving/ways/relay_server.py
+++ b/src/savoryhill/serving/ways/relay_server.py
@@ -188,7 +188,8 @@
                 sock.sendall(RESET_MARK)
                 return
             if not data:
-                sock.sendall(CLOSED_MARK)
+                is_proper = not (connection.has_broken or connection.is_aborted)
+                sock.sendall(CLOSED_MARK if is_proper else RESET_MARK)
                 return
             statement.feed(data)
             sock.sendall(LENGTH.pack(len(data)) + data)
@@ -236,13 +237,16 @@
 
 def _forward_requests(sock, connection):
     """Forward what the asking node sends; its end ends the endpoint's connection."""
-    try:
-        while True:
+    while True:
+        try:
             data = sock.recv(RECV_BYTES)
-            if not data:
-                break
-            connection.sock.sendall(data)
-    except OSError:
-        # Either side has ended the connection.
-        pass
-    connection.abort()
+        except OSError:
+            data = b""
+        if not data:
+            connection.abort()
+            return
+        try:
+            connection.send(data, timeout_s=None)
+        except OSError:
+            # The endpoint takes no more; what it has sent is still forwarded.
+            return
