http: a response whose status is no status is no response

Cause: the reader took each status below 200 for that of an interim answer, whose head is dropped. The parser passes on the body of a message with status 000, which interim answers have none of, so that it became part of the next one. Change: a status outside 100 to 599 is malformed, for all that this reader reads: calls, streams, generations, directly and through another node, reports and orders of endpoints, the store; and for the services of our own interface. Blanks and control bytes in field names were refused already, by the parser, in heads, interim answers and trailers; the tests now hold that.

--- a/src/savoryhill/endpoints/service.py
+++ b/src/savoryhill/endpoints/service.py
@@ -14,6 +14,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from savoryhill.errors import BrokenStreamError, EndpointRefusedError, NotSentError
+from savoryhill.httpstatus import is_status
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -110,7 +111,10 @@
         with gevent.Timeout(timeout_s, BrokenStreamError(f"{timeout_s:.3f} s passed")):
             sock.sendall(request)
             response = HTTPSocketResponse(sock, block_size=_BLOCK_BYTES, method=method)
-            return response, _read_body(response)
+            content = _read_body(response)
+            if not is_status(response.status_code):
+                raise BrokenStreamError(f"{response.status_code} is no status")
+            return response, content
     except (OSError, HTTPParseError, BrokenStreamError) as error:
         raise BrokenStreamError(
             f"{method} {path} at {address} may have run: {error!r}"
--- a/src/savoryhill/serving/http.py
+++ b/src/savoryhill/serving/http.py
@@ -7,6 +7,7 @@
 
 from savoryhill.core.observations.parts import start_body_digest
 from savoryhill.errors import MalformedMessageError
+from savoryhill.httpstatus import is_status
 from savoryhill.serving.body_blocks import BodyBlocks
 
 # Limit of the bytes in a row that belong to no final head and no body: headers,
@@ -350,6 +351,8 @@
         if self.head is not None:
             return
         status = self._parser.get_status_code()
+        if not is_status(status):
+            raise MalformedMessageError(f"{status:03d} is no status of a response")
         if status < 200:
             self._headers = []
             return
--- a/tests/node/test_service_client.py
+++ b/tests/node/test_service_client.py
@@ -54,6 +54,23 @@
         assert len(received) == 1
         assert received[0].startswith(f"{method} /call/order?n=1 HTTP/1.1".encode())
 
+    # Guards against an answer of a service in trouble that is passed on.
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"HTTP/1.1 000 Trouble\r\n",
+            b"HTTP/1.1 099 Trouble\r\n",
+            b"HTTP/1.1 600 Trouble\r\n",
+            b"HTTP/1.1 200 OK\r\nx bad: 1\r\n",
+            b"HTTP/1.1 200 OK\r\nx\x01bad: 1\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n",
+        ],
+    )
+    def test_malformed_head_is_no_answer(self, serve_raw, head):
+        address, _ = serve_raw(head + b"Content-Length: 2\r\n\r\nok")
+        with pytest.raises(BrokenStreamError):
+            call_order_service(address)
+
     # Guards against a truncated response that is passed on as complete.
     @pytest.mark.parametrize(
         "answer",
--- a/tests/serving/test_faulty_answers.py
+++ b/tests/serving/test_faulty_answers.py
@@ -5,8 +5,11 @@
 from gevent.server import StreamServer
 
 from savoryhill.core.repeats import MAX_REFUSED_SENDS
+from savoryhill.errors import MalformedMessageError
 from savoryhill.serving.http import encode_chunk
+from savoryhill.serving.ways.connection import open_connection
 from savoryhill.standins.serving.endpoint import _reset_at_close
+from savoryhill.standins.serving.network import REFUSE
 
 ALL_PATHS = ["/chat/x", "/once/x", "/order/x", "/stock/x"]
 SERVICES = {"chat": "pool", "once": "pool", "order": "app", "stock": "app"}
@@ -236,3 +239,105 @@
         add_raw("e1", path, answer=answer, is_reset=True)
         deployment.add_node()
         assert deployment.ask(path)[0] == 502
+
+
+GOOD_END = b"content-length: 12\r\n\r\nid: 1\ndata\n\n"
+LENGTH_5 = b"content-length: 5\r\n\r\nhello"
+# What an endpoint in trouble sends. Bytes follow that would make an answer of it for
+# a reader which takes it for an interim answer, or passes over the line.
+STATUSES = {
+    name: b"HTTP/1.1 %b Trouble\r\n" % status + IDENTITY + rest
+    for name, status, rest in (
+        ("000", b"000", LENGTH_5),
+        ("000 without a body", b"000", b"\r\n"),
+        ("099", b"099", LENGTH_5),
+        ("600", b"600", LENGTH_5),
+        ("999", b"999", LENGTH_5),
+    )
+}
+FIELD_NAMES = {
+    "blank within": b"x bad",
+    "blank before the colon": b"content-length ",
+    "blank before the name": b" x-bad",
+    "tab": b"x\tbad",
+    "control byte": b"x\x01bad",
+    "zero byte": b"x\x00bad",
+    "vertical tab": b"transfer-encoding\x0b",
+    "carriage return": b"x\rbad",
+    "delete": b"x\x7fbad",
+}
+SIGNED = b"HTTP/1.1 200 OK\r\n" + IDENTITY
+MALFORMED_HEADS = {
+    **{
+        f"status {name}": answer + SIGNED + GOOD_END
+        for name, answer in STATUSES.items()
+    },
+    **{
+        f"{name} in a head": SIGNED + field_name + b": 5\r\n" + GOOD_END
+        for name, field_name in FIELD_NAMES.items()
+    },
+    **{
+        f"{name} in an interim answer": b"HTTP/1.1 103 Early\r\n"
+        + field_name
+        + b": 5\r\n\r\n"
+        + SIGNED
+        + GOOD_END
+        for name, field_name in FIELD_NAMES.items()
+    },
+}
+
+
+class TestMalformedHead:
+    """Each guards against an answer to the client that its endpoint has not given."""
+
+    @pytest.mark.parametrize("path", ALL_PATHS)
+    @pytest.mark.parametrize("answer", MALFORMED_HEADS)
+    def test_is_no_answer(self, deployment, add_raw, answer, path):
+        endpoints = [
+            add_raw(f"e{n}", path, answer=MALFORMED_HEADS[answer]) for n in range(2)
+        ]
+        deployment.add_node()
+        status, headers, body, _ = deployment.ask(path)
+        assert (status, b"hello" in body) == (502, False)
+        assert not any(b"bad" in name for name in headers)
+        n_requests = sum(endpoint.n_requests for endpoint in endpoints)
+        assert n_requests == (2 if is_repeatable(path) else 1)
+
+    @pytest.mark.parametrize("answer", ["status 000", "control byte in a head"])
+    def test_is_no_answer_through_another_node(
+        self, deployment, add_raw, network, answer
+    ):
+        endpoint = add_raw("e1", "/order/x", answer=MALFORMED_HEADS[answer])
+        for _ in range(2):
+            deployment.add_node()
+        views = [node.context.cluster_view for node in deployment.nodes]
+        deployment.wait_until(lambda: all(len(v.nodes_by_name) == 2 for v in views))
+        host = deployment.nodes[1].context.settings.peer_address.rsplit(":", 1)[0]
+        network.cut(host, [endpoint.address], REFUSE)
+        status, _, body, _ = deployment.ask("/order/x", node=1)
+        assert (status, b"hello" in body) == (502, False)
+        assert deployment.nodes[1].context.ways.n_relayed == 1
+
+    @pytest.mark.parametrize("path", ALL_PATHS)
+    @pytest.mark.parametrize("name", FIELD_NAMES)
+    def test_in_trailers_the_answer_has_no_end(self, deployment, add_raw, name, path):
+        body = encode_chunk(EVENTS[0]) + b"0\r\n"
+        trailer = FIELD_NAMES[name] + b": 5\r\n\r\n"
+        answer = SIGNED + b"transfer-encoding: chunked\r\n\r\n" + body + trailer
+        add_raw("e1", path, answer=answer)
+        deployment.add_node()
+        status, _, _, complete = deployment.ask(path)
+        assert not (status == 200 and complete)
+
+
+class TestMalformedHeadOfOtherAnswers:
+    """Reports and orders of endpoints, and the store, are read by the same reader."""
+
+    @pytest.mark.parametrize("answer", MALFORMED_HEADS)
+    def test_receive_all_fails(self, answer):
+        endpoint = RawEndpoint(answer=MALFORMED_HEADS[answer])
+        connection = open_connection(endpoint.address, timeout_s=1.0)
+        connection.send(b"GET / HTTP/1.1\r\nx-attempt-id: a\r\n\r\n", timeout_s=1.0)
+        with pytest.raises(MalformedMessageError):
+            connection.receive_all(timeout_s=1.0)
+        endpoint.server.stop()
