serving: a repeat that is answered with a long document is taken up

Cause: since a repeat is waited for beside the silent run. A document in place of a stream was kept until it was whole, for which there is no room if it is longer than 256 KiB, so that the repeat counted as failed. Change: its first bytes are enough, as it is forwarded as it arrives. Measured: test_repeat_that_is_answered_with_a_long_document_is_taken_up failed before.

--- a/src/savoryhill/serving/stream_forwarder.py
+++ b/src/savoryhill/serving/stream_forwarder.py
@@ -126,14 +126,20 @@
             if reader.complete or not run.is_open:
                 return request.classify_failure(reader, run.endpoint)
             return False
-        splitter = EventSplitter(last_id=self.last_id)
-        splitter.feed(b"".join(reader.body))
-        if splitter.n_with_data or (is_document(reader.head) and reader.complete):
+        if self._has_begun(reader):
             return True
         if reader.complete or not run.is_open:
             return run.end_within_answer("stream ends before its first event")
         return False
 
+    def _has_begun(self, reader):
+        """Tell whether what has arrived of another run is to be forwarded."""
+        if is_document(reader.head):
+            return bool(reader.n_buffered_bytes)
+        splitter = EventSplitter(last_id=self.last_id)
+        splitter.feed(b"".join(reader.body))
+        return splitter.n_with_data > 0
+
     def _note_event(self, run):
         """Measure the silence from now on, against the gap that the route allows."""
         now = self._context.clock.monotonic()
--- a/tests/serving/test_kept_runs.py
+++ b/tests/serving/test_kept_runs.py
@@ -297,3 +297,20 @@
             fleet.wait_until(lambda: sum(other.n_cancelled for other in others) == 1)
         answer_budget = fleet.nodes[0].context.answer_budget
         fleet.wait_until(lambda: answer_budget.n_bytes == 0)
+
+    def test_repeat_that_is_answered_with_a_long_document_is_taken_up(
+        self, fleet, start_scripted
+    ):
+        # Guards against a document that is kept until it is whole, for which there is
+        # no room. It is forwarded as it arrives, as streams are.
+        document = b"x" * 400_000
+        head = (
+            b"HTTP/1.1 200 OK\r\nx-attempt-id: %b\r\nx-response-signature: s\r\n"
+            b"content-type: text/plain\r\ncontent-length: 400000\r\n\r\n"
+        )
+        fleet.endpoints_by_id["a0"].faults.append("silent")
+        connection = fleet.open("/plain-chat/x")
+        fleet.wait_until(lambda: n_sent(fleet) == 1)
+        start_scripted("a1", service="app", first=head + document, repeated=None)
+        status, _, body, complete = fleet.finish(connection)
+        assert (status, body, complete) == (200, document, True)
