tests: a stalled process no longer decides whether a repeat is sent

TestRepeatThatIsPrepared failed in 6 of 90 runs beside load (17 to 24 on 8 cores), once for /stock/x in a run of all tests. Traced by its log: the process stood still for 1.7 to 2 s, so that the node knew no other endpoint when it first asked for a repeat, and the silent endpoint went on before it asked again. The endpoint is now silent for longer than its client waits, so that the answer can come from nowhere but the repeat. TestPromptsOfManyParts had a bound of its own, five crashes, and had six once beside load. It now has that of the rule: at most three arrivals after the fifth.

--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -68,6 +68,12 @@
     )
 
 
+def n_later_arrivals(engines):
+    """Return how many requests reached engines when it was certain what they do."""
+    certain_at = [*crash_times(engines), float("inf")][:CERTAIN_CRASHES][-1]
+    return sum(at > certain_at for at in arrivals_of_part(engines, b"dead"))
+
+
 def ask_with_part(deployment, number, *, node=0):
     return deployment.ask(
         "/chat/x",
@@ -104,11 +110,9 @@
         for number in range(16):
             ask_sound(deployment, number, node=number % 2)
             ask_with_part(deployment, number, node=number % 2)
-        crashes = crash_times(engines)
-        certain_at = [*crashes, float("inf")][:CERTAIN_CRASHES][-1]
-        arrivals = arrivals_of_part(engines, b"dead")
-        later = [at for at in arrivals if at > certain_at]
-        assert len(later) <= MAX_LATER_ARRIVALS, f"{len(crashes)} engines ended"
+        n_crashes = len(crash_times(engines))
+        n_later = n_later_arrivals(engines)
+        assert n_later <= MAX_LATER_ARRIVALS, f"{n_crashes} engines ended"
 
     def test_sound_requests_with_the_same_key_and_first_part_are_served(
         self, deployment, engines
@@ -275,5 +279,5 @@
                 body=b"s%d" % number,
                 x_prompt_prefix=f"{shared},bb:40,{number:x}:60",
             )
-        assert len(crash_times(engines)) <= CERTAIN_CRASHES
+        assert n_later_arrivals(engines) <= MAX_LATER_ARRIVALS
         assert status == 200
--- a/tests/serving/test_leaving_before_the_send.py
+++ b/tests/serving/test_leaving_before_the_send.py
@@ -8,7 +8,7 @@
 
 LONG = "120000,100"
 # Longer than a silence for which a repeat is asked, and than the wait for its answer.
-SILENCE_S = 2.6
+SILENCE_S = 10.0
 # How an endpoint leaves, as the store's rows or the endpoint itself tell it.
 DRAINS = "drains"
 IS_GONE = "is gone"
@@ -126,6 +126,7 @@
         deployment.add_endpoint("x0", service=service, event_interval_s=0.05)
         node = deployment.add_node()
         lines = deployment.lines[0]
+        # Longer than its client waits, so that only a repeat can be the answer.
         endpoints["x0"].silent_until = node.context.clock.monotonic() + SILENCE_S
         left = []
 
