--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -12,8 +12,8 @@
     ``is_open`` tells whether the endpoint may still send something, ``is_answering``
     whether it has begun to, and ``sent_at`` when the request was sent. ``stop_cause``
     is why the run was ended, as the request proved to end endpoints, or None.
-    ``n_partial_bytes`` how much is kept of its response besides what the reader holds,
-    and ``waited_s`` for how many seconds the endpoint was waited for.
+    ``n_partial_bytes`` tells how much is kept of its response besides what the reader
+    holds, and ``waited_s`` for how many seconds the endpoint was waited for.
 
     Parameters
     ----------
