serving: a part that most prompts share is not refused for other crashes

Only complete answers, or 2 s of one, cleared a part. While the few engines ended one after the other, hardly any answer was completed, and the shared part was in all six crashes. Evidence: part.refused for the digest of the shared part, crashes=6, at all three nodes, while the crashing part itself was another one. It says nothing of others, such as a part under which each engine ends.

--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -149,10 +149,17 @@
         """Record the first event of a run.
 
         It tells that the endpoint is there. One that ends as it begins to write an
-        answer may have sent some events, so it tells nothing of the parts.
+        answer may have sent some events, so it tells nothing of parts that no endpoint
+        has borne lately. Those that most prompts share must not be refused while
+        endpoints end under other parts, and hardly any answer is completed.
         """
         run.is_answering = True
-        self._note_sound(run, ())
+        self._guard.note_start(
+            parts=self._guard.borne_lately(self._request.part_digests, run.endpoint),
+            endpoint=run.endpoint,
+            sent_at=run.sent_at,
+            is_borne=False,
+        )
 
     def note_parts_borne(self, run):
         """Record that a run goes on, long after its first event."""
@@ -183,9 +190,14 @@
             return
         if not self._request.context.cluster_view.is_usable(run.endpoint):
             return
+        suspects = self._suspects()
+        if run.is_answering:
+            borne = self._guard.borne_lately(suspects, run.endpoint)
+            suspects = tuple(part for part in suspects if part not in borne)
+            suspects = suspects or (self._request.digest,)
         self._guard.note_crash(
             request=self._request.id,
-            parts=self._suspects(),
+            parts=suspects,
             workspace=self._workspace,
             endpoint=run.endpoint,
             sent_at=run.sent_at,
--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -7,6 +7,7 @@
 from savoryhill.core.observations.crashes import (
     CRASH,
     CRASH_KINDS,
+    SOUND_S,
     Admission,
     admit,
     find_crashing_parts,
@@ -85,10 +86,19 @@
         )
         self._sharing.add(observations)
 
-    def note_start(self, *, parts, endpoint, sent_at):
-        """Record that an endpoint has borne parts, or a request."""
+    def borne_lately(self, parts, endpoint):
+        """Return the parts that the release of an endpoint has borne at this node."""
+        earliest = self._clock.monotonic() - SOUND_S
+        started_at, release = self._started_at_by_part, endpoint.release
+        return tuple(p for p in parts if started_at.get((p, release), 0.0) > earliest)
+
+    def note_start(self, *, parts, endpoint, sent_at, is_borne=True):
+        """Record that an endpoint bears parts, or a request.
+
+        ``is_borne`` is False if that is only likely, as it has lately.
+        """
         now = self._clock.monotonic()
-        for part in parts:
+        for part in parts if is_borne else ():
             self._started_at_by_part[part, endpoint.release] = now
             self._started_at_by_part.move_to_end((part, endpoint.release))
         while len(self._started_at_by_part) > MAX_STARTED_PARTS:
--- a/tests/serving/test_crashing_parts.py
+++ b/tests/serving/test_crashing_parts.py
@@ -1,13 +1,17 @@
 """Parts of prompts that end the engines that answer them."""
 
 from functools import partial
+from types import SimpleNamespace
 
 import gevent
 import pytest
 
+from savoryhill.core.observations.crashes import SOUND_S
 from savoryhill.core.observations.parts import digest_part
 from savoryhill.observability.metrics import prometheus_text
 from savoryhill.serving import stream_forwarder
+from savoryhill.serving.crash_guard import CrashGuard
+from savoryhill.serving.shared_observations import ObservationSharing
 from savoryhill.soak.deployment import route
 
 N_ENGINES = 8
@@ -281,3 +285,37 @@
             )
         assert n_later_arrivals(engines) <= MAX_LATER_ARRIVALS
         assert status == 200
+
+
+class TestPartOfMostPrompts:
+    def test_start_clears_what_has_been_borne_lately_only(self, clock):
+        # Guards against refusing the part that all prompts share, as engines end under
+        # other parts so often that hardly any answer is completed.
+        guard = CrashGuard(
+            clock=clock,
+            sharing=ObservationSharing(clock=clock),
+            record=lambda event, fields: None,
+        )
+        engines = [
+            SimpleNamespace(incarnation=f"e{n}@1", release="v1") for n in range(9)
+        ]
+        guard.note_start(parts=("aa",), endpoint=engines[8], sent_at=clock.now)
+        for number, engine in enumerate(engines[:6]):
+            clock.advance(1.0)
+            guard.note_crash(
+                request=f"r{number}",
+                parts=("aa", "dead"),
+                workspace="ws",
+                endpoint=engine,
+                sent_at=clock.now - 0.1,
+            )
+        assert set(guard.crashing_by_part) == {"aa", "dead"}
+        borne = guard.borne_lately(("aa", "dead"), engines[8])
+        assert borne == ("aa",)
+        guard.note_start(
+            parts=borne, endpoint=engines[8], sent_at=clock.now, is_borne=False
+        )
+        guard.review()
+        assert set(guard.crashing_by_part) == {"dead"}
+        clock.advance(SOUND_S)
+        assert guard.borne_lately(("aa",), engines[8]) == ()
