serving: on a clock that has just begun, no part counts as borne

A part that was never borne counted as borne lately while the node's clock showed less than 20 s, which hosts do right after their start. Found by reading; the tests of crashing parts pass.

--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -19,6 +19,7 @@
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 
 MAX_STARTED_PARTS = 8_192
+NEVER = float("-inf")
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
@@ -90,7 +91,7 @@
         """Return the parts that the release of an endpoint has borne at this node."""
         earliest = self._clock.monotonic() - SOUND_S
         started_at, release = self._started_at_by_part, endpoint.release
-        return tuple(p for p in parts if started_at.get((p, release), 0.0) > earliest)
+        return tuple(p for p in parts if started_at.get((p, release), NEVER) > earliest)
 
     def note_start(self, *, parts, endpoint, sent_at, is_borne=True):
         """Record that an endpoint bears parts, or a request.
