serving: what calls and generations both wrote of a repeat stands once

Found on a second reading of this change. Sending a repeat and waiting for it, with what a broken connection means, stood in calls.py and generation_repeats.py; it is try_run now. CrashCheck._stop said twice which runs it stops. What an end after the first event is held against is the request and the parts that were not borne lately: the digest of the request is no longer looked up among those, and had to be put back if nothing was left; the parts are compared as a set, as there may be a thousand of them. For the rest behaviour is the same.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -16,7 +16,7 @@
 )
 from savoryhill.errors import MalformedMessageError, NotConnectedError
 from savoryhill.serving.crash_check import CrashCheck
-from savoryhill.serving.endpoint_run import EndpointRun, await_start
+from savoryhill.serving.endpoint_run import EndpointRun, try_run
 from savoryhill.serving.model import STREAM
 from savoryhill.serving.prepared_run import OpenRun
 from savoryhill.serving.repeat_question import RepeatQuestion
@@ -166,11 +166,11 @@
     def _try_repeat(self, prepared):
         """Send a repeat; return its failure, or None once it is taken up."""
         prepared.run = run = self._begin_run(prepared)
-        try:
-            self._send(prepared)
-            failure = await_start(run, self._answer.is_taken_up)
-        except (OSError, MalformedMessageError) as error:
-            failure = describe_break(error, prepared.endpoint)
+        failure = try_run(
+            run,
+            send=partial(self._send, prepared),
+            is_taken_up=self._answer.is_taken_up,
+        )
         return None if failure is None else run.settle(failure)
 
     def _begin_run(self, prepared):
--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -95,10 +95,8 @@
             yield
 
     def _stop(self, cause):
-        if any(run.is_answering for run in self._runs):
-            self._stop_runs(cause)
-            return
-        self.stop_cause = cause
+        if not any(run.is_answering for run in self._runs):
+            self.stop_cause = cause
         if self._runs:
             self._stop_runs(cause)
         elif self._job is not None and not self._job.decision.ready():
@@ -155,7 +153,7 @@
         """
         run.is_answering = True
         self._guard.note_start(
-            parts=self._guard.borne_lately(self._request.part_digests, run.endpoint),
+            parts=self._borne_lately(run),
             endpoint=run.endpoint,
             sent_at=run.sent_at,
             is_borne=False,
@@ -172,6 +170,9 @@
         self._note_sound(run, (*self._request.part_digests, self._request.digest))
         self.note_ended(run)
 
+    def _borne_lately(self, run):
+        return self._guard.borne_lately(self._request.part_digests, run.endpoint)
+
     def _note_sound(self, run, digests):
         self._guard.note_start(
             parts=digests, endpoint=run.endpoint, sent_at=run.sent_at
@@ -190,14 +191,10 @@
             return
         if not self._request.context.cluster_view.is_usable(run.endpoint):
             return
-        suspects = self._suspects()
-        if run.is_answering:
-            borne = self._guard.borne_lately(suspects, run.endpoint)
-            suspects = tuple(part for part in suspects if part not in borne)
-            suspects = suspects or (self._request.digest,)
+        borne = set(self._borne_lately(run) if run.is_answering else ())
         self._guard.note_crash(
             request=self._request.id,
-            parts=suspects,
+            parts=tuple(part for part in self._suspects() if part not in borne),
             workspace=self._workspace,
             endpoint=run.endpoint,
             sent_at=run.sent_at,
--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -3,7 +3,11 @@
 from dataclasses import replace
 
 from savoryhill.errors import MalformedMessageError
-from savoryhill.serving.served_request import RECHECK_S, SendFailure
+from savoryhill.serving.served_request import (
+    RECHECK_S,
+    SendFailure,
+    describe_break,
+)
 
 
 class EndpointRun:
@@ -185,13 +189,15 @@
         )
 
 
-def await_start(run, is_taken_up):
-    """Wait until an endpoint takes up a run beside another one, or fails to.
+def try_run(run, *, send, is_taken_up):
+    """Send a run beside another one, and wait until its endpoint takes it up.
 
     Parameters
     ----------
     run : EndpointRun
-        The run, whose request has been sent.
+        The run.
+    send : callable
+        Called without arguments; sends the request.
     is_taken_up : callable
         Called with the run when something may have arrived. Returns whether the
         endpoint has taken it up, or the failure.
@@ -200,18 +206,17 @@
     -------
     SendFailure or None
         None if the endpoint has taken it up.
-
-    Raises
-    ------
-    OSError, MalformedMessageError
-        If the connection broke, or carries no valid response.
     """
-    while True:
-        failure = run.receive_ahead()
-        if failure is not None:
-            return failure
-        outcome = is_taken_up(run)
-        if outcome is True:
-            return None
-        if outcome is not False:
-            return outcome
+    try:
+        send()
+        while True:
+            failure = run.receive_ahead()
+            if failure is not None:
+                return failure
+            outcome = is_taken_up(run)
+            if outcome is True:
+                return None
+            if outcome is not False:
+                return outcome
+    except (OSError, MalformedMessageError) as error:
+        return describe_break(error, run.endpoint)
--- a/src/savoryhill/serving/generation_repeats.py
+++ b/src/savoryhill/serving/generation_repeats.py
@@ -12,10 +12,9 @@
     find_denial,
     remaining_answer_s,
 )
-from savoryhill.errors import MalformedMessageError
-from savoryhill.serving.endpoint_run import await_start
+from savoryhill.serving.endpoint_run import try_run
 from savoryhill.serving.prepared_run import PreparedRun
-from savoryhill.serving.served_request import SendFailure, describe_break
+from savoryhill.serving.served_request import SendFailure
 
 # How long a repeat that failed waits before the next one.
 RETRY_WAIT_S = 0.03
@@ -109,12 +108,11 @@
 
     def _try(self, prepared):
         """Send a repeat; return its failure, or None once it is taken up."""
-        run = self._runs.begin(prepared)
-        try:
-            self._runs.send(prepared)
-            failure = await_start(run, self._forwarder.is_taken_up)
-        except (OSError, MalformedMessageError) as error:
-            failure = describe_break(error, prepared.endpoint)
+        failure = try_run(
+            self._runs.begin(prepared),
+            send=partial(self._runs.send, prepared),
+            is_taken_up=self._forwarder.is_taken_up,
+        )
         return None if failure is None else self._runs.settle(prepared, failure)
 
     def _situation(self, silent, needed_s):
