--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -19,7 +19,7 @@
 from savoryhill.serving.ways.connection import open_connection
 from savoryhill.soak.deployment import ENGINE, route
 from savoryhill.standins.serving.endpoint import EndpointStandIn, start_endpoint
-from savoryhill.standins.serving.network import Network, make_socket_type
+from savoryhill.standins.serving.network import REFUSE, Network, make_socket_type
 from savoryhill.standins.serving.store import MetadataStore, start_store
 
 # Each test process uses its own loopback network, so that parallel test runs on one
@@ -332,6 +332,21 @@
     return network
 
 
+@pytest.fixture
+def add_cut_node(deployment, network):
+    """Start two nodes, of which the second reaches endpoints through the first only."""
+
+    def add(addresses):
+        for _ in range(2):
+            deployment.add_node()
+        views = [node.context.cluster_view for node in deployment.nodes]
+        wait_until(lambda: all(len(view.nodes_by_name) == 2 for view in views))
+        host = deployment.nodes[1].context.settings.peer_address.rsplit(":", 1)[0]
+        network.cut(host, addresses, REFUSE)
+
+    return add
+
+
 @pytest.fixture
 def clock():
     """A paused clock."""
--- a/tests/serving/test_early_answers.py
+++ b/tests/serving/test_early_answers.py
@@ -6,7 +6,6 @@
 
 from savoryhill.serving.ways.connection import open_connection
 from savoryhill.standins.serving.endpoint import _reset_at_close
-from savoryhill.standins.serving.network import REFUSE
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-response-signature: s\r\n\r\n"
 EVENTS = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
@@ -64,21 +63,6 @@
     return start
 
 
-@pytest.fixture
-def relaying(deployment, network):
-    """Two nodes, of which the second has lost its way to all endpoints but by name."""
-
-    def cut(endpoint):
-        for _ in range(2):
-            deployment.add_node()
-        views = [node.context.cluster_view for node in deployment.nodes]
-        deployment.wait_until(lambda: all(len(v.nodes_by_name) == 2 for v in views))
-        host = deployment.nodes[1].context.settings.peer_address.rsplit(":", 1)[0]
-        network.cut(host, [endpoint.address], REFUSE)
-
-    return cut
-
-
 def is_whole(answer):
     status, _, _, complete = answer
     return status == 200 and complete
@@ -99,10 +83,10 @@
 
     @pytest.mark.parametrize("path", SERVICES)
     def test_answer_through_another_node_is_not_complete(
-        self, deployment, start_early, relaying, path
+        self, deployment, start_early, add_cut_node, path
     ):
         endpoint = start_early("e1", path)
-        relaying(endpoint)
+        add_cut_node([endpoint.address])
         for _ in range(self.N_REQUESTS):
             assert not is_whole(deployment.ask(path, node=1, body=UPLOAD))
         assert deployment.nodes[1].context.ways.n_relayed >= 1
@@ -133,8 +117,8 @@
         assert (status, body, complete) == (200, EVENTS, True)
 
     def test_answer_through_another_node_is_complete(
-        self, deployment, start_early, relaying
+        self, deployment, start_early, add_cut_node
     ):
-        relaying(start_early("e1", "/order/x", is_reset=False))
+        add_cut_node([start_early("e1", "/order/x", is_reset=False).address])
         status, _, body, complete = deployment.ask("/order/x", node=1, body=UPLOAD)
         assert (status, body, complete) == (200, EVENTS, True)
--- a/tests/serving/test_faulty_answers.py
+++ b/tests/serving/test_faulty_answers.py
@@ -9,7 +9,6 @@
 from savoryhill.serving.http import encode_chunk
 from savoryhill.serving.ways.connection import open_connection
 from savoryhill.standins.serving.endpoint import _reset_at_close
-from savoryhill.standins.serving.network import REFUSE
 
 ALL_PATHS = ["/chat/x", "/once/x", "/order/x", "/stock/x"]
 SERVICES = {"chat": "pool", "once": "pool", "order": "app", "stock": "app"}
@@ -305,15 +304,10 @@
 
     @pytest.mark.parametrize("answer", ["status 000", "control byte in a head"])
     def test_is_no_answer_through_another_node(
-        self, deployment, add_raw, network, answer
+        self, deployment, add_raw, add_cut_node, answer
     ):
         endpoint = add_raw("e1", "/order/x", answer=MALFORMED_HEADS[answer])
-        for _ in range(2):
-            deployment.add_node()
-        views = [node.context.cluster_view for node in deployment.nodes]
-        deployment.wait_until(lambda: all(len(v.nodes_by_name) == 2 for v in views))
-        host = deployment.nodes[1].context.settings.peer_address.rsplit(":", 1)[0]
-        network.cut(host, [endpoint.address], REFUSE)
+        add_cut_node([endpoint.address])
         status, _, body, _ = deployment.ask("/order/x", node=1)
         assert (status, b"hello" in body) == (502, False)
         assert deployment.nodes[1].context.ways.n_relayed == 1
--- a/tests/serving/test_kept_bytes.py
+++ b/tests/serving/test_kept_bytes.py
@@ -6,7 +6,6 @@
 import pytest
 
 from savoryhill.serving.http import encode_chunk
-from savoryhill.standins.serving.network import REFUSE
 
 N_ENDLESS = 100
 # What the settings of the tests' nodes name is 300 MB; a sixth of it is for answers.
@@ -78,17 +77,12 @@
         assert endless.n_closed == endless.n_requests
 
     def test_relayed_answers_count_as_well(
-        self, deployment, start_scripted, network, peak
+        self, deployment, start_scripted, add_cut_node, peak
     ):
         # The node in between passes the bytes on and keeps none.
         first, repeated = FRAMINGS["chunks"]
         endless = start_scripted("a1", service="app", first=first, repeated=repeated)
-        for _ in range(2):
-            deployment.add_node()
-        views = [node.context.cluster_view for node in deployment.nodes]
-        deployment.wait_until(lambda: all(len(v.nodes_by_name) == 2 for v in views))
-        host = deployment.nodes[1].context.settings.peer_address.rsplit(":", 1)[0]
-        network.cut(host, [endless.address], REFUSE)
+        add_cut_node([endless.address])
         asked = ask_many(deployment, "/order/x", N_ENDLESS, node=1)
         statuses = {each.get()[0] for each in asked}
         assert statuses <= {502, 503, 504}
--- a/tests/serving/test_plain_streams.py
+++ b/tests/serving/test_plain_streams.py
@@ -5,7 +5,6 @@
 
 from savoryhill.platform import names
 from savoryhill.serving.http import encode_chunk
-from savoryhill.standins.serving.network import REFUSE
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)]
 # Requests after which one of two endpoints has got one, but for a chance of 1 in 2**40.
@@ -236,14 +235,9 @@
 class TestThroughAnotherNode:
     @pytest.mark.parametrize("fault", [None, "cut", "unframed_cut"])
     def test_stream_is_served_as_without_a_relay(
-        self, deployment, endpoints, network, fault
+        self, deployment, endpoints, add_cut_node, fault
     ):
-        for _ in range(2):
-            deployment.add_node()
-        views = [node.context.cluster_view for node in deployment.nodes]
-        deployment.wait_until(lambda: all(len(v.nodes_by_name) == 2 for v in views))
-        host = deployment.nodes[1].context.settings.peer_address.rsplit(":", 1)[0]
-        network.cut(host, [each.address for each in endpoints.values()], REFUSE)
+        add_cut_node([each.address for each in endpoints.values()])
         if fault:
             endpoints["app-0"].faults.append(fault)
         n_asked = 0
