--- a/review/bed-3/bed.py
+++ b/review/bed-3/bed.py
@@ -495,6 +495,7 @@
         self.address = ""
         self.state = "ready"
         self.born = int(time.time() * 1000)
+        self.cold_ms = 0
         self.open_writers = {}
         self._server = None
         self._sequence = 0
@@ -511,6 +512,7 @@
     def beat(self):
         """Write the row in the store."""
         self._sequence += 1
+        age_ms = time.time() * 1000 - self.born
         row = {
             "service": self.service,
             "address": self.address,
@@ -518,7 +520,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": max(0, int(self.cold_ms - age_ms)),
             "sequence": self._sequence,
             "born": self.born,
         }
