--- a/review/bed-3/bed.py
+++ b/review/bed-3/bed.py
@@ -36,6 +36,10 @@
     "pairs_per_m": 0.162,
     "chunk": 2048,
 }
+# Of the slowest machines of the grown deployments, 10 Mbit/s.
+LINK_BYTES_PER_S = 10e6 / 8
+PIECE_BYTES = 8192
+HISTORY_S = 20.0
 BOUNDS = {
     "contactMs": 3000,
     "acknowledgeMs": 4000,
@@ -337,6 +341,7 @@
         self.revision = 10
         self.intercept = None
         self._events = []
+        self._forgotten_revision = 0
         self._leases = {}
         self._n_leases = 100
         self._changed = asyncio.Event()
@@ -363,7 +368,7 @@
             self._announce(event)
 
     def _announce(self, event):
-        self._events.append(event)
+        self._events.append((time.monotonic(), event))
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -375,6 +380,9 @@
                 for key in [k for k, i in self.items.items() if i["lease"] == lease]:
                     self._bed.note(f"store: lease {lease} has ended, removes {key}")
                     self.remove(key)
+        while self._events and self._events[0][0] < now - HISTORY_S:
+            _, event = self._events.pop(0)
+            self._forgotten_revision = event["revision"]
 
     async def expire_periodically(self):
         """Remove the rows of leases that have ended."""
@@ -466,9 +474,11 @@
         ends_at = time.monotonic() + int(query["waitMs"]) / 1000
         while True:
             changed = self._changed
+            if after < self._forgotten_revision:
+                return 410, {}
             events = [
                 event
-                for event in self._events
+                for _, event in self._events
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left_s = ends_at - time.monotonic()
@@ -478,6 +488,37 @@
                 await asyncio.wait_for(changed.wait(), left_s)
 
 
+class Link:
+    """The link of one machine, over which it reaches the store."""
+
+    def __init__(self, bed):
+        self._bed = bed
+        self._free_at = 0.0
+        self.address = ""
+
+    async def handle(self, reader, writer):
+        """Pass one connection on; what the store sends takes its time."""
+        host, port = self._bed.store.address.split(":")
+        store_reader, store_writer = await asyncio.open_connection(host, int(port))
+        upstream = asyncio.create_task(self._copy(reader, store_writer, is_slow=False))
+        try:
+            await self._copy(store_reader, writer, is_slow=True)
+        finally:
+            upstream.cancel()
+            store_writer.close()
+
+    async def _copy(self, reader, writer, *, is_slow):
+        loop = asyncio.get_running_loop()
+        while data := await reader.read(PIECE_BYTES):
+            if is_slow:
+                self._free_at = max(self._free_at, loop.time())
+                self._free_at += len(data) / LINK_BYTES_PER_S
+                await asyncio.sleep(self._free_at - loop.time())
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
+
+
 class Endpoint:
     """An endpoint of a service, which registers itself and answers with ``respond``.
 
