Review: the scripts name the record that they write, line by line

Cause: the path of record.txt stood in the stand-ins only, and the record was written at the end of a run, so that one that is ended early had none.

--- a/review/bed-3/bed.py
+++ b/review/bed-3/bed.py
@@ -128,8 +128,9 @@
 
     def __init__(self, folder):
         self._began_at = time.monotonic()
-        self._lines = []
-        self._record_path = Path(folder) / "record.txt"
+        # Line by line, so that a run that is ended early has its record, too.
+        path = Path(folder) / "record.txt"
+        self._record = open(path, "w", buffering=1, encoding="utf-8")  # noqa: SIM115
         self._tmp = Path(tempfile.mkdtemp(prefix="bed-3-"))
         self._net = f"127.{20 + os.getpid() % 200}.{(os.getpid() // 200) % 250}"
         self._n_hosts = 0
@@ -143,7 +144,7 @@
 
     def note(self, text):
         """Write a line of the record."""
-        self._lines.append(f"{self.now():8.3f} {text}")
+        self._record.write(f"{self.now():8.3f} {text}\n")
 
     def new_host(self):
         """Return another loopback address."""
@@ -198,12 +199,11 @@
                 await asyncio.sleep(0.05)
 
     def finish(self):
-        """End all processes and write the record."""
+        """End all processes and close the record."""
         for node in self._nodes:
             node.end()
         logs = [(node.name, node.log_path) for node in self._nodes]
-        with open(self._record_path, "w", encoding="utf-8") as file:
-            file.write("\n".join(self._lines) + "\n")
+        self._record.close()
         if os.environ.get("KEEP_LOGS"):
             for name, path in logs:
                 shutil.copy(path, Path(os.environ["KEEP_LOGS"]) / f"{name}.log")
@@ -727,13 +727,15 @@
 
     async def run():
         # What is still open at the end is no error.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.set_exception_handler(lambda *_: None)
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         bed = Bed(folder)
         try:
             await bed.start_store()
             asyncio.create_task(bed.store.expire_periodically())
             return HELD if await asyncio.wait_for(play(bed), 110.0) else BROKEN
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, asyncio.CancelledError) as error:
             bed.note(f"could not run: {error!r}")
             return NOT_RUN
         finally:
