serving: the log tells which repeat takes over, and in which state

Change: request.repeat_took_over names the endpoint of the repeat, how much of its answer has arrived, and whether its failure is being judged.

--- a/src/savoryhill/serving/repeat_question.py
+++ b/src/savoryhill/serving/repeat_question.py
@@ -158,6 +158,15 @@
             return None
         self._stop_asking()
         repeat, self._repeat = self._repeat, None
+        reader = repeat.run.reader
+        self._log(
+            "request.repeat_took_over",
+            repeat_endpoint=repeat.endpoint.id,
+            is_taken_up=self._is_taken_up,
+            is_open=repeat.run.is_open,
+            is_judged=repeat.run.is_judged,
+            n_bytes=reader.n_buffered_bytes,
+        )
         return repeat
 
     def close(self):
