ways: a connection that broke is told of as broken from then on

Cause: the operating system tells of a break once. The next receive sees no bytes, as at a proper end, which completes an answer without a length. Only a break under a send was kept in mind. An error of the system that is a TimeoutError (ETIMEDOUT) counted as a wait that is over, and was followed by such a receive. Change: a break under a receive is kept in mind as well, and a reset that a relay told of; every later receive raises the error of a reset. Conclusion: no receive after a break completes an answer, whoever receives.

--- a/src/savoryhill/serving/ways/connection.py
+++ b/src/savoryhill/serving/ways/connection.py
@@ -28,7 +28,8 @@
 
     ``relay`` names the node through which it goes, empty if there is none.
     ``is_aborted`` tells that this node has ended it, ``has_broken`` that it broke under
-    a send.
+    a send or a receive. The operating system tells of that only once: what is received
+    next looks like a proper end.
     """
 
     sock: object
@@ -40,9 +41,8 @@
     def send(self, data, *, timeout_s):
         """Send all bytes, or raise an error.
 
-        The response may arrive meanwhile. The operating system tells of a reset only
-        once: if a send is told, a later receive sees what looks like a proper end. A
-        broken pipe is none, as the server had ended the connection properly before.
+        The response may arrive meanwhile. A broken pipe is no break, as the server had
+        ended the connection properly before.
         """
         self.sock.settimeout(timeout_s)
         try:
@@ -65,7 +65,12 @@
             If the bytes are not a valid HTTP response.
         """
         self.sock.settimeout(timeout_s)
-        data = self.sock.recv(RECV_BYTES)
+        try:
+            data = self.sock.recv(RECV_BYTES)
+        except OSError as error:
+            # A receive that takes too long has no error number.
+            self.has_broken |= error.errno is not None
+            raise
         if not data:
             # Not the server's end, which completes a response without a length.
             self.raise_if_aborted()
@@ -102,9 +107,9 @@
             raise ConnectionAbortedError("this node has ended the connection")
 
     def raise_if_broken(self):
-        """Raise `ConnectionResetError` if the connection broke under a send."""
+        """Raise `ConnectionResetError` if the connection broke before."""
         if self.has_broken:
-            raise ConnectionResetError("the connection broke while it was written to")
+            raise ConnectionResetError("the connection broke before")
 
     def abort(self):
         """End the connection; a receive that waits sees its end at once."""
--- a/src/savoryhill/serving/ways/relayed_connection.py
+++ b/src/savoryhill/serving/ways/relayed_connection.py
@@ -37,6 +37,7 @@
         MalformedMessageError
             If the bytes are not a valid HTTP response.
         """
+        self._raise_if_reset()
         self.sock.settimeout(timeout_s)
         try:
             received = self.sock.recv(RECV_BYTES)
@@ -48,13 +49,17 @@
         data = self.chunks.feed(received)
         if data:
             self.reader.feed(data)
-        if self.chunks.is_reset:
-            raise ConnectionResetError(f"reset at {self.relay}")
+        self._raise_if_reset()
         if self.chunks.is_closed:
             self.reader.feed_end()
             return False
         return True
 
+    def _raise_if_reset(self):
+        """Raise `ConnectionResetError` if the endpoint's connection was reset."""
+        if self.chunks.is_reset:
+            raise ConnectionResetError(f"reset at {self.relay}")
+
 
 def open_relayed(node, request, *, timeout_s, source_host, max_buffered_bytes):
     """Ask a node to relay a connection to an endpoint.
