serving: a repeat that has failed does not take over from its run

Cause: a repeat is sent beside a silent run. If its connection breaks, it is found out whose fault that is, which takes a connect. The question still held the repeat meanwhile, so that a run that ended as well handed over to it, and killed the greenlet that judged its failure. Nothing counted that failure: not as a crash, not against the endpoint. Change: a repeat leaves the question as soon as it has failed. Its failure is judged in a greenlet of its own, which goes on if the question ends. A run that fails meanwhile waits for it, as both decide on what becomes of the request. Calls, plain streams and generations share this.

--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -150,28 +150,31 @@
         self._request.avoided_endpoint_ids.add(endpoint.id)
 
     def _send_repeat(self, prepared):
-        """Send a repeat beside the silent run; return whether it is taken up."""
-        endpoint = prepared.endpoint
-        failure = self._request.find_withheld(endpoint)
-        if failure is not None:
-            prepared.withdraw()
-        else:
-            failure = self._try_repeat(prepared)
-            if failure is None:
-                return True
-            prepared.closing.close()
-        self._note_failed_repeat(failure, endpoint)
-        return False
+        """Send a repeat beside the silent run.
 
-    def _try_repeat(self, prepared):
-        """Send a repeat; return its failure, or None once it is taken up."""
+        Returns
+        -------
+        SendFailure or None
+            None once it is taken up.
+        """
+        failure = self._request.find_withheld(prepared.endpoint)
+        if failure is not None:
+            return failure
         prepared.run = run = self._begin_run(prepared)
-        failure = try_run(
+        return try_run(
             run,
             send=partial(self._send, prepared),
             is_taken_up=self._answer.is_taken_up,
         )
-        return None if failure is None else run.settle(failure)
+
+    def _settle_repeat(self, prepared, failure):
+        """Count a repeat that was not taken up, and close it."""
+        if prepared.run is None:
+            prepared.withdraw()
+        else:
+            failure = prepared.run.settle(failure)
+            prepared.closing.close()
+        self._note_failed_repeat(failure, prepared.endpoint)
 
     def _begin_run(self, prepared):
         return EndpointRun(
@@ -375,6 +378,7 @@
             endpoint=prepared.endpoint,
             ask=partial(self._find_repeat, prepared),
             send=self._send_repeat,
+            settle=self._settle_repeat,
             on_silence=partial(self._suspect, prepared),
         )
         with closing(question):
--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -46,7 +46,6 @@
         self.connection = connection
         self.is_open = True
         self.is_answering = False
-        self.is_judged = False
         self.stop_cause = None
         self.sent_at = request.context.clock.monotonic()
         self.n_partial_bytes = 0
@@ -165,7 +164,6 @@
 
     def settle(self, failure):
         """Count a failed run; return its failure with what it turned out to be."""
-        self.is_judged = True
         failure = self._request.judge_end(failure, self.endpoint, self.connection)
         self._check.note_failure(self, failure)
         if failure.body:
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -181,6 +181,7 @@
             endpoint=prepared.endpoint,
             ask=partial(self._repeats.find, prepared),
             send=self._repeats.send,
+            settle=self._repeats.settle,
             on_silence=partial(self._repeats.suspect, prepared),
             on_heard=partial(jobs.report_heard_again, prepared.job),
         )
--- a/src/savoryhill/serving/generation_repeats.py
+++ b/src/savoryhill/serving/generation_repeats.py
@@ -83,37 +83,38 @@
             )
             if not isinstance(run, SendFailure):
                 return run
-            request.avoided_endpoint_ids.add(run.endpoint or job.placement.endpoints[0])
+            request.avoided_endpoint_ids.add(_faulty_endpoint(job, run))
             gevent.sleep(RETRY_WAIT_S)
         return Denial.FAILED.value
 
     def send(self, prepared):
-        """Send a repeat beside the silent run; return whether it is taken up."""
-        job = prepared.job
+        """Send a repeat beside the silent run.
+
+        Returns
+        -------
+        SendFailure or None
+            None once it is taken up.
+        """
         failure = self._preparation.find_withheld(prepared.endpoints)
         if failure is not None:
-            prepared.withdraw()
-        else:
-            failure = self._try(prepared)
-            if failure is None:
-                return True
-            prepared.closing.close()
-            endpoint_id = failure.endpoint or job.placement.endpoints[0]
-            self._request.note_failed_send(failure)
-            self._jobs.report_failure(job, failure, endpoint_id)
-        self._request.avoided_endpoint_ids.add(
-            failure.endpoint or job.placement.endpoints[0]
-        )
-        return False
-
-    def _try(self, prepared):
-        """Send a repeat; return its failure, or None once it is taken up."""
-        failure = try_run(
+            return failure
+        return try_run(
             self._runs.begin(prepared),
             send=partial(self._runs.send, prepared),
             is_taken_up=self._forwarder.is_taken_up,
         )
-        return None if failure is None else self._runs.settle(prepared, failure)
+
+    def settle(self, prepared, failure):
+        """Count a repeat that was not taken up, and close it."""
+        job = prepared.job
+        if prepared.run is None:
+            prepared.withdraw()
+        else:
+            failure = self._runs.settle(prepared, failure)
+            prepared.closing.close()
+            self._request.note_failed_send(failure)
+            self._jobs.report_failure(job, failure, _faulty_endpoint(job, failure))
+        self._request.avoided_endpoint_ids.add(_faulty_endpoint(job, failure))
 
     def _situation(self, silent, needed_s):
         """Return what decides whether a repeat is asked for beside a silent run."""
@@ -154,8 +155,7 @@
         request = self._request
         if failure is not None:
             request.note_failed_send(failure)
-            endpoint_id = failure.endpoint or job.placement.endpoints[0]
-            self._jobs.report_failure(job, failure, endpoint_id)
+            self._jobs.report_failure(job, failure, _faulty_endpoint(job, failure))
         else:
             self._context.dispatcher.jobs.withdraw(job)
         request.n_sends -= 1
@@ -193,3 +193,8 @@
             context.dispatcher.jobs.report_slow(run.job, endpoint.id)
         else:
             context.dispatcher.jobs.report_suspected(run.job, endpoint.id)
+
+
+def _faulty_endpoint(job, failure):
+    """Return the id of the engine that failed a job, the first one if none is named."""
+    return failure.endpoint or job.placement.endpoints[0]
--- a/src/savoryhill/serving/repeat_question.py
+++ b/src/savoryhill/serving/repeat_question.py
@@ -23,7 +23,8 @@
     Only a repeat that an endpoint has begun to answer ends the run: until then it may
     be refused, break off or fall silent as well. If the run goes on while the question
     is open, the question is withdrawn, and has spent nothing unless the repeat has been
-    sent. If the run ends by itself, a repeat that has been sent takes over.
+    sent. If the run ends by itself, a repeat that has been sent takes over, unless it
+    has failed as well.
 
     Parameters
     ----------
@@ -37,19 +38,25 @@
         `OpenRun`.
     send : callable
         Called with a repeat; sends it and waits for the endpoint to take it up. Returns
-        whether it did. It is called in the same greenlet.
+        the failure, or None if it did. It is called in the same greenlet.
+    settle : callable
+        Called with a repeat that was not taken up and its failure; counts it and closes
+        the repeat. It is called in a greenlet that goes on after the question.
     on_silence : callable
         Called with the start of a silence once it is suspicious.
     on_heard : callable
         Called without arguments when the run goes on after that.
     """
 
-    def __init__(self, *, request, endpoint, ask, send, on_silence, on_heard=None):
+    def __init__(
+        self, *, request, endpoint, ask, send, settle, on_silence, on_heard=None
+    ):
         self._request = request
         self._context = request.context
         self._endpoint = endpoint
         self._ask = ask
         self._send_repeat = send
+        self._settle_repeat = settle
         self._on_silence = on_silence
         self._on_heard = on_heard
         self._send = request.n_sends
@@ -57,7 +64,7 @@
         self._asking = None
         self._asked_at = self._asks_at = float("-inf")
         self._logged_cause = ""
-        self._repeat = None
+        self._repeat = self._settling = None
         self._is_taken_up = False
 
     def poll(self, silent_since, suspicious_s):
@@ -108,9 +115,14 @@
                 return answer
             self._repeat = answer
             self._asked_at = self._context.clock.monotonic()
-            if self._send_repeat(answer):
+            failure = self._send_repeat(answer)
+            if failure is None:
                 return None
+            # What has failed can't take over. Judging its failure takes a moment, in
+            # which the run may end; the failure counts all the same.
             self._repeat = None
+            self._settling = gevent.spawn(self._settle_repeat, answer, failure)
+            self._settling.get()
         return Denial.FAILED.value
 
     def _log(self, event, **fields):
@@ -154,9 +166,12 @@
         """
         if failure is None or self._request.time_left_s() <= 0:
             return None
+        self._stop_asking()
+        if self._settling is not None:
+            # It decides with the run's failure on what becomes of the request.
+            self._settling.join(timeout=self._request.time_left_s())
         if self._repeat is None or self._repeat.run is None:
             return None
-        self._stop_asking()
         repeat, self._repeat = self._repeat, None
         reader = repeat.run.reader
         self._log(
@@ -164,7 +179,6 @@
             repeat_endpoint=repeat.endpoint.id,
             is_taken_up=self._is_taken_up,
             is_open=repeat.run.is_open,
-            is_judged=repeat.run.is_judged,
             n_bytes=reader.n_buffered_bytes,
         )
         return repeat
--- a/tests/serving/test_handed_over_runs.py
+++ b/tests/serving/test_handed_over_runs.py
@@ -121,6 +121,56 @@
     endpoints.end_first.set()
 
 
+class TestRepeatThatHasFailed:
+    """Guards against a part of an answer that its client gets as the whole.
+
+    While it is found out whose fault the broken repeat is, the first run ends as well,
+    and must not hand over to the repeat.
+    """
+
+    @pytest.mark.parametrize("pause_s", [0.05, JUDGED_S / 2, 2 * JUDGED_S])
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    def test_does_not_take_over_a_call(
+        self, deployment, start_ending, framing, pause_s
+    ):
+        endpoints = start_ending(framing, service="app")
+        connection = deployment.open("/stock/x")
+        await_both_ends(endpoints, pause_s=pause_s)
+        status, _, body, _ = deployment.finish(connection)
+        assert (status, HALF in body) == (502, False)
+        assert endpoints.n_requests == 2
+
+    @pytest.mark.parametrize("pause_s", [0.05, JUDGED_S / 2])
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    def test_another_run_serves_the_call(
+        self, deployment, start_ending, framing, pause_s
+    ):
+        endpoints = start_ending(framing, service="app", attempts=3)
+        connection = deployment.open("/stock/x")
+        await_both_ends(endpoints, pause_s=pause_s)
+        status, _, body, complete = deployment.finish(connection)
+        assert (status, body, complete) == (200, BODY, True)
+        assert endpoints.n_requests == 3
+
+    @pytest.mark.parametrize("path", SERVICES)
+    def test_counts_though_the_request_has_ended(self, deployment, start_ending, path):
+        # Guards against crashes that nobody counts, as the question for a repeat ends
+        # while they are judged.
+        endpoints = start_ending("no length", service=SERVICES[path])
+        connection = deployment.open(path)
+        deployment.wait_until(lambda: endpoints.n_requests == 2)
+        endpoints.has_sent_half.wait(1.0)
+        endpoints.end_second.set()
+        gevent.sleep(0.05)
+        endpoints.end_first.set()
+        status, _, _, complete = deployment.finish(connection)
+        assert not (status == 200 and complete)
+        lines = deployment.lines[0]
+        deployment.wait_until(lambda: len(lines.fields_of("crash.observed")) == 2)
+        crashed = {line["endpoint"] for line in lines.fields_of("crash.observed")}
+        assert len(crashed) == 2
+
+
 class TestConnectionThatHasBroken:
     """Guards against a second receive that takes a break for a proper end."""
 
