serving: a crash counts though its client leaves while it is judged

Prompts with a part that ends engines reached more of them than the crashes so far called for, if their callers left soon after each crash. Cause: an ended connection is judged by a connect, which takes up to half a second if another node has to be asked. A client that left meanwhile ended the greenlet of its request, and with it the count of the crash. Change: a run whose connection ended is settled in a greenlet of its own. Conclusion: whether a crash counts no longer depends on its client's patience.

--- a/src/savoryhill/serving/endpoint_run.py
+++ b/src/savoryhill/serving/endpoint_run.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import gevent
+
 from savoryhill.errors import MalformedMessageError
 from savoryhill.serving.served_request import (
     RECHECK_S,
@@ -163,7 +165,16 @@
         )
 
     def settle(self, failure):
-        """Count a failed run; return its failure with what it turned out to be."""
+        """Count a failed run; return its failure with what it turned out to be.
+
+        Finding out takes a moment if its connection ended. The failure counts even if
+        the client leaves meanwhile.
+        """
+        if failure.connection_ended:
+            return gevent.spawn(self._settle, failure).get()
+        return self._settle(failure)
+
+    def _settle(self, failure):
         failure = self._request.judge_end(failure, self.endpoint, self.connection)
         self._check.note_failure(self, failure)
         if failure.body:
--- a/tests/serving/test_handed_over_runs.py
+++ b/tests/serving/test_handed_over_runs.py
@@ -171,6 +171,21 @@
         assert len(crashed) == 2
 
 
+class TestClientThatLeaves:
+    @pytest.mark.parametrize("path", SERVICES)
+    def test_crash_counts(self, deployment, start_ending, path):
+        # Guards against crashes that nobody counts, as their clients leave while it is
+        # found out whose fault they are.
+        endpoints = start_ending("no length", service=SERVICES[path])
+        connection = deployment.open(path)
+        deployment.wait_until(lambda: endpoints.n_requests == 1)
+        endpoints.end_first.set()
+        gevent.sleep(JUDGED_S / 2)
+        connection.close()
+        lines = deployment.lines[0]
+        deployment.wait_until(lambda: lines.fields_of("crash.observed"))
+
+
 class TestConnectionThatHasBroken:
     """Guards against a second receive that takes a break for a proper end."""
 
