serving: what may have ended many endpoints at once is tried one at a time

Cause: crashes count in succession, each under a request that was sent after the crash before it, so that a zone that fails condemns nobody. Requests that were sent together count once, however many engines end; their repeats once more. Two are less than the three that have a part refused, and below that nothing held the next requests back. Change: a part is in doubt 1.5 s after five endpoints have ended under it (a request: three), unless it has been borne since. What is in doubt is refused by nobody: its requests are tried one at a time, the others wait for up to 2 s, and go where another release bears it. The tries are sent one after the other, so that three crashes in succession condemn as before. A part that was borne lately, which takes six, is tried less and less often after three. Whatever was borne since the crash is not in doubt. Calls are tried one at a time at each node, generations at the leader. A sound part may wait for the first of its requests to be borne if five endpoints end under it at once and nothing has borne it within 1.5 s.

--- a/src/savoryhill/observability/explain.py
+++ b/src/savoryhill/observability/explain.py
@@ -10,6 +10,8 @@
 # Lines about a part of prompts, or all repetitions of a request, not about one request.
 PART_EVENTS = (
     "crash.observed",
+    "crashes.in_doubt",
+    "crashes.doubt_ended",
     "part.refused",
     "part.served_again",
     "request.refused_for_crashes",
--- a/src/savoryhill/serving/crash_check.py
+++ b/src/savoryhill/serving/crash_check.py
@@ -2,11 +2,18 @@
 
 from contextlib import contextmanager
 
+import gevent
+
 from savoryhill.core.observations.crashes import Admission
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 from savoryhill.serving.crash_guard import refusal_cause
 from savoryhill.serving.served_request import SendFailure
 
+# How often and how long a request waits for another one with a part in doubt. Its
+# answer may be late, which is better than none.
+PROBE_CHECK_S = 0.03
+MAX_DOUBT_WAIT_S = 2.0
+
 
 class CrashCheck:
     """Refuses a request that ends endpoints, and reports what its sends show.
@@ -39,18 +46,30 @@
         self._sound_releases = None
         suspects = self._suspects()
         admission, crashing = self._guard.admit(suspects, self._workspace)
-        if admission is Admission.ADMIT:
-            return None
-        if admission is Admission.ELSEWHERE:
-            self._sound_releases = crashing.sound_releases
-            is_borne = len(self._endpoints()) > len(self.excluded_ids())
-            return None if is_borne else refusal_cause(crashing)
-        known = self._guard.crashing_by_part
         if admission is Admission.REFUSE:
             return refusal_cause(crashing)
-        self.probed_parts = tuple(part for part in suspects if part in known)
+        if admission is Admission.ELSEWHERE:
+            self._sound_releases = crashing.sound_releases
+            if not self._is_borne():
+                return refusal_cause(crashing)
+        if admission is Admission.PROBE:
+            known = self._guard.crashing_by_part
+            self.probed_parts = tuple(part for part in suspects if part in known)
+        self._heed_doubts(suspects)
         return None
 
+    def _heed_doubts(self, suspects):
+        """Send the request where what is in doubt is borne, or try it on its own."""
+        for part, doubt in self._guard.doubts(suspects, self._workspace).items():
+            releases, others = doubt.sound_releases, self._sound_releases
+            self._sound_releases = releases if others is None else releases & others
+            if not self._is_borne():
+                self._sound_releases = others
+                self.probed_parts += (part,)
+
+    def _is_borne(self):
+        return len(self._endpoints()) > len(self.excluded_ids())
+
     def _endpoints(self):
         view = self._request.context.cluster_view
         return view.usable_endpoints(self._request.service.name)
@@ -69,15 +88,16 @@
             if endpoint.release not in self._sound_releases
         )
 
-    def refuse(self, cause, response, history):
+    def refuse(self, cause, response, history, *, retry_after_s=None):
         """End the request, which ends endpoints or has a part that does.
 
-        There is no time after which the client's next try would succeed.
+        There is no time after which the client's next try would succeed, unless
+        ``retry_after_s`` says so.
         """
         request = self._request
         request.context.observe("refused_for_crashes", 1.0, request.route)
         failure = SendFailure(cause=cause, may_have_run=False)
-        response.fail(failure, history, retry_after_s=None)
+        response.fail(failure, history, retry_after_s=retry_after_s)
 
     @contextmanager
     def watch(self, job=None):
@@ -119,21 +139,48 @@
     def probe(self, job_id):
         """Try what may end endpoints inside the context, without a scheduler.
 
+        Waits for a while as long as another request tries what is in doubt.
+
         Yields
         ------
         JobRejected or None
             None if the request may be sent.
         """
-        rejection = None
-        if self.probed_parts:
+        try:
+            yield self._await_probe(job_id)
+        finally:
+            self._guard.end_probe(job_id)
+
+    def _await_probe(self, job_id):
+        while True:
+            if not self.probed_parts:
+                return None
             dispatcher = self._request.context.dispatcher
             rejection = self._guard.admit_probe(
                 job_id, self.probed_parts, is_standalone=not dispatcher.is_leader()
             )
-        try:
-            yield rejection
-        finally:
-            self._guard.end_probe(job_id)
+            if rejection is None or not self.may_wait(rejection):
+                return rejection
+            gevent.sleep(PROBE_CHECK_S)
+            cause = self.refusal_cause()
+            if cause is not None:
+                return JobRejected(
+                    job_id=job_id, reason=cause, retry_after_s=NO_RETRY_S
+                )
+
+    def may_wait(self, rejection):
+        """Tell whether the request waits for another one that tries what is in doubt.
+
+        What is refused for its crashes has no time after which it would be served.
+        """
+        request = self._request
+        waited_s = request.context.clock.monotonic() - request.arrived_at
+        return (
+            rejection.awaits_probe
+            and rejection.retry_after_s >= 0.0
+            and waited_s < MAX_DOUBT_WAIT_S
+            and request.time_left_s() > request.route.target_latency_s
+        )
 
     def note_sent(self, run):
         """Record a run whose request is about to be sent."""
--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -15,11 +15,14 @@
     observe_start,
     recall_starts,
 )
+from savoryhill.core.observations.doubts import find_doubts
 from savoryhill.core.observations.parts import is_request_digest, name_digests
 from savoryhill.core.scheduling.messages import NO_RETRY_S, JobRejected
 
 MAX_STARTED_PARTS = 8_192
 NEVER = float("-inf")
+# A client whose request was not tried, as others are, may come back after this.
+DOUBT_RETRY_AFTER_S = 1.0
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
@@ -36,7 +39,8 @@
     """Which requests and parts end endpoints, as this node knows it, and what waits.
 
     ``crashing_by_part`` holds what ends endpoints by its digest: parts of prompts, and
-    requests as a whole.
+    requests as a whole. ``doubts_by_part`` holds what may end them, and is tried one
+    request at a time.
     """
 
     def __init__(self, *, clock, sharing, record):
@@ -47,6 +51,7 @@
         self._started_at_by_part = OrderedDict()
         self._probing_job_by_part = {}
         self.crashing_by_part = {}
+        self.doubts_by_part = {}
         sharing.on_news.append(self._handle_news)
         sharing.on_review.append(self.review)
 
@@ -67,6 +72,15 @@
             now=self._clock.monotonic(),
         )
 
+    def doubts(self, parts, workspace):
+        """Return the doubts that bind a request of a workspace, by their parts."""
+        known = self.doubts_by_part
+        return {
+            part: known[part]
+            for part in parts
+            if part in known and known[part].binds(workspace)
+        }
+
     def note_crash(self, *, request, parts, workspace, endpoint, sent_at):
         """Record that the connection to an endpoint ended under parts or a request."""
         source = endpoint.incarnation
@@ -140,7 +154,8 @@
             The parts of its prompt that may end engines.
         is_standalone : bool
             Whether this node schedules only its own jobs. All such nodes would try a
-            part that has ended engines at the same time, so none does.
+            part that has ended engines at the same time, so none does. One that is in
+            doubt may be sound, and is tried at each of them.
 
         Returns
         -------
@@ -149,24 +164,45 @@
         """
         now = self._clock.monotonic()
         for part in parts:
+            is_tried = self._probing_job_by_part.get(part, job_id) != job_id
+            doubt = self.doubts_by_part.get(part)
+            if doubt is not None and (is_tried or now < doubt.next_try_at()):
+                return JobRejected(
+                    job_id=job_id,
+                    reason=doubt_cause(doubt),
+                    retry_after_s=DOUBT_RETRY_AFTER_S,
+                    awaits_probe=True,
+                )
             crashing = self.crashing_by_part.get(part)
             if crashing is None:
                 continue
             is_whole = crashing.parts <= set(parts)
             if crashing.refuses(set(parts), now) or (is_whole and is_standalone):
                 return _reject(job_id, crashing)
-            if self._probing_job_by_part.get(part, job_id) != job_id:
+            if is_tried:
                 return _reject(job_id, crashing, awaits_probe=not is_whole)
         self._probing_job_by_part.update(dict.fromkeys(parts, job_id))
         return None
 
     def end_probe(self, job_id):
         """Release the parts that a job has tried."""
-        for part in [
-            part for part, job in self._probing_job_by_part.items() if job == job_id
-        ]:
+        for part in self._parts_tried_by(job_id):
             del self._probing_job_by_part[part]
 
+    def note_probe_started(self, job_id):
+        """Release the parts of a job that has started, except for those in doubt.
+
+        An endpoint may end after some events, so others with the part wait until it is
+        borne or the job ends.
+        """
+        for part in self._parts_tried_by(job_id):
+            if part not in self.doubts_by_part:
+                del self._probing_job_by_part[part]
+
+    def _parts_tried_by(self, job_id):
+        jobs = self._probing_job_by_part.items()
+        return [part for part, job in jobs if job == job_id]
+
     # What is known of parts.
 
     def _handle_news(self, news):
@@ -185,9 +221,13 @@
 
     def review(self):
         """Find what ends endpoints, and stop the requests that wait and are refused."""
-        known = self.crashing_by_part
-        found = find_crashing_parts(self._sharing.table, self._clock.monotonic())
+        now = self._clock.monotonic()
+        known, found = (
+            self.crashing_by_part,
+            find_crashing_parts(self._sharing.table, now),
+        )
         self.crashing_by_part = found
+        self._review_doubts(now)
         self._sharing.table.protected_subjects = frozenset(found)
         for part in found.keys() - known.keys():
             if is_request_digest(part):
@@ -204,6 +244,27 @@
         if found:
             self._stop_waiting_requests()
 
+    def _review_doubts(self, now):
+        known, found = (
+            self.doubts_by_part,
+            find_doubts(self._sharing.table, self.crashing_by_part, now),
+        )
+        self.doubts_by_part = found
+        for part in found.keys() - known.keys():
+            doubt = found[part]
+            fields = {
+                "digest": part,
+                "together_with": name_digests(sorted(doubt.parts - {part})),
+                "crashes": doubt.n_crashes,
+                "successive": doubt.n_successive,
+                "workspaces": ",".join(sorted(doubt.workspaces)),
+            }
+            self._record("crashes.in_doubt", fields)
+        for part in known.keys() - found.keys():
+            is_refused = part in self.crashing_by_part
+            fields = {"digest": part, "is_refused": is_refused}
+            self._record("crashes.doubt_ended", fields)
+
     def _stop_waiting_requests(self):
         for waiting in list(self._waiting):
             if waiting.is_probe:
@@ -225,6 +286,18 @@
     return cause
 
 
+def doubt_cause(doubt):
+    """Return the cause that a client is told whose request is not tried now."""
+    requests = sorted(part for part in doubt.parts if is_request_digest(part))
+    parts = sorted(part for part in doubt.parts if not is_request_digest(part))
+    cause = f"{doubt.n_crashes} endpoints ended under "
+    if parts:
+        cause += f"a prompt with part {name_digests(parts)}"
+    else:
+        cause += ",".join(requests)
+    return f"{cause}, which is tried one at a time"
+
+
 def _reject(job_id, crashing, *, awaits_probe=False):
     return JobRejected(
         job_id=job_id,
--- a/src/savoryhill/serving/gauges.py
+++ b/src/savoryhill/serving/gauges.py
@@ -76,6 +76,7 @@
         plain_choices_asked=lambda: context.balancer.grants.n_asked,
         plain_choices_unanswered=lambda: context.balancer.grants.n_unanswered,
         endpoints_pausing=lambda: len(context.endpoint_statements.pauses),
+        crashes_in_doubt=lambda: len(context.crash_guard.doubts_by_part),
         parts_refused=lambda: context.crash_guard.n_refused(is_request=False),
         requests_refused_for_crashes=lambda: context.crash_guard.n_refused(
             is_request=True
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -7,7 +7,7 @@
 
 from savoryhill.core.scheduling.messages import FINISHED, JobRejected
 from savoryhill.errors import MalformedMessageError
-from savoryhill.serving.crash_check import CrashCheck
+from savoryhill.serving.crash_check import PROBE_CHECK_S, CrashCheck
 from savoryhill.serving.engine_runs import EngineRuns
 from savoryhill.serving.generation_repeats import GenerationRepeats
 from savoryhill.serving.prepared_run import RunPreparation
@@ -17,9 +17,7 @@
 from savoryhill.serving.served_request import SendFailure, describe_break
 from savoryhill.serving.stream_forwarder import StreamForwarder
 
-# How often and how long a request waits for another one to start that tries a part
-# of its prompt.
-PROBE_CHECK_S = 0.03
+# How long a request waits for another one to start that tries a part of its prompt.
 MAX_PROBE_WAIT_S = 1.0
 
 # Tells that a request is to be submitted again.
@@ -143,10 +141,11 @@
     def _awaits_probe(self, decision):
         """Tell whether another request is about to show that this one can be served."""
         request = self._request
+        if not isinstance(decision, JobRejected) or not decision.awaits_probe:
+            return False
         waited_s = self._context.clock.monotonic() - request.arrived_at
-        return (
-            isinstance(decision, JobRejected)
-            and decision.awaits_probe
+        return self._check.may_wait(decision) or (
+            decision.retry_after_s < 0.0
             and waited_s < min(MAX_PROBE_WAIT_S, request.route.target_latency_s)
         )
 
--- a/src/savoryhill/serving/scheduling.py
+++ b/src/savoryhill/serving/scheduling.py
@@ -171,13 +171,14 @@
             return
         scheduler = self.schedulers_by_service[submission.service]
         now = self._clock.monotonic()
-        if message.what not in (ENDPOINT_SUSPECTED, ENDPOINT_SLOW):
-            self._crash_guard.end_probe(message.job_id)
         if message.what == FIRST_EVENT:
+            self._crash_guard.note_probe_started(message.job_id)
             self._deliver_all(
                 scheduler, scheduler.note_first_event(message.job_id, now)
             )
             return
+        if message.what not in (ENDPOINT_SUSPECTED, ENDPOINT_SLOW):
+            self._crash_guard.end_probe(message.job_id)
         if message.what in REPORTS_ON_ENGINES:
             self._eject(scheduler, message, now)
         if message.what == WITHDRAWN and submission.needs_budget:
