--- a/src/savoryhill/serving/crash_guard.py
+++ b/src/savoryhill/serving/crash_guard.py
@@ -222,10 +222,8 @@
     def review(self):
         """Find what ends endpoints, and stop the requests that wait and are refused."""
         now = self._clock.monotonic()
-        known, found = (
-            self.crashing_by_part,
-            find_crashing_parts(self._sharing.table, now),
-        )
+        known = self.crashing_by_part
+        found = find_crashing_parts(self._sharing.table, now)
         self.crashing_by_part = found
         self._review_doubts(now)
         self._sharing.table.protected_subjects = frozenset(found)
@@ -245,10 +243,8 @@
             self._stop_waiting_requests()
 
     def _review_doubts(self, now):
-        known, found = (
-            self.doubts_by_part,
-            find_doubts(self._sharing.table, self.crashing_by_part, now),
-        )
+        known = self.doubts_by_part
+        found = find_doubts(self._sharing.table, self.crashing_by_part, now)
         self.doubts_by_part = found
         for part in found.keys() - known.keys():
             doubt = found[part]
