--- a/tests/serving/test_crashes_at_once.py
+++ b/tests/serving/test_crashes_at_once.py
@@ -11,9 +11,10 @@
 from savoryhill.soak.deployment import route
 
 N_ENDPOINTS = 12
-# When a node must know that a part ends engines, after so many of them have ended, and
-# how many requests with it may still reach engines.
+# When a node must know that a part ends engines, or a request does, after so many of
+# them have ended, and how many such requests may still reach engines.
 CERTAIN_CRASHES = 5
+CERTAIN_CRASHES_OF_REQUEST = 3
 CONTACT_S = 3.0
 MAX_LATER_ARRIVALS = 3
 NUMBERS = count(1)
@@ -60,15 +61,18 @@
     return endpoints
 
 
-def ask_at_once(deployment, path, part, n):
-    """Send requests with a part, in turn to all nodes; return what asks for them."""
+def ask_at_once(deployment, path, part, n, *, body=None):
+    """Send requests with a part, in turn to all nodes; return what asks for them.
+
+    No two are alike unless there is a ``body``.
+    """
 
     def ask(node):
         number = next(NUMBERS)
         return deployment.ask(
             path,
             node=node,
-            body=b"%d" % number,
+            body=b"%d" % number if body is None else body,
             x_prompt_prefix=f"aa:40,{part}:900,{number:x}:60",
         )
 
@@ -79,17 +83,21 @@
     return sorted(at for endpoint in endpoints for _, at in endpoint.crashes)
 
 
-def n_later_arrivals(endpoints, part):
+def n_later_arrivals(endpoints, is_meant, *, n_certain=CERTAIN_CRASHES):
     ended_at = crash_times(endpoints)
-    assert len(ended_at) >= CERTAIN_CRASHES
+    assert len(ended_at) >= n_certain
     return sum(
-        arrival.at > ended_at[CERTAIN_CRASHES - 1] + CONTACT_S
+        arrival.at > ended_at[n_certain - 1] + CONTACT_S
         for endpoint in endpoints
         for arrival in endpoint.arrivals
-        if part in dict(arrival.headers).get(b"x-prompt-prefix", b"")
+        if is_meant(arrival)
     )
 
 
+def has_dead_part(arrival):
+    return b"dead" in dict(arrival.headers).get(b"x-prompt-prefix", b"")
+
+
 class TestPartThatEndsEngines:
     """Guards against as many ended engines as requests come together, every time."""
 
@@ -107,7 +115,7 @@
             asked = ask_at_once(deployment, path, "dead", n_at_once)
             gevent.joinall(asked)
             assert {each.get()[0] for each in asked} <= {200, 502, 503}
-        assert n_later_arrivals(endpoints, b"dead") <= MAX_LATER_ARRIVALS
+        assert n_later_arrivals(endpoints, has_dead_part) <= MAX_LATER_ARRIVALS
 
     def test_part_that_was_sound_before(self, deployment, endpoints):
         ask = partial(ask_at_once, deployment, "/once/x", "dead", 5)
@@ -117,7 +125,26 @@
         for wait_s in (0.0, CONTACT_S + 0.3, 1.0):
             gevent.sleep(wait_s)
             gevent.joinall(ask())
-        assert n_later_arrivals(endpoints, b"dead") <= MAX_LATER_ARRIVALS
+        assert n_later_arrivals(endpoints, has_dead_part) <= MAX_LATER_ARRIVALS
+
+
+class TestRequestThatEndsEndpoints:
+    """Guards against the same for one request that comes several times at once."""
+
+    @pytest.mark.parametrize("path", ["/chat/x", "/once/x", "/read/x"])
+    def test_few_later_ones_reach_endpoints(self, deployment, endpoints, path):
+        for endpoint in endpoints:
+            endpoint.crashing_bodies = {b"deadly"}
+        for wait_s in (0.0, CONTACT_S + 0.3):
+            gevent.sleep(wait_s)
+            asked = ask_at_once(deployment, path, "bb", 6, body=b"deadly")
+            assert {each.get()[0] for each in asked} <= {200, 502, 503}
+        n_later = n_later_arrivals(
+            endpoints,
+            lambda arrival: arrival.body == b"deadly",
+            n_certain=CERTAIN_CRASHES_OF_REQUEST,
+        )
+        assert n_later <= MAX_LATER_ARRIVALS
 
 
 class TestCommonCause:
