observations: crashes are attributed to parts in one place

find_doubts repeated the loop of find_crashing_parts that holds the end of an endpoint against the part with the most crashes only, and Doubt the rule which workspaces are affected. Both now use attribute_crashes and SuspectedParts.

--- a/src/savoryhill/core/observations/crashes.py
+++ b/src/savoryhill/core/observations/crashes.py
@@ -67,28 +67,37 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class CrashingParts:
-    """Parts that end engines when they are together in a prompt, or a request.
+class SuspectedParts:
+    """Parts under which endpoints ended, or a request.
 
-    There are several if all crashes had them in common. ``sources`` are the engines
-    that ended, ``workspaces`` those whose requests they ended under.
-    ``sound_releases`` are the releases that have borne the parts and not ended since.
+    There are several if all crashes had them in common. ``workspaces`` are those under
+    whose requests endpoints ended, ``sound_releases`` the releases that bear the parts.
     """
 
     parts: frozenset[str]
     n_crashes: int
-    sources: tuple[str, ...]
     workspaces: frozenset[str]
     last_crash_at: float
     sound_releases: frozenset[str] = frozenset()
 
     def binds(self, workspace):
-        """Return whether requests of a workspace are refused.
+        """Return whether requests of a workspace are affected.
 
         A workspace alone can't bring about that those of others are.
         """
         return len(self.workspaces) > 1 or workspace in self.workspaces
 
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashingParts(SuspectedParts):
+    """Parts that end engines when they are together in a prompt, or a request.
+
+    ``sources`` are the engines that ended. ``sound_releases`` are the releases that
+    have borne the parts and not ended since.
+    """
+
+    sources: tuple[str, ...]
+
     def next_probe_at(self):
         """Return when a request with the parts is tried again."""
         delay_s, factor = FIRST_PROBE_DELAY_S, PROBE_DELAY_FACTOR
@@ -348,7 +357,47 @@
         live = live_crashes(table, part)
         if _count_against(table, part, live, now):
             crashes_by_part[part] = live
-    found, explained = {}, set()
+    found = {}
+    for together, unexplained in attribute_crashes(
+        crashes_by_part,
+        explained=set(),
+        is_enough=lambda part, crashes: _count_against(table, part, crashes, now),
+    ):
+        part, sources = together[0], {crash.source for crash in unexplained}
+        crashing = CrashingParts(
+            parts=frozenset(together),
+            n_crashes=_count_against(table, part, unexplained, now),
+            sources=tuple(sorted(sources)),
+            workspaces=frozenset(crash.workspace for crash in unexplained),
+            last_crash_at=max(crash.observed_at for crash in unexplained),
+            sound_releases=_sound_releases(table, together, now),
+        )
+        found.update(dict.fromkeys(together, crashing))
+    return found
+
+
+def attribute_crashes(crashes_by_part, *, explained, is_enough):
+    """Yield the parts that crashes speak against, and these crashes.
+
+    Each endpoint that ended speaks against the part with the most crashes only.
+
+    Parameters
+    ----------
+    crashes_by_part : dict of str to list of Observation
+        The crashes under each part.
+    explained : set of str
+        Sources of crashes that have another explanation.
+    is_enough : callable
+        ``is_enough(part, crashes)`` tells whether the crashes that nothing else
+        explains are enough to speak against a part.
+
+    Yields
+    ------
+    tuple of (list of str, list of Observation)
+        The part with the most crashes, followed by those that were in the same ones;
+        and its crashes.
+    """
+    explained, found = set(explained), set()
     most_crashes_first = sorted(
         crashes_by_part, key=lambda part: (-len(crashes_by_part[part]), part)
     )
@@ -356,26 +405,19 @@
         if part in found:
             continue
         unexplained = [c for c in crashes_by_part[part] if c.source not in explained]
-        n_crashes = _count_against(table, part, unexplained, now)
-        if not n_crashes:
+        if not is_enough(part, unexplained):
             continue
         sources = {crash.source for crash in unexplained}
-        together = {
+        together = [part] + [
             other
             for other, crashes in crashes_by_part.items()
-            if other not in found and {crash.source for crash in crashes} == sources
-        } | {part}
-        crashing = CrashingParts(
-            parts=frozenset(together),
-            n_crashes=n_crashes,
-            sources=tuple(sorted(sources)),
-            workspaces=frozenset(crash.workspace for crash in unexplained),
-            last_crash_at=max(crash.observed_at for crash in unexplained),
-            sound_releases=_sound_releases(table, together, now),
-        )
-        found.update(dict.fromkeys(together, crashing))
+            if other not in found
+            and other != part
+            and {crash.source for crash in crashes} == sources
+        ]
+        yield together, unexplained
+        found.update(together)
         explained |= sources
-    return found
 
 
 def admit(crashing_by_part, *, parts, workspace, now):
--- a/src/savoryhill/core/observations/doubts.py
+++ b/src/savoryhill/core/observations/doubts.py
@@ -14,6 +14,8 @@
     KNOWN,
     MIN_CRASHES,
     SOUND,
+    SuspectedParts,
+    attribute_crashes,
     count_successive,
     live_crashes,
 )
@@ -32,24 +34,14 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Doubt:
+class Doubt(SuspectedParts):
     """Parts, or a request, that may end endpoints.
 
-    There are several parts if all crashes had them in common. ``workspaces`` are those
-    under whose requests endpoints ended. ``sound_releases`` have borne all of the parts
-    and had no crash.
+    ``n_successive`` is how many of the crashes followed one another. The
+    ``sound_releases`` have had no crash.
     """
 
-    parts: frozenset[str]
-    n_crashes: int
     n_successive: int
-    workspaces: frozenset[str]
-    last_crash_at: float
-    sound_releases: frozenset[str] = frozenset()
-
-    def binds(self, workspace):
-        """Return whether requests of a workspace are tried one at a time."""
-        return len(self.workspaces) > 1 or workspace in self.workspaces
 
     def next_try_at(self):
         """Return from when on the next request is tried."""
@@ -82,23 +74,15 @@
     explained = {s for known in crashing_by_part.values() for s in known.sources}
     crashes_by_part = {}
     for part in table.subjects(CRASH, n_min=MIN_CRASHES_OF_REQUEST):
-        crashes = _unexplained(live_crashes(table, part), explained)
-        if part not in crashing_by_part and _is_in_doubt(part, crashes, now):
-            crashes_by_part[part] = crashes
+        live = [c for c in live_crashes(table, part) if c.source not in explained]
+        if part not in crashing_by_part and _is_in_doubt(part, live, now):
+            crashes_by_part[part] = live
     doubts_by_part = {}
-    most_crashes_first = sorted(
-        crashes_by_part, key=lambda part: (-len(crashes_by_part[part]), part)
-    )
-    for part in most_crashes_first:
-        crashes = _unexplained(crashes_by_part[part], explained)
-        if part in doubts_by_part or not _is_in_doubt(part, crashes, now):
-            continue
-        sources = {crash.source for crash in crashes}
-        together = {
-            other
-            for other, others in crashes_by_part.items()
-            if {crash.source for crash in others} == sources
-        } | {part}
+    for together, crashes in attribute_crashes(
+        crashes_by_part,
+        explained=explained,
+        is_enough=lambda part, crashes: _is_in_doubt(part, crashes, now),
+    ):
         doubt = Doubt(
             parts=frozenset(together),
             n_crashes=len(crashes),
@@ -108,14 +92,9 @@
             sound_releases=_sound_releases(table, together),
         )
         doubts_by_part.update(dict.fromkeys(together, doubt))
-        explained |= sources
     return doubts_by_part
 
 
-def _unexplained(crashes, explained):
-    return [crash for crash in crashes if crash.source not in explained]
-
-
 def _is_in_doubt(part, crashes, now):
     is_request = is_request_digest(part)
     n_min = MIN_CRASHES_OF_REQUEST if is_request else MIN_CRASHES_OF_PART
