scheduling: what a rejection tells the client stands once

Calls and generations both turned a negative retry_after_s into no Retry-After; the message now does. No change of behaviour: the tests of crashes, dispatch, scheduling, pauses and of messages between nodes pass.

--- a/src/savoryhill/core/scheduling/messages.py
+++ b/src/savoryhill/core/scheduling/messages.py
@@ -97,6 +97,11 @@
     retry_after_s: float
     awaits_probe: bool = False
 
+    @property
+    def client_retry_after_s(self):
+        """Return after how many seconds the client may come back, None if never."""
+        return self.retry_after_s if self.retry_after_s >= 0.0 else None
+
 
 NO_RETRY_S = -1.0
 
--- a/src/savoryhill/serving/calls.py
+++ b/src/savoryhill/serving/calls.py
@@ -72,7 +72,12 @@
                 request.n_sends += 1
             with self._check.probe(f"{request.id}.{request.n_sends}") as rejection:
                 if rejection is not None:
-                    self._refuse(rejection)
+                    self._check.refuse(
+                        rejection.reason,
+                        self._response,
+                        self._history,
+                        retry_after_s=rejection.client_retry_after_s,
+                    )
                     return
                 with self._check.watch():
                     run = self._prepare(endpoint) if repeat is None else repeat
@@ -96,15 +101,6 @@
                 self._response.fail(failure, self._history)
                 return
 
-    def _refuse(self, rejection):
-        retry_after_s = rejection.retry_after_s
-        self._check.refuse(
-            rejection.reason,
-            self._response,
-            self._history,
-            retry_after_s=retry_after_s if retry_after_s >= 0.0 else None,
-        )
-
     def _begin(self):
         """Choose an endpoint; return None if the request is refused."""
         cause = self._check.refusal_cause()
--- a/src/savoryhill/serving/generation.py
+++ b/src/savoryhill/serving/generation.py
@@ -153,9 +153,8 @@
         if rejection is None:
             cause, retry_after_s = "no endpoint was free in time", RETRY_AFTER_S
         else:
-            cause, retry_after_s = rejection.reason, rejection.retry_after_s
-            if retry_after_s < 0.0:
-                retry_after_s = None
+            cause = rejection.reason
+            retry_after_s = rejection.client_retry_after_s
         failure = SendFailure(cause=cause, may_have_run=False)
         self._response.fail(failure, self._history, retry_after_s=retry_after_s)
 
--- a/src/savoryhill/serving/repeat_question.py
+++ b/src/savoryhill/serving/repeat_question.py
@@ -173,13 +173,12 @@
         if self._repeat is None or self._repeat.run is None:
             return None
         repeat, self._repeat = self._repeat, None
-        reader = repeat.run.reader
         self._log(
             "request.repeat_took_over",
             repeat_endpoint=repeat.endpoint.id,
             is_taken_up=self._is_taken_up,
             is_open=repeat.run.is_open,
-            n_bytes=reader.n_buffered_bytes,
+            n_bytes=repeat.run.reader.n_buffered_bytes,
         )
         return repeat
 
