tests: one scripted socket for connections that break

Two tests each had a fake socket of their own, and one started endpoints for a connection that it did not use.

--- a/tests/serving/test_handed_over_runs.py
+++ b/tests/serving/test_handed_over_runs.py
@@ -6,7 +6,8 @@
 from gevent.server import StreamServer
 
 from savoryhill.errors import RelayLostError
-from savoryhill.serving.ways.connection import open_connection
+from savoryhill.serving.http import ResponseReader
+from savoryhill.serving.ways.connection import Connection, open_connection
 from savoryhill.serving.ways.relay_stream import LENGTH, RESET_MARK
 from savoryhill.serving.ways.relayed_connection import RelayedConnection
 from savoryhill.soak.deployment import route
@@ -186,6 +187,22 @@
         deployment.wait_until(lambda: lines.fields_of("crash.observed"))
 
 
+class ScriptedSocket:
+    """Returns or raises what it was given, one after the other."""
+
+    def __init__(self, *received):
+        self._received = list(received)
+
+    def settimeout(self, timeout_s):
+        pass
+
+    def recv(self, _n_bytes):
+        first = self._received.pop(0)
+        if isinstance(first, OSError):
+            raise first
+        return first
+
+
 class TestConnectionThatHasBroken:
     """Guards against a second receive that takes a break for a proper end."""
 
@@ -207,52 +224,26 @@
 
     def test_error_that_looks_like_a_wait(self):
         # The system gives up on a connection with the error of a wait that is over.
-        class Socket:
-            received = (TimeoutError(110, "Connection timed out"), b"")
-
-            def settimeout(self, timeout_s):
-                pass
-
-            def recv(self, _n_bytes):
-                first, *self.received = self.received
-                if isinstance(first, OSError):
-                    raise first
-                return first
-
-        endpoints = EndingEndpoints(FRAMINGS["no length"])
-        address = f"127.0.0.1:{endpoints.servers[0].server_port}"
-        connection = open_connection(address, timeout_s=1.0)
+        error = TimeoutError(110, "Connection timed out")
+        connection = Connection(
+            sock=ScriptedSocket(error, b""), reader=ResponseReader()
+        )
         connection.reader.feed(HEAD + b"\r\n" + HALF)
-        connection.sock.close()
-        connection.sock = Socket()
         with pytest.raises(TimeoutError):
             connection.receive(timeout_s=1.0)
         with pytest.raises(ConnectionResetError):
             connection.receive(timeout_s=1.0)
         assert not connection.reader.complete
-        for server in endpoints.servers:
-            server.stop()
 
     def test_reset_at_a_relay(self):
-        class Socket:
-            received = (LENGTH.pack(len(HALF)) + HALF + RESET_MARK, b"")
-
-            def settimeout(self, timeout_s):
-                pass
-
-            def recv(self, _n_bytes):
-                first, *self.received = self.received
-                return first
-
+        head = HEAD + b"\r\n"
+        chunks = LENGTH.pack(len(head)) + head + RESET_MARK
         connection = RelayedConnection(
-            sock=Socket(), reader=_Reader(), relay="other node"
+            sock=ScriptedSocket(chunks, b""),
+            reader=ResponseReader(),
+            relay="other node",
         )
         for _ in range(2):
             with pytest.raises(ConnectionResetError) as caught:
                 connection.receive(timeout_s=1.0)
             assert not isinstance(caught.value, RelayLostError)
-
-
-class _Reader:
-    def feed(self, data):
-        pass
